--- /dev/null
+++ b/crates/damaskctl/src/main.rs
@@ -0,0 +1,2 @@
+//! stub
+fn main() {}
--- /dev/null
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -0,0 +1,389 @@
+//! `holder` holds an instance's part of a budget: reservations, refills, transfers and bills.
+
+mod flush;
+mod holding;
+mod refill;
+mod transfer;
+
+use damaskstile_core::prelude::*;
+
+use crate::effect::{DrawPlan, HolderEffect};
+use crate::entry::Entry;
+use crate::ledger::Ledger;
+use crate::op::LedgerOp;
+use crate::options::BudgetOptions;
+use flush::Batch;
+use holding::Holding;
+use refill::{Rate, Waiter};
+use transfer::{AskRound, OpenGive};
+
+/// `Reserve` is the answer to a request for tokens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reserve {
+    /// The tokens are reserved.
+    Ready(Vec<DrawPlan>),
+    /// The answer comes as an effect.
+    Waiting,
+    /// There is no hope of tokens now.
+    Refused(RefusalCode),
+}
+
+/// `Holder` holds one budget's tokens for one instance.
+///
+/// It never reserves more than its grants cover. Grants come from the ledger ahead of need, or
+/// from peers; a request waits for them only when they run out.
+#[derive(Debug)]
+pub struct Holder {
+    budget: BudgetId,
+    identity: Identity,
+    options: BudgetOptions,
+    /// Ledger as last read or written, with its version.
+    view: Option<(Version, Ledger)>,
+    view_at: Duration,
+    /// Newest version ever seen; an older one comes from a lagging read.
+    seen_version: Version,
+    holdings: BTreeMap<GrantId, Holding>,
+    reservations: BTreeMap<RunId, Vec<Draw>>,
+    pending: Vec<LedgerOp>,
+    batch: Option<Batch>,
+    last_batch: u64,
+    next_flush_at: Duration,
+    retry_at: Option<Duration>,
+    lost_answers: u32,
+    page_in_flight: Option<u64>,
+    waiters: Vec<Waiter>,
+    round: Option<AskRound>,
+    open_asks: BTreeSet<(u64, InstanceId)>,
+    open_gives: BTreeMap<GrantId, OpenGive>,
+    /// Gifts whose takers have not entered them in the ledger, with the grant they came from.
+    unadopted: BTreeMap<GrantId, GrantId>,
+    next_number: u64,
+    fruitless_ask_at: Option<Duration>,
+    rate: Rate,
+    peers: BTreeSet<InstanceId>,
+    /// Whether there are peers that cannot be reached.
+    has_silent_peers: bool,
+    witnesses: BTreeMap<InstanceId, Incarnation>,
+    last_used_at: Duration,
+    is_stopping: bool,
+}
+
+impl Holder {
+    /// Makes a holder that holds nothing yet.
+    #[must_use]
+    pub fn new(budget: &str, identity: &Identity, options: BudgetOptions, now: Duration) -> Self {
+        Self {
+            budget: budget.to_owned(),
+            identity: identity.clone(),
+            options,
+            view: None,
+            view_at: Duration::ZERO,
+            seen_version: 0,
+            holdings: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            pending: Vec::new(),
+            batch: None,
+            last_batch: 0,
+            next_flush_at: now,
+            retry_at: None,
+            lost_answers: 0,
+            page_in_flight: None,
+            waiters: Vec::new(),
+            round: None,
+            open_asks: BTreeSet::new(),
+            open_gives: BTreeMap::new(),
+            unadopted: BTreeMap::new(),
+            next_number: 0,
+            fruitless_ask_at: None,
+            rate: Rate::new(now),
+            peers: BTreeSet::new(),
+            has_silent_peers: false,
+            witnesses: BTreeMap::new(),
+            last_used_at: now,
+            is_stopping: false,
+        }
+    }
+
+    /// Sets the options in force from now on.
+    pub fn set_options(&mut self, options: BudgetOptions) {
+        self.options = options;
+    }
+
+    /// Sets the peers that can be asked for tokens, and those that new grants name as witnesses.
+    pub fn set_peers(
+        &mut self,
+        peers: BTreeSet<InstanceId>,
+        witnesses: BTreeMap<InstanceId, Incarnation>,
+        has_silent_peers: bool,
+    ) {
+        self.peers = peers;
+        self.has_silent_peers = has_silent_peers;
+        self.witnesses = witnesses;
+    }
+
+    /// Reserves the worst case of a run.
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        run: &RunId,
+        tokens: u64,
+        is_open_only: bool,
+        fx: &mut Vec<HolderEffect>,
+    ) -> Reserve {
+        self.last_used_at = now;
+        self.rate.add(now, tokens);
+        if let Some(draws) = self.draw(run, tokens, is_open_only) {
+            self.refill_ahead(now, fx);
+            return Reserve::Ready(draws);
+        }
+        if self.is_stopping {
+            return Reserve::Refused(RefusalCode::Stopping);
+        }
+        self.wait(now, run, tokens, is_open_only, fx)
+    }
+
+    /// Gives up a reservation of which nothing was spent, or a wait for one.
+    pub fn release(&mut self, run: &RunId) {
+        self.waiters.retain(|waiter| &waiter.run != run);
+        for draw in self.reservations.remove(run).unwrap_or_default() {
+            self.put_back(&draw.grant, draw.tokens);
+        }
+    }
+
+    /// Turns a reservation into an entry of the ledger. What was not used is free again.
+    pub fn settle(&mut self, now: Duration, entry: Entry) {
+        self.last_used_at = now;
+        let draws = self.reservations.remove(&entry.run).unwrap_or_default();
+        let mut left_tokens = entry.cost_tokens();
+        for draw in &draws {
+            let spent_tokens = left_tokens.min(draw.tokens);
+            left_tokens -= spent_tokens;
+            self.put_back(&draw.grant, draw.tokens - spent_tokens);
+        }
+        self.pending.push(LedgerOp::Spend { entry, draws });
+        self.drop_empty_holdings();
+    }
+
+    /// Accounts for a run of a silent holder, on the evidence of its record.
+    pub fn settle_for_other(&mut self, now: Duration, entry: Entry, draws: Vec<Draw>) {
+        self.last_used_at = now;
+        self.pending.push(LedgerOp::Spend { entry, draws });
+    }
+
+    /// Stores that this instance accepts no more records of a silent holder's grants.
+    pub fn seal(
+        &mut self,
+        now: Duration,
+        holder: &str,
+        incarnation: Incarnation,
+        kept: BTreeMap<GrantId, BTreeMap<RunId, u64>>,
+    ) {
+        self.last_used_at = now;
+        self.next_flush_at = now;
+        self.pending.push(LedgerOp::Seal {
+            holder: holder.to_owned(),
+            incarnation,
+            kept,
+        });
+    }
+
+    /// Gives back all that is free and stops asking for more.
+    pub fn stop(&mut self, now: Duration) {
+        self.is_stopping = true;
+        self.next_flush_at = now;
+        self.return_free();
+    }
+
+    /// Tells whether nothing is held, reserved or waiting for the store.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.reservations.is_empty()
+            && self.pending.is_empty()
+            && self.batch.is_none()
+            && self.waiters.is_empty()
+            && self.free_tokens() == 0
+    }
+
+    /// Returns the peers that witness what is held.
+    #[must_use]
+    pub fn witnesses_in_use(&self) -> BTreeSet<InstanceId> {
+        self.holdings
+            .values()
+            .flat_map(|holding| holding.witnesses.iter().cloned())
+            .collect()
+    }
+
+    /// Tells whether the holder can be dropped from memory: it is unused and holds nothing.
+    #[must_use]
+    pub fn is_idle(&self, now: Duration, idle_for: Duration) -> bool {
+        self.holdings.is_empty()
+            && self.is_settled()
+            && self.open_gives.is_empty()
+            && self.unadopted.is_empty()
+            && now.saturating_sub(self.last_used_at) > idle_for
+    }
+
+    /// Returns the ledger as last seen, where it is in memory.
+    #[must_use]
+    pub fn ledger(&self) -> Option<&Ledger> {
+        self.view.as_ref().map(|(_, ledger)| ledger)
+    }
+
+    /// Returns the tokens that could be reserved at once.
+    #[must_use]
+    pub fn free_tokens(&self) -> u64 {
+        self.holdings
+            .values()
+            .map(|holding| holding.free_tokens)
+            .sum()
+    }
+
+    /// Returns the tokens reserved for runs.
+    #[must_use]
+    pub fn reserved_tokens(&self) -> u64 {
+        self.reservations
+            .values()
+            .flatten()
+            .map(|draw| draw.tokens)
+            .sum()
+    }
+
+    /// Returns the number of entries that wait for the store.
+    #[must_use]
+    pub fn pending_entries(&self) -> usize {
+        let count = |ops: &[LedgerOp]| {
+            ops.iter()
+                .filter(|op| matches!(op, LedgerOp::Spend { .. }))
+                .count()
+        };
+        let in_flight = self.batch.as_ref().map_or(0, |batch| count(&batch.ops));
+        count(&self.pending) + in_flight
+    }
+
+    /// Returns the time that the holder wants to be woken at, if any.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Duration> {
+        let flush_at = (!self.pending.is_empty() && self.batch.is_none())
+            .then(|| self.retry_at.unwrap_or(self.next_flush_at));
+        let batch_at = self
+            .batch
+            .as_ref()
+            .and_then(|batch| if batch.is_called { None } else { self.retry_at });
+        let waiter_at = self.waiters.iter().map(|waiter| waiter.next_at).min();
+        let round_at = self.round.as_ref().map(|round| round.until);
+        let give_at = self
+            .open_gives
+            .values()
+            .filter_map(|give| give.resend_at)
+            .min();
+        [flush_at, batch_at, waiter_at, round_at, give_at]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        self.resend_gives(now, fx);
+        self.end_round(now, fx);
+        self.pump(now, fx);
+        self.flush_due(now, fx);
+    }
+
+    /// Returns the draw plans of a run's reservation.
+    #[must_use]
+    pub fn plans(&self, run: &RunId) -> Vec<DrawPlan> {
+        let draws = self.reservations.get(run).cloned().unwrap_or_default();
+        draws.into_iter().map(|draw| self.plan(draw)).collect()
+    }
+
+    fn plan(&self, draw: Draw) -> DrawPlan {
+        let witnesses = self
+            .holdings
+            .get(&draw.grant)
+            .map(|holding| holding.witnesses.clone())
+            .unwrap_or_default();
+        DrawPlan { draw, witnesses }
+    }
+
+    /// Takes tokens out of as few holdings as possible, those with records first.
+    fn draw(&mut self, run: &RunId, tokens: u64, is_open_only: bool) -> Option<Vec<DrawPlan>> {
+        let mut order: Vec<(GrantId, u64)> = self
+            .holdings
+            .iter()
+            .filter(|(_, holding)| holding.free_tokens > 0)
+            .filter(|(_, holding)| !is_open_only || holding.witnesses.is_empty())
+            .map(|(grant, holding)| (grant.clone(), holding.free_tokens))
+            .collect();
+        order.sort_by_key(|(grant, free)| (self.is_open(grant), *free < tokens, *free));
+        let available: u64 = order.iter().map(|(_, free)| free).sum();
+        if available < tokens {
+            return None;
+        }
+
+        let mut left_tokens = tokens;
+        let mut draws = Vec::new();
+        for (grant, free) in order {
+            let taken = left_tokens.min(free);
+            if taken == 0 {
+                break;
+            }
+            left_tokens -= taken;
+            if let Some(holding) = self.holdings.get_mut(&grant) {
+                holding.free_tokens -= taken;
+            }
+            draws.push(Draw {
+                grant,
+                tokens: taken,
+            });
+        }
+        self.reservations.insert(run.clone(), draws.clone());
+        Some(draws.into_iter().map(|draw| self.plan(draw)).collect())
+    }
+
+    fn is_open(&self, grant: &GrantId) -> bool {
+        self.holdings
+            .get(grant)
+            .is_some_and(|holding| holding.witnesses.is_empty())
+    }
+
+    fn put_back(&mut self, grant: &GrantId, tokens: u64) {
+        // A grant that was closed meanwhile is no longer in the list; its rest is not ours.
+        if let Some(holding) = self.holdings.get_mut(grant) {
+            holding.free_tokens = holding.free_tokens.saturating_add(tokens);
+        }
+        if self.is_stopping {
+            self.return_free();
+        }
+    }
+
+    fn return_free(&mut self) {
+        for (grant, holding) in &mut self.holdings {
+            let tokens = std::mem::take(&mut holding.free_tokens);
+            if tokens > 0 {
+                self.pending.push(LedgerOp::Return {
+                    grant: grant.clone(),
+                    tokens,
+                });
+            }
+        }
+        self.drop_empty_holdings();
+    }
+
+    /// Forgets holdings of which nothing is free and nothing is reserved.
+    fn drop_empty_holdings(&mut self) {
+        let used: BTreeSet<&GrantId> = self
+            .reservations
+            .values()
+            .flatten()
+            .map(|draw| &draw.grant)
+            .chain(self.open_gives.values().map(|give| &give.plan.draw.grant))
+            .collect();
+        self.holdings
+            .retain(|grant, holding| holding.free_tokens > 0 || used.contains(grant));
+    }
+
+    fn log(fx: &mut Vec<HolderEffect>, code: EventCode, fields: &[(&str, &str)]) {
+        fx.push(HolderEffect::Log(LogEvent::new(code, fields)));
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-budgets/src/holder/flush.rs
@@ -0,0 +1,441 @@
+//! `flush` carries batches of changes into the stored ledger, each exactly once.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use super::holding::Holding;
+use super::refill::Stage;
+use crate::effect::HolderEffect;
+use crate::entry::Entry;
+use crate::ledger::{Ledger, PAGE_ENTRIES, RECENT_ENTRIES};
+use crate::op::LedgerOp;
+
+/// First wait after a lost answer; it doubles up to the longest.
+const BACKOFF_FIRST: Duration = Duration::from_millis(200);
+/// Longest wait after lost answers.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(3);
+/// Time without use after which the ledger is not kept in memory.
+const VIEW_KEPT: Duration = Duration::from_secs(30);
+
+/// `Batch` is a set of changes on its way to the store. Its content never changes.
+#[derive(Debug)]
+pub(super) struct Batch {
+    number: u64,
+    pub ops: Vec<LedgerOp>,
+    /// Whether a call to the store is out.
+    pub is_called: bool,
+    /// Ledger with the batch applied, while its write is out.
+    candidate: Option<Ledger>,
+    refused: Vec<RunId>,
+}
+
+impl Holder {
+    pub(super) fn flush_due(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        if let Some(batch) = &self.batch {
+            let is_due = !batch.is_called && self.retry_at.is_some_and(|at| at <= now);
+            if is_due {
+                self.read(fx);
+            }
+            return;
+        }
+        let due_at = self.retry_at.unwrap_or(self.next_flush_at);
+        if !self.pending.is_empty() && now >= due_at {
+            self.flush(now, fx);
+        }
+        let is_idle = now.saturating_sub(self.last_used_at) > VIEW_KEPT;
+        if is_idle && self.batch.is_none() && self.page_in_flight.is_none() {
+            self.view = None;
+        }
+    }
+
+    /// Sends what is pending to the store, if nothing is on its way.
+    pub(super) fn flush(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        if self.batch.is_some() || self.pending.is_empty() {
+            return;
+        }
+        self.last_batch += 1;
+        self.next_flush_at = now + self.options.flush_interval;
+        self.batch = Some(Batch {
+            number: self.last_batch,
+            ops: std::mem::take(&mut self.pending),
+            is_called: false,
+            candidate: None,
+            refused: Vec::new(),
+        });
+        if self.view.is_some() {
+            self.write(now, fx);
+        } else {
+            self.read(fx);
+        }
+    }
+
+    fn read(&mut self, fx: &mut Vec<HolderEffect>) {
+        if let Some(batch) = &mut self.batch {
+            batch.is_called = true;
+            batch.candidate = None;
+        }
+        fx.push(HolderEffect::Read);
+    }
+
+    fn write(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let (Some(batch), Some((version, ledger))) = (&mut self.batch, &self.view) else {
+            return;
+        };
+        let mut candidate = ledger.clone();
+        batch.refused = candidate.apply(
+            &self.identity,
+            batch.number,
+            &batch.ops,
+            self.options.policy.policy(),
+            self.options.instances,
+            now,
+        );
+        match candidate.to_json() {
+            Ok(value) => {
+                batch.is_called = true;
+                batch.candidate = Some(candidate);
+                fx.push(HolderEffect::Write {
+                    expected_version: *version,
+                    value,
+                });
+            }
+            Err(error) => self.ledger_invalid(now, &error.to_string(), fx),
+        }
+    }
+
+    /// Takes the store's answer to a read or write of the ledger.
+    pub fn on_store(&mut self, now: Duration, answer: StoreAnswer, fx: &mut Vec<HolderEffect>) {
+        if let Some(batch) = &mut self.batch {
+            batch.is_called = false;
+        }
+        match answer {
+            StoreAnswer::Written { version } => self.written(now, version, fx),
+            StoreAnswer::Found(object) | StoreAnswer::Conflict(object) => {
+                self.store_answered();
+                self.found(now, object, fx);
+            }
+            StoreAnswer::Lost => self.answer_lost(now, fx),
+        }
+        self.pump(now, fx);
+        self.flush_due(now, fx);
+    }
+
+    fn store_answered(&mut self) {
+        self.retry_at = None;
+        self.lost_answers = 0;
+    }
+
+    fn written(&mut self, now: Duration, version: Version, fx: &mut Vec<HolderEffect>) {
+        self.store_answered();
+        let candidate = self.batch.as_mut().and_then(|batch| batch.candidate.take());
+        let Some(ledger) = candidate else {
+            return;
+        };
+        self.seen_version = version;
+        self.view = Some((version, ledger));
+        self.view_at = now;
+        self.committed(now, fx);
+    }
+
+    fn found(&mut self, now: Duration, object: Option<Object>, fx: &mut Vec<HolderEffect>) {
+        let Some(object) = object else {
+            self.budget_missing(now);
+            return;
+        };
+        if object.version < self.seen_version {
+            // A lagging read must not bring back what was already spent.
+            self.answer_lost(now, fx);
+            return;
+        }
+        match Ledger::try_from_json(&object.value) {
+            Ok(ledger) => {
+                self.seen_version = object.version;
+                self.view = Some((object.version, ledger));
+            }
+            Err(error) => {
+                self.ledger_invalid(now, &error.to_string(), fx);
+                return;
+            }
+        }
+        self.view_at = now;
+        self.check_holdings(fx);
+
+        // The batch may be in the ledger already: its write took effect and the answer was lost.
+        let writer = self.identity.writer();
+        let is_in = match (&self.batch, &self.view) {
+            (Some(batch), Some((_, ledger))) => ledger.has_batch(&writer, batch.number),
+            _ => return,
+        };
+        if is_in {
+            self.committed(now, fx);
+        } else {
+            self.write(now, fx);
+        }
+    }
+
+    fn budget_missing(&mut self, now: Duration) {
+        self.view = None;
+        self.mark_store(Stage::Tried, Stage::Empty);
+        self.mark_store(Stage::Untried, Stage::Empty);
+        self.drop_unanswered_asks();
+        self.retry_at = self.batch.as_ref().map(|_| now + BACKOFF_LONGEST);
+    }
+
+    /// Drops a batch that only asks for grants; there is nothing to keep of it.
+    fn drop_unanswered_asks(&mut self) {
+        let is_only_asking = self.batch.as_ref().is_some_and(|batch| {
+            batch
+                .ops
+                .iter()
+                .all(|op| matches!(op, LedgerOp::Grant { .. }))
+        });
+        if is_only_asking {
+            self.batch = None;
+        }
+    }
+
+    fn ledger_invalid(&mut self, now: Duration, error: &str, fx: &mut Vec<HolderEffect>) {
+        self.view = None;
+        self.retry_at = Some(now + BACKOFF_LONGEST);
+        self.mark_store(Stage::Tried, Stage::Unreachable);
+        self.mark_store(Stage::Untried, Stage::Unreachable);
+        Self::log(
+            fx,
+            EventCode::LedgerInvalid,
+            &[("budget", &self.budget), ("error", error)],
+        );
+    }
+
+    fn answer_lost(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        // The write may have taken effect, or may still do so. Only a read can tell, and a
+        // repeated write of the same batch number cannot count twice.
+        let backoff = BACKOFF_FIRST
+            .saturating_mul(1 << self.lost_answers.min(4))
+            .min(BACKOFF_LONGEST);
+        self.lost_answers = self.lost_answers.saturating_add(1);
+        self.retry_at = Some(now + backoff);
+        self.view = None;
+        self.mark_store(Stage::Tried, Stage::Unreachable);
+        self.mark_store(Stage::Untried, Stage::Unreachable);
+        Self::log(fx, EventCode::LedgerAnswerLost, &[("budget", &self.budget)]);
+    }
+
+    /// Draws the conclusions of a batch that is in the ledger.
+    fn committed(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let Some(batch) = self.batch.take() else {
+            return;
+        };
+        let mut runs = Vec::new();
+        for op in &batch.ops {
+            match op {
+                LedgerOp::Grant { grant, .. } => self.grant_committed(grant, fx),
+                LedgerOp::Spend { entry, .. } => runs.push(entry.run.clone()),
+                LedgerOp::Seal {
+                    holder,
+                    incarnation,
+                    ..
+                } => self.seal_committed(holder, *incarnation, fx),
+                LedgerOp::Unwitness { grant } => self.unwitness_committed(grant),
+                _ => {}
+            }
+        }
+        for run in &batch.refused {
+            Self::log(
+                fx,
+                EventCode::BillDropped,
+                &[("budget", &self.budget), ("run", run)],
+            );
+        }
+        if !runs.is_empty() {
+            let count = runs.len().to_string();
+            Self::log(
+                fx,
+                EventCode::BillsFlushed,
+                &[("budget", &self.budget), ("entries", &count)],
+            );
+            fx.push(HolderEffect::Flushed { runs });
+        }
+        self.check_holdings(fx);
+        let has_asked = batch
+            .ops
+            .iter()
+            .any(|op| matches!(op, LedgerOp::Grant { .. }));
+        if has_asked {
+            self.serve_after_grant();
+        }
+        self.store_page(now, fx);
+    }
+
+    fn serve_after_grant(&mut self) {
+        // Whoever asked before this batch was applied has its answer now. A grant that came but
+        // is too small leaves the rest to peers.
+        self.mark_store(Stage::Tried, Stage::Empty);
+    }
+
+    fn grant_committed(&mut self, id: &GrantId, fx: &mut Vec<HolderEffect>) {
+        let Some((_, ledger)) = &self.view else {
+            return;
+        };
+        let Some(grant) = ledger.grants.get(id) else {
+            return;
+        };
+        if !grant.is_held_by(&self.identity) || grant.is_sealed() {
+            return;
+        }
+        let tokens = grant.outstanding_tokens().to_string();
+        self.holdings.insert(
+            id.clone(),
+            Holding {
+                free_tokens: grant.outstanding_tokens(),
+                witnesses: grant.witnesses.keys().cloned().collect(),
+            },
+        );
+        if !grant.witnesses.is_empty() {
+            fx.push(HolderEffect::Watch {
+                grant: id.clone(),
+                witnesses: grant.witnesses.keys().cloned().collect(),
+            });
+        }
+        Self::log(
+            fx,
+            EventCode::GrantReceived,
+            &[("budget", &self.budget), ("grant", id), ("tokens", &tokens)],
+        );
+        if self.is_stopping {
+            self.return_free();
+        }
+    }
+
+    fn seal_committed(
+        &mut self,
+        holder: &InstanceId,
+        incarnation: Incarnation,
+        fx: &mut Vec<HolderEffect>,
+    ) {
+        let Some((_, ledger)) = &self.view else {
+            return;
+        };
+        let grants = ledger
+            .grants
+            .iter()
+            .filter(|(_, grant)| &grant.holder == holder && grant.incarnation == incarnation)
+            .filter(|(_, grant)| grant.sealed_by.contains(&self.identity.instance))
+            .map(|(id, _)| id.clone())
+            .collect();
+        fx.push(HolderEffect::Sealed {
+            holder: holder.clone(),
+            incarnation,
+            grants,
+        });
+        Self::log(
+            fx,
+            EventCode::GrantSealed,
+            &[("budget", &self.budget), ("holder", holder)],
+        );
+    }
+
+    fn unwitness_committed(&mut self, id: &GrantId) {
+        let is_open = self
+            .view
+            .as_ref()
+            .and_then(|(_, ledger)| ledger.grants.get(id))
+            .is_some_and(|grant| grant.witnesses.is_empty());
+        if let Some(holding) = self.holdings.get_mut(id)
+            && is_open
+        {
+            holding.witnesses.clear();
+        }
+    }
+
+    /// Spends grants without records whose witnesses have all fallen silent.
+    pub fn witnesses_lost(&mut self, now: Duration, grants: &BTreeSet<GrantId>) {
+        for grant in grants {
+            let is_queued = self
+                .pending
+                .iter()
+                .any(|op| matches!(op, LedgerOp::Unwitness { grant: queued } if queued == grant));
+            if self.holdings.contains_key(grant) && !is_queued {
+                self.next_flush_at = now;
+                self.pending.push(LedgerOp::Unwitness {
+                    grant: grant.clone(),
+                });
+            }
+        }
+    }
+
+    /// Drops holdings that were closed by witnesses while this instance was silent.
+    fn check_holdings(&mut self, fx: &mut Vec<HolderEffect>) {
+        let Some((_, ledger)) = &self.view else {
+            return;
+        };
+        // Records of gifts are needed until the taker's entry moves the tokens in the ledger.
+        let adopted: Vec<GrantId> = self
+            .unadopted
+            .iter()
+            .filter(|(transfer, grant)| {
+                ledger
+                    .grants
+                    .get(*grant)
+                    .is_none_or(|grant| grant.moved.contains(*transfer))
+            })
+            .map(|(transfer, _)| transfer.clone())
+            .collect();
+        self.unadopted
+            .retain(|transfer, _| !adopted.contains(transfer));
+        if !adopted.is_empty() {
+            fx.push(HolderEffect::Flushed { runs: adopted });
+        }
+        let lost: Vec<GrantId> = self
+            .holdings
+            .iter()
+            .filter(|(_, holding)| !holding.witnesses.is_empty())
+            .filter(|(id, _)| ledger.grants.get(*id).is_none_or(crate::Grant::is_sealed))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            self.holdings.remove(&id);
+            Self::log(
+                fx,
+                EventCode::GrantLost,
+                &[("budget", &self.budget), ("grant", &id)],
+            );
+        }
+    }
+
+    /// Stores the oldest entries as a page of their own when the ledger has grown long.
+    fn store_page(&mut self, _now: Duration, fx: &mut Vec<HolderEffect>) {
+        let Some((_, ledger)) = &self.view else {
+            return;
+        };
+        let is_long = ledger.entries.len() >= RECENT_ENTRIES + PAGE_ENTRIES;
+        if !is_long || self.page_in_flight.is_some() {
+            return;
+        }
+        // Entries are only ever added at the end and taken from the front as whole pages. So
+        // whoever writes page n writes the same content, and a second write changes nothing.
+        let page: &[Entry] = &ledger.entries[..PAGE_ENTRIES];
+        if let Ok(value) = serde_json::to_string(page) {
+            let number = ledger.next_page;
+            self.page_in_flight = Some(number);
+            fx.push(HolderEffect::WritePage {
+                page: number,
+                value,
+            });
+        }
+    }
+
+    /// Takes the store's answer to the write of a page.
+    pub fn on_page_stored(&mut self, now: Duration, answer: &StoreAnswer) {
+        let Some(page) = self.page_in_flight.take() else {
+            return;
+        };
+        let is_stored = matches!(
+            answer,
+            StoreAnswer::Written { .. } | StoreAnswer::Conflict(Some(_))
+        );
+        if is_stored {
+            self.next_flush_at = self.next_flush_at.min(now);
+            self.pending.push(LedgerOp::DropPage { page });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-budgets/src/holder/holding.rs
@@ -0,0 +1,12 @@
+//! `holding` is what an instance has left of one grant.
+
+use damaskstile_core::prelude::*;
+
+/// `Holding` is what an instance has left of one grant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Holding {
+    /// Tokens neither spent nor reserved.
+    pub free_tokens: u64,
+    /// Peers of which one must keep a run's record first; none for an open grant.
+    pub witnesses: BTreeSet<InstanceId>,
+}
--- /dev/null
+++ b/crates/damaskstile-budgets/src/holder/refill.rs
@@ -0,0 +1,304 @@
+//! `refill` asks for grants ahead of need and leads waiting runs to tokens or a refusal.
+
+use damaskstile_core::prelude::*;
+
+use super::{Holder, Reserve};
+use crate::effect::HolderEffect;
+use crate::op::LedgerOp;
+
+/// Time constant of the measured spending rate.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Age up to which a view that shows an empty budget saves a call to the store.
+const EMPTY_VIEW_AGE: Duration = Duration::from_millis(250);
+/// Time after a fruitless question to all peers in which it is not asked again.
+const FRUITLESS_ASK_AGE: Duration = Duration::from_millis(20);
+/// Requests of a budget that may wait for tokens.
+const WAITERS_MAX: usize = 256;
+
+/// `Rate` measures tokens reserved a second, with an exponential window.
+#[derive(Debug)]
+pub(super) struct Rate {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Rate {
+    pub(super) fn new(now: Duration) -> Self {
+        Self {
+            tokens: 0.0,
+            at: now,
+        }
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a rate needs no exact tokens")]
+    pub(super) fn add(&mut self, now: Duration, tokens: u64) {
+        self.decay(now);
+        self.tokens += tokens as f64;
+    }
+
+    fn decay(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.tokens *= (-passed / RATE_WINDOW.as_secs_f64()).exp();
+        self.at = now;
+    }
+
+    /// Returns the tokens that a span of time is expected to need.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is positive and the cast saturates"
+    )]
+    pub(super) fn tokens_in(&mut self, now: Duration, span: Duration) -> u64 {
+        self.decay(now);
+        (self.tokens * span.as_secs_f64() / RATE_WINDOW.as_secs_f64()) as u64
+    }
+}
+
+/// `Stage` is how far one way to tokens was followed for a waiting run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Not tried yet.
+    Untried,
+    /// Tried; the answer is out.
+    Tried,
+    /// There is nothing to get this way.
+    Empty,
+    /// This way cannot be reached.
+    Unreachable,
+}
+
+/// `Waiter` is a run that waits for tokens.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub run: RunId,
+    pub tokens: u64,
+    pub is_open_only: bool,
+    pub next_at: Duration,
+    pub store: Stage,
+    pub peers: Stage,
+}
+
+impl Holder {
+    pub(super) fn wait(
+        &mut self,
+        now: Duration,
+        run: &RunId,
+        tokens: u64,
+        is_open_only: bool,
+        fx: &mut Vec<HolderEffect>,
+    ) -> Reserve {
+        if self.waiters.len() >= WAITERS_MAX {
+            return Reserve::Refused(RefusalCode::Overloaded);
+        }
+        self.waiters.push(Waiter {
+            run: run.clone(),
+            tokens,
+            is_open_only,
+            next_at: now + self.options.store_patience,
+            store: Stage::Untried,
+            peers: Stage::Untried,
+        });
+        self.pump(now, fx);
+        Reserve::Waiting
+    }
+
+    /// Asks for a grant while tokens are still left, so that no request waits for it.
+    pub(super) fn refill_ahead(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        if self.is_stopping || self.is_refill_out() || self.retry_at.is_some() {
+            return;
+        }
+        let horizon_tokens = self.rate.tokens_in(now, self.options.horizon);
+        let is_free = self
+            .view
+            .as_ref()
+            .is_none_or(|(_, ledger)| ledger.free_tokens() > 0);
+        if is_free && self.free_tokens() < horizon_tokens / 2 {
+            self.ask_store(now, 0, fx);
+        }
+    }
+
+    /// Takes a share before the first request, for policies that do so.
+    pub fn take_share(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let is_wanted = self.options.policy.policy().is_spreading() && self.free_tokens() == 0;
+        if is_wanted && !self.is_stopping && !self.is_refill_out() {
+            self.ask_store(now, 0, fx);
+        }
+    }
+
+    fn is_refill_out(&self) -> bool {
+        let in_flight = self.batch.as_ref().map_or(&[][..], |batch| &batch.ops);
+        self.pending
+            .iter()
+            .chain(in_flight)
+            .any(|op| matches!(op, LedgerOp::Grant { .. }))
+    }
+
+    fn ask_store(&mut self, now: Duration, need_tokens: u64, fx: &mut Vec<HolderEffect>) {
+        let horizon_tokens = self.rate.tokens_in(now, self.options.horizon);
+        let want_tokens = horizon_tokens.max(need_tokens);
+        // Part of what is held stays open, so that an instance that is cut off from all its
+        // witnesses can still spend. The rest is on record, so that it survives the holder.
+        let open_tokens: u64 = self
+            .holdings
+            .values()
+            .filter(|holding| holding.witnesses.is_empty())
+            .map(|holding| holding.free_tokens)
+            .sum();
+        let open_wanted = want_tokens.saturating_mul(self.options.open_percent) / 100;
+        let has_open_waiter = self.waiters.iter().any(|waiter| waiter.is_open_only);
+        let is_open = has_open_waiter || open_tokens < open_wanted;
+        let witnesses = if is_open {
+            BTreeMap::new()
+        } else {
+            self.witnesses.clone()
+        };
+        let number = self.next_number();
+        self.pending.push(LedgerOp::Grant {
+            grant: self.identity.unique("grant", number),
+            need_tokens,
+            want_tokens,
+            witnesses,
+        });
+        self.flush(now, fx);
+    }
+
+    pub(super) fn next_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// Leads waiting runs on: to a reservation, to the store, to peers, or to a refusal.
+    pub(super) fn pump(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        self.serve_waiters(fx);
+        if self.waiters.is_empty() {
+            return;
+        }
+        self.give_up_store(now);
+        self.send_waiters_to_store(now, fx);
+        self.send_waiters_to_peers(now, fx);
+        self.refuse_waiters(fx);
+    }
+
+    fn serve_waiters(&mut self, fx: &mut Vec<HolderEffect>) {
+        let waiters = std::mem::take(&mut self.waiters);
+        for waiter in waiters {
+            match self.draw(&waiter.run, waiter.tokens, waiter.is_open_only) {
+                Some(draws) => fx.push(HolderEffect::Ready {
+                    run: waiter.run,
+                    draws,
+                }),
+                None => self.waiters.push(waiter),
+            }
+        }
+    }
+
+    /// Stops waiting for a store that is slow or down; peers are asked instead.
+    fn give_up_store(&mut self, now: Duration) {
+        let is_down = self.retry_at.is_some();
+        for waiter in &mut self.waiters {
+            let is_late = waiter.store == Stage::Tried && now >= waiter.next_at;
+            let is_hopeless = waiter.store == Stage::Untried && is_down;
+            if is_late || is_hopeless {
+                waiter.store = Stage::Unreachable;
+            }
+        }
+    }
+
+    fn send_waiters_to_store(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        if !self
+            .waiters
+            .iter()
+            .any(|waiter| waiter.store == Stage::Untried)
+        {
+            return;
+        }
+        // A budget that was empty a moment ago is empty: no write for every request.
+        let is_known_empty = self
+            .view
+            .as_ref()
+            .is_some_and(|(_, ledger)| ledger.free_tokens() == 0)
+            && now.saturating_sub(self.view_at) < EMPTY_VIEW_AGE;
+        if is_known_empty {
+            self.mark_store(Stage::Untried, Stage::Empty);
+            return;
+        }
+        if self.is_refill_out() {
+            return;
+        }
+        let need_tokens = self.missing_tokens();
+        self.mark_store(Stage::Untried, Stage::Tried);
+        self.ask_store(now, need_tokens, fx);
+    }
+
+    pub(super) fn mark_store(&mut self, from: Stage, to: Stage) {
+        for waiter in &mut self.waiters {
+            if waiter.store == from {
+                waiter.store = to;
+            }
+        }
+    }
+
+    /// Returns what all waiting runs lack together.
+    pub(super) fn missing_tokens(&self) -> u64 {
+        let wanted: u64 = self.waiters.iter().map(|waiter| waiter.tokens).sum();
+        let is_open_only = self.waiters.iter().any(|waiter| waiter.is_open_only);
+        let free: u64 = self
+            .holdings
+            .values()
+            .filter(|holding| !is_open_only || holding.witnesses.is_empty())
+            .map(|holding| holding.free_tokens)
+            .sum();
+        wanted.saturating_sub(free)
+    }
+
+    fn send_waiters_to_peers(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let is_transferring = self.options.policy.policy().is_transferring();
+        let is_fruitless = self
+            .fruitless_ask_at
+            .is_some_and(|at| now.saturating_sub(at) < FRUITLESS_ASK_AGE);
+        let mut has_new = false;
+        for waiter in &mut self.waiters {
+            let is_store_done = matches!(waiter.store, Stage::Empty | Stage::Unreachable);
+            if !is_store_done || waiter.peers != Stage::Untried {
+                continue;
+            }
+            if !is_transferring {
+                waiter.peers = Stage::Empty;
+            } else if is_fruitless || self.peers.is_empty() {
+                waiter.peers = if self.has_silent_peers {
+                    Stage::Unreachable
+                } else {
+                    Stage::Empty
+                };
+            } else {
+                waiter.peers = Stage::Tried;
+                has_new = true;
+            }
+        }
+        if has_new && self.round.is_none() {
+            self.start_round(now, fx);
+        }
+    }
+
+    fn refuse_waiters(&mut self, fx: &mut Vec<HolderEffect>) {
+        let waiters = std::mem::take(&mut self.waiters);
+        for waiter in waiters {
+            let is_store_done = matches!(waiter.store, Stage::Empty | Stage::Unreachable);
+            let is_peers_done = matches!(waiter.peers, Stage::Empty | Stage::Unreachable);
+            if !is_store_done || !is_peers_done {
+                self.waiters.push(waiter);
+                continue;
+            }
+            let is_reached = waiter.store == Stage::Empty && waiter.peers == Stage::Empty;
+            let code = if is_reached {
+                RefusalCode::BudgetExhausted
+            } else {
+                RefusalCode::BudgetUnreachable
+            };
+            fx.push(HolderEffect::Refused {
+                run: waiter.run,
+                code,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-budgets/src/holder/transfer.rs
@@ -0,0 +1,312 @@
+//! `transfer` hands tokens from holders that have them to holders that lack them.
+
+use damaskstile_core::peer::{AskTokens, GiveTokens, TakeTokens};
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use super::holding::Holding;
+use super::refill::Stage;
+use crate::effect::{DrawPlan, HolderEffect};
+use crate::op::LedgerOp;
+
+/// Peers that one question goes to at most.
+const ASKED_MAX: usize = 16;
+/// Questions that a round asks at most before it ends.
+const WAVES_MAX: u32 = 4;
+/// Questions without an answer that are remembered, so that a late gift is still taken.
+const OPEN_ASKS_MAX: usize = 4096;
+/// Time between two sendings of a gift that was not confirmed.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which an unconfirmed gift is not sent again.
+const RESEND_UNTIL: Duration = Duration::from_mins(1);
+
+/// `AskRound` is a series of questions to peers on behalf of waiting runs.
+#[derive(Debug)]
+pub(super) struct AskRound {
+    pub until: Duration,
+    open: BTreeSet<InstanceId>,
+    ask: u64,
+    wave: u32,
+    got_tokens: u64,
+    is_unanswered: bool,
+}
+
+/// `OpenGive` is a gift that its taker has not confirmed.
+#[derive(Debug)]
+pub(super) struct OpenGive {
+    to: InstanceId,
+    ask: u64,
+    pub plan: DrawPlan,
+    pub resend_at: Option<Duration>,
+    until: Duration,
+}
+
+impl Holder {
+    pub(super) fn start_round(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        self.round = Some(AskRound {
+            until: now,
+            open: BTreeSet::new(),
+            ask: 0,
+            wave: 0,
+            got_tokens: 0,
+            is_unanswered: false,
+        });
+        self.ask_peers(now, fx);
+    }
+
+    /// Sends one question to the peers that hold most.
+    fn ask_peers(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let tokens = self.missing_tokens();
+        let asked = self.likely_givers();
+        // The incarnation makes the numbers differ from those of an earlier process.
+        let number = self.next_number();
+        let ask = self.identity.incarnation.wrapping_add(number);
+        for peer in &asked {
+            self.open_asks.insert((ask, peer.clone()));
+            fx.push(HolderEffect::Send {
+                to: peer.clone(),
+                message: PeerMessage::Ask(AskTokens {
+                    budget: self.budget.clone(),
+                    tokens,
+                    ask,
+                }),
+            });
+        }
+        while self.open_asks.len() > OPEN_ASKS_MAX {
+            self.open_asks.pop_first();
+        }
+        if let Some(round) = &mut self.round {
+            round.until = now + self.options.ask_patience;
+            round.open = asked;
+            round.ask = ask;
+            round.wave += 1;
+            round.got_tokens = 0;
+        }
+    }
+
+    fn likely_givers(&self) -> BTreeSet<InstanceId> {
+        let held_tokens = |peer: &InstanceId| {
+            self.view
+                .as_ref()
+                .map_or(0, |(_, ledger)| ledger.held_tokens(peer))
+        };
+        let mut peers: Vec<&InstanceId> = self.peers.iter().collect();
+        peers.sort_by_key(|peer| std::cmp::Reverse(held_tokens(peer)));
+        peers.into_iter().take(ASKED_MAX).cloned().collect()
+    }
+
+    /// Answers a peer's question: with free tokens, given up here first, or with none.
+    pub fn on_ask(
+        &mut self,
+        now: Duration,
+        from: &InstanceId,
+        ask: &AskTokens,
+        fx: &mut Vec<HolderEffect>,
+    ) {
+        let largest = self
+            .holdings
+            .iter()
+            .max_by_key(|(_, holding)| holding.free_tokens)
+            .map(|(grant, holding)| (grant.clone(), holding.free_tokens));
+        let (grant, free_tokens) = largest.unwrap_or_default();
+        let tokens = free_tokens.min(ask.tokens);
+        let is_lacking = !self.waiters.is_empty();
+        if tokens == 0 || is_lacking || self.is_stopping {
+            fx.push(HolderEffect::Send {
+                to: from.clone(),
+                message: PeerMessage::Give(GiveTokens {
+                    ask: ask.ask,
+                    budget: self.budget.clone(),
+                    ..GiveTokens::default()
+                }),
+            });
+            return;
+        }
+
+        // The tokens are given up before any word of them is sent. If the word is lost they are
+        // stranded until it is sent again; they can never be spent twice.
+        if let Some(holding) = self.holdings.get_mut(&grant) {
+            holding.free_tokens -= tokens;
+        }
+        let number = self.next_number();
+        let transfer = self
+            .identity
+            .unique(&format!("give-{}", self.budget), number);
+        let plan = self.plan(Draw { grant, tokens });
+        self.open_gives.insert(
+            transfer.clone(),
+            OpenGive {
+                to: from.clone(),
+                ask: ask.ask,
+                plan: plan.clone(),
+                resend_at: None,
+                until: now + RESEND_UNTIL,
+            },
+        );
+        fx.push(HolderEffect::Give { transfer, plan });
+    }
+
+    /// Sends a gift whose record is kept.
+    pub fn send_give(&mut self, now: Duration, transfer: &GrantId, fx: &mut Vec<HolderEffect>) {
+        if let Some(give) = self.open_gives.get_mut(transfer) {
+            give.resend_at = Some(now + RESEND_INTERVAL);
+            fx.push(give_message(&self.budget, transfer, give));
+            let grant = give.plan.draw.grant.clone();
+            self.unadopted.insert(transfer.clone(), grant);
+        }
+    }
+
+    /// Takes a gift back that was never sent.
+    pub fn cancel_give(&mut self, transfer: &GrantId, fx: &mut Vec<HolderEffect>) {
+        let Some(give) = self.open_gives.remove(transfer) else {
+            return;
+        };
+        self.put_back(&give.plan.draw.grant, give.plan.draw.tokens);
+        fx.push(HolderEffect::Send {
+            to: give.to,
+            message: PeerMessage::Give(GiveTokens {
+                ask: give.ask,
+                budget: self.budget.clone(),
+                ..GiveTokens::default()
+            }),
+        });
+    }
+
+    pub(super) fn resend_gives(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        self.open_gives
+            .retain(|_, give| give.resend_at.is_none() || now < give.until);
+        for (transfer, give) in &mut self.open_gives {
+            if give.resend_at.is_some_and(|at| at <= now) {
+                give.resend_at = Some(now + RESEND_INTERVAL);
+                fx.push(give_message(&self.budget, transfer, give));
+            }
+        }
+    }
+
+    /// Notes that a gift has arrived.
+    pub fn on_take(&mut self, transfer: &GrantId) {
+        self.open_gives.remove(transfer);
+        self.drop_empty_holdings();
+    }
+
+    /// Takes a peer's gift.
+    pub fn on_give(
+        &mut self,
+        now: Duration,
+        from: &InstanceId,
+        give: &GiveTokens,
+        fx: &mut Vec<HolderEffect>,
+    ) {
+        // Each question takes one gift of each peer, so a gift that comes twice counts once.
+        let is_new = self.open_asks.remove(&(give.ask, from.clone()));
+        if give.tokens > 0 {
+            self.confirm(from, give, fx);
+        }
+        if !is_new {
+            return;
+        }
+        if give.tokens > 0 {
+            self.adopt(from, give, fx);
+        }
+        if let Some(round) = &mut self.round
+            && round.ask == give.ask
+        {
+            round.open.remove(from);
+            round.got_tokens = round.got_tokens.saturating_add(give.tokens);
+        }
+        self.end_round(now, fx);
+        self.pump(now, fx);
+        self.flush_due(now, fx);
+    }
+
+    fn confirm(&self, from: &InstanceId, give: &GiveTokens, fx: &mut Vec<HolderEffect>) {
+        // A question of an earlier incarnation is not ours to confirm.
+        let number = give.ask.wrapping_sub(self.identity.incarnation);
+        if number == 0 || number > self.next_number {
+            return;
+        }
+        fx.push(HolderEffect::Send {
+            to: from.clone(),
+            message: PeerMessage::Take(TakeTokens {
+                transfer: give.transfer.clone(),
+                budget: self.budget.clone(),
+            }),
+        });
+    }
+
+    fn adopt(&mut self, from: &InstanceId, give: &GiveTokens, fx: &mut Vec<HolderEffect>) {
+        self.pending.push(LedgerOp::Adopt {
+            transfer: give.transfer.clone(),
+            from_grant: give.grant.clone(),
+            tokens: give.tokens,
+        });
+        self.holdings.insert(
+            give.transfer.clone(),
+            Holding {
+                free_tokens: give.tokens,
+                witnesses: BTreeSet::new(),
+            },
+        );
+        if self.is_stopping {
+            self.return_free();
+        }
+        let tokens = give.tokens.to_string();
+        Self::log(
+            fx,
+            EventCode::TokensTaken,
+            &[
+                ("budget", &self.budget),
+                ("from", from),
+                ("tokens", &tokens),
+            ],
+        );
+    }
+
+    /// Ends a round when it has given enough, has nothing more to give, or is out of time.
+    pub(super) fn end_round(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
+        let missing_tokens = self.missing_tokens();
+        let Some(round) = &mut self.round else {
+            return;
+        };
+        let is_answered = round.open.is_empty();
+        let is_late = now >= round.until;
+        if !is_answered && !is_late && missing_tokens > 0 {
+            return;
+        }
+        round.is_unanswered |= !is_answered;
+
+        // Holders hand over one grant's tokens at a time; ask on while that still helps.
+        let is_worth_more = missing_tokens > 0 && round.got_tokens > 0 && round.wave < WAVES_MAX;
+        if is_worth_more {
+            self.ask_peers(now, fx);
+            return;
+        }
+        let stage = if round.is_unanswered || self.has_silent_peers {
+            Stage::Unreachable
+        } else {
+            Stage::Empty
+        };
+        if missing_tokens > 0 {
+            self.fruitless_ask_at = Some(now);
+        }
+        self.round = None;
+        for waiter in &mut self.waiters {
+            if waiter.peers == Stage::Tried {
+                waiter.peers = stage;
+            }
+        }
+    }
+}
+
+fn give_message(budget: &BudgetId, transfer: &GrantId, give: &OpenGive) -> HolderEffect {
+    HolderEffect::Send {
+        to: give.to.clone(),
+        message: PeerMessage::Give(GiveTokens {
+            ask: give.ask,
+            budget: budget.clone(),
+            transfer: transfer.clone(),
+            grant: give.plan.draw.grant.clone(),
+            tokens: give.plan.draw.tokens,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-core/src/lib.rs
@@ -0,0 +1,45 @@
+//! `damaskstile-core` holds the types and traits that every crate of the router fleet shares.
+//!
+//! It knows no implementation. A duty is a state machine that turns an [`Event`](event::Event)
+//! and a time into [`Effect`](effect::Effect)s; whoever hosts it delivers the effects.
+
+pub mod codes;
+pub mod effect;
+pub mod errors;
+pub mod event;
+pub mod explanation;
+pub mod identity;
+pub mod ids;
+pub mod log;
+pub mod outcome;
+pub mod peer;
+pub mod random;
+pub mod report;
+pub mod request;
+pub mod store;
+pub mod target;
+
+pub mod prelude {
+    //! `prelude` re-exports the types that nearly every module needs.
+
+    pub use std::collections::{BTreeMap, BTreeSet, VecDeque};
+    pub use std::time::Duration;
+
+    pub use crate::codes::RefusalCode;
+    pub use crate::effect::{Dispatch, Effect};
+    pub use crate::event::Event;
+    pub use crate::explanation::Explanation;
+    pub use crate::identity::Identity;
+    pub use crate::ids::{
+        AccountId, BudgetId, CallId, GrantId, Incarnation, InstanceId, RequestHandle, RequestKey,
+        RunId, ServiceId, TargetId, Version,
+    };
+    pub use crate::log::{EventCode, LogEvent};
+    pub use crate::outcome::{Outcome, Receipt};
+    pub use crate::peer::{Draw, PeerMessage};
+    pub use crate::random::Random;
+    pub use crate::report::{RunReport, RunState};
+    pub use crate::request::{NewRequest, Priority};
+    pub use crate::store::{Object, StoreAnswer, StoreCall};
+    pub use crate::target::{TargetInfo, TargetStatus};
+}
--- /dev/null
+++ b/crates/damaskstile-core/src/log.rs
@@ -0,0 +1,103 @@
+//! `log` lists the numbered events of the logs. `docs/EVENTS.md` is their catalogue.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! event_codes {
+    ($($name:ident = $number:literal, $level:literal, $text:literal;)*) => {
+        /// `EventCode` names a kind of log event. Numbers are never given anew.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum EventCode {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl EventCode {
+            /// All codes, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number of the event.
+            ///
+            /// ```
+            /// use damaskstile_core::log::EventCode;
+            /// assert_eq!(EventCode::RequestRefused.number(), 102);
+            /// ```
+            #[must_use]
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the level: `info`, `warn` or `error`.
+            #[must_use]
+            pub fn level(self) -> &'static str {
+                match self { $(Self::$name => $level,)* }
+            }
+
+            /// Returns what the event means, in a sentence.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+event_codes! {
+    RequestAnswered = 101, "info", "A request was answered whole.";
+    RequestRefused = 102, "info", "A request was refused as not run.";
+    RequestUnknown = 103, "warn", "A request ended with an unknown outcome.";
+    RunRetried = 104, "warn", "A request was sent to another target or resumed.";
+    RunReportDropped = 105, "warn", "A report named a run that is not open here, or came out of order.";
+    RunCapped = 106, "warn", "A target generated more than its cap and was cancelled.";
+    GrantReceived = 201, "info", "Tokens were granted out of a budget.";
+    GrantSealed = 202, "warn", "A silent holder's grant was closed and its rest given back.";
+    GrantLost = 203, "warn", "A grant of this instance was closed by its witness.";
+    TokensGiven = 204, "info", "Tokens were handed to a peer.";
+    TokensTaken = 205, "info", "Tokens were taken over from a peer.";
+    LedgerInvalid = 206, "error", "A stored ledger could not be read or broke its invariant; the budget is not used.";
+    LedgerAnswerLost = 207, "warn", "The answer to a ledger update was lost; the ledger is read again.";
+    WitnessChanged = 208, "info", "Another peer keeps the records of this instance's runs.";
+    BillsFlushed = 209, "info", "Bills were stored.";
+    BillDropped = 210, "warn", "A bill was dropped because its run is already accounted for.";
+    ClaimRepeated = 301, "info", "A non-idempotent request was repeated and not run again.";
+    ClaimInvalid = 302, "error", "A stored claim table could not be read.";
+    PeerFrameInvalid = 401, "warn", "A frame from a peer could not be decoded.";
+    MemberJoined = 402, "info", "A peer was heard of for the first time, or anew.";
+    MemberSilent = 403, "warn", "A peer has not been heard of for too long.";
+    SettingsApplied = 501, "info", "A newer version of the settings is in force.";
+    SettingsRefused = 502, "error", "A stored version of the settings is invalid; the version in force stays.";
+    TargetLeaving = 601, "info", "A target is leaving and gets no new work.";
+    TargetReturned = 602, "info", "A target takes work again.";
+    StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
+    StopDone = 702, "info", "The instance has handed back what it held.";
+    HostFailed = 801, "error", "An input or output of the host failed.";
+}
+
+/// `LogEvent` is one numbered event with its fields.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogEvent {
+    /// Kind of the event.
+    pub code: EventCode,
+    /// Fields by name.
+    pub fields: BTreeMap<String, String>,
+}
+
+impl LogEvent {
+    /// Makes an event out of its code and fields.
+    ///
+    /// ```
+    /// use damaskstile_core::log::{EventCode, LogEvent};
+    /// let event = LogEvent::new(EventCode::StopBegan, &[("open_requests", "3")]);
+    /// assert_eq!(event.fields["open_requests"], "3");
+    /// ```
+    #[must_use]
+    pub fn new(code: EventCode, fields: &[(&str, &str)]) -> Self {
+        let fields = fields
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect();
+        Self { code, fields }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-core/src/random.rs
@@ -0,0 +1,63 @@
+//! `random` is the seeded source of choices, so that a run can be repeated exactly.
+
+/// `Random` gives a repeatable series of numbers out of a seed (the splitmix64 generator).
+///
+/// It is not for secrets.
+#[derive(Debug, Clone)]
+pub struct Random {
+    state: u64,
+}
+
+impl Random {
+    /// Starts a series.
+    ///
+    /// ```
+    /// use damaskstile_core::random::Random;
+    /// assert_eq!(Random::new(7).next_u64(), Random::new(7).next_u64());
+    /// ```
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self { state: seed }
+    }
+
+    /// Returns the next number of the series.
+    pub fn next_u64(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Returns a number below `bound`; 0 where the bound is 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        if bound == 0 {
+            0
+        } else {
+            self.next_u64() % bound
+        }
+    }
+
+    /// Returns a position in a list of that length; 0 where the list is empty.
+    pub fn index(&mut self, len: usize) -> usize {
+        let bound = u64::try_from(len).unwrap_or(u64::MAX);
+        usize::try_from(self.below(bound)).unwrap_or(0)
+    }
+}
+
+/// Hashes bytes the same way on every instance (FNV-1a with a final mix).
+///
+/// ```
+/// use damaskstile_core::random::stable_hash;
+/// assert_ne!(stable_hash(&["a", "b"]), stable_hash(&["ab"]));
+/// ```
+#[must_use]
+pub fn stable_hash(parts: &[&str]) -> u64 {
+    let mut hash = 0xCBF2_9CE4_8422_2325_u64;
+    for part in parts {
+        for byte in part.bytes().chain(std::iter::once(0xFF)) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3);
+        }
+    }
+    Random::new(hash).next_u64()
+}
--- /dev/null
+++ b/crates/damaskstile-fleet/src/lib.rs
@@ -0,0 +1,11 @@
+//! `damaskstile-fleet` lets the instances act as one: who is there, and which settings hold.
+
+pub mod errors;
+pub mod membership;
+pub mod settings;
+pub mod spread;
+
+pub use errors::{Error, Result};
+pub use membership::{Membership, MembershipOptions};
+pub use settings::Settings;
+pub use spread::SettingsInForce;
--- /dev/null
+++ b/crates/damaskstile/src/instance.rs
@@ -0,0 +1,307 @@
+//! `instance` composes the duties of one instance behind a single entry.
+
+mod admit;
+mod dispatch;
+mod explain;
+mod fleet;
+mod money;
+mod request;
+mod run;
+mod stop;
+mod stray;
+mod timers;
+
+use damaskstile_budgets::{BudgetOptions, Holder, PolicyKind, RecordKeeper};
+use damaskstile_core::peer::MemberState;
+use damaskstile_core::prelude::*;
+use damaskstile_fleet::{Membership, SettingsInForce};
+use damaskstile_requests::{ClaimShard, RetryBudget};
+use damaskstile_targets::{Queue, Registry};
+
+use crate::options::InstanceOptions;
+use explain::PendingExplain;
+use money::PendingGive;
+use request::Request;
+use stray::Stray;
+use timers::Timer;
+
+/// Outputs of one step, in their order.
+pub type Effects = Vec<Effect>;
+
+/// `Call` remembers what a store call was for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Call {
+    Ledger(BudgetId),
+    Page(BudgetId),
+    Claims(AccountId, u64),
+    Settings,
+    Explain(u64),
+}
+
+/// `Instance` holds all decisions of one instance.
+///
+/// `handle` is its only way in and effects are its only way out. It has no clock, no socket and
+/// no hidden randomness: the same events at the same times give the same effects.
+#[derive(Debug)]
+pub struct Instance {
+    options: InstanceOptions,
+    now: Duration,
+    is_started: bool,
+    random: Random,
+    settings: SettingsInForce,
+    membership: Membership,
+    is_watching: bool,
+    registry: Registry,
+    queue: Queue,
+    holders: BTreeMap<BudgetId, Holder>,
+    keeper: RecordKeeper,
+    claims: BTreeMap<(AccountId, u64), ClaimShard>,
+    retries: RetryBudget,
+    requests: BTreeMap<u64, Request>,
+    by_name: BTreeMap<(AccountId, RequestKey), u64>,
+    by_run: BTreeMap<RunId, u64>,
+    by_caller: BTreeMap<RequestHandle, u64>,
+    open_of_account: BTreeMap<AccountId, u64>,
+    /// Numbers of runs that are not accounted for in the store yet.
+    unsettled: BTreeSet<u64>,
+    strays: BTreeMap<RunId, Stray>,
+    gives: BTreeMap<GrantId, PendingGive>,
+    explains: BTreeMap<u64, PendingExplain>,
+    calls: BTreeMap<CallId, Call>,
+    timers: BTreeSet<(Duration, Timer)>,
+    next_number: u64,
+    replay_bytes: usize,
+    pending_entries: usize,
+    stop_at: Option<Duration>,
+    is_stopped: bool,
+}
+
+impl Instance {
+    /// Makes an instance that knows nothing but its options.
+    #[must_use]
+    pub fn new(options: InstanceOptions, now: Duration) -> Self {
+        let identity = &options.identity;
+        let own = MemberState {
+            instance: identity.instance.clone(),
+            incarnation: identity.incarnation,
+            started_unix_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            heartbeat: 1,
+            data_centre: identity.data_centre.clone(),
+            address: options.address.clone(),
+            ..MemberState::default()
+        };
+        let mut random = Random::new(options.seed);
+        let membership = Membership::new(own, options.membership.clone(), random.next_u64(), now);
+        let registry = Registry::new(
+            &identity.instance,
+            options.registry.clone(),
+            random.next_u64(),
+        );
+        let system = SettingsInForce::new();
+        let retries = RetryBudget::new(system.settings().system.retry_percent, now);
+        Self {
+            options,
+            now,
+            is_started: false,
+            random,
+            settings: system,
+            membership,
+            is_watching: false,
+            registry,
+            queue: Queue::new(),
+            holders: BTreeMap::new(),
+            keeper: RecordKeeper::new(),
+            claims: BTreeMap::new(),
+            retries,
+            requests: BTreeMap::new(),
+            by_name: BTreeMap::new(),
+            by_run: BTreeMap::new(),
+            by_caller: BTreeMap::new(),
+            open_of_account: BTreeMap::new(),
+            unsettled: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            gives: BTreeMap::new(),
+            explains: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            next_number: 0,
+            replay_bytes: 0,
+            pending_entries: 0,
+            stop_at: None,
+            is_stopped: false,
+        }
+    }
+
+    /// Takes in one event and says what to do about it.
+    ///
+    /// Time never goes back: an earlier `now` counts as the latest one.
+    pub fn handle(&mut self, now: Duration, event: Event, effects: &mut Effects) {
+        self.advance(now);
+        self.start(effects);
+        match event {
+            Event::Tick => {}
+            Event::Request(request) => self.on_request(&request, effects),
+            Event::CallerGone { request } => self.on_caller_gone(request),
+            Event::Store { call, answer } => self.on_store(call, answer, effects),
+            Event::Changed { key, object } => self.on_changed(&key, &object, effects),
+            Event::Run { run, report } => self.on_run(&run, report, effects),
+            Event::Targets { targets } => self.on_targets(targets, effects),
+            Event::TargetStatus { target, status } => {
+                self.on_target_status(&target, status.as_ref(), effects);
+            }
+            Event::Peer {
+                from,
+                incarnation,
+                message,
+            } => self.on_peer(&from, incarnation, message, effects),
+            Event::Explain {
+                request,
+                token_sha256,
+                key,
+            } => self.on_explain(request, &token_sha256, &key, effects),
+            Event::Stop => self.on_stop(effects),
+        }
+        self.run_timers(effects);
+        self.check_stopped(effects);
+    }
+
+    /// Returns the time at which the host should deliver a `Tick` at the latest.
+    #[must_use]
+    pub fn next_wake(&self) -> Duration {
+        let round_at = self.membership.next_round_at();
+        self.timers
+            .first()
+            .map_or(round_at, |(at, _)| round_at.min(*at))
+    }
+
+    /// Tells whether the balancer should send new work here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.stop_at.is_none() && !self.settings.is_empty()
+    }
+
+    /// Returns the settings in force here.
+    #[must_use]
+    pub fn settings(&self) -> &SettingsInForce {
+        &self.settings
+    }
+
+    /// Returns what this instance knows of the others.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the tokens of a budget that could be reserved here at once.
+    #[must_use]
+    pub fn free_tokens(&self, budget: &str) -> u64 {
+        self.holders.get(budget).map_or(0, Holder::free_tokens)
+    }
+
+    /// Returns the tokens of a budget that are reserved for runs of this instance.
+    #[must_use]
+    pub fn reserved_tokens(&self, budget: &str) -> u64 {
+        self.holders.get(budget).map_or(0, Holder::reserved_tokens)
+    }
+
+    /// Returns the number of requests without a final word.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.requests
+            .values()
+            .filter(|request| !request.is_done())
+            .count()
+    }
+
+    /// Returns the number of bills that wait for the store.
+    #[must_use]
+    pub fn pending_entries(&self) -> usize {
+        self.holders.values().map(Holder::pending_entries).sum()
+    }
+
+    fn advance(&mut self, now: Duration) {
+        if now <= self.now {
+            return;
+        }
+        let gap = now.saturating_sub(self.now);
+        self.now = now;
+        // A process that was paused has not listened; that says nothing of its peers. Without
+        // this it would close the grants of all of them when it wakes.
+        let is_pause = self.is_started && gap > self.options.membership.interval * 2;
+        if is_pause {
+            self.membership.forgive(gap);
+        }
+    }
+
+    fn start(&mut self, effects: &mut Effects) {
+        if self.is_started {
+            return;
+        }
+        self.is_started = true;
+        let seeds = std::mem::take(&mut self.options.seeds);
+        let gossip = damaskstile_core::peer::Gossip {
+            members: seeds,
+            targets: Vec::new(),
+        };
+        self.membership.hear(self.now, &gossip);
+        self.members_changed(effects);
+        self.read_settings(effects);
+        self.ask_peers_for_settings(effects);
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn new_run(&mut self) -> RunId {
+        let number = self.next_number();
+        self.unsettled.insert(number);
+        self.options.identity.unique("run", number)
+    }
+
+    fn call_store(&mut self, call: Call, request: StoreCall, effects: &mut Effects) {
+        let id = self.next_number();
+        self.calls.insert(id, call);
+        self.set_timer(self.options.store_patience, Timer::Call(id));
+        effects.push(Effect::Store { call: id, request });
+    }
+
+    fn on_store(&mut self, id: CallId, answer: StoreAnswer, effects: &mut Effects) {
+        // An answer that comes late or twice was given up or taken before.
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        match call {
+            Call::Ledger(budget) => self.with_holder(&budget, effects, |holder, now, fx| {
+                holder.on_store(now, answer, fx);
+            }),
+            Call::Page(budget) => self.with_holder(&budget, effects, |holder, now, _| {
+                holder.on_page_stored(now, &answer);
+            }),
+            Call::Claims(account, shard) => {
+                self.with_claims(&account, shard, effects, |claims, now, fx| {
+                    claims.on_store(now, answer, fx);
+                });
+            }
+            Call::Settings => self.on_settings_read(answer, effects),
+            Call::Explain(number) => self.on_explain_read(number, answer, effects),
+        }
+    }
+
+    fn budget_options(&self, account: &str, service: &str) -> BudgetOptions {
+        let effective = self.settings.settings().effective(account, service);
+        let mut options = self.options.budgets.clone();
+        options.instances = self.settings.settings().system.instances;
+        options.open_percent = effective.open_percent;
+        let policy = PolicyKind::ALL
+            .into_iter()
+            .find(|kind| kind.as_str() == effective.budget_policy);
+        options.policy = policy.unwrap_or(options.policy);
+        options
+    }
+
+    fn log(effects: &mut Effects, code: EventCode, fields: &[(&str, &str)]) {
+        effects.push(Effect::Log(LogEvent::new(code, fields)));
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/instance/fleet.rs
@@ -0,0 +1,347 @@
+//! `fleet` joins an instance to the others: members, settings, targets, silent holders.
+
+use damaskstile_core::peer::{Gossip, PullSettings, SettingsUpdate, TargetNote};
+use damaskstile_core::prelude::*;
+use damaskstile_fleet::settings::{SETTINGS_KEY, StoredSettings};
+use damaskstile_fleet::spread::Applied;
+
+use super::timers::Timer;
+use super::{Call, Effects, Instance};
+
+/// Wait before settings are read again while none are known.
+const SETTINGS_RETRY: Duration = Duration::from_secs(1);
+
+impl Instance {
+    pub(super) fn on_peer(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        effects: &mut Effects,
+    ) {
+        if from == &self.options.identity.instance {
+            return;
+        }
+        self.membership.hear_directly(self.now, from, incarnation);
+        match message {
+            PeerMessage::Record(record) => self.on_record(from, incarnation, record, effects),
+            PeerMessage::RecordAck(ack) => self.on_record_ack(from, &ack, effects),
+            PeerMessage::Forget(forget) => {
+                self.keeper
+                    .forget(&(from.clone(), incarnation), &forget.runs);
+            }
+            PeerMessage::Ask(ask) => {
+                self.on_ask(from, &ask, effects);
+            }
+            PeerMessage::Give(give) => self.on_give(from, &give, effects),
+            PeerMessage::Take(take) => {
+                if let Some(holder) = self.holders.get_mut(&take.budget) {
+                    holder.on_take(&take.transfer);
+                }
+            }
+            PeerMessage::Gossip(gossip) => self.on_gossip(from, &gossip, effects),
+            PeerMessage::PullSettings(pull) => self.on_pull_settings(from, &pull, effects),
+            PeerMessage::SettingsUpdate(update) => {
+                self.apply_settings(update.version, &update.text, effects);
+            }
+        }
+    }
+
+    fn on_gossip(&mut self, from: &InstanceId, gossip: &Gossip, effects: &mut Effects) {
+        let heard = self.membership.hear(self.now, gossip);
+        for state in &gossip.members {
+            let life = (state.instance.clone(), state.incarnation);
+            self.keeper.forget_below(&life, state.settled_runs_below);
+        }
+        for life in &heard.replaced {
+            // The same name at the same address: the earlier process is gone for certain.
+            self.seal(life, effects);
+        }
+        for instance in &heard.joined {
+            Self::log(effects, EventCode::MemberJoined, &[("instance", instance)]);
+        }
+        if !heard.joined.is_empty() {
+            self.members_changed(effects);
+        }
+        for note in &gossip.targets {
+            let changed = self.registry.on_note(self.now, note);
+            Self::target_changed(&note.target, changed, effects);
+        }
+        self.pull_newer_settings(from, effects);
+    }
+
+    pub(super) fn gossip_if_due(&mut self, effects: &mut Effects) {
+        if self.now < self.membership.next_round_at() {
+            return;
+        }
+        let lowest = self.unsettled.first().copied();
+        let next_number = self.next_number;
+        let version = self.settings.version();
+        let own = self.membership.own_mut();
+        own.settled_runs_below = lowest.unwrap_or(next_number + 1);
+        own.settings_version = version;
+        let silent = self.membership.next_silent(self.now);
+        for instance in &silent {
+            Self::log(effects, EventCode::MemberSilent, &[("instance", instance)]);
+        }
+        if !silent.is_empty() {
+            self.members_changed(effects);
+        }
+        self.seal_silent(effects);
+        let always = self.witnesses_in_use();
+        if let Some((peers, members)) = self.membership.next_round(self.now, &always) {
+            self.send_gossip(&peers, members, effects);
+        }
+        self.probe_targets(effects);
+    }
+
+    /// Tells some peers at once, for news that should not wait for the next round.
+    fn gossip_now(&mut self, effects: &mut Effects) {
+        let version = self.settings.version();
+        let own = self.membership.own_mut();
+        own.settings_version = version;
+        own.heartbeat += 1;
+        let (peers, members) = self.membership.round(&BTreeSet::new());
+        self.send_gossip(&peers, members, effects);
+    }
+
+    fn send_gossip(
+        &mut self,
+        peers: &BTreeSet<InstanceId>,
+        members: Vec<damaskstile_core::peer::MemberState>,
+        effects: &mut Effects,
+    ) {
+        let gossip = Gossip {
+            members,
+            targets: self.registry.notes(self.now),
+        };
+        for peer in peers {
+            effects.push(Effect::Send {
+                to: peer.clone(),
+                message: PeerMessage::Gossip(gossip.clone()),
+            });
+        }
+    }
+
+    /// Takes the consequences of a change of who lives.
+    pub(super) fn members_changed(&mut self, effects: &mut Effects) {
+        let (peers, witnesses, has_silent) = self.peers_for_budgets();
+        for holder in self.holders.values_mut() {
+            holder.set_peers(peers.clone(), witnesses.clone(), has_silent);
+        }
+        let is_watching = self.membership.is_watcher() && self.stop_at.is_none();
+        if is_watching != self.is_watching {
+            self.is_watching = is_watching;
+            effects.push(Effect::WatchSettings { is_watching });
+        }
+    }
+
+    pub(super) fn peers_for_budgets(
+        &self,
+    ) -> (
+        BTreeSet<InstanceId>,
+        BTreeMap<InstanceId, Incarnation>,
+        bool,
+    ) {
+        let peers = self
+            .membership
+            .live()
+            .filter(|state| !state.is_stopping)
+            .map(|state| state.instance.clone())
+            .collect();
+        let has_silent = self
+            .membership
+            .all()
+            .any(|(state, is_silent)| is_silent && !state.is_stopping);
+        (peers, self.membership.witnesses(), has_silent)
+    }
+
+    /// Closes the grants of holders that have been silent for long.
+    fn seal_silent(&mut self, effects: &mut Effects) {
+        let seal_after = Duration::from_millis(self.settings.settings().system.seal_after_ms);
+        let silent: Vec<_> = self
+            .keeper
+            .lives()
+            .filter(|(instance, incarnation)| {
+                self.membership
+                    .direct_silence(self.now, instance, *incarnation)
+                    .is_some_and(|silence| silence > seal_after)
+            })
+            .cloned()
+            .collect();
+        for life in silent {
+            self.seal(&life, effects);
+        }
+    }
+
+    fn seal(&mut self, life: &(InstanceId, Incarnation), effects: &mut Effects) {
+        for (budget, kept) in self.keeper.seal(life) {
+            self.with_holder(&budget, effects, |holder, now, fx| {
+                holder.seal(now, &life.0, life.1, kept);
+                holder.tick(now, fx);
+            });
+        }
+    }
+
+    pub(super) fn read_settings(&mut self, effects: &mut Effects) {
+        let key = SETTINGS_KEY.to_owned();
+        self.call_store(Call::Settings, StoreCall::Read { key }, effects);
+    }
+
+    pub(super) fn read_settings_if_none(&mut self, effects: &mut Effects) {
+        if self.settings.is_empty() {
+            self.read_settings(effects);
+            self.ask_peers_for_settings(effects);
+        }
+    }
+
+    /// Asks peers too: they answer when the store is down.
+    pub(super) fn ask_peers_for_settings(&mut self, effects: &mut Effects) {
+        let (peers, _) = self.membership.round(&BTreeSet::new());
+        for to in peers {
+            let message = PeerMessage::PullSettings(PullSettings { have_version: 0 });
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    pub(super) fn on_settings_read(&mut self, answer: StoreAnswer, effects: &mut Effects) {
+        match answer {
+            StoreAnswer::Found(Some(object)) => {
+                self.on_changed(SETTINGS_KEY, &object, effects);
+            }
+            _ => self.set_timer(SETTINGS_RETRY, Timer::Settings),
+        }
+    }
+
+    pub(super) fn on_changed(&mut self, key: &str, object: &Object, effects: &mut Effects) {
+        if key != SETTINGS_KEY {
+            return;
+        }
+        match serde_json::from_str::<StoredSettings>(&object.value) {
+            Ok(stored) => self.apply_settings(object.version, &stored.text, effects),
+            Err(error) => {
+                let version = object.version.to_string();
+                let error = error.to_string();
+                Self::log(
+                    effects,
+                    EventCode::SettingsRefused,
+                    &[("version", &version), ("error", &error)],
+                );
+            }
+        }
+    }
+
+    fn apply_settings(&mut self, version: Version, text: &str, effects: &mut Effects) {
+        let number = version.to_string();
+        match self.settings.apply(version, text) {
+            Applied::Old => {}
+            Applied::Refused(error) => Self::log(
+                effects,
+                EventCode::SettingsRefused,
+                &[("version", &number), ("error", &error)],
+            ),
+            Applied::InForce => {
+                Self::log(effects, EventCode::SettingsApplied, &[("version", &number)]);
+                self.use_settings(effects);
+                self.gossip_now(effects);
+            }
+        }
+    }
+
+    fn use_settings(&mut self, effects: &mut Effects) {
+        let settings = self.settings.settings();
+        let system = &settings.system;
+        self.retries.set_percent(system.retry_percent);
+        self.registry
+            .set_evidence_age(Duration::from_millis(system.target_evidence_ms));
+        let budgets: Vec<(AccountId, BudgetId)> = settings
+            .account
+            .iter()
+            .map(|(name, account)| (name.clone(), account.budget.clone()))
+            .collect();
+        for (account, budget) in budgets {
+            let options = self.budget_options(&account, "");
+            let is_spreading = options.policy.policy().is_spreading();
+            if let Some(holder) = self.holders.get_mut(&budget) {
+                holder.set_options(options);
+            }
+            if is_spreading {
+                self.with_holder(&budget, effects, |holder, now, fx| {
+                    holder.take_share(now, fx);
+                });
+            }
+        }
+        self.probe_targets(effects);
+    }
+
+    fn pull_newer_settings(&mut self, from: &InstanceId, effects: &mut Effects) {
+        let have_version = self.settings.version();
+        if self.membership.settings_version(from) > have_version {
+            effects.push(Effect::Send {
+                to: from.clone(),
+                message: PeerMessage::PullSettings(PullSettings { have_version }),
+            });
+        }
+    }
+
+    fn on_pull_settings(&self, from: &InstanceId, pull: &PullSettings, effects: &mut Effects) {
+        if self.settings.version() > pull.have_version {
+            effects.push(Effect::Send {
+                to: from.clone(),
+                message: PeerMessage::SettingsUpdate(SettingsUpdate {
+                    version: self.settings.version(),
+                    text: self.settings.text().to_owned(),
+                }),
+            });
+        }
+    }
+
+    pub(super) fn on_targets(&mut self, targets: Vec<TargetInfo>, effects: &mut Effects) {
+        for (target, is_leaving) in self.registry.set_targets(targets) {
+            Self::target_changed(&target, Some(is_leaving), effects);
+        }
+        self.probe_targets(effects);
+    }
+
+    pub(super) fn on_target_status(
+        &mut self,
+        target: &TargetId,
+        status: Option<&TargetStatus>,
+        effects: &mut Effects,
+    ) {
+        let changed = self.registry.on_status(self.now, target, status);
+        Self::target_changed(target, changed, effects);
+        if changed.is_some() {
+            // Peers that cannot see the target should not have to wait for the next round.
+            let notes: Vec<TargetNote> = self.registry.notes(self.now);
+            let (peers, _) = self.membership.round(&BTreeSet::new());
+            for to in peers {
+                let gossip = Gossip {
+                    members: Vec::new(),
+                    targets: notes.clone(),
+                };
+                effects.push(Effect::Send {
+                    to,
+                    message: PeerMessage::Gossip(gossip),
+                });
+            }
+        }
+        self.queue_soon();
+    }
+
+    fn target_changed(target: &str, changed: Option<bool>, effects: &mut Effects) {
+        match changed {
+            Some(true) => Self::log(effects, EventCode::TargetLeaving, &[("target", target)]),
+            Some(false) => Self::log(effects, EventCode::TargetReturned, &[("target", target)]),
+            None => {}
+        }
+    }
+
+    pub(super) fn probe_targets(&mut self, effects: &mut Effects) {
+        let services: BTreeSet<ServiceId> =
+            self.settings.settings().service.keys().cloned().collect();
+        for (target, address) in self.registry.next_probes(self.now, &services) {
+            effects.push(Effect::Probe { target, address });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/instance/run.rs
@@ -0,0 +1,288 @@
+//! `run` follows what targets say of runs, to a whole answer, a retry or a cut.
+
+use damaskstile_budgets::Entry;
+use damaskstile_budgets::ledger::unix_ms;
+use damaskstile_core::prelude::*;
+use damaskstile_requests::Assembled;
+use damaskstile_requests::claim::ClaimState;
+
+use super::request::{Request, Step};
+use super::{Effects, Instance};
+
+/// Times that a cut stream is resumed at its target.
+const RESUMES_MAX: u32 = 2;
+
+impl Instance {
+    pub(super) fn on_run(&mut self, run: &RunId, report: RunReport, effects: &mut Effects) {
+        if let RunReport::State(state) = report {
+            self.on_run_state(run, &state, effects);
+            return;
+        }
+        let running = self.by_run.get(run).copied().filter(|number| {
+            self.requests
+                .get(number)
+                .is_some_and(|request| request.step == Step::Running)
+        });
+        // A report is for the run that it names and for no other, however late it comes.
+        let Some(number) = running else {
+            let run = run.as_str();
+            Self::log(effects, EventCode::RunReportDropped, &[("run", run)]);
+            return;
+        };
+        match report {
+            RunReport::Chunk {
+                index,
+                tokens,
+                data,
+            } => self.on_chunk(number, index, tokens, &data, effects),
+            RunReport::Finished {
+                chunks,
+                prompt_tokens,
+                output_tokens,
+            } => self.on_finished(number, chunks, prompt_tokens, output_tokens, effects),
+            RunReport::Refused | RunReport::Unreachable => {
+                let is_failure = report == RunReport::Unreachable;
+                self.on_not_run(number, is_failure, effects);
+            }
+            RunReport::Broken => self.on_broken(number, effects),
+            RunReport::State(_) => {}
+        }
+    }
+
+    fn on_chunk(
+        &mut self,
+        number: u64,
+        index: u64,
+        tokens: u64,
+        data: &str,
+        effects: &mut Effects,
+    ) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        match request.answer.add(index, tokens, data) {
+            Assembled::Repeated => {}
+            Assembled::Gap => self.on_broken(number, effects),
+            Assembled::Next => {
+                for caller in request.callers.iter().filter(|caller| caller.is_streamed) {
+                    effects.push(Effect::Relay {
+                        request: caller.request,
+                        data: data.to_owned(),
+                    });
+                }
+                if request.answer.tokens() > request.cap_tokens && request.cap_tokens > 0 {
+                    self.on_cap_passed(number, effects);
+                }
+            }
+        }
+    }
+
+    /// Cancels a run whose target does not keep to the cap that it was given.
+    fn on_cap_passed(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let (run, cap_tokens) = (request.run.clone(), request.cap_tokens);
+        if let Some((target, _)) = request.target.clone() {
+            Self::log(
+                effects,
+                EventCode::RunCapped,
+                &[("run", &run), ("target", &target)],
+            );
+            effects.push(Effect::Cancel { run, target });
+        }
+        let prompt_tokens = request.prompt_tokens;
+        self.settle(number, prompt_tokens, cap_tokens, None, effects);
+        self.end_unknown(number, RefusalCode::TargetLost, effects);
+    }
+
+    fn on_finished(
+        &mut self,
+        number: u64,
+        chunks: u64,
+        prompt_tokens: u64,
+        output_tokens: u64,
+        effects: &mut Effects,
+    ) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        // The end of a stream is no proof that the answer is whole; its pieces are counted.
+        if !request.answer.is_whole(chunks) {
+            self.on_broken(number, effects);
+            return;
+        }
+        let prompt_tokens = prompt_tokens.min(request.prompt_tokens);
+        let output_tokens = output_tokens.min(request.cap_tokens);
+        let (target, _) = request.target.clone().unwrap_or_default();
+        let receipt = Receipt {
+            key: request.key.clone(),
+            target: target.clone(),
+            prompt_tokens,
+            output_tokens,
+        };
+        let took = self.now.saturating_sub(request.sent_at);
+        // Callers that want the answer in one piece get it now that it is whole.
+        for caller in request.callers.iter().filter(|caller| !caller.is_streamed) {
+            for data in request.answer.chunks() {
+                effects.push(Effect::Relay {
+                    request: caller.request,
+                    data: data.clone(),
+                });
+            }
+        }
+        self.settle(number, prompt_tokens, output_tokens, Some(took), effects);
+        let state = ClaimState::Answered {
+            target,
+            prompt_tokens,
+            output_tokens,
+        };
+        self.finish_claim(number, state, effects);
+        self.finish(number, &Outcome::Answered(receipt), effects);
+    }
+
+    /// Turns the reservation of a request's run into its bill.
+    fn settle(
+        &mut self,
+        number: u64,
+        prompt_tokens: u64,
+        output_tokens: u64,
+        took: Option<Duration>,
+        effects: &mut Effects,
+    ) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let entry = self.entry(request, prompt_tokens, output_tokens);
+        let budget = request.budget.clone();
+        if let Some((target, _)) = &request.target {
+            self.registry.ended(&target.clone(), took);
+        }
+        self.by_run.remove(&entry.run);
+        self.with_holder(&budget, effects, |holder, now, fx| {
+            holder.settle(now, entry);
+            holder.tick(now, fx);
+        });
+    }
+
+    pub(super) fn entry(&self, request: &Request, prompt_tokens: u64, output_tokens: u64) -> Entry {
+        let target = request.target.as_ref();
+        Entry {
+            run: request.run.clone(),
+            key: request.key.clone(),
+            account: request.account.clone(),
+            target: target.map(|(target, _)| target.clone()).unwrap_or_default(),
+            prompt_tokens,
+            output_tokens,
+            is_billed: true,
+            biller: self.options.identity.instance.clone(),
+            at_unix_ms: unix_ms(self.now),
+        }
+    }
+
+    /// Goes on after a target refused a run, or could not be reached at all.
+    fn on_not_run(&mut self, number: u64, is_failure: bool, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some((target, _)) = request.target.clone() else {
+            return;
+        };
+        let service = request.service.clone();
+        request.note(format!("{target} did not take it"));
+        let is_resumed = request.resumes > 0;
+        self.registry.failed(self.now, &target);
+        if is_resumed {
+            // Only the resumption was not taken. The run itself had begun.
+            self.on_broken(number, effects);
+            return;
+        }
+        if self.retries.try_retry(self.now) {
+            Self::log(
+                effects,
+                EventCode::RunRetried,
+                &[("target", &target), ("service", &service)],
+            );
+            self.try_other_target(number, &target, effects);
+            return;
+        }
+        let code = if is_failure {
+            RefusalCode::RetriesExhausted
+        } else {
+            RefusalCode::Overloaded
+        };
+        let retry_after = Some(self.retry_after(RefusalCode::Overloaded, &service));
+        self.refuse(number, code, retry_after, effects);
+    }
+
+    /// Goes on after a stream was cut: it is resumed, or rerun where that is allowed.
+    fn on_broken(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some((target, _)) = request.target.clone() else {
+            return;
+        };
+        request.note(format!("the stream from {target} was cut"));
+        let may_resume = request.can_resume && request.resumes < RESUMES_MAX;
+        let may_rerun = !request.is_non_idempotent && !request.is_partly_relayed();
+        if may_resume && self.retries.try_retry(self.now) {
+            self.resume(number, effects);
+            return;
+        }
+        self.registry.failed(self.now, &target);
+        self.lose_run(number, effects);
+        if may_rerun && self.retries.try_retry(self.now) {
+            self.rerun(number, &target, effects);
+            return;
+        }
+        self.end_unknown(number, RefusalCode::TargetLost, effects);
+    }
+
+    fn resume(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.resumes += 1;
+        request.note("resumed".to_owned());
+        let Some((target, address)) = request.target.clone() else {
+            return;
+        };
+        Self::log(
+            effects,
+            EventCode::RunRetried,
+            &[("target", &target), ("run", &request.run)],
+        );
+        effects.push(Effect::Dispatch(Dispatch {
+            run: request.run.clone(),
+            request: request.first_call,
+            target,
+            address,
+            account: request.account.clone(),
+            key: request.key.clone(),
+            service: request.service.clone(),
+            cap_tokens: request.cap_tokens,
+            resume_from: request.answer.len(),
+            priority: request.priority,
+            expires_at: request.until,
+        }));
+    }
+
+    fn rerun(&mut self, number: u64, target: &TargetId, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.tried.insert(target.clone());
+        request.target = None;
+        request.resumes = 0;
+        request.answer = damaskstile_requests::Assembly::new();
+        let service = request.service.clone();
+        Self::log(
+            effects,
+            EventCode::RunRetried,
+            &[("target", target), ("service", &service)],
+        );
+        self.renew_run(number);
+        self.reserve(number, false, effects);
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/instance/stop.rs
@@ -0,0 +1,63 @@
+//! `stop` ends an instance without harm: nothing is cut off, nothing kept.
+
+use damaskstile_budgets::Holder;
+use damaskstile_core::prelude::*;
+use damaskstile_requests::ClaimShard;
+
+use super::timers::Timer;
+use super::{Effects, Instance};
+
+impl Instance {
+    /// Begins a planned stop: the balancer is told first, and work is still taken for a while,
+    /// since the balancer goes on sending until it has noticed.
+    pub(super) fn on_stop(&mut self, effects: &mut Effects) {
+        if self.stop_at.is_some() {
+            return;
+        }
+        let grace = Duration::from_millis(self.settings.settings().system.stop_grace_ms);
+        self.stop_at = Some(self.now + grace);
+        self.set_timer(grace, Timer::Stop);
+        self.membership.own_mut().is_stopping = true;
+        let open = self.open_requests().to_string();
+        Self::log(effects, EventCode::StopBegan, &[("open_requests", &open)]);
+        self.members_changed(effects);
+        let (peers, members) = self.membership.round(&BTreeSet::new());
+        let gossip = damaskstile_core::peer::Gossip {
+            members,
+            targets: Vec::new(),
+        };
+        for to in peers {
+            effects.push(Effect::Send {
+                to,
+                message: PeerMessage::Gossip(gossip.clone()),
+            });
+        }
+    }
+
+    pub(super) fn check_stopped(&mut self, effects: &mut Effects) {
+        let is_due = self.stop_at.is_some_and(|at| self.now >= at);
+        if !is_due || self.is_stopped {
+            return;
+        }
+        if self.open_requests() > 0 || !self.strays.is_empty() {
+            return;
+        }
+        let budgets: Vec<BudgetId> = self.holders.keys().cloned().collect();
+        for budget in budgets {
+            let is_settled = self.holders.get(&budget).is_some_and(Holder::is_settled);
+            if !is_settled {
+                self.with_holder(&budget, effects, |holder, now, fx| {
+                    holder.stop(now);
+                    holder.tick(now, fx);
+                });
+            }
+        }
+        let is_settled = self.holders.values().all(Holder::is_settled)
+            && self.claims.values().all(ClaimShard::is_settled);
+        if is_settled {
+            self.is_stopped = true;
+            Self::log(effects, EventCode::StopDone, &[]);
+            effects.push(Effect::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/keys.rs
@@ -0,0 +1,57 @@
+//! `keys` names the objects in the platform's store.
+
+use damaskstile_core::random::stable_hash;
+
+/// Shards of the claims of one client account.
+pub const CLAIM_SHARDS: u64 = 16;
+
+/// Returns the key of a budget's ledger.
+///
+/// ```
+/// assert_eq!(damaskstile::keys::ledger_key("b"), "budgets/b");
+/// ```
+#[must_use]
+pub fn ledger_key(budget: &str) -> String {
+    format!("budgets/{budget}")
+}
+
+/// Returns the key of a page of a budget's bills.
+#[must_use]
+pub fn page_key(budget: &str, page: u64) -> String {
+    format!("bills/{budget}/{page:010}")
+}
+
+/// Returns the shard of a claim's key.
+#[must_use]
+pub fn claim_shard(account: &str, key: &str) -> u64 {
+    stable_hash(&[account, key]) % CLAIM_SHARDS
+}
+
+/// Returns the key of a shard of claims.
+#[must_use]
+pub fn claims_key(account: &str, shard: u64) -> String {
+    format!("claims/{account}/{shard:02}")
+}
+
+/// Returns the key of a version in the history of the settings.
+#[must_use]
+pub fn settings_history_key(version: u64) -> String {
+    format!("settings/history/{version:010}")
+}
+
+/// Makes a `UUIDv7` out of a time and random bits, for requests that come without a key.
+///
+/// ```
+/// let key = damaskstile::keys::new_request_key(std::time::Duration::from_secs(1), 1, 2);
+/// assert_eq!(key.len(), 36);
+/// ```
+#[must_use]
+pub fn new_request_key(now: std::time::Duration, high: u64, low: u64) -> String {
+    let millis = u64::try_from(now.as_millis()).unwrap_or(0);
+    let mut random = [0_u8; 10];
+    random[..2].copy_from_slice(&high.to_be_bytes()[..2]);
+    random[2..].copy_from_slice(&low.to_be_bytes());
+    uuid::Builder::from_unix_timestamp_millis(millis, &random)
+        .into_uuid()
+        .to_string()
+}
