--- /dev/null
+++ b/crates/damaskctl/src/accounts.rs
@@ -0,0 +1,146 @@
+//! `accounts` creates and lists client accounts.
+
+use clap::Subcommand;
+use damaskstile::core::hex::to_hex;
+use damaskstile::fleet::settings::AccountSettings;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+use crate::context::Context;
+use crate::exit::Failure;
+use crate::table::Table;
+use crate::tree;
+
+/// Commands for client accounts.
+#[derive(Debug, Subcommand)]
+pub enum AccountCommand {
+    /// Creates a client account. Its token is shown once; only its hash is stored.
+    Create {
+        /// Name of the account.
+        name: String,
+        /// Budget that it draws on.
+        #[arg(long)]
+        budget: String,
+        /// Token; made at random where absent.
+        #[arg(long)]
+        token: Option<String>,
+    },
+    /// Lists the client accounts.
+    List,
+    /// Adds a token, for a change of tokens without a gap.
+    AddToken {
+        /// Name of the account.
+        name: String,
+        /// Token; made at random where absent.
+        #[arg(long)]
+        token: Option<String>,
+    },
+    /// Removes all tokens but the newest.
+    DropOldTokens {
+        /// Name of the account.
+        name: String,
+    },
+}
+
+/// Carries out a command.
+pub async fn run(context: &Context, command: AccountCommand) -> Result<(), Failure> {
+    match command {
+        AccountCommand::Create {
+            name,
+            budget,
+            token,
+        } => create(context, &name, &budget, token).await,
+        AccountCommand::List => list(context).await,
+        AccountCommand::AddToken { name, token } => add_token(context, &name, token).await,
+        AccountCommand::DropOldTokens { name } => drop_old_tokens(context, &name).await,
+    }
+}
+
+/// Returns the hash under which a token is stored.
+pub fn token_sha256(token: &str) -> String {
+    to_hex(&Sha256::digest(token.as_bytes()))
+}
+
+fn new_token() -> Result<String, Failure> {
+    use std::io::Read;
+    let mut bytes = [0_u8; 24];
+    std::fs::File::open("/dev/urandom")
+        .and_then(|mut source| source.read_exact(&mut bytes))
+        .map_err(|error| Failure::Refused(format!("no randomness for a token: {error}")))?;
+    Ok(format!("dm-{}", to_hex(&bytes)))
+}
+
+async fn create(
+    context: &Context,
+    name: &str,
+    budget: &str,
+    token: Option<String>,
+) -> Result<(), Failure> {
+    let mut tree = tree::read(context).await?;
+    if tree.settings.account.contains_key(name) {
+        return Err(Failure::Refused(format!("client account {name} exists")));
+    }
+    let is_made = token.is_none();
+    let token = match token {
+        Some(token) => token,
+        None => new_token()?,
+    };
+    let account = AccountSettings {
+        budget: budget.to_owned(),
+        token_sha256: vec![token_sha256(&token)],
+        ..AccountSettings::default()
+    };
+    tree.settings.account.insert(name.to_owned(), account);
+    let text = tree.settings.to_toml()?;
+    tree::write(context, &tree, text, &format!("create account {name}")).await?;
+    if is_made {
+        println!("token: {token}");
+    }
+    Ok(())
+}
+
+async fn list(context: &Context) -> Result<(), Failure> {
+    let tree = tree::read(context).await?;
+    let mut table = Table::new(&["account", "budget", "tokens"]);
+    let mut values = Vec::new();
+    for (name, account) in &tree.settings.account {
+        table.row(&[name, &account.budget, &account.token_sha256.len()]);
+        values.push(json!({"account": name, "budget": account.budget}));
+    }
+    context.print(&values, &table)
+}
+
+async fn add_token(context: &Context, name: &str, token: Option<String>) -> Result<(), Failure> {
+    let mut tree = tree::read(context).await?;
+    let token = match token {
+        Some(token) => token,
+        None => new_token()?,
+    };
+    account_mut(&mut tree, name)?
+        .token_sha256
+        .push(token_sha256(&token));
+    let text = tree.settings.to_toml()?;
+    tree::write(context, &tree, text, &format!("add token to {name}")).await?;
+    println!("token: {token}");
+    Ok(())
+}
+
+async fn drop_old_tokens(context: &Context, name: &str) -> Result<(), Failure> {
+    let mut tree = tree::read(context).await?;
+    let tokens = &mut account_mut(&mut tree, name)?.token_sha256;
+    let old = tokens.len().saturating_sub(1);
+    tokens.drain(..old);
+    let text = tree.settings.to_toml()?;
+    tree::write(context, &tree, text, &format!("drop tokens of {name}")).await?;
+    Ok(())
+}
+
+fn account_mut<'a>(
+    tree: &'a mut tree::Tree,
+    name: &str,
+) -> Result<&'a mut AccountSettings, Failure> {
+    tree.settings
+        .account
+        .get_mut(name)
+        .ok_or_else(|| Failure::NotFound(format!("client account {name}")))
+}
--- /dev/null
+++ b/crates/damaskctl/src/exit.rs
@@ -0,0 +1,61 @@
+//! `exit` holds the failures of commands, each with its exit code.
+
+use std::fmt;
+
+/// `Failure` tells why a command was not carried out.
+#[derive(Debug)]
+pub enum Failure {
+    /// The input was refused.
+    Refused(String),
+    /// Another operator changed the same thing first.
+    Conflict(String),
+    /// The platform or an instance gave no answer; a change may have taken effect.
+    NoAnswer(String),
+    /// There is no such thing.
+    NotFound(String),
+    /// The comparison shows differences.
+    Different(String),
+}
+
+impl Failure {
+    /// Returns the exit code; 2 is left to wrong usage.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Refused(_) => 1,
+            Self::Conflict(_) => 3,
+            Self::NoAnswer(_) => 4,
+            Self::NotFound(_) => 5,
+            Self::Different(_) => 6,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(what) => write!(f, "refused: {what}"),
+            Self::Conflict(what) => write!(f, "another change came first: {what}"),
+            Self::NoAnswer(what) => write!(f, "no answer: {what}"),
+            Self::NotFound(what) => write!(f, "not found: {what}"),
+            Self::Different(what) => write!(f, "{what}"),
+        }
+    }
+}
+
+impl From<damaskstile_http::Error> for Failure {
+    fn from(error: damaskstile_http::Error) -> Self {
+        Self::NoAnswer(error.to_string())
+    }
+}
+
+impl From<damaskstile::fleet::Error> for Failure {
+    fn from(error: damaskstile::fleet::Error) -> Self {
+        Self::Refused(error.to_string())
+    }
+}
+
+impl From<serde_json::Error> for Failure {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Refused(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/damaskctl/src/targets.rs
@@ -0,0 +1,110 @@
+//! `targets` lists targets and gives them orders.
+
+use clap::Subcommand;
+use damaskstile::core::prelude::*;
+use serde_json::json;
+
+use crate::context::{Context, get_json, put_json};
+use crate::exit::Failure;
+use crate::table::Table;
+
+/// Commands for targets.
+#[derive(Debug, Subcommand)]
+pub enum TargetCommand {
+    /// Lists the targets, with their own word on themselves.
+    List,
+    /// Tells a target to leave: it finishes what it runs and takes nothing new.
+    Drain {
+        /// Name of the target.
+        name: String,
+    },
+    /// Gives a target an order, such as `load_model`.
+    Order {
+        /// Name of the target.
+        name: String,
+        /// What to do.
+        order: String,
+        /// What to do it with.
+        #[arg(default_value = "")]
+        argument: String,
+    },
+}
+
+/// Carries out a command.
+pub async fn run(context: &Context, command: TargetCommand) -> Result<(), Failure> {
+    match command {
+        TargetCommand::List => list(context).await,
+        TargetCommand::Drain { name } => order(context, &name, "drain", "").await,
+        TargetCommand::Order {
+            name,
+            order: what,
+            argument,
+        } => order(context, &name, &what, &argument).await,
+    }
+}
+
+async fn list(context: &Context) -> Result<(), Failure> {
+    let targets = context.platform.targets().await?;
+    let mut table = Table::new(&["target", "service", "address", "listed", "own_word", "load"]);
+    let mut values = Vec::new();
+    for info in targets {
+        let own = get_json(&info.address, "/status", &[]).await.ok();
+        let status: Option<TargetStatus> = own.and_then(|value| serde_json::from_value(value).ok());
+        let listed = leaving_word(info.is_leaving);
+        let own_word = status
+            .as_ref()
+            .map_or("no answer", |status| leaving_word(status.is_leaving));
+        let load = status.as_ref().map_or(String::new(), |status| {
+            format!("{}/{}", status.in_flight_requests, status.slots_requests)
+        });
+        table.row(&[
+            &info.target,
+            &info.service,
+            &info.address,
+            &listed,
+            &own_word,
+            &load,
+        ]);
+        values.push(json!({"target": info, "status": status}));
+    }
+    context.print(&values, &table)
+}
+
+fn leaving_word(is_leaving: bool) -> &'static str {
+    if is_leaving { "leaving" } else { "live" }
+}
+
+/// Gives an order: it is stored first, and the version of the store is its fencing number.
+///
+/// Of two operators who race only one can store; the other is told. A target that checks fencing
+/// numbers also refuses an order that was stored earlier and arrives later.
+async fn order(context: &Context, name: &str, what: &str, argument: &str) -> Result<(), Failure> {
+    let targets = context.platform.targets().await?;
+    let info = targets
+        .into_iter()
+        .find(|info| info.target == name)
+        .ok_or_else(|| Failure::NotFound(format!("target {name}")))?;
+    let key = format!("orders/{name}");
+    let standing = context.platform.read(&key).await?;
+    let version = standing.as_ref().map_or(0, |object| object.version);
+    let value = json!({
+        "order": what,
+        "argument": argument,
+        "author": context.author,
+        "at_unix_ms": Context::unix_ms(),
+    });
+    match context
+        .platform
+        .write(&key, version, value.to_string())
+        .await?
+    {
+        StoreAnswer::Written { version } => {
+            let sent = json!({"fencing": version, "order": what, "argument": argument});
+            put_json(&info.address, "/orders", &sent).await?;
+            println!("order {version} done");
+            Ok(())
+        }
+        StoreAnswer::Conflict(Some(object)) => Err(Failure::Conflict(object.value)),
+        _ => Err(Failure::NoAnswer("unexpected answer".to_owned())),
+    }
+}
--- a/crates/damaskstile-core/src/effect.rs
+++ b/crates/damaskstile-core/src/effect.rs
@@ -99,6 +99,16 @@
         /// The client account that the token belongs to.
         account: AccountId,
     },
+    /// Tell the host that the request's tokens are reserved, for its histograms.
+    Reserved {
+        /// The call.
+        request: RequestHandle,
+    },
+    /// Let go of the body of a call's request; it will not be sent any more.
+    BodyDone {
+        /// The call.
+        request: RequestHandle,
+    },
     /// Give a piece of the answer to the caller.
     Relay {
         /// The call.
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod errors;
 pub mod event;
 pub mod explanation;
+pub mod hex;
 pub mod identity;
 pub mod ids;
 pub mod log;
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -71,6 +71,7 @@
     TargetReturned = 602, "info", "A target takes work again.";
     StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
     StopDone = 702, "info", "The instance has handed back what it held.";
+    StopCutShort = 703, "error", "The store did not take in time what the instance handed back at its stop.";
     HostFailed = 801, "error", "An input or output of the host failed.";
 }
 
--- a/crates/damaskstile-core/src/report.rs
+++ b/crates/damaskstile-core/src/report.rs
@@ -45,6 +45,8 @@
     },
     /// The target refused the run before it began.
     Refused,
+    /// The target refused the request as such; no other target would take it.
+    Rejected,
     /// No byte of the request can have reached the target.
     Unreachable,
     /// The connection was lost after the request was sent.
--- /dev/null
+++ b/crates/damaskstile-http/src/lib.rs
@@ -0,0 +1,11 @@
+//! `damaskstile-http` speaks HTTP to targets and to the platform, over `hyper`.
+
+pub mod client;
+pub mod errors;
+pub mod platform;
+pub mod sse;
+
+pub use client::{Call, Reply, send, send_whole};
+pub use errors::{Error, Result};
+pub use platform::Platform;
+pub use sse::SseLines;
--- /dev/null
+++ b/crates/damaskstile-http/src/platform.rs
@@ -0,0 +1,145 @@
+//! `platform` speaks to the platform: its object API and its list of targets.
+
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Call, Reply, send_whole};
+use crate::errors::{Error, Result};
+
+/// Time that a call may take.
+const CALL_LIMIT: Duration = Duration::from_millis(1500);
+
+/// `ObjectKey` is a key with its version, as lists give it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ObjectKey {
+    /// Key of the object.
+    pub key: String,
+    /// Its version.
+    pub version: Version,
+}
+
+/// `Platform` makes calls to the platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    address: String,
+}
+
+impl Platform {
+    /// Makes a client of the platform at an address.
+    #[must_use]
+    pub fn new(address: &str) -> Self {
+        Self {
+            address: address.to_owned(),
+        }
+    }
+
+    /// Makes a call as the decisions ask for it. Whatever is no clear answer counts as lost.
+    pub async fn call(&self, call: StoreCall) -> StoreAnswer {
+        let answer = match call {
+            StoreCall::Read { key } => self.read(&key).await.map(StoreAnswer::Found),
+            StoreCall::Write {
+                key,
+                expected_version,
+                value,
+            } => self.write(&key, expected_version, value).await,
+        };
+        answer.unwrap_or(StoreAnswer::Lost)
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the platform gave no clear answer.
+    pub async fn read(&self, key: &str) -> Result<Option<Object>> {
+        let reply = self.get(&format!("/objects/{key}"), CALL_LIMIT).await?;
+        match reply.status {
+            StatusCode::OK => parse(&reply).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(unexpected(&reply)),
+        }
+    }
+
+    /// Writes an object if the expected version stands.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the platform gave no clear answer; the write may have taken effect.
+    pub async fn write(&self, key: &str, expected: Version, value: String) -> Result<StoreAnswer> {
+        let path = format!("/objects/{key}?expected_version={expected}");
+        let call = Call::new(&self.address, Method::PUT, &path).body(value);
+        let reply = send_whole(call, CALL_LIMIT).await?;
+        match reply.status {
+            StatusCode::OK => {
+                let written: ObjectKey = parse(&reply)?;
+                Ok(StoreAnswer::Written {
+                    version: written.version,
+                })
+            }
+            StatusCode::CONFLICT => Ok(StoreAnswer::Conflict(parse(&reply)?)),
+            _ => Err(unexpected(&reply)),
+        }
+    }
+
+    /// Waits until an object has a version above the given one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the platform gave no clear answer.
+    pub async fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Object>> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch/{key}?after_version={after}&wait_ms={wait_ms}");
+        let reply = self.get(&path, wait + CALL_LIMIT).await?;
+        match reply.status {
+            StatusCode::OK => parse(&reply),
+            _ => Err(unexpected(&reply)),
+        }
+    }
+
+    /// Lists the objects whose keys begin with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the platform gave no clear answer.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<ObjectKey>> {
+        let reply = self
+            .get(&format!("/list?prefix={prefix}"), CALL_LIMIT)
+            .await?;
+        match reply.status {
+            StatusCode::OK => parse(&reply),
+            _ => Err(unexpected(&reply)),
+        }
+    }
+
+    /// Reads the list of targets, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the platform gave no clear answer.
+    pub async fn targets(&self) -> Result<Vec<TargetInfo>> {
+        let reply = self.get("/targets", CALL_LIMIT).await?;
+        match reply.status {
+            StatusCode::OK => parse(&reply),
+            _ => Err(unexpected(&reply)),
+        }
+    }
+
+    async fn get(&self, path: &str, limit: Duration) -> Result<Reply> {
+        send_whole(Call::new(&self.address, Method::GET, path), limit).await
+    }
+}
+
+fn parse<T: for<'de> Deserialize<'de>>(reply: &Reply) -> Result<T> {
+    serde_json::from_slice(&reply.body).map_err(|error| Error::Broken(error.to_string()))
+}
+
+fn unexpected(reply: &Reply) -> Error {
+    Error::Unexpected {
+        status: reply.status.as_u16(),
+        body: reply.text(),
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-http/src/sse.rs
@@ -0,0 +1,51 @@
+//! `sse` cuts a stream of server-sent events into its data lines.
+
+/// Longest line that is kept, in bytes.
+const LINE_BYTES_MAX: usize = 1024 * 1024;
+
+/// `SseLines` collects bytes and gives out the data of each event.
+#[derive(Debug, Default)]
+pub struct SseLines {
+    rest: Vec<u8>,
+    is_overlong: bool,
+}
+
+impl SseLines {
+    /// Makes a collector without bytes.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds bytes and returns the data lines that are whole now.
+    ///
+    /// ```
+    /// use damaskstile_http::SseLines;
+    /// let mut lines = SseLines::new();
+    /// assert!(lines.push(b"data: {\"a\"").is_empty());
+    /// assert_eq!(lines.push(b":1}\n\ndata: [DONE]\n\n"), ["{\"a\":1}", "[DONE]"]);
+    /// ```
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<String> {
+        self.rest.extend_from_slice(bytes);
+        let mut lines = Vec::new();
+        while let Some(end) = self.rest.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.rest.drain(..=end).collect();
+            let line = String::from_utf8_lossy(&line);
+            if let Some(data) = line.trim_end().strip_prefix("data:") {
+                lines.push(data.trim_start().to_owned());
+            }
+        }
+        if self.rest.len() > LINE_BYTES_MAX {
+            // A line without an end would fill the memory. The stream is given up.
+            self.rest.clear();
+            self.is_overlong = true;
+        }
+        lines
+    }
+
+    /// Tells whether a line was too long, so that the stream cannot be trusted any more.
+    #[must_use]
+    pub fn is_overlong(&self) -> bool {
+        self.is_overlong
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-standins/src/platform.rs
@@ -0,0 +1,319 @@
+//! `platform` stands in for the platform: objects with versions, watches, a lagging target list.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use damaskstile_core::prelude::{Object, TargetInfo};
+use dropshot::{
+    ApiDescription, Body, HttpError, Path, Query, RequestContext, TypedBody, UntypedBody, endpoint,
+};
+use http::{Response, StatusCode};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// `Faults` are set while the platform runs.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Delay of each call, in milliseconds.
+    pub delay_ms: u64,
+    /// Whether every call fails.
+    pub is_out: bool,
+    /// Writes from now on that take effect and whose answers are lost.
+    pub lose_answers: u64,
+    /// Age of the target list, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Delay of watches, in milliseconds.
+    pub watch_lag_ms: u64,
+}
+
+/// `Counts` counts calls since the start.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Counts {
+    /// Reads and lists.
+    pub reads: u64,
+    /// Writes, whether they took effect or not.
+    pub writes: u64,
+    /// Watches, one for each wait.
+    pub watches: u64,
+    /// Writes that met another version.
+    pub conflicts: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, Object>,
+    revision: u64,
+    targets: BTreeMap<String, TargetInfo>,
+    /// Past lists of targets, oldest first, for the lag.
+    lists: Vec<(Instant, Vec<TargetInfo>)>,
+    faults: Faults,
+    counts: Counts,
+}
+
+/// `Platform` is the context of the stand-in.
+#[derive(Debug, Default)]
+pub struct Platform {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Platform {
+    /// Makes a platform without objects.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn enter(&self) -> Result<(), HttpError> {
+        let faults = self.state().faults.clone();
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if self.state().faults.is_out {
+            return Err(HttpError::for_unavail(None, "outage".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct KeyPath {
+    key: Vec<String>,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct WriteQuery {
+    expected_version: u64,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct WatchQuery {
+    after_version: u64,
+    wait_ms: u64,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct ListQuery {
+    prefix: String,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct NamePath {
+    name: String,
+}
+
+type Answer = Result<Response<Body>, HttpError>;
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let text = serde_json::to_string(value)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Body::from(text))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
+
+/// Reads an object.
+#[endpoint { method = GET, path = "/objects/{key:.*}", unpublished = true }]
+async fn read_object(rqctx: RequestContext<Platform>, path: Path<KeyPath>) -> Answer {
+    let platform = rqctx.context();
+    platform.enter().await?;
+    let key = path.into_inner().key.join("/");
+    let found = {
+        let mut state = platform.state();
+        state.counts.reads += 1;
+        state.objects.get(&key).cloned()
+    };
+    match found {
+        Some(object) => json(StatusCode::OK, &object),
+        None => json(StatusCode::NOT_FOUND, &"no such object"),
+    }
+}
+
+/// Writes an object if the expected version stands.
+#[endpoint { method = PUT, path = "/objects/{key:.*}", unpublished = true }]
+async fn write_object(
+    rqctx: RequestContext<Platform>,
+    path: Path<KeyPath>,
+    query: Query<WriteQuery>,
+    body: UntypedBody,
+) -> Answer {
+    let platform = rqctx.context();
+    platform.enter().await?;
+    let key = path.into_inner().key.join("/");
+    let expected = query.into_inner().expected_version;
+    let value = body.as_str()?.to_owned();
+    if value.len() > 1_000_000 {
+        return json(StatusCode::PAYLOAD_TOO_LARGE, &"value above 1 MB");
+    }
+    let (is_lost, answer) = {
+        let mut state = platform.state();
+        state.counts.writes += 1;
+        let standing = state.objects.get(&key).cloned();
+        let version = standing.as_ref().map_or(0, |object| object.version);
+        if version == expected {
+            state.revision += 1;
+            let version = state.revision;
+            state.objects.insert(key.clone(), Object { version, value });
+            let is_lost = state.faults.lose_answers > 0;
+            state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+            (is_lost, Ok(version))
+        } else {
+            state.counts.conflicts += 1;
+            (false, Err(standing))
+        }
+    };
+    platform.changed.notify_waiters();
+    if is_lost {
+        return Err(HttpError::for_unavail(None, "answer lost".to_owned()));
+    }
+    match answer {
+        Ok(version) => json(
+            StatusCode::OK,
+            &serde_json::json!({"key": key, "version": version}),
+        ),
+        Err(standing) => json(StatusCode::CONFLICT, &standing),
+    }
+}
+
+/// Waits for a newer version of an object.
+#[endpoint { method = GET, path = "/watch/{key:.*}", unpublished = true }]
+async fn watch_object(
+    rqctx: RequestContext<Platform>,
+    path: Path<KeyPath>,
+    query: Query<WatchQuery>,
+) -> Answer {
+    let platform = rqctx.context();
+    platform.enter().await?;
+    let key = path.into_inner().key.join("/");
+    let query = query.into_inner();
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    platform.state().counts.watches += 1;
+    loop {
+        let changed = platform.changed.notified();
+        let (newer, lag_ms) = {
+            let state = platform.state();
+            let object = state.objects.get(&key);
+            let newer = object.filter(|object| object.version > query.after_version);
+            (newer.cloned(), state.faults.watch_lag_ms)
+        };
+        if newer.is_some() {
+            tokio::time::sleep(Duration::from_millis(lag_ms)).await;
+            platform.enter().await?;
+            return json(StatusCode::OK, &newer);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return json(StatusCode::OK, &None::<Object>);
+        }
+        let _ = tokio::time::timeout(left, changed).await;
+    }
+}
+
+/// Lists keys and versions.
+#[endpoint { method = GET, path = "/list" }]
+async fn list_objects(rqctx: RequestContext<Platform>, query: Query<ListQuery>) -> Answer {
+    let platform = rqctx.context();
+    platform.enter().await?;
+    let prefix = query.into_inner().prefix;
+    let keys: Vec<serde_json::Value> = {
+        let mut state = platform.state();
+        state.counts.reads += 1;
+        state
+            .objects
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&prefix))
+            .map(|(key, object)| serde_json::json!({"key": key, "version": object.version}))
+            .collect()
+    };
+    json(StatusCode::OK, &keys)
+}
+
+/// Gives the list of targets as it was a while ago.
+#[endpoint { method = GET, path = "/targets" }]
+async fn list_targets(rqctx: RequestContext<Platform>) -> Answer {
+    let platform = rqctx.context();
+    platform.enter().await?;
+    let list = {
+        let mut state = platform.state();
+        state.counts.reads += 1;
+        let lag = Duration::from_millis(state.faults.list_lag_ms);
+        state
+            .lists
+            .iter()
+            .rev()
+            .find(|(at, _)| at.elapsed() >= lag)
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    };
+    json(StatusCode::OK, &list)
+}
+
+/// Puts a target on the list, or changes it.
+#[endpoint { method = PUT, path = "/targets/{name}" }]
+async fn put_target(
+    rqctx: RequestContext<Platform>,
+    path: Path<NamePath>,
+    body: UntypedBody,
+) -> Answer {
+    let info: TargetInfo = serde_json::from_str(body.as_str()?)
+        .map_err(|error| HttpError::for_bad_request(None, error.to_string()))?;
+    let mut state = rqctx.context().state();
+    state.targets.insert(path.into_inner().name, info);
+    keep_list(&mut state);
+    json(StatusCode::OK, &"put")
+}
+
+/// Takes a target off the list.
+#[endpoint { method = DELETE, path = "/targets/{name}" }]
+async fn delete_target(rqctx: RequestContext<Platform>, path: Path<NamePath>) -> Answer {
+    let mut state = rqctx.context().state();
+    state.targets.remove(&path.into_inner().name);
+    keep_list(&mut state);
+    json(StatusCode::OK, &"deleted")
+}
+
+fn keep_list(state: &mut State) {
+    let list = state.targets.values().cloned().collect();
+    state.lists.push((Instant::now(), list));
+}
+
+/// Sets the faults.
+#[endpoint { method = PUT, path = "/faults" }]
+async fn put_faults(rqctx: RequestContext<Platform>, body: TypedBody<Faults>) -> Answer {
+    rqctx.context().state().faults = body.into_inner();
+    json(StatusCode::OK, &"set")
+}
+
+/// Gives the counts of calls.
+#[endpoint { method = GET, path = "/counts" }]
+async fn get_counts(rqctx: RequestContext<Platform>) -> Answer {
+    let counts = rqctx.context().state().counts.clone();
+    json(StatusCode::OK, &counts)
+}
+
+/// Makes the API of the stand-in.
+///
+/// # Errors
+///
+/// Returns an error where endpoints clash.
+pub fn api() -> anyhow::Result<ApiDescription<Platform>> {
+    let mut api = ApiDescription::new();
+    api.register(read_object)?;
+    api.register(write_object)?;
+    api.register(watch_object)?;
+    api.register(list_objects)?;
+    api.register(list_targets)?;
+    api.register(put_target)?;
+    api.register(delete_target)?;
+    api.register(put_faults)?;
+    api.register(get_counts)?;
+    Ok(api)
+}
--- /dev/null
+++ b/crates/damaskstile-standins/src/target.rs
@@ -0,0 +1,198 @@
+//! `target` stands in for a target: a model engine's replica or a plain service.
+
+mod engine;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::{
+    ApiDescription, Body, HttpError, Path, RequestContext, TypedBody, UntypedBody, endpoint,
+};
+use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::StreamBody;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+pub use engine::{Engine, Faults, Run, StartError};
+
+/// Header that names the run.
+pub const RUN_HEADER: &str = "x-damaskstile-run";
+/// Header that names the client account.
+pub const ACCOUNT_HEADER: &str = "x-damaskstile-account";
+/// Header that names the request's key.
+pub const KEY_HEADER: &str = "x-damaskstile-key";
+/// Header that says from which chunk on a run is resumed.
+pub const RESUME_HEADER: &str = "x-damaskstile-resume-from";
+
+type Answer = Result<Response<Body>, HttpError>;
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct RunPath {
+    run: String,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct CallPath {
+    path: Vec<String>,
+}
+
+/// `Order` changes what a target serves; it carries a fencing number.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// Fencing number; a target that checks refuses one below the highest it has seen.
+    pub fencing: u64,
+    /// What to do, such as `load_model`.
+    pub order: String,
+    /// What to do it with, such as the model's name.
+    pub argument: String,
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let text = serde_json::to_string(value)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Body::from(text))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
+
+fn header<'a>(rqctx: &'a RequestContext<Arc<Engine>>, name: &str) -> &'a str {
+    rqctx
+        .request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// Runs a completion, or resumes one.
+#[endpoint { method = POST, path = "/v1/chat/completions", unpublished = true }]
+async fn complete(rqctx: RequestContext<Arc<Engine>>, body: UntypedBody) -> Answer {
+    let engine = Arc::clone(rqctx.context());
+    let text = body.as_str()?.to_owned();
+    let resume_from: usize = header(&rqctx, RESUME_HEADER).parse().unwrap_or(0);
+    let mut run = header(&rqctx, RUN_HEADER).to_owned();
+    if run.is_empty() {
+        run = engine.own_run_name();
+    }
+    let account = header(&rqctx, ACCOUNT_HEADER).to_owned();
+    let key = header(&rqctx, KEY_HEADER).to_owned();
+    match engine.start(&run, &account, &key, &text, resume_from > 0) {
+        Ok(()) => {}
+        Err(StartError::Busy) => return json(StatusCode::TOO_MANY_REQUESTS, &"busy"),
+        Err(StartError::Leaving) => return json(StatusCode::SERVICE_UNAVAILABLE, &"leaving"),
+        Err(StartError::Unknown) => return json(StatusCode::CONFLICT, &"no such run"),
+        Err(StartError::Malformed) => return json(StatusCode::BAD_REQUEST, &"malformed"),
+    }
+    let stream = futures_util::stream::unfold(
+        (engine, run, resume_from),
+        |(engine, run, next)| async move {
+            let text = engine.next_event(&run, next).await?;
+            let frame = Frame::data(Bytes::from(text));
+            Some((Ok::<_, Infallible>(frame), (engine, run, next + 1)))
+        },
+    );
+    Response::builder()
+        .status(StatusCode::OK)
+        .header("content-type", "text/event-stream")
+        .body(Body::wrap(StreamBody::new(stream)))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
+
+/// Answers a call of a plain service.
+#[endpoint { method = POST, path = "/plain/{path:.*}", unpublished = true }]
+async fn plain_call(
+    rqctx: RequestContext<Arc<Engine>>,
+    path: Path<CallPath>,
+    body: UntypedBody,
+) -> Answer {
+    let engine = rqctx.context();
+    let path = path.into_inner().path.join("/");
+    let run = header(&rqctx, RUN_HEADER).to_owned();
+    let account = header(&rqctx, ACCOUNT_HEADER).to_owned();
+    let key = header(&rqctx, KEY_HEADER).to_owned();
+    let size = body.as_bytes().len();
+    if !engine.start_plain(&run, &account, &key).await {
+        return json(StatusCode::CONFLICT, &"fenced");
+    }
+    json(
+        StatusCode::OK,
+        &serde_json::json!({"path": path, "received_bytes": size}),
+    )
+}
+
+/// Tells how a run went. A run that was never seen cannot start any more afterwards.
+#[endpoint { method = GET, path = "/v1/runs/{run}" }]
+async fn get_run(rqctx: RequestContext<Arc<Engine>>, path: Path<RunPath>) -> Answer {
+    let state = rqctx.context().state_of(&path.into_inner().run);
+    json(StatusCode::OK, &state)
+}
+
+/// Cancels a run.
+#[endpoint { method = DELETE, path = "/v1/runs/{run}" }]
+async fn cancel_run(rqctx: RequestContext<Arc<Engine>>, path: Path<RunPath>) -> Answer {
+    rqctx.context().cancel(&path.into_inner().run);
+    json(StatusCode::OK, &"cancelled")
+}
+
+/// Reports the load, which lags.
+#[endpoint { method = GET, path = "/status" }]
+async fn get_status(rqctx: RequestContext<Arc<Engine>>) -> Answer {
+    json(StatusCode::OK, &rqctx.context().status())
+}
+
+/// Gives the list of what truly ran.
+#[endpoint { method = GET, path = "/ledger" }]
+async fn get_ledger(rqctx: RequestContext<Arc<Engine>>) -> Answer {
+    json(StatusCode::OK, &rqctx.context().ledger())
+}
+
+/// Sets the faults.
+#[endpoint { method = PUT, path = "/faults" }]
+async fn put_faults(rqctx: RequestContext<Arc<Engine>>, body: TypedBody<Faults>) -> Answer {
+    rqctx.context().set_faults(body.into_inner());
+    json(StatusCode::OK, &"set")
+}
+
+/// Takes an order.
+#[endpoint { method = PUT, path = "/orders" }]
+async fn put_order(rqctx: RequestContext<Arc<Engine>>, body: TypedBody<Order>) -> Answer {
+    let order = body.into_inner();
+    // A real order takes a while; the stand-in only keeps it.
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    if rqctx.context().order(order) {
+        json(StatusCode::OK, &"done")
+    } else {
+        json(StatusCode::CONFLICT, &"old fencing number")
+    }
+}
+
+/// Lists the orders that were taken.
+#[endpoint { method = GET, path = "/orders" }]
+async fn get_orders(rqctx: RequestContext<Arc<Engine>>) -> Answer {
+    json(StatusCode::OK, &rqctx.context().orders())
+}
+
+/// Makes the API of the stand-in.
+///
+/// # Errors
+///
+/// Returns an error where endpoints clash.
+pub fn api() -> anyhow::Result<ApiDescription<Arc<Engine>>> {
+    let mut api = ApiDescription::new();
+    api.register(complete)?;
+    api.register(plain_call)?;
+    api.register(get_run)?;
+    api.register(cancel_run)?;
+    api.register(get_status)?;
+    api.register(get_ledger)?;
+    api.register(put_faults)?;
+    api.register(put_order)?;
+    api.register(get_orders)?;
+    Ok(api)
+}
--- a/crates/damaskstile/src/instance/admit.rs
+++ b/crates/damaskstile/src/instance/admit.rs
@@ -225,6 +225,9 @@
             return;
         }
         request.note("a repeat of the key joined".to_owned());
+        effects.push(Effect::BodyDone {
+            request: call.request,
+        });
         let is_answered = request.outcome.as_ref().is_some_and(Outcome::is_answered);
         if call.is_streamed || is_answered {
             for data in request.answer.chunks() {
@@ -350,6 +353,9 @@
         request.kept_until = self.now + self.options.replay_kept;
         let account = request.account.clone();
         let callers = std::mem::take(&mut request.callers);
+        effects.push(Effect::BodyDone {
+            request: request.first_call,
+        });
         log_outcome(request, outcome, effects);
         for caller in callers {
             self.by_caller.remove(&caller.request);
@@ -545,6 +551,7 @@
         EventCode::RequestRefused,
         &[("code", code.as_str())],
     )));
+    effects.push(Effect::BodyDone { request });
     effects.push(Effect::Answer {
         request,
         outcome: Outcome::not_run(code, retry_after),
--- a/crates/damaskstile/src/instance/dispatch.rs
+++ b/crates/damaskstile/src/instance/dispatch.rs
@@ -20,6 +20,9 @@
             return;
         };
         let service = request.service.clone();
+        effects.push(Effect::Reserved {
+            request: request.first_call,
+        });
         let has_queue = self.queue.len(&service) > 0;
         let choice = self.registry.choose(self.now, &service, &request.tried);
         match choice {
--- a/crates/damaskstile/src/instance/run.rs
+++ b/crates/damaskstile/src/instance/run.rs
@@ -44,6 +44,9 @@
                 let is_failure = report == RunReport::Unreachable;
                 self.on_not_run(number, is_failure, effects);
             }
+            RunReport::Rejected => {
+                self.refuse(number, RefusalCode::BadRequest, None, effects);
+            }
             RunReport::Broken => self.on_broken(number, effects),
             RunReport::State(_) => {}
         }
--- a/crates/damaskstile/src/instance/stop.rs
+++ b/crates/damaskstile/src/instance/stop.rs
@@ -34,6 +34,20 @@
         }
     }
 
+    /// Tells whether a stop has waited long enough for a store that is down.
+    ///
+    /// What is held is then not handed back, but its witnesses give it back later. Bills that are
+    /// not stored are written by the witnesses too, from their records.
+    fn is_past_stop_limit(&self, effects: &mut Effects) -> bool {
+        let limit = self.options.stop_limit;
+        let is_past = self.stop_at.is_some_and(|at| self.now >= at + limit);
+        if is_past {
+            let entries = self.pending_entries().to_string();
+            Self::log(effects, EventCode::StopCutShort, &[("entries", &entries)]);
+        }
+        is_past
+    }
+
     pub(super) fn check_stopped(&mut self, effects: &mut Effects) {
         let is_due = self.stop_at.is_some_and(|at| self.now >= at);
         if !is_due || self.is_stopped {
@@ -52,8 +66,9 @@
                 });
             }
         }
-        let is_settled = self.holders.values().all(Holder::is_settled)
-            && self.claims.values().all(ClaimShard::is_settled);
+        let is_settled = self.is_past_stop_limit(effects)
+            || self.holders.values().all(Holder::is_settled)
+                && self.claims.values().all(ClaimShard::is_settled);
         if is_settled {
             self.is_stopped = true;
             Self::log(effects, EventCode::StopDone, &[]);
--- a/crates/damaskstile/src/options.rs
+++ b/crates/damaskstile/src/options.rs
@@ -31,6 +31,8 @@
     pub replay_kept: Duration,
     /// Size of all answers that are kept, in bytes.
     pub replay_bytes_max: usize,
+    /// Time after which an instance ends although the store does not take what it hands back.
+    pub stop_limit: Duration,
     /// Time after which a run whose target does not answer is counted at its worst case.
     pub inquire_until: Duration,
 }
@@ -51,6 +53,7 @@
             store_patience: Duration::from_secs(2),
             replay_kept: Duration::from_mins(1),
             replay_bytes_max: 8 * 1024 * 1024,
+            stop_limit: Duration::from_secs(30),
             inquire_until: Duration::from_secs(30),
         }
     }
--- /dev/null
+++ b/crates/damaskstiled/src/answers.rs
@@ -0,0 +1,115 @@
+//! `answers` reads a target's answer and reports its pieces.
+
+use damaskstile::core::prelude::*;
+use damaskstile_http::SseLines;
+use serde::{Deserialize, Serialize};
+
+/// `Usage` is a target's count of tokens.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<serde_json::Value>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+/// `PlainAnswer` is the whole answer of a plain service, as one piece.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Type of the content.
+    pub content_type: String,
+    /// Body, in hexadecimal.
+    pub body_hex: String,
+}
+
+/// `AnswerReader` turns the bytes of a target's stream into reports.
+#[derive(Debug)]
+pub struct AnswerReader {
+    lines: SseLines,
+    next_index: u64,
+    usage: Option<Usage>,
+    is_done: bool,
+}
+
+impl AnswerReader {
+    /// Makes a reader of a stream that begins with this chunk.
+    pub fn new(first_index: u64) -> Self {
+        Self {
+            lines: SseLines::new(),
+            next_index: first_index,
+            usage: None,
+            is_done: false,
+        }
+    }
+
+    /// Takes in bytes and returns the reports that they make up.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<RunReport> {
+        let lines = self.lines.push(bytes);
+        let mut reports = Vec::new();
+        for line in lines {
+            if self.is_done {
+                break;
+            }
+            if line == "[DONE]" {
+                self.is_done = true;
+                reports.push(self.finished());
+                continue;
+            }
+            if let Ok(chunk) = serde_json::from_str::<Chunk>(&line) {
+                self.take(&chunk, line, &mut reports);
+            } else {
+                self.is_done = true;
+                reports.push(RunReport::Broken);
+            }
+        }
+        if self.lines.is_overlong() && !self.is_done {
+            self.is_done = true;
+            reports.push(RunReport::Broken);
+        }
+        reports
+    }
+
+    fn take(&mut self, chunk: &Chunk, line: String, reports: &mut Vec<RunReport>) {
+        if chunk.usage.is_some() {
+            self.usage = chunk.usage;
+        }
+        if chunk.choices.is_empty() {
+            return;
+        }
+        reports.push(RunReport::Chunk {
+            index: self.next_index,
+            tokens: 1,
+            data: line,
+        });
+        self.next_index += 1;
+    }
+
+    fn finished(&self) -> RunReport {
+        // Without a count by the target, each piece counts as a token and the prompt in full.
+        let usage = self.usage.unwrap_or(Usage {
+            prompt_tokens: u64::MAX,
+            completion_tokens: self.next_index,
+        });
+        RunReport::Finished {
+            chunks: self.next_index,
+            prompt_tokens: usage.prompt_tokens,
+            output_tokens: usage.completion_tokens,
+        }
+    }
+
+    /// Tells whether the stream has said its last word.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+}
--- /dev/null
+++ b/crates/damaskstiled/src/callers.rs
@@ -0,0 +1,252 @@
+//! `callers` is the thread that takes callers' requests over HTTP.
+
+mod relay;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskstile::core::codes::RefusalCode;
+use damaskstile::core::hex::to_hex;
+use damaskstile::core::prelude::*;
+use damaskstile::core::random::stable_hash;
+use dropshot::{
+    ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServerStarter, Path, RequestContext,
+    UntypedBody, endpoint,
+};
+use http::{HeaderMap, Method};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+use slog::Logger;
+
+use crate::completion;
+use crate::config::Config;
+use crate::duty;
+use crate::front::{Front, Kept, ToCaller};
+use crate::problem::{Answer, Problem, json_answer};
+
+/// Largest body that a caller may send, in bytes.
+const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+type Context = RequestContext<Arc<Front>>;
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct ServicePath {
+    service: String,
+    path: Vec<String>,
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct KeyPath {
+    key: String,
+}
+
+/// Starts the server on threads of its own.
+pub fn start(config: &Config, front: Arc<Front>, log: &Logger) -> anyhow::Result<()> {
+    let api = api()?;
+    let server_config = ConfigDropshot {
+        bind_address: config.callers_address,
+        default_request_body_max_bytes: BODY_BYTES_MAX,
+        default_handler_task_mode: HandlerTaskMode::Detached,
+        ..ConfigDropshot::default()
+    };
+    // The server's own lines tell of single calls; the numbered events do that already.
+    let quiet = Logger::root(slog::Discard, slog::o!());
+    let _ = log;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("callers")
+        .enable_all()
+        .build()?;
+    let server = runtime.block_on(async {
+        HttpServerStarter::new(&server_config, api, front, &quiet)
+            .map_err(|error| anyhow::anyhow!("cannot take callers: {error}"))
+            .map(HttpServerStarter::start)
+    })?;
+    duty::start("callers", move || {
+        let _ = runtime.block_on(server);
+    })?;
+    Ok(())
+}
+
+fn api() -> anyhow::Result<ApiDescription<Arc<Front>>> {
+    let mut api = ApiDescription::new();
+    api.register(complete)?;
+    api.register(service_get)?;
+    api.register(service_post)?;
+    api.register(service_put)?;
+    api.register(service_delete)?;
+    api.register(explain)?;
+    Ok(api)
+}
+
+/// Answers a chat completion.
+#[endpoint { method = POST, path = "/v1/chat/completions", unpublished = true }]
+async fn complete(rqctx: Context, body: UntypedBody) -> Answer {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let asked = match completion::read(&body) {
+        Ok(asked) => asked,
+        Err(error) => return Problem::not_run(RefusalCode::BadRequest, &error).answer(""),
+    };
+    let headers = rqctx.request.headers();
+    let mut request = match new_request(headers, &asked.model, &body) {
+        Ok(request) => request,
+        Err(problem) => return problem.answer(""),
+    };
+    request.prompt_bytes = asked.prompt_bytes;
+    request.max_output_tokens = asked.max_output_tokens;
+    request.is_streamed = asked.is_streamed;
+    let kept = Kept {
+        method: Method::POST,
+        path: String::new(),
+        content_type: "application/json".to_owned(),
+        body,
+    };
+    let front = rqctx.context();
+    match submit(front, request, kept) {
+        Ok(call) if asked.is_streamed => relay::stream(call, &asked).await,
+        Ok(call) => relay::whole(call, &asked).await,
+        Err(problem) => problem.answer(""),
+    }
+}
+
+async fn call_service(rqctx: Context, path: ServicePath, body: UntypedBody) -> Answer {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let headers = rqctx.request.headers();
+    let request = match new_request(headers, &path.service, &body) {
+        Ok(request) => request,
+        Err(problem) => return problem.answer(""),
+    };
+    let content_type = header(headers, "content-type").unwrap_or("application/octet-stream");
+    let query = rqctx.request.uri().query();
+    let query = query.map_or(String::new(), |query| format!("?{query}"));
+    let kept = Kept {
+        method: rqctx.request.method().clone(),
+        path: format!("{}{query}", path.path.join("/")),
+        content_type: content_type.to_owned(),
+        body,
+    };
+    match submit(rqctx.context(), request, kept) {
+        Ok(call) => relay::plain(call).await,
+        Err(problem) => problem.answer(""),
+    }
+}
+
+/// Calls a plain service.
+#[endpoint { method = GET, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
+async fn service_get(rqctx: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    call_service(rqctx, path.into_inner(), body).await
+}
+
+/// Calls a plain service.
+#[endpoint { method = POST, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
+async fn service_post(rqctx: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    call_service(rqctx, path.into_inner(), body).await
+}
+
+/// Calls a plain service.
+#[endpoint { method = PUT, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
+async fn service_put(rqctx: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    call_service(rqctx, path.into_inner(), body).await
+}
+
+/// Calls a plain service.
+#[endpoint { method = DELETE, path = "/v1/services/{service}/{path:.*}", unpublished = true }]
+async fn service_delete(rqctx: Context, path: Path<ServicePath>, body: UntypedBody) -> Answer {
+    call_service(rqctx, path.into_inner(), body).await
+}
+
+/// Tells what became of a request of the caller's account.
+#[endpoint { method = GET, path = "/v1/requests/{key}", unpublished = true }]
+async fn explain(rqctx: Context, path: Path<KeyPath>) -> Answer {
+    let Some(token_sha256) = token_sha256(rqctx.request.headers()) else {
+        return Problem::not_run(RefusalCode::UnknownAccount, "no bearer token").answer("");
+    };
+    let front = rqctx.context();
+    let (request, mut messages) = front.open(None);
+    let event = Event::Explain {
+        request,
+        token_sha256,
+        key: path.into_inner().key,
+    };
+    if !front.try_submit(event) {
+        front.close(request);
+        return Problem::not_run(RefusalCode::Overloaded, "too many events wait").answer("");
+    }
+    if let Some(ToCaller::Explained(Some(explanation))) = messages.recv().await {
+        return json_answer(&serde_json::to_value(&explanation).unwrap_or_default());
+    }
+    let response = http::Response::builder().status(http::StatusCode::NOT_FOUND);
+    crate::problem::finish(response, "{\"code\":\"unknown_request\"}")
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn token_sha256(headers: &HeaderMap) -> Option<String> {
+    let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
+    Some(to_hex(&Sha256::digest(token.trim().as_bytes())))
+}
+
+/// Reads what the headers say of a request.
+fn new_request(headers: &HeaderMap, service: &str, body: &Bytes) -> Result<NewRequest, Problem> {
+    let Some(token_sha256) = token_sha256(headers) else {
+        return Err(Problem::not_run(
+            RefusalCode::UnknownAccount,
+            "no bearer token",
+        ));
+    };
+    let priority = match header(headers, "x-priority") {
+        None => None,
+        Some("urgent") => Some(Priority::Urgent),
+        Some("normal") => Some(Priority::Normal),
+        Some("bulk") => Some(Priority::Bulk),
+        Some(other) => {
+            let detail =
+                format!("header `x-priority`: found `{other}`, expected urgent, normal or bulk");
+            return Err(Problem::not_run(RefusalCode::BadRequest, &detail));
+        }
+    };
+    let time_limit = match header(headers, "x-time-limit-ms").map(str::parse) {
+        None => None,
+        Some(Ok(millis)) => Some(Duration::from_millis(millis)),
+        Some(Err(_)) => {
+            let detail = "header `x-time-limit-ms`: expected whole milliseconds";
+            return Err(Problem::not_run(RefusalCode::BadRequest, detail));
+        }
+    };
+    let text = String::from_utf8_lossy(body);
+    Ok(NewRequest {
+        request: 0,
+        token_sha256,
+        key: header(headers, "idempotency-key").map(str::to_owned),
+        service: service.to_owned(),
+        body_hash: stable_hash(&[&text]),
+        prompt_bytes: 0,
+        max_output_tokens: None,
+        non_idempotent: header(headers, "x-non-idempotent") == Some("true"),
+        is_streamed: false,
+        priority,
+        time_limit,
+    })
+}
+
+fn submit(
+    front: &Arc<Front>,
+    mut request: NewRequest,
+    kept: Kept,
+) -> Result<relay::OpenCall, Problem> {
+    let (handle, messages) = front.open(Some(kept));
+    request.request = handle;
+    if front.try_submit(Event::Request(request)) {
+        return Ok(relay::OpenCall::new(front, handle, messages));
+    }
+    front.drop_body(handle);
+    front.close(handle);
+    Err(Problem::not_run(
+        RefusalCode::Overloaded,
+        "too many events wait",
+    ))
+}
--- /dev/null
+++ b/crates/damaskstiled/src/decide.rs
@@ -0,0 +1,264 @@
+//! `decide` is the thread that decides: events in, effects out.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use damaskstile::core::peer::MemberState;
+use damaskstile::core::prelude::*;
+use damaskstile::{Instance, InstanceOptions};
+use slog::Logger;
+use tokio::sync::mpsc::{Receiver, Sender};
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::front::{Front, ToCaller};
+use crate::logs;
+use crate::metrics::Timings;
+use crate::peers::ToPeers;
+use crate::recorder::Recorder;
+use crate::status::Status;
+use crate::store::ToStore;
+use crate::targets::ToTargets;
+
+/// Events that are decided on before time is looked at again.
+const EVENTS_AT_A_TIME: usize = 64;
+/// Time between two snapshots for operators.
+const STATUS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// `Outputs` are the rings to the threads that carry effects out.
+#[derive(Debug)]
+pub struct Outputs {
+    /// Calls to the store.
+    pub store: Sender<ToStore>,
+    /// Messages to peers.
+    pub peers: Sender<ToPeers>,
+    /// Work for targets.
+    pub targets: Sender<ToTargets>,
+}
+
+/// `Hosted` is all that the deciding thread works with.
+#[derive(Debug)]
+pub struct Hosted {
+    /// Time of the events.
+    pub clock: Clock,
+    /// Open calls.
+    pub front: Arc<Front>,
+    /// What operators see.
+    pub status: Arc<Status>,
+    /// Rings to the other threads.
+    pub outputs: Outputs,
+    /// Numbered events.
+    pub log: Logger,
+}
+
+/// `Decider` hosts the instance.
+#[derive(Debug)]
+pub struct Decider {
+    instance: Instance,
+    hosted: Hosted,
+    recorder: Option<Recorder>,
+    timings: Timings,
+    /// Events that arose while effects were carried out.
+    own_events: Vec<Event>,
+    addresses: BTreeMap<InstanceId, String>,
+    is_stopped: bool,
+    status_at: Instant,
+}
+
+impl Decider {
+    /// Makes the instance and all that hosts it.
+    pub fn try_new(config: &Config, identity: Identity, hosted: Hosted) -> anyhow::Result<Self> {
+        let options = options(config, identity);
+        let now = hosted.clock.now();
+        let recorder = match &config.trace_file {
+            Some(path) => Some(
+                Recorder::try_new(path, &options, now)
+                    .with_context(|| format!("cannot record to {}", path.display()))?,
+            ),
+            None => None,
+        };
+        let timings = Timings::new(Arc::clone(&hosted.front.metrics));
+        let mut decider = Self {
+            instance: Instance::new(options, now),
+            hosted,
+            recorder,
+            timings,
+            own_events: Vec::new(),
+            addresses: BTreeMap::new(),
+            is_stopped: false,
+            status_at: Instant::now(),
+        };
+        decider.handle(Event::Tick);
+        Ok(decider)
+    }
+
+    /// Decides until the instance has stopped.
+    pub fn run(mut self, mut events: Receiver<Event>) {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()
+        else {
+            return;
+        };
+        while !self.is_stopped {
+            let wait = self
+                .instance
+                .next_wake()
+                .saturating_sub(self.hosted.clock.now());
+            let next = runtime.block_on(async {
+                tokio::time::timeout(wait.max(Duration::from_micros(200)), events.recv()).await
+            });
+            match next {
+                Ok(Some(event)) => self.handle(event),
+                Ok(None) => return,
+                Err(_) => self.handle(Event::Tick),
+            }
+            for _ in 0..EVENTS_AT_A_TIME {
+                let Ok(event) = events.try_recv() else {
+                    break;
+                };
+                self.handle(event);
+            }
+            self.renew_status();
+        }
+        self.hosted.status.renew(&self.instance);
+    }
+
+    fn renew_status(&mut self) {
+        if self.status_at.elapsed() >= STATUS_INTERVAL {
+            self.status_at = Instant::now();
+            self.hosted.status.renew(&self.instance);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.own_events.push(event);
+        while let Some(event) = self.own_events.pop() {
+            let now = self.hosted.clock.now();
+            if let Some(recorder) = &mut self.recorder {
+                recorder.record(now, &event);
+            }
+            let mut effects = Vec::new();
+            self.instance.handle(now, event, &mut effects);
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        self.timings.note(&effect);
+        match effect {
+            Effect::Store { call, request } => self.call_store(ToStore::Call { call, request }),
+            Effect::WatchSettings { is_watching } => {
+                let have_version = self.instance.settings().version();
+                self.call_store(ToStore::Watch {
+                    is_watching,
+                    have_version,
+                });
+            }
+            Effect::Send { to, message } => self.send_peer(&to, message),
+            Effect::Dispatch(dispatch) => self.dispatch(dispatch),
+            Effect::Cancel { run, .. } => self.ask_target(ToTargets::Cancel { run }),
+            Effect::Inquire { run, address, .. } => {
+                self.ask_target(ToTargets::Inquire { run, address });
+            }
+            Effect::Probe { target, address } => {
+                self.ask_target(ToTargets::Probe { target, address });
+            }
+            Effect::Accepted { request, key, .. } => {
+                self.hosted.front.tell(request, ToCaller::Accepted(key));
+            }
+            Effect::Reserved { .. } => {}
+            Effect::BodyDone { request } => self.hosted.front.drop_body(request),
+            Effect::Relay { request, data } => {
+                self.hosted.front.tell(request, ToCaller::Piece(data));
+            }
+            Effect::Answer { request, outcome } => {
+                self.hosted.front.tell(request, ToCaller::Answer(outcome));
+            }
+            Effect::Explained {
+                request,
+                explanation,
+            } => self
+                .hosted
+                .front
+                .tell(request, ToCaller::Explained(explanation)),
+            Effect::Log(event) => logs::write(&self.hosted.log, &event),
+            Effect::Stopped => self.is_stopped = true,
+        }
+    }
+
+    /// Hands a call to the store's thread. Where its ring is full the call counts as lost.
+    fn call_store(&mut self, message: ToStore) {
+        if let Err(error) = self.hosted.outputs.store.try_send(message)
+            && let ToStore::Call { call, .. } = error.into_inner()
+        {
+            self.own_events.push(Event::Store {
+                call,
+                answer: StoreAnswer::Lost,
+            });
+        }
+    }
+
+    /// Hands a message to the peers' thread. Where its ring is full the message is lost.
+    fn send_peer(&mut self, to: &InstanceId, message: PeerMessage) {
+        let known = self
+            .instance
+            .membership()
+            .all()
+            .find(|(state, _)| &state.instance == to)
+            .map(|(state, _)| state.address.clone());
+        if let Some(address) = known {
+            self.addresses.insert(to.clone(), address);
+        }
+        if let Some(address) = self.addresses.get(to).cloned() {
+            let _ = self
+                .hosted
+                .outputs
+                .peers
+                .try_send(ToPeers { address, message });
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        let run = dispatch.run.clone();
+        let is_resumed = dispatch.resume_from > 0;
+        let message = ToTargets::Dispatch(Box::new(dispatch));
+        if self.hosted.outputs.targets.try_send(message).is_err() {
+            // Nothing was sent, so the run is proved not to have begun.
+            let report = if is_resumed {
+                RunReport::Broken
+            } else {
+                RunReport::Unreachable
+            };
+            self.own_events.push(Event::Run { run, report });
+        }
+    }
+
+    fn ask_target(&mut self, message: ToTargets) {
+        // Questions are asked again and a cancelled run ends at its cap; either may be lost.
+        let _ = self.hosted.outputs.targets.try_send(message);
+    }
+}
+
+fn options(config: &Config, identity: Identity) -> InstanceOptions {
+    let mut options = InstanceOptions::new(identity);
+    options.address = config
+        .advertised_address
+        .unwrap_or(config.peers_address)
+        .to_string();
+    options.seeds = config
+        .peer
+        .iter()
+        .map(|peer| MemberState {
+            instance: peer.instance.clone(),
+            address: peer.address.to_string(),
+            data_centre: peer.data_centre.clone(),
+            ..MemberState::default()
+        })
+        .collect();
+    options
+}
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -1,2 +1,109 @@
-//! stub
-fn main() {}
+//! `damaskstiled` hosts one instance: threads for its inputs and outputs, and one that decides.
+//!
+//! No decision is taken here. Each duty has a thread of its own; bounded rings join them.
+
+mod answers;
+mod callers;
+mod clock;
+mod completion;
+mod config;
+mod decide;
+mod duty;
+mod front;
+mod logs;
+mod metrics;
+mod operators;
+mod peers;
+mod problem;
+mod recorder;
+mod status;
+mod store;
+mod targets;
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use clap::Parser;
+use damaskstile::core::identity::Identity;
+
+use crate::config::Config;
+
+/// Time that callers have to read the last of their answers after all work is done.
+const LAST_READS: Duration = Duration::from_secs(5);
+
+/// Runs one instance of the damaskstile router fleet.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// File with the instance's own settings, in TOML.
+    #[arg(long)]
+    config: PathBuf,
+    /// Checks the file and ends.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> anyhow::Result<()> {
+    let args = Args::parse();
+    let config = Config::try_from_file(&args.config)?;
+    if args.check {
+        println!("{}: valid", args.config.display());
+        return Ok(());
+    }
+    run(&config)
+}
+
+fn run(config: &Config) -> anyhow::Result<()> {
+    let log = logs::logger(config.log_format, &config.instance);
+    let clock = clock::Clock::start();
+    let metrics = Arc::new(metrics::Metrics::new());
+    let (front, events) = front::Front::new(Arc::clone(&metrics));
+    let front = Arc::new(front);
+    let status = Arc::new(status::Status::default());
+
+    let incarnation = random_u64().context("no randomness for the incarnation")?;
+    let identity = Identity::new(&config.instance, incarnation, &config.data_centre);
+    let store = store::start(config, Arc::clone(&front))?;
+    let peers = peers::start(config, identity.clone(), Arc::clone(&front), &log)?;
+    let targets = targets::start(config, Arc::clone(&front), clock)?;
+    callers::start(config, Arc::clone(&front), &log)?;
+    operators::start(config, Arc::clone(&front), Arc::clone(&status), &log)?;
+
+    let outputs = decide::Outputs {
+        store,
+        peers,
+        targets,
+    };
+    let hosted = decide::Hosted {
+        clock,
+        front: Arc::clone(&front),
+        status,
+        outputs,
+        log,
+    };
+    let decider = decide::Decider::try_new(config, identity, hosted)?;
+    let thread = duty::start("decide", move || decider.run(events))?;
+    if thread.join().is_err() {
+        anyhow::bail!("the deciding thread ended with a panic");
+    }
+    front.wait_for_callers(LAST_READS);
+    Ok(())
+}
+
+/// Reads a random number from the system, for the incarnation.
+fn random_u64() -> std::io::Result<u64> {
+    let mut bytes = [0_u8; 8];
+    std::fs::File::open("/dev/urandom")?.read_exact(&mut bytes)?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+impl Config {
+    fn try_from_file(path: &std::path::Path) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        Self::try_from_toml(&text).with_context(|| format!("in {}", path.display()))
+    }
+}
--- /dev/null
+++ b/crates/damaskstiled/src/metrics.rs
@@ -0,0 +1,199 @@
+//! `metrics` measures requests for each client account and service.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use damaskstile::core::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// `AccountLabels` tell whose request was measured.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AccountLabels {
+    account: String,
+}
+
+/// `CodeLabels` tell why requests were not answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CodeLabels {
+    outcome: String,
+    code: String,
+}
+
+type Times = Family<AccountLabels, Histogram>;
+
+/// `Metrics` holds all histograms and counters.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    reserve_wait: Times,
+    overhead: Times,
+    first_token: Times,
+    between_tokens: Times,
+    outcomes: Family<CodeLabels, Counter>,
+}
+
+fn histogram() -> Histogram {
+    // From 50 microseconds to about 100 seconds.
+    Histogram::new(exponential_buckets(0.000_05, 2.0, 21))
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("damaskstile");
+        let times = || Times::new_with_constructor(histogram);
+        let metrics = Self {
+            reserve_wait: times(),
+            overhead: times(),
+            first_token: times(),
+            between_tokens: times(),
+            outcomes: Family::default(),
+            registry: Mutex::new(Registry::default()),
+        };
+        registry.register(
+            "reserve_wait_seconds",
+            "Time from a request's arrival until its tokens were reserved",
+            metrics.reserve_wait.clone(),
+        );
+        registry.register(
+            "overhead_seconds",
+            "Time from a request's arrival until it was sent to a target",
+            metrics.overhead.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time from a request's arrival until the first piece of its answer",
+            metrics.first_token.clone(),
+        );
+        registry.register(
+            "between_tokens_seconds",
+            "Time between two pieces of an answer",
+            metrics.between_tokens.clone(),
+        );
+        registry.register(
+            "outcomes",
+            "Requests by their outcome and code",
+            metrics.outcomes.clone(),
+        );
+        Self {
+            registry: Mutex::new(registry),
+            ..metrics
+        }
+    }
+
+    /// Writes all metrics in the customary text form.
+    pub fn encode(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+
+    fn count(&self, outcome: &Outcome) {
+        let (outcome, code) = match outcome {
+            Outcome::Answered(_) => ("answered", "answered"),
+            Outcome::NotRun { code, .. } => ("not_run", code.as_str()),
+            Outcome::Unknown { code, .. } => ("outcome_unknown", code.as_str()),
+        };
+        let labels = CodeLabels {
+            outcome: outcome.to_owned(),
+            code: code.to_owned(),
+        };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+}
+
+#[derive(Debug)]
+struct Timing {
+    labels: AccountLabels,
+    arrived: Instant,
+    last_piece: Option<Instant>,
+    is_sent: bool,
+}
+
+/// `Timings` follows open calls and observes their times.
+#[derive(Debug)]
+pub struct Timings {
+    metrics: Arc<Metrics>,
+    open: BTreeMap<RequestHandle, Timing>,
+}
+
+impl Timings {
+    /// Makes the timings of no calls.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            metrics,
+            open: BTreeMap::new(),
+        }
+    }
+
+    /// Takes note of an effect.
+    pub fn note(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Accepted {
+                request, account, ..
+            } => {
+                let timing = Timing {
+                    labels: AccountLabels {
+                        account: account.clone(),
+                    },
+                    arrived: Instant::now(),
+                    last_piece: None,
+                    is_sent: false,
+                };
+                self.open.insert(*request, timing);
+            }
+            Effect::Reserved { request } => self.reserved(*request),
+            Effect::Dispatch(dispatch) => self.sent(dispatch.request),
+            Effect::Relay { request, .. } => self.piece(*request),
+            Effect::Answer { request, outcome } => {
+                self.open.remove(request);
+                self.metrics.count(outcome);
+            }
+            _ => {}
+        }
+    }
+
+    fn reserved(&self, request: RequestHandle) {
+        if let Some(timing) = self.open.get(&request) {
+            let waited = timing.arrived.elapsed().as_secs_f64();
+            let times = self.metrics.reserve_wait.get_or_create(&timing.labels);
+            times.observe(waited);
+        }
+    }
+
+    fn sent(&mut self, request: RequestHandle) {
+        if let Some(timing) = self.open.get_mut(&request)
+            && !timing.is_sent
+        {
+            timing.is_sent = true;
+            let waited = timing.arrived.elapsed().as_secs_f64();
+            self.metrics
+                .overhead
+                .get_or_create(&timing.labels)
+                .observe(waited);
+        }
+    }
+
+    fn piece(&mut self, request: RequestHandle) {
+        let Some(timing) = self.open.get_mut(&request) else {
+            return;
+        };
+        let now = Instant::now();
+        let (times, since) = match timing.last_piece {
+            Some(last) => (&self.metrics.between_tokens, last),
+            None => (&self.metrics.first_token, timing.arrived),
+        };
+        times
+            .get_or_create(&timing.labels)
+            .observe(now.duration_since(since).as_secs_f64());
+        timing.last_piece = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/damaskstiled/src/operators.rs
@@ -0,0 +1,103 @@
+//! `operators` is the thread for operators and metrics.
+
+use std::sync::Arc;
+
+use damaskstile::core::event::Event;
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HttpError, HttpServerStarter, RequestContext, endpoint,
+};
+use http::{Response, StatusCode};
+use slog::Logger;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::config::Config;
+use crate::duty;
+use crate::front::Front;
+use crate::problem::{Answer, finish};
+use crate::status::Status;
+
+struct Operators {
+    front: Arc<Front>,
+    status: Arc<Status>,
+}
+
+/// Starts the server, and the handling of signals, on a thread of their own.
+pub fn start(
+    config: &Config,
+    front: Arc<Front>,
+    status: Arc<Status>,
+    log: &Logger,
+) -> anyhow::Result<()> {
+    let mut api = ApiDescription::new();
+    api.register(get_metrics)?;
+    api.register(get_health)?;
+    api.register(get_status)?;
+    let server_config = ConfigDropshot {
+        bind_address: config.operators_address,
+        ..ConfigDropshot::default()
+    };
+    let quiet = Logger::root(slog::Discard, slog::o!());
+    let _ = log;
+    let stopper = Arc::clone(&front);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let server = runtime.block_on(async {
+        HttpServerStarter::new(&server_config, api, Operators { front, status }, &quiet)
+            .map_err(|error| anyhow::anyhow!("cannot take operators: {error}"))
+            .map(HttpServerStarter::start)
+    })?;
+    duty::start("operators", move || {
+        runtime.block_on(async move {
+            tokio::spawn(stop_on_signal(stopper));
+            let _ = server.await;
+        });
+    })?;
+    Ok(())
+}
+
+async fn stop_on_signal(front: Arc<Front>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    front.submit(Event::Stop).await;
+}
+
+/// Gives the metrics in the customary text form.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn get_metrics(rqctx: RequestContext<Operators>) -> Result<Response<Body>, HttpError> {
+    let text = rqctx.context().front.metrics.encode();
+    let response = Response::builder().header(
+        "content-type",
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    );
+    finish(response, text)
+}
+
+/// Tells the balancer whether to send work here.
+#[endpoint { method = GET, path = "/healthz" }]
+async fn get_health(rqctx: RequestContext<Operators>) -> Answer {
+    let is_ready = rqctx.context().status.latest().is_ready;
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    finish(Response::builder().status(status), "{}")
+}
+
+/// Tells operators how the instance is.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(rqctx: RequestContext<Operators>) -> Answer {
+    let snapshot = rqctx.context().status.latest();
+    let value = serde_json::to_value(&snapshot)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    crate::problem::json_answer(&value)
+}
--- /dev/null
+++ b/crates/damaskstiled/src/problem.rs
@@ -0,0 +1,116 @@
+//! `problem` makes the answers for requests that were not answered.
+
+use damaskstile::core::codes::RefusalCode;
+use damaskstile::core::outcome::Outcome;
+use dropshot::{Body, HttpError};
+use http::{Response, StatusCode};
+use serde_json::{Value, json};
+
+/// `Answer` is what handlers give to the server.
+pub type Answer = Result<Response<Body>, HttpError>;
+
+/// Returns the status for a code.
+pub fn status(code: RefusalCode) -> StatusCode {
+    match code {
+        RefusalCode::UnknownAccount => StatusCode::UNAUTHORIZED,
+        RefusalCode::UnknownService => StatusCode::NOT_FOUND,
+        RefusalCode::BadRequest | RefusalCode::BadKey => StatusCode::BAD_REQUEST,
+        RefusalCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalCode::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
+        RefusalCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        RefusalCode::AlreadyRan | RefusalCode::InProgress => StatusCode::CONFLICT,
+        RefusalCode::TargetLost => StatusCode::BAD_GATEWAY,
+        RefusalCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        RefusalCode::BudgetUnreachable
+        | RefusalCode::NoTarget
+        | RefusalCode::BillsBacklog
+        | RefusalCode::ClaimUnavailable
+        | RefusalCode::Stopping
+        | RefusalCode::Starting
+        | RefusalCode::RetriesExhausted => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// `Problem` is the form of an answer that is none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Value,
+    /// Seconds after which coming back may help.
+    pub retry_after_s: Option<u64>,
+}
+
+impl Problem {
+    /// Makes the problem of an outcome; none for an answered request.
+    pub fn of(outcome: &Outcome, key: &str) -> Option<Self> {
+        let (name, code, retry_after) = match outcome {
+            Outcome::Answered(_) => return None,
+            Outcome::NotRun { code, retry_after } => ("not_run", *code, *retry_after),
+            Outcome::Unknown {
+                code, retry_after, ..
+            } => ("outcome_unknown", *code, *retry_after),
+        };
+        // A wait of less than a second is rounded up, since the header has whole seconds.
+        let retry_after_s = retry_after
+            .map(|wait| wait.as_secs() + u64::from(wait.subsec_nanos() > 0))
+            .map(|seconds| seconds.max(1));
+        Some(Self::new(name, code, key, retry_after_s))
+    }
+
+    fn new(outcome: &str, code: RefusalCode, key: &str, retry_after_s: Option<u64>) -> Self {
+        let status = status(code);
+        let body = json!({
+            "type": format!("urn:damaskstile:{}", code.as_str()),
+            "title": code.as_str().replace('_', " "),
+            "status": status.as_u16(),
+            "outcome": outcome,
+            "code": code.as_str(),
+            "key": key,
+            "retry_after_s": retry_after_s,
+        });
+        Self {
+            status,
+            body,
+            retry_after_s,
+        }
+    }
+
+    /// Makes the problem of a call that was refused before it was decided on.
+    pub fn not_run(code: RefusalCode, detail: &str) -> Self {
+        let retry_after_s = (code == RefusalCode::Overloaded).then_some(1);
+        let mut problem = Self::new("not_run", code, "", retry_after_s);
+        problem.body["detail"] = json!(detail);
+        problem
+    }
+
+    /// Makes the answer.
+    pub fn answer(&self, key: &str) -> Answer {
+        let mut response = Response::builder()
+            .status(self.status)
+            .header("content-type", "application/problem+json");
+        if !key.is_empty() {
+            response = response.header("idempotency-key", key);
+        }
+        if let Some(seconds) = self.retry_after_s {
+            response = response.header("retry-after", seconds.to_string());
+        }
+        finish(response, self.body.to_string())
+    }
+}
+
+/// Ends an answer with its body.
+pub fn finish(response: http::response::Builder, body: impl Into<Body>) -> Answer {
+    response
+        .body(body.into())
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
+
+/// Makes an answer of a JSON value.
+pub fn json_answer(value: &Value) -> Answer {
+    let response = Response::builder()
+        .status(StatusCode::OK)
+        .header("content-type", "application/json");
+    finish(response, value.to_string())
+}
--- /dev/null
+++ b/crates/damaskstiled/src/status.rs
@@ -0,0 +1,89 @@
+//! `status` is what operators see of the instance, renewed a few times a second.
+
+use std::sync::{Mutex, PoisonError};
+
+use damaskstile::Instance;
+use serde::{Deserialize, Serialize};
+
+/// `MemberStatus` is what the instance knows of one peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberStatus {
+    /// Name of the peer.
+    pub instance: String,
+    /// Data centre that it stands in.
+    pub data_centre: String,
+    /// Its address.
+    pub address: String,
+    /// `live`, `stopping` or `silent`.
+    pub state: String,
+    /// Settings in force there, as far as is known.
+    pub settings_version: u64,
+}
+
+/// `Snapshot` is what operators see of the instance.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Snapshot {
+    /// Name of the instance.
+    pub instance: String,
+    /// Whether the balancer should send work here.
+    pub is_ready: bool,
+    /// Settings in force here.
+    pub settings_version: u64,
+    /// Requests without a final word.
+    pub open_requests: usize,
+    /// Bills that wait for the store.
+    pub pending_entries: usize,
+    /// Peers.
+    pub members: Vec<MemberStatus>,
+}
+
+/// `Status` holds the latest snapshot.
+#[derive(Debug, Default)]
+pub struct Status {
+    latest: Mutex<Snapshot>,
+}
+
+impl Status {
+    /// Returns the latest snapshot.
+    pub fn latest(&self) -> Snapshot {
+        self.latest
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Takes a snapshot.
+    pub fn renew(&self, instance: &Instance) {
+        let own = instance.membership().own();
+        let members = instance
+            .membership()
+            .all()
+            .map(|(state, is_silent)| MemberStatus {
+                instance: state.instance.clone(),
+                data_centre: state.data_centre.clone(),
+                address: state.address.clone(),
+                state: state_name(state.is_stopping, is_silent).to_owned(),
+                settings_version: state.settings_version,
+            })
+            .collect();
+        let snapshot = Snapshot {
+            instance: own.instance.clone(),
+            is_ready: instance.is_ready(),
+            settings_version: instance.settings().version(),
+            open_requests: instance.open_requests(),
+            pending_entries: instance.pending_entries(),
+            members,
+        };
+        *self.latest.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
+    }
+}
+
+fn state_name(is_stopping: bool, is_silent: bool) -> &'static str {
+    match (is_stopping, is_silent) {
+        (true, _) => "stopping",
+        (false, true) => "silent",
+        (false, false) => "live",
+    }
+}
--- /dev/null
+++ b/crates/damaskstiled/src/store.rs
@@ -0,0 +1,123 @@
+//! `store` is the thread that calls the platform: objects, the watch, the list of targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use damaskstile::core::prelude::*;
+use damaskstile::fleet::settings::SETTINGS_KEY;
+use damaskstile_http::Platform;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::watch;
+
+use crate::config::Config;
+use crate::duty;
+use crate::front::Front;
+
+/// Calls that may wait.
+const STORE_RING: usize = 1024;
+/// Time that one wait for a newer version lasts.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a watch that failed.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two reads of the list of targets.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `ToStore` is one message to the store's thread.
+#[derive(Debug)]
+pub enum ToStore {
+    /// A call.
+    Call {
+        /// Its id.
+        call: CallId,
+        /// The call itself.
+        request: StoreCall,
+    },
+    /// Whether to watch the settings.
+    Watch {
+        /// Whether to watch.
+        is_watching: bool,
+        /// Version that is known already.
+        have_version: Version,
+    },
+}
+
+/// Starts the thread.
+pub fn start(config: &Config, front: Arc<Front>) -> anyhow::Result<Sender<ToStore>> {
+    let (sender, receiver) = mpsc::channel(STORE_RING);
+    let platform = Platform::new(&config.platform_address.to_string());
+    duty::start_async("store", run(platform, front, receiver))?;
+    Ok(sender)
+}
+
+async fn run(platform: Platform, front: Arc<Front>, mut calls: Receiver<ToStore>) {
+    let (watching, watched) = watch::channel((false, 0));
+    tokio::spawn(watch_settings(
+        platform.clone(),
+        Arc::clone(&front),
+        watched,
+    ));
+    tokio::spawn(list_targets(platform.clone(), Arc::clone(&front)));
+    while let Some(message) = calls.recv().await {
+        match message {
+            ToStore::Call { call, request } => {
+                let platform = platform.clone();
+                let front = Arc::clone(&front);
+                tokio::spawn(async move {
+                    let answer = platform.call(request).await;
+                    front.submit(Event::Store { call, answer }).await;
+                });
+            }
+            ToStore::Watch {
+                is_watching,
+                have_version,
+            } => {
+                let _ = watching.send((is_watching, have_version));
+            }
+        }
+    }
+}
+
+async fn watch_settings(
+    platform: Platform,
+    front: Arc<Front>,
+    mut watched: watch::Receiver<(bool, Version)>,
+) {
+    let mut seen_version = 0;
+    loop {
+        let (is_watching, have_version) = *watched.borrow_and_update();
+        if !is_watching {
+            if watched.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        seen_version = seen_version.max(have_version);
+        let waiting = platform.watch(SETTINGS_KEY, seen_version, WATCH_WAIT);
+        let object = tokio::select! {
+            object = waiting => object,
+            _ = watched.changed() => continue,
+        };
+        match object {
+            Ok(Some(object)) => {
+                seen_version = seen_version.max(object.version);
+                let key = SETTINGS_KEY.to_owned();
+                front.submit(Event::Changed { key, object }).await;
+            }
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(WATCH_PAUSE).await,
+        }
+    }
+}
+
+async fn list_targets(platform: Platform, front: Arc<Front>) {
+    let mut last = Vec::new();
+    loop {
+        if let Ok(targets) = platform.targets().await
+            && targets != last
+        {
+            last.clone_from(&targets);
+            front.submit(Event::Targets { targets }).await;
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/damaskstiled/src/targets.rs
@@ -0,0 +1,252 @@
+//! `targets` is the thread that talks to targets: it sends requests and reads their answers.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use damaskstile::core::hex::to_hex;
+use damaskstile::core::prelude::*;
+use damaskstile_http::{Call, Error, send, send_whole};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::task::AbortHandle;
+
+use crate::answers::{AnswerReader, PlainAnswer};
+use crate::clock::Clock;
+use crate::completion;
+use crate::config::Config;
+use crate::duty;
+use crate::front::{Front, Kept};
+
+/// Messages that may wait.
+const TARGETS_RING: usize = 4096;
+/// Time that a question to a target may take.
+const ASK_LIMIT: Duration = Duration::from_millis(800);
+/// Time between two pieces after which a stream counts as cut.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// `ToTargets` is one message to the targets' thread.
+#[derive(Debug)]
+pub enum ToTargets {
+    /// Send a request.
+    Dispatch(Box<Dispatch>),
+    /// Cancel a run.
+    Cancel {
+        /// The run.
+        run: RunId,
+    },
+    /// Ask how a run went.
+    Inquire {
+        /// The run.
+        run: RunId,
+        /// Address of its target.
+        address: String,
+    },
+    /// Ask for the load.
+    Probe {
+        /// The target.
+        target: TargetId,
+        /// Its address.
+        address: String,
+    },
+}
+
+/// Runs that are being read: where they run, and how to stop reading.
+type Reading = Arc<Mutex<BTreeMap<RunId, (String, AbortHandle)>>>;
+
+/// Starts the thread.
+pub fn start(
+    config: &Config,
+    front: Arc<Front>,
+    clock: Clock,
+) -> anyhow::Result<Sender<ToTargets>> {
+    let (sender, receiver) = mpsc::channel(TARGETS_RING);
+    let _ = config;
+    duty::start_async("targets", run(front, clock, receiver))?;
+    Ok(sender)
+}
+
+async fn run(front: Arc<Front>, clock: Clock, mut messages: Receiver<ToTargets>) {
+    let reading: Reading = Arc::default();
+    while let Some(message) = messages.recv().await {
+        let front = Arc::clone(&front);
+        match message {
+            ToTargets::Dispatch(dispatch) => {
+                let run = dispatch.run.clone();
+                let address = dispatch.address.clone();
+                let ended = Arc::clone(&reading);
+                let task = tokio::spawn(async move {
+                    let run = dispatch.run.clone();
+                    dispatch_run(&front, clock, *dispatch).await;
+                    lock(&ended).remove(&run);
+                });
+                lock(&reading).insert(run, (address, task.abort_handle()));
+            }
+            ToTargets::Cancel { run } => {
+                if let Some((address, task)) = lock(&reading).remove(&run) {
+                    task.abort();
+                    tokio::spawn(cancel(run, address));
+                }
+            }
+            ToTargets::Inquire { run, address } => {
+                tokio::spawn(inquire(front, run, address));
+            }
+            ToTargets::Probe { target, address } => {
+                tokio::spawn(probe(front, target, address));
+            }
+        }
+    }
+}
+
+fn lock(reading: &Reading) -> std::sync::MutexGuard<'_, BTreeMap<RunId, (String, AbortHandle)>> {
+    reading.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn report(front: &Front, run: &RunId, report: RunReport) {
+    let event = Event::Run {
+        run: run.clone(),
+        report,
+    };
+    front.submit(event).await;
+}
+
+async fn dispatch_run(front: &Front, clock: Clock, dispatch: Dispatch) {
+    let run = dispatch.run.clone();
+    let Some(kept) = front.body(dispatch.request) else {
+        report(front, &run, RunReport::Unreachable).await;
+        return;
+    };
+    // The process may have been paused since the decision. Then the target may be leaving, and
+    // nothing has been sent yet.
+    if clock.now() > dispatch.expires_at {
+        report(front, &run, RunReport::Unreachable).await;
+        return;
+    }
+    let is_resumed = dispatch.resume_from > 0;
+    let answer = if kept.path.is_empty() {
+        complete(front, &dispatch, &kept).await
+    } else {
+        call_plain(front, &dispatch, &kept).await
+    };
+    let last = match answer {
+        Ok(()) => return,
+        Err(Error::NotConnected(_) | Error::Invalid(_)) if !is_resumed => RunReport::Unreachable,
+        Err(Error::Unexpected { status, .. }) if !is_resumed => refusal(status),
+        Err(_) => RunReport::Broken,
+    };
+    report(front, &run, last).await;
+}
+
+/// Tells what a status in place of an answer says about the run.
+fn refusal(status: u16) -> RunReport {
+    match status {
+        // The target says that it did not take the request.
+        409 | 429 | 503 => RunReport::Refused,
+        400..=499 => RunReport::Rejected,
+        _ => RunReport::Broken,
+    }
+}
+
+fn with_run_headers(call: Call, dispatch: &Dispatch) -> Call {
+    call.header("x-damaskstile-run", &dispatch.run)
+        .header("x-damaskstile-account", &dispatch.account)
+        .header("x-damaskstile-key", &dispatch.key)
+        .header(
+            "x-damaskstile-priority",
+            &format!("{:?}", dispatch.priority).to_lowercase(),
+        )
+        .header(
+            "x-damaskstile-resume-from",
+            &dispatch.resume_from.to_string(),
+        )
+}
+
+async fn complete(front: &Front, dispatch: &Dispatch, kept: &Kept) -> Result<(), Error> {
+    let body = completion::for_target(&kept.body, dispatch.cap_tokens)
+        .map_err(|error| Error::Invalid(error.to_string()))?;
+    let call = Call::new(&dispatch.address, Method::POST, "/v1/chat/completions")
+        .header("content-type", "application/json")
+        .body(body);
+    let response = send(with_run_headers(call, dispatch)).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Unexpected {
+            status: response.status().as_u16(),
+            body: String::new(),
+        });
+    }
+    let mut body = response.into_body();
+    let mut reader = AnswerReader::new(dispatch.resume_from);
+    loop {
+        let frame = tokio::time::timeout(IDLE_LIMIT, body.frame()).await;
+        let Ok(Some(Ok(frame))) = frame else {
+            return Err(Error::Broken("the stream ended early".to_owned()));
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        for piece in reader.push(&bytes) {
+            report(front, &dispatch.run, piece).await;
+        }
+        if reader.is_done() {
+            return Ok(());
+        }
+    }
+}
+
+async fn call_plain(front: &Front, dispatch: &Dispatch, kept: &Kept) -> Result<(), Error> {
+    let path = format!("/{}", kept.path);
+    let call = Call::new(&dispatch.address, kept.method.clone(), &path)
+        .header("content-type", &kept.content_type)
+        .body(kept.body.clone());
+    let reply = send_whole(with_run_headers(call, dispatch), IDLE_LIMIT).await?;
+    let content_type = reply
+        .headers
+        .get(http::header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    let answer = PlainAnswer {
+        status: reply.status.as_u16(),
+        content_type: content_type.to_owned(),
+        body_hex: to_hex(&reply.body),
+    };
+    let data = serde_json::to_string(&answer).map_err(|error| Error::Broken(error.to_string()))?;
+    let chunk = RunReport::Chunk {
+        index: 0,
+        tokens: 0,
+        data,
+    };
+    report(front, &dispatch.run, chunk).await;
+    let finished = RunReport::Finished {
+        chunks: 1,
+        prompt_tokens: u64::MAX,
+        output_tokens: 0,
+    };
+    report(front, &dispatch.run, finished).await;
+    Ok(())
+}
+
+async fn cancel(run: RunId, address: String) {
+    let call = Call::new(&address, Method::DELETE, &format!("/v1/runs/{run}"));
+    let _ = send_whole(call, ASK_LIMIT).await;
+}
+
+async fn inquire(front: Arc<Front>, run: RunId, address: String) {
+    let call = Call::new(&address, Method::GET, &format!("/v1/runs/{run}"));
+    let state = match send_whole(call, ASK_LIMIT).await {
+        Ok(reply) if reply.status == StatusCode::OK => {
+            serde_json::from_slice(&reply.body).unwrap_or(RunState::Unreachable)
+        }
+        _ => RunState::Unreachable,
+    };
+    report(&front, &run, RunReport::State(state)).await;
+}
+
+async fn probe(front: Arc<Front>, target: TargetId, address: String) {
+    let call = Call::new(&address, Method::GET, "/status");
+    let status = match send_whole(call, ASK_LIMIT).await {
+        Ok(reply) if reply.status == StatusCode::OK => serde_json::from_slice(&reply.body).ok(),
+        _ => None,
+    };
+    front.submit(Event::TargetStatus { target, status }).await;
+}
