Host the decisions over fakes, and try arbitrary interleavings

Two faults of time standing still, both found by the virtual clock: a timer due at the very moment of the step was put off for ever (Instance::run_timers), and a waiting run whose store time was over kept asking to be woken (Holder::next_wake).

--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -269,7 +269,7 @@
             .batch
             .as_ref()
             .and_then(|batch| if batch.is_called { None } else { self.retry_at });
-        let waiter_at = self.waiters.iter().map(|waiter| waiter.next_at).min();
+        let waiter_at = self.waiters.iter().filter_map(Waiter::next_wake).min();
         let round_at = self.round.as_ref().map(|round| round.until);
         let give_at = self
             .open_gives
--- a/crates/damaskstile-budgets/src/holder/refill.rs
+++ b/crates/damaskstile-budgets/src/holder/refill.rs
@@ -78,6 +78,13 @@
     pub peers: Stage,
 }
 
+impl Waiter {
+    /// Returns when the store has had its time; nothing is due where it was not asked.
+    pub(super) fn next_wake(&self) -> Option<Duration> {
+        (self.store == Stage::Tried).then_some(self.next_at)
+    }
+}
+
 impl Holder {
     pub(super) fn wait(
         &mut self,
--- /dev/null
+++ b/crates/damaskstile-fakes/src/check.rs
@@ -0,0 +1,144 @@
+//! `check` holds the promises that every scenario must keep.
+
+use damaskstile::budgets::Entry;
+use damaskstile::core::prelude::*;
+
+use crate::targets::chunk_data;
+use crate::world::World;
+
+/// Checks what must hold at every moment: nobody spends more than was topped up.
+///
+/// # Errors
+///
+/// Returns the promise that is broken.
+pub fn always(world: &World) -> Result<(), String> {
+    if let Some(broken) = world.store.broken.first() {
+        return Err(broken.clone());
+    }
+    let topped_up = world.store.ledger("office").topped_up_tokens;
+    let ran = world.targets.ran("office");
+    if ran > topped_up {
+        return Err(format!("overspend: {ran} ran, {topped_up} topped up"));
+    }
+    Ok(())
+}
+
+/// Checks what must hold when all is over.
+///
+/// # Errors
+///
+/// Returns the promise that is broken.
+pub fn at_the_end(world: &World) -> Result<(), String> {
+    always(world)?;
+    answers_are_whole(world)?;
+    refused_has_not_run(world)?;
+    claimed_runs_once(world)?;
+    bills_are_single(world)
+}
+
+/// Returns all entries of the budget, stored pages included.
+#[must_use]
+pub fn entries(world: &World, budget: &str) -> Vec<Entry> {
+    let prefix = format!("bills/{budget}/");
+    let pages = world
+        .store
+        .list(&prefix)
+        .filter_map(|(_, object)| serde_json::from_str::<Vec<Entry>>(&object.value).ok());
+    let ledger = world.store.ledger(budget);
+    let stored = usize::try_from(ledger.next_page).unwrap_or(usize::MAX);
+    let mut entries: Vec<Entry> = pages.take(stored).flatten().collect();
+    entries.extend(ledger.entries);
+    entries
+}
+
+/// A caller gets the whole answer to its own request, and no piece of another.
+fn answers_are_whole(world: &World) -> Result<(), String> {
+    for (handle, answered) in &world.answers {
+        let Some(Outcome::Answered(receipt)) = &answered.outcome else {
+            continue;
+        };
+        let key = &receipt.key;
+        let is_own = |run: &RunId| {
+            world
+                .targets
+                .runs
+                .get(run)
+                .is_some_and(|ran| &ran.key == key)
+        };
+        let Some(run) = answered
+            .pieces
+            .first()
+            .and_then(|piece| piece.split_once('#'))
+            .map(|(run, _)| run.to_owned())
+            .filter(is_own)
+        else {
+            return Err(format!("call {handle}: an answer that is not its own"));
+        };
+        let chunks = world.targets.runs[&run].chunks.len();
+        let whole: Vec<String> = (0..chunks).map(|index| chunk_data(&run, index)).collect();
+        if answered.pieces != whole {
+            return Err(format!("call {handle}: pieces {:?}", answered.pieces));
+        }
+    }
+    Ok(())
+}
+
+/// What is refused as not run has not run.
+fn refused_has_not_run(world: &World) -> Result<(), String> {
+    for (handle, answered) in &world.answers {
+        let is_refused = answered.outcome.as_ref().is_some_and(Outcome::is_not_run);
+        // A key that is used for several calls may have run for another of them.
+        let is_only_call = world.calls_of(&answered.key) == 1;
+        if is_refused && is_only_call && world.targets.starts_of(&answered.key) > 0 {
+            return Err(format!("call {handle}: refused as not run, and ran"));
+        }
+    }
+    Ok(())
+}
+
+/// A non-idempotent request runs at most once.
+fn claimed_runs_once(world: &World) -> Result<(), String> {
+    for key in &world.non_idempotent {
+        let starts = world.targets.starts_of(key);
+        if starts > 1 {
+            return Err(format!("request {key}: non-idempotent, ran {starts} times"));
+        }
+    }
+    Ok(())
+}
+
+/// No run is entered twice and no request billed twice.
+fn bills_are_single(world: &World) -> Result<(), String> {
+    let mut runs = BTreeSet::new();
+    let mut bills = BTreeSet::new();
+    for entry in entries(world, "office") {
+        if !runs.insert(entry.run.clone()) {
+            return Err(format!("run {} is entered twice", entry.run));
+        }
+        if entry.is_billed && !bills.insert((entry.account.clone(), entry.key.clone())) {
+            return Err(format!("request {} is billed twice", entry.key));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that every answered request has its bill. Holds once all records could be stored.
+///
+/// # Errors
+///
+/// Returns the request without a bill.
+pub fn answered_is_billed(world: &World) -> Result<(), String> {
+    let billed: BTreeSet<RequestKey> = entries(world, "office")
+        .into_iter()
+        .filter(|entry| entry.is_billed)
+        .map(|entry| entry.key)
+        .collect();
+    for answered in world.answers.values() {
+        if let Some(Outcome::Answered(receipt)) = &answered.outcome
+            && !billed.contains(&receipt.key)
+        {
+            return Err(format!("request {}: answered, not billed", receipt.key));
+        }
+    }
+    Ok(())
+}
--- a/crates/damaskstile-fakes/src/lib.rs
+++ b/crates/damaskstile-fakes/src/lib.rs
@@ -1,1 +1,18 @@
-//! stub
+//! `damaskstile-fakes` hosts many instances in one process, over fakes of all that is around them.
+//!
+//! It is for tests and measurements. Time is virtual and every choice comes out of a seed, so the
+//! same scenario gives the same result on every run.
+
+pub mod check;
+pub mod network;
+pub mod options;
+pub mod oracle;
+pub mod store;
+pub mod targets;
+pub mod world;
+
+pub use network::Network;
+pub use options::WorldOptions;
+pub use store::FakeStore;
+pub use targets::FakeTargets;
+pub use world::{Answered, World};
--- /dev/null
+++ b/crates/damaskstile-fakes/src/world.rs
@@ -0,0 +1,467 @@
+//! `world` hosts the instances: it delivers messages, store answers, timers and target events.
+
+mod deliver;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use damaskstile::core::peer::MemberState;
+use damaskstile::core::prelude::*;
+use damaskstile::{Instance, InstanceOptions};
+
+use crate::network::Network;
+use crate::options::{OFFICE_TOKEN, WorldOptions};
+use crate::oracle::{self, Verdict};
+use crate::store::FakeStore;
+use crate::targets::FakeTargets;
+
+/// Time at which every scenario starts, since the Unix epoch.
+pub const STARTED_AT: Duration = Duration::from_secs(1_800_000_000);
+
+/// Events at one moment past which time is taken to stand still.
+const STEPS_AT_ONCE_MAX: u64 = 20_000;
+
+/// `Answered` is what a caller has got.
+#[derive(Debug, Clone, Default)]
+pub struct Answered {
+    /// Instance that was called.
+    pub instance: InstanceId,
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Worst case of the request, in tokens.
+    pub worst_tokens: u64,
+    /// Tokens that its answer will have.
+    pub output_tokens: u64,
+    /// When it was called.
+    pub called_at: Duration,
+    /// When it was sent to a target first.
+    pub sent_at: Option<Duration>,
+    /// When the first piece came.
+    pub first_piece_at: Option<Duration>,
+    /// Pieces that came.
+    pub pieces: Vec<String>,
+    /// Final word.
+    pub outcome: Option<Outcome>,
+    /// When the final word came.
+    pub answered_at: Option<Duration>,
+    /// What the oracle says of a refusal for money.
+    pub verdict: Verdict,
+}
+
+/// `Work` describes a request to make.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Service.
+    pub service: ServiceId,
+    /// Key; one is made where it is empty.
+    pub key: RequestKey,
+    /// Size of the prompt, in bytes and in tokens.
+    pub prompt_tokens: u64,
+    /// Cap of the output.
+    pub cap_tokens: u64,
+    /// Tokens that the answer will have.
+    pub output_tokens: u64,
+    /// Caller's mark.
+    pub non_idempotent: bool,
+    /// Whether chunks are relayed as they come.
+    pub is_streamed: bool,
+    /// Priority.
+    pub priority: Option<Priority>,
+    /// Hash of the token of the client account.
+    pub token_sha256: String,
+}
+
+impl Work {
+    /// Makes a model request of the account `office`.
+    #[must_use]
+    pub fn chat(prompt_tokens: u64, cap_tokens: u64, output_tokens: u64) -> Self {
+        Self {
+            service: "chat".to_owned(),
+            key: String::new(),
+            prompt_tokens,
+            cap_tokens,
+            output_tokens,
+            non_idempotent: false,
+            is_streamed: true,
+            priority: None,
+            token_sha256: OFFICE_TOKEN.to_owned(),
+        }
+    }
+
+    /// Makes a call of the plain service `publish`, which must never run twice.
+    #[must_use]
+    pub fn publish(key: &str) -> Self {
+        Self {
+            service: "publish".to_owned(),
+            key: key.to_owned(),
+            is_streamed: false,
+            ..Self::chat(3, 0, 0)
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub instance: Option<Instance>,
+    pub data_centre: String,
+    pub incarnation: Incarnation,
+    pub paused_until: Duration,
+    pub wake_at: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum What {
+    Event(Incarnation, Event),
+    Store(Incarnation, CallId, StoreCall),
+    Wake(Incarnation),
+    Dispatch(Incarnation, Box<Dispatch>),
+    Generate(RunId),
+}
+
+#[derive(Debug)]
+struct Due {
+    at: Duration,
+    order: u64,
+    node: InstanceId,
+    what: What,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// `World` hosts a fleet over fakes.
+#[derive(Debug)]
+pub struct World {
+    /// Time now.
+    pub now: Duration,
+    /// The platform's store.
+    pub store: FakeStore,
+    /// The targets.
+    pub targets: FakeTargets,
+    /// The links.
+    pub network: Network,
+    /// What callers have got.
+    pub answers: BTreeMap<RequestHandle, Answered>,
+    /// Keys of requests that must not run twice.
+    pub non_idempotent: BTreeSet<RequestKey>,
+    /// Log events by code.
+    pub logged: BTreeMap<EventCode, u64>,
+    /// Messages between instances.
+    pub messages: u64,
+    /// Whether hosts check the time limit of a dispatch just before they send it.
+    pub has_careful_hosts: bool,
+    /// Instances that said that they have stopped.
+    pub stopped: BTreeSet<InstanceId>,
+    pub(crate) options: WorldOptions,
+    pub(crate) nodes: BTreeMap<InstanceId, Node>,
+    pub(crate) random: Random,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    next_handle: RequestHandle,
+    steps_at_once: u64,
+}
+
+impl World {
+    /// Starts a fleet with a budget of so many tokens for the account `office`.
+    #[must_use]
+    pub fn new(options: WorldOptions, budget_tokens: u64) -> Self {
+        let mut world = Self {
+            now: STARTED_AT,
+            store: FakeStore::default(),
+            targets: FakeTargets::default(),
+            network: Network::default(),
+            answers: BTreeMap::new(),
+            non_idempotent: BTreeSet::new(),
+            logged: BTreeMap::new(),
+            messages: 0,
+            has_careful_hosts: true,
+            stopped: BTreeSet::new(),
+            random: Random::new(options.seed),
+            nodes: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            next_handle: 1,
+            steps_at_once: 0,
+            options,
+        };
+        world.store.top_up("office", "first", budget_tokens);
+        world.put_settings(&world.options.settings.clone());
+        world.add_targets();
+        for number in 0..world.options.instances {
+            world.add_node(number);
+        }
+        let names: Vec<InstanceId> = world.nodes.keys().cloned().collect();
+        for name in names {
+            world.start(&name);
+        }
+        world
+    }
+
+    fn add_targets(&mut self) {
+        let (pace, slots) = (self.options.pace, self.options.slots_requests);
+        for number in 0..self.options.targets {
+            self.targets
+                .add(&format!("chat-{number}"), "chat", pace, slots);
+        }
+        self.targets.add("status-0", "status", pace, slots);
+        self.targets.add("publish-0", "publish", pace, slots);
+        self.targets.add("publish-1", "publish", pace, slots);
+    }
+
+    fn add_node(&mut self, number: usize) {
+        let data_centre = format!("dc-{}", number % self.options.data_centres.max(1));
+        let node = Node {
+            instance: None,
+            data_centre,
+            incarnation: 0,
+            paused_until: Duration::ZERO,
+            wake_at: Duration::MAX,
+        };
+        self.nodes.insert(format!("i{number:03}"), node);
+    }
+
+    /// Stores a tree of settings and shows it to the instances that watch.
+    pub fn put_settings(&mut self, text: &str) -> Version {
+        let stored = serde_json::json!({
+            "author": "test", "note": "", "at_unix_ms": 0, "text": text,
+        });
+        self.store.put("settings/tree", stored.to_string())
+    }
+
+    /// Starts an instance that does not run, as a new incarnation.
+    pub fn start(&mut self, name: &str) {
+        let seeds: Vec<MemberState> = self
+            .nodes
+            .iter()
+            .filter(|(other, _)| other.as_str() != name)
+            .map(|(other, node)| MemberState {
+                instance: other.clone(),
+                data_centre: node.data_centre.clone(),
+                address: other.clone(),
+                ..MemberState::default()
+            })
+            .collect();
+        let random = self.random.next_u64();
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        node.incarnation = random | 1;
+        let identity = Identity::new(name, node.incarnation, &node.data_centre);
+        let mut options = InstanceOptions::new(identity);
+        options.seeds = seeds;
+        options.budgets = self.options.budgets.clone();
+        options.registry = self.options.registry.clone();
+        node.instance = Some(Instance::new(options, self.now));
+        node.wake_at = Duration::MAX;
+        self.stopped.remove(name);
+        let targets = self
+            .targets
+            .targets
+            .values()
+            .map(|target| target.info.clone())
+            .collect();
+        self.give(name, Event::Targets { targets });
+    }
+
+    /// Kills an instance. What it has sent is on its way; all else is gone.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.instance = None;
+            node.incarnation = 0;
+            node.paused_until = Duration::ZERO;
+        }
+        for run in self.targets.runs.values_mut() {
+            if run.listener.as_deref() == Some(name) {
+                run.listener = None;
+            }
+        }
+    }
+
+    /// Pauses an instance: it takes nothing in and sends nothing out until then.
+    pub fn pause(&mut self, name: &str, pause: Duration) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.paused_until = self.now + pause;
+        }
+    }
+
+    /// Tells an instance to stop.
+    pub fn stop(&mut self, name: &str) {
+        self.give(name, Event::Stop);
+    }
+
+    /// Shows the platform's list of targets to all instances.
+    pub fn show_targets(&mut self) {
+        let targets: Vec<TargetInfo> = self
+            .targets
+            .targets
+            .values()
+            .map(|target| target.info.clone())
+            .collect();
+        for name in self.names() {
+            let targets = targets.clone();
+            self.give(&name, Event::Targets { targets });
+        }
+    }
+
+    /// Returns the names of all instances.
+    #[must_use]
+    pub fn names(&self) -> Vec<InstanceId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// Returns the instances that run and are not paused.
+    pub fn live_instances(&self) -> impl Iterator<Item = (&InstanceId, &Instance)> {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| node.paused_until <= self.now)
+            .filter_map(|(name, node)| node.instance.as_ref().map(|instance| (name, instance)))
+    }
+
+    /// Returns an instance that runs.
+    #[must_use]
+    pub fn instance(&self, name: &str) -> Option<&Instance> {
+        self.nodes.get(name)?.instance.as_ref()
+    }
+
+    /// Returns how many calls were made with a key.
+    #[must_use]
+    pub fn calls_of(&self, key: &str) -> usize {
+        self.answers
+            .values()
+            .filter(|answered| answered.key == key)
+            .count()
+    }
+
+    /// Calls an instance. Returns the handle of the call.
+    pub fn request(&mut self, name: &str, work: &Work) -> RequestHandle {
+        let handle = self.next_handle;
+        self.next_handle += 1;
+        let key = if work.key.is_empty() {
+            let random = self.random.next_u64();
+            damaskstile::keys::new_request_key(self.now, handle, random)
+        } else {
+            work.key.clone()
+        };
+        if work.non_idempotent || work.service == "publish" {
+            self.non_idempotent.insert(key.clone());
+        }
+        let answered = Answered {
+            instance: name.to_owned(),
+            key: key.clone(),
+            worst_tokens: work.prompt_tokens + work.cap_tokens,
+            output_tokens: work.output_tokens,
+            called_at: self.now,
+            ..Answered::default()
+        };
+        self.answers.insert(handle, answered);
+        let request = NewRequest {
+            request: handle,
+            token_sha256: work.token_sha256.clone(),
+            key: Some(key),
+            service: work.service.clone(),
+            body_hash: 1,
+            prompt_bytes: work.prompt_tokens,
+            max_output_tokens: (work.cap_tokens > 0).then_some(work.cap_tokens),
+            non_idempotent: work.non_idempotent,
+            is_streamed: work.is_streamed,
+            priority: work.priority,
+            time_limit: None,
+        };
+        self.give(name, Event::Request(request));
+        handle
+    }
+
+    /// Goes on for a while.
+    pub fn run_for(&mut self, span: Duration) {
+        self.run_until(self.now + span);
+    }
+
+    /// Goes on until a time.
+    pub fn run_until(&mut self, until: Duration) {
+        while let Some(Reverse(due)) = self.queue.peek() {
+            if due.at > until {
+                break;
+            }
+            if let Some(Reverse(due)) = self.queue.pop() {
+                self.count_step(&due);
+                self.now = self.now.max(due.at);
+                self.carry_out(due.node, due.what);
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Stops a scenario in which time stands still: an instance that wakes itself without end.
+    fn count_step(&mut self, due: &Due) {
+        self.steps_at_once = if due.at > self.now {
+            0
+        } else {
+            self.steps_at_once + 1
+        };
+        assert!(
+            self.steps_at_once < STEPS_AT_ONCE_MAX,
+            "time stands still at {:?}: {due:?}",
+            self.now
+        );
+    }
+
+    pub(crate) fn later(&mut self, after: Duration, node: &str, what: What) {
+        self.order += 1;
+        self.queue.push(Reverse(Due {
+            at: self.now + after,
+            order: self.order,
+            node: node.to_owned(),
+            what,
+        }));
+    }
+
+    /// Hands an event to an instance at once, if it runs.
+    pub fn give(&mut self, name: &str, event: Event) {
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if node.paused_until > self.now {
+            let (wait, incarnation) =
+                (node.paused_until.saturating_sub(self.now), node.incarnation);
+            self.later(wait, name, What::Event(incarnation, event));
+            return;
+        }
+        let Some(instance) = node.instance.as_mut() else {
+            return;
+        };
+        let mut effects = Vec::new();
+        instance.handle(self.now, event, &mut effects);
+        let wake_at = instance.next_wake().max(self.now);
+        let incarnation = node.incarnation;
+        if wake_at < node.wake_at || node.wake_at <= self.now {
+            node.wake_at = wake_at;
+            let after = wake_at.saturating_sub(self.now);
+            self.later(after, name, What::Wake(incarnation));
+        }
+        for effect in effects {
+            self.on_effect(name, incarnation, effect);
+        }
+    }
+
+    pub(crate) fn judge(&self, name: &str, handle: RequestHandle) -> Verdict {
+        let worst = self.answers[&handle].worst_tokens;
+        oracle::judge(self, name, "office", "office", worst)
+    }
+}
--- a/crates/damaskstile/src/instance/timers.rs
+++ b/crates/damaskstile/src/instance/timers.rs
@@ -49,7 +49,8 @@
     pub(super) fn run_timers(&mut self, effects: &mut Effects) {
         self.gossip_if_due(effects);
         // Timers that are set meanwhile wait for the next event, so that this always ends.
-        let later = self.timers.split_off(&(self.now, Timer::Stop));
+        let just_after = self.now + Duration::from_nanos(1);
+        let later = self.timers.split_off(&(just_after, Timer::Call(0)));
         let due = std::mem::replace(&mut self.timers, later);
         for (_, timer) in due {
             self.run_timer(timer, effects);
