--- a/crates/damaskstile-fleet/src/membership.rs
+++ b/crates/damaskstile-fleet/src/membership.rs
@@ -215,6 +215,9 @@
     fn closest(&self, is_fit: impl Fn(&MemberState) -> bool) -> Option<&MemberState> {
         self.live()
             .filter(|state| !state.is_stopping && is_fit(state))
+            // A member that is only known from the own settings has no incarnation yet. A grant
+            // that names it could never be closed, since the member would not know itself in it.
+            .filter(|state| state.incarnation != 0)
             .min_by_key(|state| stable_hash(&[&self.own.instance, &state.instance]))
     }
 
