Close grants so that a witness remembers them, and take only the named one's word

Sequence: a holder is paused before it spends; its witnesses seal its grant; nothing is left of it, so the seal closes it and it leaves the ledger; the witness asked the ledger which grants it had sealed and found none; the holder wakes up and its records are accepted. Cause: the list of sealed grants was read after the batch, not before. The same way round a witness: a restarted one has no memory of the seal, so only the incarnation that the grant names may accept a record. Also: gifts of several pieces, one last try after peers that lacked tokens have given up, grants renewed when their witnesses change.

--- a/crates/damaskstile-budgets/src/effect.rs
+++ b/crates/damaskstile-budgets/src/effect.rs
@@ -9,7 +9,7 @@
     /// Grant and tokens.
     pub draw: Draw,
     /// Peers of which one must keep the record first; none for an open grant.
-    pub witnesses: BTreeSet<InstanceId>,
+    pub witnesses: BTreeMap<InstanceId, Incarnation>,
     /// Transfers that the tokens came by and that the ledger may not have yet.
     pub origins: Vec<Adoption>,
 }
--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -19,6 +19,9 @@
 use refill::{Rate, Waiter};
 use transfer::{AskRound, OpenGive};
 
+/// Time between the loss of a witness and the change of its grants for new ones.
+const RENEW_AFTER: Duration = Duration::from_secs(2);
+
 /// `Reserve` is the answer to a request for tokens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reserve {
@@ -30,6 +33,17 @@
     Refused(RefusalCode),
 }
 
+/// `Peers` is what a holder knows of the other instances.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Peers that can be asked for tokens.
+    pub askable: BTreeSet<InstanceId>,
+    /// Peers that new grants name as witnesses.
+    pub witnesses: BTreeMap<InstanceId, Incarnation>,
+    /// Whether there are peers that cannot be reached.
+    pub has_silent: bool,
+}
+
 /// `Holder` holds one budget's tokens for one instance.
 ///
 /// It never reserves more than its grants cover. Grants come from the ledger ahead of need, or
@@ -55,7 +69,12 @@
     page_in_flight: Option<u64>,
     waiters: Vec<Waiter>,
     round: Option<AskRound>,
-    open_asks: BTreeSet<(u64, InstanceId)>,
+    /// Transfers that were taken, so that none is taken twice.
+    taken: BTreeSet<(u64, GrantId)>,
+    /// Questions below this number are forgotten; gifts for them are not taken any more.
+    oldest_ask: u64,
+    /// Numbers of this holder are above it.
+    first_number: u64,
     open_gives: BTreeMap<GrantId, OpenGive>,
     /// Gifts whose takers have not entered them in the ledger, with the grant they came from.
     unadopted: BTreeMap<GrantId, GrantId>,
@@ -69,6 +88,8 @@
     has_silent_peers: bool,
     witnesses: BTreeMap<InstanceId, Incarnation>,
     last_used_at: Duration,
+    /// When grants whose witnesses are gone are to be changed for new ones.
+    wants_renewal_at: Option<Duration>,
     is_stopping: bool,
 }
 
@@ -98,7 +119,9 @@
             page_in_flight: None,
             waiters: Vec::new(),
             round: None,
-            open_asks: BTreeSet::new(),
+            taken: BTreeSet::new(),
+            oldest_ask: 0,
+            first_number,
             open_gives: BTreeMap::new(),
             unadopted: BTreeMap::new(),
             next_number: first_number,
@@ -109,6 +132,7 @@
             has_silent_peers: false,
             witnesses: BTreeMap::new(),
             last_used_at: now,
+            wants_renewal_at: None,
             is_stopping: false,
         }
     }
@@ -118,16 +142,19 @@
         self.options = options;
     }
 
-    /// Sets the peers that can be asked for tokens, and those that new grants name as witnesses.
-    pub fn set_peers(
-        &mut self,
-        peers: BTreeSet<InstanceId>,
-        witnesses: BTreeMap<InstanceId, Incarnation>,
-        has_silent_peers: bool,
-    ) {
-        self.peers = peers;
-        self.has_silent_peers = has_silent_peers;
-        self.witnesses = witnesses;
+    /// Tells the holder of a change of who lives.
+    pub fn set_peers(&mut self, now: Duration, peers: &Peers) {
+        self.peers.clone_from(&peers.askable);
+        self.has_silent_peers = peers.has_silent;
+        self.witnesses.clone_from(&peers.witnesses);
+        if self.holdings.values().any(|holding| self.is_stale(holding)) {
+            self.wants_renewal_at.get_or_insert(now + RENEW_AFTER);
+        }
+    }
+
+    /// Tells whether a grant has other witnesses than a new one would have.
+    fn is_stale(&self, holding: &Holding) -> bool {
+        !holding.witnesses.is_empty() && holding.witnesses != self.witnesses
     }
 
     /// Reserves the worst case of a run.
@@ -229,7 +256,7 @@
     pub fn witnesses_in_use(&self) -> BTreeSet<InstanceId> {
         self.holdings
             .values()
-            .flat_map(|holding| holding.witnesses.iter().cloned())
+            .flat_map(|holding| holding.witnesses.keys().cloned())
             .collect()
     }
 
@@ -239,7 +266,7 @@
         draws
             .iter()
             .filter_map(|draw| self.holdings.get(&draw.grant))
-            .flat_map(|holding| holding.witnesses.iter().cloned())
+            .flat_map(|holding| holding.witnesses.keys().cloned())
             .collect()
     }
 
@@ -306,7 +333,8 @@
             .values()
             .filter_map(|give| give.resend_at)
             .min();
-        [flush_at, batch_at, waiter_at, round_at, give_at]
+        let renewal_at = self.wants_renewal_at;
+        [renewal_at, flush_at, batch_at, waiter_at, round_at, give_at]
             .into_iter()
             .flatten()
             .min()
@@ -317,6 +345,7 @@
         self.resend_gives(now, fx);
         self.end_round(now, fx);
         self.pump(now, fx);
+        self.renew_due(now);
         self.flush_due(now, fx);
     }
 
--- a/crates/damaskstile-budgets/src/holder/flush.rs
+++ b/crates/damaskstile-budgets/src/holder/flush.rs
@@ -30,6 +30,38 @@
     /// Ledger with the batch applied, while its write is out.
     candidate: Option<Ledger>,
     refused: Vec<RunId>,
+    /// Grants that the seals in the batch close, by holder.
+    sealing: BTreeMap<(InstanceId, Incarnation), BTreeSet<GrantId>>,
+}
+
+impl Batch {
+    /// Notes which grants its seals close in a ledger.
+    ///
+    /// It must be asked before the batch is applied: a grant of which nothing is left is closed
+    /// by the seal and is not in the ledger afterwards. Its witness would not remember it, and
+    /// would accept the records of a holder that wakes up late and spends it again.
+    fn note_sealing(&mut self, ledger: &Ledger, identity: &Identity) {
+        for op in &self.ops {
+            let LedgerOp::Seal {
+                holder,
+                incarnation,
+                ..
+            } = op
+            else {
+                continue;
+            };
+            let closing = ledger
+                .grants
+                .iter()
+                .filter(|(_, grant)| &grant.holder == holder && grant.incarnation == *incarnation)
+                .filter(|(_, grant)| grant.is_witnessed_by(identity))
+                .map(|(id, _)| id.clone());
+            self.sealing
+                .entry((holder.clone(), *incarnation))
+                .or_default()
+                .extend(closing);
+        }
+    }
 }
 
 impl Holder {
@@ -67,6 +99,7 @@
             is_called: false,
             candidate: None,
             refused: Vec::new(),
+            sealing: BTreeMap::new(),
         });
         if self.view.is_some() {
             self.write(now, fx);
@@ -110,6 +143,47 @@
         self.drop_empty_holdings();
     }
 
+    /// Changes grants whose witnesses are gone for new ones.
+    ///
+    /// A grant can only be closed by all of its witnesses. Without this, those of an instance
+    /// that has been up for long would strand with it, since its witnesses were restarted since.
+    /// And a grant from the first moments, when few peers were known, has few witnesses; none of
+    /// them may be on its side of a cut.
+    pub(super) fn renew_due(&mut self, now: Duration) {
+        if self.wants_renewal_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.wants_renewal_at = None;
+        // What is being changed cannot be spent. So it is left as it is while the store is down.
+        let is_store_well = self.retry_at.is_none() && self.batch.is_none();
+        if !is_store_well || !self.waiters.is_empty() || self.is_stopping {
+            self.wants_renewal_at = (!self.is_stopping).then(|| now + super::RENEW_AFTER);
+            return;
+        }
+        self.next_flush_at = now;
+        let stale: Vec<(GrantId, u64)> = self
+            .holdings
+            .iter()
+            .filter(|(_, holding)| holding.free_tokens > 0)
+            .filter(|(_, holding)| self.is_stale(holding))
+            .map(|(grant, holding)| (grant.clone(), holding.free_tokens))
+            .collect();
+        for (grant, tokens) in stale {
+            if let Some(holding) = self.holdings.get_mut(&grant) {
+                holding.free_tokens = 0;
+            }
+            let number = self.next_number();
+            self.pending.push(LedgerOp::Return { grant, tokens });
+            self.pending.push(LedgerOp::Grant {
+                grant: self.identity.unique("grant", number),
+                need_tokens: tokens,
+                want_tokens: tokens,
+                witnesses: self.witnesses.clone(),
+            });
+        }
+        self.drop_empty_holdings();
+    }
+
     fn read(&mut self, fx: &mut Vec<HolderEffect>) {
         if let Some(batch) = &mut self.batch {
             batch.is_called = true;
@@ -122,6 +196,7 @@
         let (Some(batch), Some((version, ledger))) = (&mut self.batch, &self.view) else {
             return;
         };
+        batch.note_sealing(ledger, &self.identity);
         let mut candidate = ledger.clone();
         batch.refused = candidate.apply(
             &self.identity,
@@ -275,7 +350,11 @@
                     holder,
                     incarnation,
                     ..
-                } => self.seal_committed(holder, *incarnation, fx),
+                } => {
+                    let life = (holder.clone(), *incarnation);
+                    let grants = batch.sealing.get(&life).cloned().unwrap_or_default();
+                    self.seal_committed(life, grants, fx);
+                }
                 LedgerOp::Unwitness { grant } => self.unwitness_committed(grant),
                 LedgerOp::Adopt(adoption) => {
                     if let Some(holding) = self.holdings.get_mut(&adoption.transfer) {
@@ -333,7 +412,7 @@
             id.clone(),
             Holding {
                 free_tokens: grant.outstanding_tokens(),
-                witnesses: grant.witnesses.keys().cloned().collect(),
+                witnesses: grant.witnesses.clone(),
                 origins: Vec::new(),
             },
         );
@@ -354,31 +433,21 @@
     }
 
     fn seal_committed(
-        &mut self,
-        holder: &InstanceId,
-        incarnation: Incarnation,
+        &self,
+        (holder, incarnation): (InstanceId, Incarnation),
+        grants: BTreeSet<GrantId>,
         fx: &mut Vec<HolderEffect>,
     ) {
-        let Some((_, ledger)) = &self.view else {
-            return;
-        };
-        let grants = ledger
-            .grants
-            .iter()
-            .filter(|(_, grant)| &grant.holder == holder && grant.incarnation == incarnation)
-            .filter(|(_, grant)| grant.sealed_by.contains(&self.identity.instance))
-            .map(|(id, _)| id.clone())
-            .collect();
-        fx.push(HolderEffect::Sealed {
-            holder: holder.clone(),
-            incarnation,
-            grants,
-        });
         Self::log(
             fx,
             EventCode::GrantSealed,
-            &[("budget", &self.budget), ("holder", holder)],
+            &[("budget", &self.budget), ("holder", &holder)],
         );
+        fx.push(HolderEffect::Sealed {
+            holder,
+            incarnation,
+            grants,
+        });
     }
 
     fn unwitness_committed(&mut self, id: &GrantId) {
--- a/crates/damaskstile-budgets/src/holder/transfer.rs
+++ b/crates/damaskstile-budgets/src/holder/transfer.rs
@@ -13,8 +13,12 @@
 const ASKED_MAX: usize = 16;
 /// Questions that a round asks at most before it ends.
 const WAVES_MAX: u32 = 4;
-/// Questions without an answer that are remembered, so that a late gift is still taken.
-const OPEN_ASKS_MAX: usize = 4096;
+/// Grants that one question is answered out of at most.
+const PIECES_MAX: usize = 8;
+/// Pause before peers that had nothing to give are asked once more.
+const LAST_TRY_AFTER: Duration = Duration::from_millis(8);
+/// Gifts that are remembered, so that none is taken twice.
+const TAKEN_MAX: usize = 4096;
 /// Time between two sendings of a gift that was not confirmed.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an unconfirmed gift is not sent again.
@@ -29,6 +33,10 @@
     wave: u32,
     got_tokens: u64,
     is_unanswered: bool,
+    /// Whether the pause before the last question is on.
+    is_pausing: bool,
+    /// Whether the last question was put, or will be after the pause.
+    is_last_try: bool,
 }
 
 /// `OpenGive` is a gift that its taker has not confirmed.
@@ -51,6 +59,8 @@
             wave: 0,
             got_tokens: 0,
             is_unanswered: false,
+            is_pausing: false,
+            is_last_try: false,
         });
         self.ask_peers(now, fx);
     }
@@ -63,7 +73,6 @@
         let number = self.next_number();
         let ask = self.identity.incarnation.wrapping_add(number);
         for peer in &asked {
-            self.open_asks.insert((ask, peer.clone()));
             fx.push(HolderEffect::Send {
                 to: peer.clone(),
                 message: PeerMessage::Ask(AskTokens {
@@ -73,9 +82,6 @@
                 }),
             });
         }
-        while self.open_asks.len() > OPEN_ASKS_MAX {
-            self.open_asks.pop_first();
-        }
         if let Some(round) = &mut self.round {
             round.until = now + self.options.ask_patience;
             round.open = asked;
@@ -104,43 +110,82 @@
         ask: &AskTokens,
         fx: &mut Vec<HolderEffect>,
     ) {
-        let largest = self
+        // Two instances that both lack tokens would each keep the half that the other needs. So
+        // of the two, the one whose name comes first gets them.
+        let is_needed_here = !self.waiters.is_empty() && self.identity.instance < *from;
+        let pieces = if is_needed_here || self.is_stopping {
+            Vec::new()
+        } else {
+            self.pieces(ask.tokens)
+        };
+        if pieces.is_empty() {
+            self.give_none(from, ask.ask, fx);
+        }
+        for draw in pieces {
+            self.give(now, from, ask.ask, draw, fx);
+        }
+    }
+
+    /// Chooses what to give, the largest rests first.
+    fn pieces(&self, wanted_tokens: u64) -> Vec<Draw> {
+        let mut rests: Vec<(u64, &GrantId)> = self
             .holdings
             .iter()
-            .max_by_key(|(_, holding)| holding.free_tokens)
-            .map(|(grant, holding)| (grant.clone(), holding.free_tokens));
-        let (grant, free_tokens) = largest.unwrap_or_default();
-        let tokens = free_tokens.min(ask.tokens);
-        let is_lacking = !self.waiters.is_empty();
-        if tokens == 0 || is_lacking || self.is_stopping {
-            fx.push(HolderEffect::Send {
-                to: from.clone(),
-                message: PeerMessage::Give(GiveTokens {
-                    ask: ask.ask,
-                    budget: self.budget.clone(),
-                    ..GiveTokens::default()
-                }),
-            });
-            return;
+            .map(|(grant, holding)| (holding.free_tokens, grant))
+            .filter(|(free, _)| *free > 0)
+            .collect();
+        rests.sort_by_key(|(free, _)| std::cmp::Reverse(*free));
+        let mut left_tokens = wanted_tokens;
+        let mut pieces = Vec::new();
+        for (free, grant) in rests.into_iter().take(PIECES_MAX) {
+            let tokens = free.min(left_tokens);
+            left_tokens -= tokens;
+            if tokens > 0 {
+                pieces.push(Draw {
+                    grant: grant.clone(),
+                    tokens,
+                });
+            }
         }
+        pieces
+    }
+
+    fn give_none(&self, to: &InstanceId, ask: u64, fx: &mut Vec<HolderEffect>) {
+        fx.push(HolderEffect::Send {
+            to: to.clone(),
+            message: PeerMessage::Give(GiveTokens {
+                ask,
+                budget: self.budget.clone(),
+                ..GiveTokens::default()
+            }),
+        });
+    }
 
+    fn give(
+        &mut self,
+        now: Duration,
+        to: &InstanceId,
+        ask: u64,
+        draw: Draw,
+        fx: &mut Vec<HolderEffect>,
+    ) {
         // The tokens are given up before any word of them is sent. If the word is lost they are
         // stranded until it is sent again; they can never be spent twice.
         let mut origins = Vec::new();
-        if let Some(holding) = self.holdings.get_mut(&grant) {
-            holding.free_tokens -= tokens;
+        if let Some(holding) = self.holdings.get_mut(&draw.grant) {
+            holding.free_tokens -= draw.tokens;
             origins.clone_from(&holding.origins);
         }
         let number = self.next_number();
         let transfer = self
             .identity
             .unique(&format!("give-{}", self.budget), number);
-        let plan = self.plan(Draw { grant, tokens });
+        let plan = self.plan(draw);
         self.open_gives.insert(
             transfer.clone(),
             OpenGive {
-                to: from.clone(),
-                ask: ask.ask,
+                to: to.clone(),
+                ask,
                 plan: plan.clone(),
                 origins,
                 resend_at: None,
@@ -166,14 +211,7 @@
             return;
         };
         self.put_back(&give.plan.draw.grant, give.plan.draw.tokens);
-        fx.push(HolderEffect::Send {
-            to: give.to,
-            message: PeerMessage::Give(GiveTokens {
-                ask: give.ask,
-                budget: self.budget.clone(),
-                ..GiveTokens::default()
-            }),
-        });
+        self.give_none(&give.to, give.ask, fx);
     }
 
     pub(super) fn resend_gives(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
@@ -201,16 +239,17 @@
         give: &GiveTokens,
         fx: &mut Vec<HolderEffect>,
     ) {
-        // Each question takes one gift of each peer, so a gift that comes twice counts once.
-        let is_new = self.open_asks.remove(&(give.ask, from.clone()));
-        if give.tokens > 0 {
+        let is_asked = self.is_own_ask(give.ask);
+        if give.tokens > 0 && is_asked {
             self.confirm(from, give, fx);
-        }
-        if !is_new {
-            return;
-        }
-        if give.tokens > 0 {
-            self.adopt(from, give, fx);
+            // A gift may come twice. Its transfer is taken once.
+            if self
+                .taken
+                .insert((self.ask_number(give.ask), give.transfer.clone()))
+            {
+                self.adopt(from, give, fx);
+            }
+            self.forget_old_asks();
         }
         if let Some(round) = &mut self.round
             && round.ask == give.ask
@@ -223,12 +262,28 @@
         self.flush_due(now, fx);
     }
 
-    fn confirm(&self, from: &InstanceId, give: &GiveTokens, fx: &mut Vec<HolderEffect>) {
-        // A question of an earlier incarnation is not ours to confirm.
-        let number = give.ask.wrapping_sub(self.identity.incarnation);
-        if number == 0 || number > self.next_number {
-            return;
+    /// Tells whether a question is of this incarnation. A gift to an earlier one is not taken:
+    /// its tokens may have been spent by that one.
+    fn is_own_ask(&self, ask: u64) -> bool {
+        let number = self.ask_number(ask);
+        number > self.first_number && number <= self.next_number && number >= self.oldest_ask
+    }
+
+    fn ask_number(&self, ask: u64) -> u64 {
+        ask.wrapping_sub(self.identity.incarnation)
+    }
+
+    /// Bounds what is remembered. A gift for a question that is forgotten is refused, since it
+    /// might have been taken before; its tokens stay with the giver's grant.
+    fn forget_old_asks(&mut self) {
+        while self.taken.len() > TAKEN_MAX {
+            if let Some((number, _)) = self.taken.pop_first() {
+                self.oldest_ask = number + 1;
+            }
         }
+    }
+
+    fn confirm(&self, from: &InstanceId, give: &GiveTokens, fx: &mut Vec<HolderEffect>) {
         fx.push(HolderEffect::Send {
             to: from.clone(),
             message: PeerMessage::Take(TakeTokens {
@@ -255,7 +310,7 @@
             give.transfer.clone(),
             Holding {
                 free_tokens: give.tokens,
-                witnesses: BTreeSet::new(),
+                witnesses: BTreeMap::new(),
                 origins,
             },
         );
@@ -280,8 +335,15 @@
         let Some(round) = &mut self.round else {
             return;
         };
-        let is_answered = round.open.is_empty();
         let is_late = now >= round.until;
+        if round.is_pausing && missing_tokens > 0 {
+            if is_late {
+                round.is_pausing = false;
+                self.ask_peers(now, fx);
+            }
+            return;
+        }
+        let is_answered = round.open.is_empty();
         if !is_answered && !is_late && missing_tokens > 0 {
             return;
         }
@@ -293,6 +355,17 @@
             self.ask_peers(now, fx);
             return;
         }
+        // A peer that lacked tokens itself may have given up by now what it had gathered.
+        if missing_tokens > 0 && !round.is_last_try {
+            round.is_last_try = true;
+            if is_late {
+                self.ask_peers(now, fx);
+            } else {
+                round.until = now + LAST_TRY_AFTER;
+                round.is_pausing = true;
+            }
+            return;
+        }
         let stage = if round.is_unanswered || self.has_silent_peers {
             Stage::Unreachable
         } else {
--- a/crates/damaskstile-fleet/src/membership.rs
+++ b/crates/damaskstile-fleet/src/membership.rs
@@ -15,6 +15,8 @@
     pub members_per_message: usize,
     /// Silence after which a peer counts as gone.
     pub silent_after: Duration,
+    /// Witnesses of a grant in the own data centre, and as many in others.
+    pub witnesses_each: usize,
     /// Instances of each data centre that watch the settings.
     pub watchers_per_data_centre: usize,
 }
@@ -26,6 +28,7 @@
             fanout: 3,
             members_per_message: 8,
             silent_after: Duration::from_secs(5),
+            witnesses_each: 2,
             watchers_per_data_centre: 2,
         }
     }
@@ -197,28 +200,30 @@
             .map_or(0, |member| member.state.settings_version)
     }
 
-    /// Chooses the witnesses of new grants: one near, one in another data centre.
+    /// Chooses the witnesses of new grants: some near, some in other data centres.
     ///
-    /// The near one still answers when data centres are cut from one another. The far one still
-    /// knows when the whole data centre is lost.
+    /// Near ones still answer when data centres are cut from one another. Far ones still know
+    /// when the whole data centre is lost. One answer is enough to spend, so more of them make it
+    /// likelier that a side of a cut has one; all must agree before a grant is closed.
     #[must_use]
     pub fn witnesses(&self) -> BTreeMap<InstanceId, Incarnation> {
-        let is_near = |state: &&MemberState| state.data_centre == self.own.data_centre;
-        let near = self.closest(|state| is_near(&state));
-        let far = self.closest(|state| !is_near(&state));
-        near.into_iter()
-            .chain(far)
-            .map(|state| (state.instance.clone(), state.incarnation))
-            .collect()
-    }
-
-    fn closest(&self, is_fit: impl Fn(&MemberState) -> bool) -> Option<&MemberState> {
-        self.live()
-            .filter(|state| !state.is_stopping && is_fit(state))
+        let mut fit: Vec<&MemberState> = self
+            .live()
+            .filter(|state| !state.is_stopping)
             // A member that is only known from the own settings has no incarnation yet. A grant
             // that names it could never be closed, since the member would not know itself in it.
             .filter(|state| state.incarnation != 0)
-            .min_by_key(|state| stable_hash(&[&self.own.instance, &state.instance]))
+            .collect();
+        fit.sort_by_key(|state| stable_hash(&[&self.own.instance, &state.instance]));
+        let (near, far): (Vec<_>, Vec<_>) = fit
+            .into_iter()
+            .partition(|state| state.data_centre == self.own.data_centre);
+        let each = self.options.witnesses_each;
+        near.into_iter()
+            .take(each)
+            .chain(far.into_iter().take(each))
+            .map(|state| (state.instance.clone(), state.incarnation))
+            .collect()
     }
 
     /// Tells whether this instance is one of those that watch the settings.
--- /dev/null
+++ b/crates/damaskstile-measure/src/budgets.rs
@@ -0,0 +1,340 @@
+//! `budgets` compares policies for the last tokens of a budget, with and without faults.
+
+use std::time::Duration;
+
+use anyhow::bail;
+use clap::Args;
+use damaskstile::budgets::PolicyKind;
+use damaskstile::core::prelude::*;
+use damaskstile_fakes::world::Work;
+use damaskstile_fakes::{World, WorldOptions, options};
+
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+/// Time before the first request, in which instances find one another.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time after the last request, in which everything is accounted for.
+const COOL_DOWN: Duration = Duration::from_mins(1);
+
+/// What to compare.
+#[derive(Debug, Clone, Args)]
+pub struct BudgetsArgs {
+    /// Seed of the workloads.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Requests of each row.
+    #[arg(long, default_value_t = 2000)]
+    requests: u64,
+    /// Budget, in percent of what all requests together will cost.
+    #[arg(long, default_value_t = 110)]
+    budget_percent: u64,
+}
+
+/// `Deployment` is the shape of a fleet and its work.
+#[derive(Debug, Clone, Copy)]
+struct Deployment {
+    name: &'static str,
+    data_centres: usize,
+    far_delay: Duration,
+    prompt_tokens: u64,
+    cap_tokens: u64,
+    /// Share of the requests that go to the busiest instance, in percent.
+    skew_percent: u64,
+}
+
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        name: "lindsay",
+        data_centres: 3,
+        far_delay: Duration::from_micros(500),
+        prompt_tokens: 600,
+        cap_tokens: 400,
+        skew_percent: 40,
+    },
+    Deployment {
+        name: "hengyu",
+        data_centres: 4,
+        far_delay: Duration::from_micros(1500),
+        prompt_tokens: 200,
+        cap_tokens: 800,
+        skew_percent: 60,
+    },
+];
+
+/// `Fault` is what goes wrong while requests come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Partition,
+    Outage,
+    Deaths,
+    Restarts,
+}
+
+impl Fault {
+    const ALL: [Self; 5] = [
+        Self::None,
+        Self::Partition,
+        Self::Outage,
+        Self::Deaths,
+        Self::Restarts,
+    ];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Partition => "partition",
+            Self::Outage => "store_outage",
+            Self::Deaths => "deaths",
+            Self::Restarts => "restarts",
+        }
+    }
+}
+
+/// `Request` is one request of a workload, the same for every policy.
+#[derive(Debug, Clone)]
+struct Request {
+    instance: usize,
+    output_tokens: u64,
+}
+
+/// Prints the table.
+pub fn run(args: &BudgetsArgs) -> anyhow::Result<()> {
+    if args.requests == 0 || args.budget_percent == 0 {
+        bail!("--requests and --budget-percent: found 0, expected 1 or more");
+    }
+    println!(
+        "deployment\tpolicy\tfault\trequests\tanswered\toverspend_tokens\tfalse_refusals\t\
+         reachable_false_refusals\tstranded_tokens\tstore_writes_per_s\tadded_latency_us"
+    );
+    for deployment in DEPLOYMENTS {
+        let work = workload(args, deployment);
+        for policy in PolicyKind::ALL {
+            for fault in Fault::ALL {
+                println!("{}", row(args, deployment, policy, fault, &work));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn workload(args: &BudgetsArgs, deployment: Deployment) -> Vec<Request> {
+    let mut random = Random::new(args.seed);
+    (0..args.requests)
+        .map(|_| {
+            let is_busiest = random.below(100) < deployment.skew_percent;
+            let other = 1 + random.index(INSTANCES - 1);
+            Request {
+                instance: if is_busiest { 0 } else { other },
+                output_tokens: 1 + random.below(deployment.cap_tokens),
+            }
+        })
+        .collect()
+}
+
+/// Instances of either deployment.
+const INSTANCES: usize = 9;
+
+fn row(
+    args: &BudgetsArgs,
+    deployment: Deployment,
+    policy: PolicyKind,
+    fault: Fault,
+    work: &[Request],
+) -> String {
+    let cost: u64 = work
+        .iter()
+        .map(|request| deployment.prompt_tokens + request.output_tokens)
+        .sum();
+    let budget = cost * args.budget_percent / 100;
+    let mut world = world(args, deployment, policy, budget);
+    world.run_for(WARM_UP);
+    let started_at = world.now;
+    let writes_before = world.store.writes;
+    let clock = FaultClock::new(fault, work.len());
+    for (number, request) in work.iter().enumerate() {
+        clock.step(&mut world, number);
+        let instance = FaultClock::entry(&world, request.instance);
+        let chat = Work {
+            is_streamed: false,
+            ..Work::chat(
+                deployment.prompt_tokens,
+                deployment.cap_tokens,
+                request.output_tokens,
+            )
+        };
+        world.request(&instance, &chat);
+        world.run_for(REQUEST_INTERVAL);
+    }
+    let took = world.now.saturating_sub(started_at);
+    let writes = world.store.writes - writes_before;
+    FaultClock::end(&mut world);
+    world.run_for(COOL_DOWN);
+    let figures = Figures::of(&world, writes, took);
+    format!(
+        "{}\t{}\t{}\t{}",
+        deployment.name,
+        policy.as_str(),
+        fault.as_str(),
+        figures.columns(work.len())
+    )
+}
+
+fn world(args: &BudgetsArgs, deployment: Deployment, policy: PolicyKind, budget: u64) -> World {
+    let values = format!("[fleet]\nbudget_policy = \"{}\"\n", policy.as_str());
+    let settings = values + &options::settings(&format!("instances = {INSTANCES}"));
+    let options = WorldOptions {
+        seed: args.seed,
+        data_centres: deployment.data_centres,
+        instances: INSTANCES,
+        targets: 10,
+        far_delay: deployment.far_delay,
+        pace: Duration::from_millis(50),
+        settings,
+        ..WorldOptions::default()
+    };
+    World::new(options, budget)
+}
+
+fn name(number: usize) -> String {
+    format!("i{number:03}")
+}
+
+/// `FaultClock` brings faults about at set points of the workload.
+#[derive(Debug)]
+struct FaultClock {
+    fault: Fault,
+    requests: usize,
+}
+
+impl FaultClock {
+    fn new(fault: Fault, requests: usize) -> Self {
+        Self { fault, requests }
+    }
+
+    /// Does what is due before a request.
+    fn step(&self, world: &mut World, number: usize) {
+        let is_at = |percent: usize| number == self.requests * percent / 100;
+        match self.fault {
+            Fault::Partition if is_at(30) => {
+                // Half of the instances, the busiest among them, lose the others and the store.
+                world.network.island = (0..INSTANCES / 2).map(name).collect();
+            }
+            Fault::Outage if is_at(30) => world.store.is_out = true,
+            Fault::Outage if is_at(80) => world.store.is_out = false,
+            Fault::Deaths => {
+                for (percent, one) in [(20, 0), (40, 3), (60, 5)] {
+                    if is_at(percent) {
+                        world.kill(&name(one));
+                    }
+                    if is_at(percent + 10) {
+                        world.start(&name(one));
+                    }
+                }
+            }
+            Fault::Restarts => {
+                for one in 0..INSTANCES {
+                    if is_at(5 + one * 10) {
+                        world.stop(&name(one));
+                    }
+                    let has_stopped = world.instance(&name(one)).is_none();
+                    if has_stopped {
+                        world.start(&name(one));
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the instance that the balancer sends to: the usual one, or the next that is ready.
+    fn entry(world: &World, usual: usize) -> String {
+        let is_ready = |one: &usize| {
+            world
+                .instance(&name(*one))
+                .is_some_and(damaskstile::Instance::is_ready)
+        };
+        let chosen = (0..INSTANCES)
+            .map(|offset| (usual + offset) % INSTANCES)
+            .find(is_ready);
+        name(chosen.unwrap_or(usual))
+    }
+
+    fn end(world: &mut World) {
+        world.network = damaskstile_fakes::Network::default();
+        world.store.is_out = false;
+    }
+}
+
+/// `Figures` are the columns of a row.
+#[derive(Debug)]
+struct Figures {
+    answered: usize,
+    overspend_tokens: u64,
+    false_refusals: usize,
+    reachable_false_refusals: usize,
+    stranded_tokens: u64,
+    store_writes_per_s: f64,
+    added_latency_us: u128,
+}
+
+impl Figures {
+    #[expect(clippy::cast_precision_loss, reason = "a rate for a person to read")]
+    fn of(world: &World, writes: u64, took: Duration) -> Self {
+        let answers = world.answers.values();
+        let is_answered =
+            |outcome: &Option<Outcome>| outcome.as_ref().is_some_and(Outcome::is_answered);
+        let waits: Vec<u128> = answers
+            .clone()
+            .filter(|answered| is_answered(&answered.outcome))
+            .filter_map(|answered| {
+                let sent_at = answered.sent_at?;
+                Some(sent_at.saturating_sub(answered.called_at).as_micros())
+            })
+            .collect();
+        let ledger = world.store.ledger("office");
+        Self {
+            answered: waits.len(),
+            overspend_tokens: world
+                .targets
+                .ran("office")
+                .saturating_sub(ledger.topped_up_tokens),
+            false_refusals: answers
+                .clone()
+                .filter(|answered| answered.verdict.is_false)
+                .count(),
+            reachable_false_refusals: answers
+                .filter(|answered| answered.verdict.is_reachable_false)
+                .count(),
+            stranded_tokens: stranded(world),
+            store_writes_per_s: writes as f64 / took.as_secs_f64(),
+            added_latency_us: waits.iter().sum::<u128>() / (waits.len().max(1) as u128),
+        }
+    }
+
+    fn columns(&self, requests: usize) -> String {
+        format!(
+            "{requests}\t{}\t{}\t{}\t{}\t{}\t{:.1}\t{}",
+            self.answered,
+            self.overspend_tokens,
+            self.false_refusals,
+            self.reachable_false_refusals,
+            self.stranded_tokens,
+            self.store_writes_per_s,
+            self.added_latency_us
+        )
+    }
+}
+
+/// Returns the tokens that stand out in the ledger and that no live instance can use.
+fn stranded(world: &World) -> u64 {
+    let usable: u64 = world
+        .live_instances()
+        .map(|(_, instance)| instance.free_tokens("office") + instance.reserved_tokens("office"))
+        .sum();
+    world
+        .store
+        .ledger("office")
+        .outstanding_tokens()
+        .saturating_sub(usable)
+}
--- a/crates/damaskstile/src/instance/fleet.rs
+++ b/crates/damaskstile/src/instance/fleet.rs
@@ -1,5 +1,6 @@
 //! `fleet` joins an instance to the others: members, settings, targets, silent holders.
 
+use damaskstile_budgets::holder::Peers;
 use damaskstile_core::peer::{Gossip, PullSettings, SettingsUpdate, TargetNote};
 use damaskstile_core::prelude::*;
 use damaskstile_fleet::settings::{SETTINGS_KEY, StoredSettings};
@@ -25,7 +26,9 @@
         self.membership.hear_directly(self.now, from, incarnation);
         match message {
             PeerMessage::Record(record) => self.on_record(from, incarnation, record, effects),
-            PeerMessage::RecordAck(ack) => self.on_record_ack(from, &ack, effects),
+            PeerMessage::RecordAck(ack) => {
+                self.on_record_ack(from, incarnation, &ack, effects);
+            }
             PeerMessage::Forget(forget) => {
                 self.keeper
                     .forget(&(from.clone(), incarnation), &forget.runs);
@@ -125,9 +128,14 @@
 
     /// Takes the consequences of a change of who lives.
     pub(super) fn members_changed(&mut self, effects: &mut Effects) {
-        let (peers, witnesses, has_silent) = self.peers_for_budgets();
-        for holder in self.holders.values_mut() {
-            holder.set_peers(peers.clone(), witnesses.clone(), has_silent);
+        let peers = self.peers_for_budgets();
+        let mut wakes = Vec::new();
+        for (budget, holder) in &mut self.holders {
+            holder.set_peers(self.now, &peers);
+            wakes.push((budget.clone(), holder.next_wake()));
+        }
+        for (budget, wake) in wakes {
+            self.set_timer_at(wake, Timer::Holder(budget));
         }
         self.hand_records_on(effects);
         let is_watching = self.membership.is_watcher() && self.stop_at.is_none();
@@ -137,14 +145,8 @@
         }
     }
 
-    pub(super) fn peers_for_budgets(
-        &self,
-    ) -> (
-        BTreeSet<InstanceId>,
-        BTreeMap<InstanceId, Incarnation>,
-        bool,
-    ) {
-        let peers = self
+    pub(super) fn peers_for_budgets(&self) -> Peers {
+        let askable = self
             .membership
             .live()
             .filter(|state| !state.is_stopping)
@@ -154,7 +156,11 @@
             .membership
             .all()
             .any(|(state, is_silent)| is_silent && !state.is_stopping);
-        (peers, self.membership.witnesses(), has_silent)
+        Peers {
+            askable,
+            witnesses: self.membership.witnesses(),
+            has_silent,
+        }
     }
 
     /// Closes the grants of holders that have been silent for long.
--- a/crates/damaskstile/src/instance/money.rs
+++ b/crates/damaskstile/src/instance/money.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub(super) struct PendingGive {
     budget: BudgetId,
-    witnesses: BTreeSet<InstanceId>,
+    witnesses: BTreeMap<InstanceId, Incarnation>,
 }
 
 impl Instance {
@@ -54,8 +54,7 @@
             .map(|(name, _)| name.clone());
         let options = self.budget_options(&account.unwrap_or_default(), "");
         let mut holder = Holder::new(budget, &self.options.identity, options, self.now);
-        let (peers, witnesses, has_silent) = self.peers_for_budgets();
-        holder.set_peers(peers, witnesses, has_silent);
+        holder.set_peers(self.now, &self.peers_for_budgets());
         if self.stop_at.is_some_and(|at| self.now >= at) {
             holder.stop(self.now);
         }
@@ -198,7 +197,11 @@
         // nothing waits for that.
         let witnesses: BTreeSet<InstanceId> = if is_awaited {
             request.step = Step::Recording;
-            request.awaited.values().flatten().cloned().collect()
+            request
+                .awaited
+                .values()
+                .flat_map(|witnesses| witnesses.keys().cloned())
+                .collect()
         } else {
             self.membership.witnesses().into_keys().collect()
         };
@@ -242,11 +245,12 @@
     pub(super) fn on_record_ack(
         &mut self,
         from: &InstanceId,
+        incarnation: Incarnation,
         ack: &RecordAck,
         effects: &mut Effects,
     ) {
         if self.gives.contains_key(&ack.run) {
-            self.on_give_recorded(from, ack, effects);
+            self.on_give_recorded(from, incarnation, ack, effects);
             return;
         }
         let Some(number) = self.by_run.get(&ack.run).copied() else {
@@ -258,16 +262,19 @@
         if request.step != Step::Recording {
             return;
         }
+        // Only the incarnation that the grant names may accept. One that came after it does not
+        // know whether the grant was closed, and would accept what must be refused.
+        let is_named = |witnesses: &BTreeMap<InstanceId, Incarnation>| {
+            witnesses.get(from) == Some(&incarnation)
+        };
         if ack.is_accepted {
-            request
-                .awaited
-                .retain(|_, witnesses| !witnesses.contains(from));
+            request.awaited.retain(|_, witnesses| !is_named(witnesses));
         } else {
             for witnesses in request.awaited.values_mut() {
                 witnesses.remove(from);
             }
         }
-        let is_refused = request.awaited.values().any(BTreeSet::is_empty);
+        let is_refused = request.awaited.values().any(BTreeMap::is_empty);
         if request.awaited.is_empty() {
             self.send_request(number, effects);
         } else if is_refused {
@@ -443,7 +450,7 @@
             draws: vec![plan.draw.clone()],
             ..RunRecord::default()
         };
-        for witness in &plan.witnesses {
+        for witness in plan.witnesses.keys() {
             effects.push(Effect::Send {
                 to: witness.clone(),
                 message: PeerMessage::Record(record.clone()),
@@ -457,7 +464,13 @@
         self.set_timer(self.options.record_patience, Timer::Give(transfer));
     }
 
-    fn on_give_recorded(&mut self, from: &InstanceId, ack: &RecordAck, effects: &mut Effects) {
+    fn on_give_recorded(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        ack: &RecordAck,
+        effects: &mut Effects,
+    ) {
         let Some(give) = self.gives.get_mut(&ack.run) else {
             return;
         };
@@ -468,6 +481,9 @@
             }
             return;
         }
+        if give.witnesses.get(from) != Some(&incarnation) {
+            return;
+        }
         if let Some(give) = self.gives.remove(&ack.run) {
             let transfer = ack.run.clone();
             self.with_holder(&give.budget, effects, |holder, now, fx| {
@@ -484,7 +500,7 @@
             holder.cancel_give(transfer, fx);
             holder.tick(now, fx);
         });
-        for witness in give.witnesses {
+        for witness in give.witnesses.into_keys() {
             effects.push(Effect::Send {
                 to: witness,
                 message: PeerMessage::Forget(ForgetRuns {
@@ -523,7 +539,7 @@
 }
 
 /// Returns the grants of a reservation that need a record, with their witnesses.
-fn awaited(plans: &[DrawPlan]) -> BTreeMap<GrantId, BTreeSet<InstanceId>> {
+fn awaited(plans: &[DrawPlan]) -> BTreeMap<GrantId, BTreeMap<InstanceId, Incarnation>> {
     plans
         .iter()
         .filter(|plan| !plan.witnesses.is_empty())
--- a/crates/damaskstile/src/instance/request.rs
+++ b/crates/damaskstile/src/instance/request.rs
@@ -65,7 +65,7 @@
     pub target: Option<(TargetId, String)>,
     pub sent_at: Duration,
     /// Grants whose witnesses have not accepted the record, with those that still may.
-    pub awaited: BTreeMap<GrantId, BTreeSet<InstanceId>>,
+    pub awaited: BTreeMap<GrantId, BTreeMap<InstanceId, Incarnation>>,
     /// Whether a run of it has begun, so that it can no longer be refused as not run.
     pub has_begun: bool,
     pub answer: Assembly,
