--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -20,7 +20,7 @@
 use transfer::{AskRound, OpenGive};
 
 /// Time between the loss of a witness and the change of its grants for new ones.
-const RENEW_AFTER: Duration = Duration::from_secs(2);
+const RENEW_AFTER: Duration = Duration::from_millis(500);
 
 /// `Reserve` is the answer to a request for tokens.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/damaskstile-budgets/src/policy.rs
+++ b/crates/damaskstile-budgets/src/policy.rs
@@ -16,9 +16,9 @@
     /// Grants follow the rate of spending and shrink as the budget runs low.
     Adaptive,
     /// As `Adaptive`, and holders hand tokens to peers that lack them.
-    #[default]
     Transfers,
     /// Each instance holds a share of what is free even when idle; holders hand over tokens.
+    #[default]
     SpreadTransfers,
 }
 
--- a/crates/damaskstile-fleet/src/membership.rs
+++ b/crates/damaskstile-fleet/src/membership.rs
@@ -28,7 +28,7 @@
             fanout: 3,
             members_per_message: 8,
             silent_after: Duration::from_secs(5),
-            witnesses_each: 2,
+            witnesses_each: 4,
             watchers_per_data_centre: 2,
         }
     }
--- a/crates/damaskstile-fleet/src/settings/effective.rs
+++ b/crates/damaskstile-fleet/src/settings/effective.rs
@@ -90,7 +90,7 @@
         priority: Priority::Normal,
         max_in_flight_requests: 256,
         prompt_token_bytes: 1,
-        budget_policy: "transfers".to_owned(),
+        budget_policy: "spread_transfers".to_owned(),
         open_percent: 50,
         levels: BTreeMap::new(),
     }
