--- /dev/null
+++ b/crates/damaskstiled/tests/fleet.rs
@@ -0,0 +1,239 @@
+//! End-to-end tests: real processes are killed, paused and stopped while callers go on calling.
+
+mod support;
+
+use std::time::Duration;
+
+use damaskstile_standins::target::Faults;
+use rustix::process::Signal;
+use support::{Answer, Fleet, key};
+
+const NAMES: [&str; 3] = ["one", "two", "three"];
+
+/// Sends completions to the named instances in turn, 15 ms apart, and waits for all answers.
+async fn load(fleet: &Fleet, names: &[&str], first: u64, count: u64) -> Vec<(String, Answer)> {
+    let mut calls = Vec::new();
+    for number in 0..count {
+        let name = names[usize::try_from(number).unwrap_or(0) % names.len()];
+        let key = key(first + number);
+        let answer = fleet.chat(name, &key, 10);
+        calls.push(tokio::spawn(async move { (key, answer.await) }));
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await.expect("call"));
+    }
+    answers
+}
+
+fn answered(answers: &[(String, Answer)]) -> Vec<String> {
+    answers
+        .iter()
+        .filter(|(_, answer)| answer.is_answered())
+        .map(|(key, _)| key.clone())
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_instance_leaves_every_answer_billed_once() {
+    // Symptom: an answer without a bill, or a bill that stands twice, after an instance died.
+    // Sequence: an instance answers, is killed before it has stored its bills, and comes back.
+    // Cause looked for: bills that are kept in one process only.
+
+    // Arrange
+    let mut fleet = Fleet::start("kill", &NAMES, 200_000).await;
+
+    // Act
+    let mut answers = load(&fleet, &NAMES, 0, 30).await;
+    fleet.signal("one", Signal::KILL);
+    fleet.wait_ended("one").await;
+    answers.extend(load(&fleet, &["two", "three"], 100, 30).await);
+    fleet.restart("one").await;
+    answers.extend(load(&fleet, &NAMES, 200, 30).await);
+
+    // Assert
+    let keys = answered(&answers);
+    assert!(keys.len() >= 88, "{} of 90 answered", keys.len());
+    let missing = fleet.wait_billed(&keys, Duration::from_secs(20)).await;
+    assert_eq!(missing, Vec::<String>::new());
+    let mut billed: Vec<String> = fleet
+        .bills()
+        .await
+        .into_iter()
+        .map(|bill| bill.key)
+        .collect();
+    let all = billed.len();
+    billed.sort();
+    billed.dedup();
+    assert_eq!(billed.len(), all, "a request is billed twice");
+    let (_, ran_tokens) = fleet.truth();
+    assert!(ran_tokens <= fleet.ledger().await.committed_tokens());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_instance_spends_nothing_that_was_given_back() {
+    // Symptom: more is run than was topped up.
+    // Sequence: an instance is paused, its witnesses close its grants and the tokens are spent
+    // by others; it wakes up, unaware, and goes on.
+    // Cause looked for: a grant that is taken back by time alone.
+
+    // Arrange: 300 requests of at most about 40 tokens would cost more than there is.
+    let fleet = Fleet::start("pause", &NAMES, 3_000).await;
+
+    // Act
+    let _ = load(&fleet, &NAMES, 0, 12).await;
+    fleet.signal("two", Signal::STOP);
+    let _ = load(&fleet, &["one", "three"], 100, 250).await;
+    fleet.signal("two", Signal::CONT);
+    let late = load(&fleet, &["two"], 500, 60).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    // Assert
+    let (_, ran_tokens) = fleet.truth();
+    let ledger = fleet.ledger().await;
+    assert!(ran_tokens <= ledger.committed_tokens());
+    assert!(ledger.committed_tokens() <= 3_000);
+    let refused = late.iter().filter(|(_, answer)| answer.status == 402);
+    assert!(refused.count() > 0, "the budget should have run out");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_outage_stops_neither_answers_nor_bills() {
+    // Arrange
+    let fleet = Fleet::start("outage", &NAMES, 200_000).await;
+    let mut answers = load(&fleet, &NAMES, 0, 12).await;
+
+    // Act
+    fleet
+        .set_platform_faults(&serde_json::json!({"is_out": true}))
+        .await;
+    answers.extend(load(&fleet, &NAMES, 100, 100).await);
+    fleet
+        .set_platform_faults(&serde_json::json!({"lose_answers": 3}))
+        .await;
+
+    // Assert
+    let keys = answered(&answers);
+    assert_eq!(keys.len(), 112);
+    let missing = fleet.wait_billed(&keys, Duration::from_secs(15)).await;
+    assert_eq!(missing, Vec::<String>::new());
+    let ledger = fleet.ledger().await;
+    assert_eq!(ledger.settled_tokens, fleet.truth().1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rolling_restart_under_load_cuts_off_nothing() {
+    // Symptom: a caller's stream ends early, or a request is refused, while instances are replaced.
+    // Sequence: SIGTERM under load, with answers of 200 ms open; the balancer goes elsewhere.
+    // Cause looked for: an end before the last answer is read, or bills not handed over.
+
+    // Arrange
+    let mut fleet = Fleet::start("rolling", &NAMES, 200_000).await;
+    for target in ["chat-1", "chat-2"] {
+        let faults = Faults {
+            pace_ms: 20,
+            ..Faults::default()
+        };
+        fleet.set_engine_faults(target, faults);
+    }
+    let mut answers = Vec::new();
+
+    // Act
+    for (round, name) in NAMES.into_iter().enumerate() {
+        let others: Vec<&str> = NAMES.into_iter().filter(|other| *other != name).collect();
+        let first = u64::try_from(round).unwrap_or(0) * 100;
+        answers.extend(load_then_stop(&fleet, name, &others, first).await);
+        assert!(fleet.wait_ended(name).await, "{name} did not end well");
+        fleet.restart(name).await;
+    }
+
+    // Assert
+    let keys = answered(&answers);
+    assert_eq!(keys.len(), answers.len(), "{answers:?}");
+    let missing = fleet.wait_billed(&keys, Duration::from_secs(10)).await;
+    assert_eq!(missing, Vec::<String>::new());
+    assert_eq!(fleet.ledger().await.settled_tokens, fleet.truth().1);
+}
+
+/// Stops an instance while it has answers open; new calls go to the others.
+async fn load_then_stop(
+    fleet: &Fleet,
+    name: &str,
+    others: &[&str],
+    first: u64,
+) -> Vec<(String, Answer)> {
+    let mut open = Vec::new();
+    for number in 0..20 {
+        let key = key(first + number);
+        let answer = fleet.chat(name, &key, 10);
+        open.push(tokio::spawn(async move { (key, answer.await) }));
+    }
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    fleet.signal(name, Signal::TERM);
+    let mut answers = load(fleet, others, first + 50, 20).await;
+    for call in open {
+        answers.push(call.await.expect("call"));
+    }
+    answers
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeated_non_idempotent_call_runs_once_on_whichever_instance() {
+    // Arrange
+    let fleet = Fleet::start("publish", &NAMES, 10_000).await;
+    let keys: Vec<String> = (0..10).map(key).collect();
+
+    // Act: every key at all instances at once.
+    let mut calls = Vec::new();
+    for key in &keys {
+        for name in NAMES {
+            calls.push(tokio::spawn(fleet.publish(name, key)));
+        }
+    }
+    let mut answered = 0;
+    for call in calls {
+        let answer = call.await.expect("call");
+        let code = answer.body["code"].as_str().unwrap_or_default().to_owned();
+        if answer.is_answered() {
+            answered += 1;
+        } else {
+            assert!(
+                ["in_progress", "already_ran"].contains(&code.as_str()),
+                "{answer:?}"
+            );
+        }
+    }
+
+    // Assert
+    assert_eq!(answered, keys.len());
+    let (mut ran, _) = fleet.truth();
+    ran.sort();
+    assert_eq!(ran, keys);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accepted_settings_are_in_force_everywhere_soon_and_never_revert() {
+    // Arrange
+    let mut fleet = Fleet::start("settings", &NAMES, 10_000).await;
+
+    // Act
+    let version = fleet.put_settings("max_output_tokens = 7").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    // Assert
+    for name in NAMES {
+        assert_eq!(fleet.status(name).await["settings_version"], version);
+    }
+
+    // Act: the platform is out, and an instance starts with nothing.
+    fleet
+        .set_platform_faults(&serde_json::json!({"is_out": true}))
+        .await;
+    fleet.signal("three", Signal::KILL);
+    fleet.wait_ended("three").await;
+    fleet.restart("three").await;
+
+    // Assert: it has the settings from its peers.
+    assert_eq!(fleet.status("three").await["settings_version"], version);
+}
--- /dev/null
+++ b/crates/damaskstiled/tests/support/mod.rs
@@ -0,0 +1,368 @@
+//! `support` starts a fleet of real processes over stand-ins, and calls it.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use damaskstile::budgets::{Entry, Ledger};
+use damaskstile::core::hex::to_hex;
+use damaskstile::core::prelude::*;
+use damaskstile_http::{Call, Platform, send_whole};
+use damaskstile_standins::target::{Engine, Faults};
+use damaskstile_standins::{platform, serve, target};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+/// Token of the only client account.
+const TOKEN: &str = "test-token";
+/// Time in which an instance must be ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
+/// `Answer` is what a caller has got.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status; 0 where there was no answer.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+}
+
+impl Answer {
+    /// Tells whether the request was answered whole.
+    pub fn is_answered(&self) -> bool {
+        self.status == 200
+    }
+}
+
+struct Process {
+    child: Child,
+    config: PathBuf,
+    callers: String,
+    operators: String,
+}
+
+/// `Fleet` is a fleet of real processes. It ends them when it is dropped.
+pub struct Fleet {
+    /// The platform's address.
+    pub platform: Platform,
+    platform_address: String,
+    engines: BTreeMap<String, Arc<Engine>>,
+    processes: BTreeMap<String, Process>,
+    dir: PathBuf,
+}
+
+fn free_port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .map_or(0, |address| address.port())
+}
+
+impl Fleet {
+    /// Starts a platform, two model targets, a plain one, and the named instances.
+    pub async fn start(test: &str, names: &[&str], budget_tokens: u64) -> Self {
+        let server = serve(
+            "127.0.0.1:0",
+            platform::api().expect("api"),
+            platform::Platform::new(),
+        )
+        .expect("platform");
+        let platform_address = server.local_addr().to_string();
+        tokio::spawn(server);
+        let mut fleet = Self {
+            platform: Platform::new(&platform_address),
+            platform_address,
+            engines: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            dir: std::env::temp_dir().join(format!("damaskstile-{test}-{}", std::process::id())),
+        };
+        std::fs::create_dir_all(&fleet.dir).expect("folder");
+        fleet.add_target("chat-1", "chat").await;
+        fleet.add_target("chat-2", "chat").await;
+        fleet.add_target("publish-1", "publish").await;
+        fleet.put_settings("").await;
+        let mut ledger = Ledger::default();
+        ledger.top_up("first", budget_tokens);
+        let value = ledger.to_json().expect("ledger");
+        fleet
+            .platform
+            .write("budgets/office", 0, value)
+            .await
+            .expect("budget");
+        fleet.start_instances(names);
+        for name in names {
+            fleet.wait_ready(name).await;
+        }
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        fleet
+    }
+
+    async fn add_target(&mut self, name: &str, service: &str) {
+        let faults = Faults {
+            price_tokens: if service == "publish" { 3 } else { 0 },
+            ..Faults::default()
+        };
+        let engine = Engine::new(faults);
+        let api = target::api().expect("api");
+        let server = serve("127.0.0.1:0", api, Arc::clone(&engine)).expect("target");
+        let info = json!({
+            "target": name, "address": server.local_addr().to_string(), "service": service,
+        });
+        tokio::spawn(server);
+        self.call_platform(http::Method::PUT, &format!("/targets/{name}"), &info)
+            .await;
+        self.engines.insert(name.to_owned(), engine);
+    }
+
+    /// Accepts settings, with more values in the `[fleet]` table.
+    pub async fn put_settings(&self, values: &str) -> Version {
+        let text = format!(
+            "[system]\ninstances = 3\nseal_after_ms = 2000\nstop_grace_ms = 300\n\
+             [fleet]\n{values}\n\
+             [service.chat]\n[service.publish]\nkind = \"plain\"\nprice_tokens = 3\n\
+             is_non_idempotent = true\ncan_resume = false\n\
+             [account.office]\nbudget = \"office\"\ntoken_sha256 = [\"{}\"]\n",
+            to_hex(&Sha256::digest(TOKEN.as_bytes()))
+        );
+        let value = json!({"author": "test", "note": "", "at_unix_ms": 0, "text": text});
+        let standing = self.platform.read("settings/tree").await.expect("read");
+        let version = standing.map_or(0, |object| object.version);
+        match self
+            .platform
+            .write("settings/tree", version, value.to_string())
+            .await
+        {
+            Ok(StoreAnswer::Written { version }) => version,
+            other => panic!("settings: {other:?}"),
+        }
+    }
+
+    async fn call_platform(&self, method: http::Method, path: &str, body: &Value) {
+        let call = Call::new(&self.platform_address, method, path)
+            .header("content-type", "application/json")
+            .body(body.to_string());
+        send_whole(call, Duration::from_secs(2))
+            .await
+            .expect("platform");
+    }
+
+    /// Sets the platform's faults.
+    pub async fn set_platform_faults(&self, faults: &Value) {
+        self.call_platform(http::Method::PUT, "/faults", faults)
+            .await;
+    }
+
+    fn start_instances(&mut self, names: &[&str]) {
+        let peers: Vec<(String, u16)> = names
+            .iter()
+            .map(|name| ((*name).to_owned(), free_port()))
+            .collect();
+        for (index, (name, port)) in peers.iter().enumerate() {
+            let (callers, operators) = (free_port(), free_port());
+            let mut config = format!(
+                "instance = \"{name}\"\ndata_centre = \"dc-{index}\"\n\
+                 callers_address = \"127.0.0.1:{callers}\"\n\
+                 operators_address = \"127.0.0.1:{operators}\"\n\
+                 peers_address = \"127.0.0.1:{port}\"\n\
+                 platform_address = \"{}\"\n",
+                self.platform_address
+            );
+            for (other, (peer, peer_port)) in peers.iter().enumerate() {
+                if peer != name {
+                    config += &format!(
+                        "[[peer]]\ninstance = \"{peer}\"\ndata_centre = \"dc-{other}\"\n\
+                         address = \"127.0.0.1:{peer_port}\"\n"
+                    );
+                }
+            }
+            let path = self.dir.join(format!("{name}.toml"));
+            std::fs::write(&path, config).expect("config");
+            let process = Process {
+                child: spawn(&path),
+                config: path,
+                callers: format!("127.0.0.1:{callers}"),
+                operators: format!("127.0.0.1:{operators}"),
+            };
+            self.processes.insert(name.clone(), process);
+        }
+    }
+
+    /// Waits until an instance is ready.
+    pub async fn wait_ready(&self, name: &str) {
+        let until = Instant::now() + READY_LIMIT;
+        while Instant::now() < until {
+            let call = Call::new(
+                &self.processes[name].operators,
+                http::Method::GET,
+                "/healthz",
+            );
+            let reply = send_whole(call, Duration::from_secs(1)).await;
+            if reply.is_ok_and(|reply| reply.status.is_success()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        panic!("{name} is not ready");
+    }
+
+    /// Returns an instance's own status.
+    pub async fn status(&self, name: &str) -> Value {
+        let call = Call::new(
+            &self.processes[name].operators,
+            http::Method::GET,
+            "/v1/status",
+        );
+        match send_whole(call, Duration::from_secs(1)).await {
+            Ok(reply) => serde_json::from_slice(&reply.body).unwrap_or_default(),
+            Err(_) => Value::Null,
+        }
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, name: &str, signal: rustix::process::Signal) {
+        let child = &self.processes[name].child;
+        let pid = rustix::process::Pid::from_child(child);
+        rustix::process::kill_process(pid, signal).expect("signal");
+    }
+
+    /// Waits until an instance has ended, and returns whether it ended well.
+    pub async fn wait_ended(&mut self, name: &str) -> bool {
+        let until = Instant::now() + Duration::from_secs(20);
+        let process = self.processes.get_mut(name).expect("instance");
+        while Instant::now() < until {
+            if let Ok(Some(status)) = process.child.try_wait() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        false
+    }
+
+    /// Starts an instance that has ended.
+    pub async fn restart(&mut self, name: &str) {
+        let process = self.processes.get_mut(name).expect("instance");
+        process.child = spawn(&process.config);
+        self.wait_ready(name).await;
+    }
+
+    /// Asks for a completion.
+    pub fn chat(
+        &self,
+        name: &str,
+        key: &str,
+        output_tokens: u64,
+    ) -> impl Future<Output = Answer> + Send + use<> {
+        let body = json!({
+            "model": "chat",
+            "messages": [{"role": "user", "content": format!("n={output_tokens} ")}],
+            "max_tokens": output_tokens,
+        });
+        self.post(name, "/v1/chat/completions", key, &body)
+    }
+
+    /// Calls the service that must never run twice.
+    pub fn publish(&self, name: &str, key: &str) -> impl Future<Output = Answer> + Send + use<> {
+        self.post(name, "/v1/services/publish/plain/sheet", key, &json!({}))
+    }
+
+    fn post(
+        &self,
+        name: &str,
+        path: &str,
+        key: &str,
+        body: &Value,
+    ) -> impl Future<Output = Answer> + Send + use<> {
+        let call = Call::new(&self.processes[name].callers, http::Method::POST, path)
+            .header("authorization", &format!("Bearer {TOKEN}"))
+            .header("idempotency-key", key)
+            .body(body.to_string());
+        async move {
+            match send_whole(call, Duration::from_secs(20)).await {
+                Ok(reply) => Answer {
+                    status: reply.status.as_u16(),
+                    body: serde_json::from_slice(&reply.body).unwrap_or_default(),
+                },
+                Err(_) => Answer {
+                    status: 0,
+                    body: Value::Null,
+                },
+            }
+        }
+    }
+
+    /// Returns the ledger.
+    pub async fn ledger(&self) -> Ledger {
+        let object = self.platform.read("budgets/office").await.expect("read");
+        Ledger::try_from_json(&object.expect("budget").value).expect("ledger")
+    }
+
+    /// Returns the billed entries of the ledger.
+    pub async fn bills(&self) -> Vec<Entry> {
+        let entries = self.ledger().await.entries;
+        entries
+            .into_iter()
+            .filter(|entry| entry.is_billed)
+            .collect()
+    }
+
+    /// Returns what truly ran: the key of each run, and the tokens of all.
+    pub fn truth(&self) -> (Vec<String>, u64) {
+        let runs: Vec<_> = self
+            .engines
+            .values()
+            .flat_map(|engine| engine.ledger())
+            .collect();
+        let tokens = runs
+            .iter()
+            .map(|run| run.prompt_tokens + run.output_tokens)
+            .sum();
+        (runs.into_iter().map(|run| run.key).collect(), tokens)
+    }
+
+    /// Waits until a condition on the bills holds.
+    pub async fn wait_billed(&self, keys: &[String], limit: Duration) -> Vec<String> {
+        let until = Instant::now() + limit;
+        loop {
+            let bills = self.bills().await;
+            let is_billed = |key: &&String| bills.iter().any(|bill| &bill.key == *key);
+            let missing: Vec<String> = keys.iter().filter(|key| !is_billed(key)).cloned().collect();
+            if missing.is_empty() || Instant::now() >= until {
+                return missing;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Makes targets slower or refuse.
+    pub fn set_engine_faults(&self, name: &str, faults: Faults) {
+        self.engines[name].set_faults(faults);
+    }
+}
+
+fn spawn(config: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_damaskstiled"))
+        .arg("--config")
+        .arg(config)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("daemon")
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Makes a `UUIDv7` key for now.
+pub fn key(number: u64) -> String {
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    damaskstile::keys::new_request_key(now, number, number)
+}
