Answer claims that wait while a table needs no write

Symptom: of 30 simultaneous non-idempotent calls one got no answer in 20 s (end-to-end test). Cause: a batch of claims that needs no write was concluded without looking at what had come meanwhile. Ruled out: the caller's side (the instance listed the request as open). tests/claims.rs fails before and passes after; the property tests now demand a final word for every call to an instance that lives on.

--- a/crates/damaskstile-fakes/src/check.rs
+++ b/crates/damaskstile-fakes/src/check.rs
@@ -35,6 +35,7 @@
     answers_are_whole(world)?;
     refused_has_not_run(world)?;
     claimed_runs_once(world)?;
+    calls_are_answered(world)?;
     bills_are_single(world)
 }
 
@@ -109,6 +110,18 @@
     Ok(())
 }
 
+/// A call to an instance that lives on has its final word.
+fn calls_are_answered(world: &World) -> Result<(), String> {
+    for (handle, answered) in &world.answers {
+        let lives_on = answered.incarnation != 0
+            && world.incarnation(&answered.instance) == answered.incarnation;
+        if lives_on && answered.outcome.is_none() {
+            return Err(format!("call {handle}: no answer"));
+        }
+    }
+    Ok(())
+}
+
 /// No run is entered twice and no request billed twice.
 fn bills_are_single(world: &World) -> Result<(), String> {
     let mut runs = BTreeSet::new();
--- a/crates/damaskstile-fakes/src/world.rs
+++ b/crates/damaskstile-fakes/src/world.rs
@@ -26,6 +26,8 @@
 pub struct Answered {
     /// Instance that was called.
     pub instance: InstanceId,
+    /// Incarnation that was called; 0 where none ran.
+    pub incarnation: Incarnation,
     /// Key of the request.
     pub key: RequestKey,
     /// Worst case of the request, in tokens.
@@ -340,6 +342,12 @@
         self.nodes.get(name)?.instance.as_ref()
     }
 
+    /// Returns the incarnation of an instance; 0 where it does not run.
+    #[must_use]
+    pub fn incarnation(&self, name: &str) -> Incarnation {
+        self.nodes.get(name).map_or(0, |node| node.incarnation)
+    }
+
     /// Returns how many calls were made with a key.
     #[must_use]
     pub fn calls_of(&self, key: &str) -> usize {
@@ -364,6 +372,7 @@
         }
         let answered = Answered {
             instance: name.to_owned(),
+            incarnation: self.incarnation(name),
             key: key.clone(),
             worst_tokens: work.prompt_tokens + work.cap_tokens,
             output_tokens: work.output_tokens,
--- a/crates/damaskstile-requests/src/claims.rs
+++ b/crates/damaskstile-requests/src/claims.rs
@@ -190,6 +190,8 @@
             self.is_called = false;
             self.candidate = None;
             self.committed(fx);
+            // Claims that came meanwhile would wait for a store answer that never comes.
+            self.pump(now, fx);
             return;
         }
         candidate.writes += 1;
--- /dev/null
+++ b/crates/damaskstile-requests/tests/claims.rs
@@ -0,0 +1,180 @@
+//! Tests of claims: a non-idempotent request runs at most once.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use damaskstile_core::prelude::*;
+use damaskstile_requests::{ClaimEffect, ClaimShard, ClaimState};
+
+const NOW: Duration = Duration::from_hours(500_000);
+const RETENTION: Duration = Duration::from_hours(24);
+
+fn shard(instance: &str) -> ClaimShard {
+    ClaimShard::new(instance, RETENTION)
+}
+
+fn key(number: u64) -> String {
+    let millis = u64::try_from(NOW.as_millis()).unwrap();
+    format!(
+        "{:08x}-{:04x}-7000-8000-{number:012x}",
+        millis >> 16,
+        millis & 0xFFFF
+    )
+}
+
+fn written(effects: &[ClaimEffect]) -> Option<(Version, String)> {
+    effects.iter().find_map(|effect| match effect {
+        ClaimEffect::Write {
+            expected_version,
+            value,
+        } => Some((*expected_version, value.clone())),
+        _ => None,
+    })
+}
+
+/// Claims a key and gives the shard the table as it stands; returns what it does then.
+fn claim_over(shard: &mut ClaimShard, run: &str, standing: Option<Object>) -> Vec<ClaimEffect> {
+    let mut effects = Vec::new();
+    shard.claim(NOW, &key(1), &run.to_owned(), &mut effects);
+    assert_matches!(effects[..], [ClaimEffect::Read]);
+    effects.clear();
+    shard.on_store(NOW, StoreAnswer::Found(standing), &mut effects);
+    effects
+}
+
+#[test]
+fn of_two_instances_that_claim_at_once_one_wins() {
+    // Arrange
+    let (mut one, mut two) = (shard("one"), shard("two"));
+    let (version, value) = written(&claim_over(&mut one, "run-1", None)).unwrap();
+    claim_over(&mut two, "run-2", None);
+    assert_eq!(version, 0);
+
+    // Act: the store takes the first write and shows it to the second.
+    let mut first = Vec::new();
+    one.on_store(NOW, StoreAnswer::Written { version: 1 }, &mut first);
+    let standing = Object { version: 1, value };
+    let mut second = Vec::new();
+    two.on_store(NOW, StoreAnswer::Conflict(Some(standing)), &mut second);
+
+    // Assert
+    assert_matches!(&first[..], [ClaimEffect::Won { run }] if run == "run-1");
+    assert_matches!(&second[..], [ClaimEffect::Repeated { run, claim }]
+        if run == "run-2" && claim.instance == "one");
+}
+
+#[test]
+fn a_claim_whose_answer_is_lost_is_refused_and_given_up() {
+    // Symptom: a request is refused as not run, and its key is claimed for ever.
+    // Sequence: the write takes effect and its answer is lost.
+    // Cause looked for: no second write that gives the claim up.
+
+    // Arrange
+    let mut shard = shard("one");
+    let (_, value) = written(&claim_over(&mut shard, "run-1", None)).unwrap();
+
+    // Act
+    let mut lost = Vec::new();
+    shard.on_store(NOW, StoreAnswer::Lost, &mut lost);
+    let later = NOW + Duration::from_secs(1);
+    let mut retried = Vec::new();
+    shard.tick(later, &mut retried);
+    let standing = Object { version: 1, value };
+    let mut released = Vec::new();
+    shard.on_store(later, StoreAnswer::Found(Some(standing)), &mut released);
+
+    // Assert
+    assert_matches!(&lost[..], [ClaimEffect::Failed { run }] if run == "run-1");
+    let (version, value) = written(&released).unwrap();
+    assert_eq!(version, 1);
+    assert!(!value.contains("run-1"), "{value}");
+}
+
+#[test]
+fn a_claim_that_comes_during_another_is_answered_without_a_write() {
+    // Symptom: a caller gets no answer at all.
+    // Sequence: three instances claim the same keys at once; a claim comes while the shard's
+    // write is out, and the table read after its conflict shows that all keys are taken.
+    // Cause: a batch that needed no write was concluded without looking at what waited.
+
+    // Arrange
+    let mut shard = shard("one");
+    let (_, value) = written(&claim_over(&mut shard, "run-1", None)).unwrap();
+    let value = value.replace("run-1", "run-9").replace("one", "nine");
+    let mut effects = Vec::new();
+    shard.claim(NOW, &key(1), &"run-2".to_owned(), &mut effects);
+    assert_eq!(effects, []);
+
+    // Act
+    let standing = Object { version: 5, value };
+    shard.on_store(NOW, StoreAnswer::Conflict(Some(standing)), &mut effects);
+
+    // Assert
+    let repeated: Vec<&String> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            ClaimEffect::Repeated { run, .. } => Some(run),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(repeated, ["run-1", "run-2"]);
+    assert!(shard.is_settled());
+}
+
+#[test]
+fn many_claims_go_in_one_write() {
+    // Arrange
+    let mut shard = shard("one");
+    let mut effects = Vec::new();
+    for number in 0..100 {
+        shard.claim(NOW, &key(number), &format!("run-{number}"), &mut effects);
+    }
+    effects.clear();
+
+    // Act
+    shard.on_store(NOW, StoreAnswer::Found(None), &mut effects);
+    shard.on_store(NOW, StoreAnswer::Written { version: 1 }, &mut effects);
+    shard.on_store(NOW, StoreAnswer::Written { version: 2 }, &mut effects);
+
+    // Assert
+    let count = |is_meant: fn(&ClaimEffect) -> bool| {
+        effects.iter().filter(|effect| is_meant(effect)).count()
+    };
+    assert_eq!(
+        count(|effect| matches!(effect, ClaimEffect::Won { .. })),
+        100
+    );
+    assert_eq!(
+        count(|effect| matches!(effect, ClaimEffect::Write { .. })),
+        2
+    );
+}
+
+#[test]
+fn a_finished_claim_tells_its_outcome_to_a_repeat() {
+    // Arrange
+    let mut shard = shard("one");
+    claim_over(&mut shard, "run-1", None);
+    let mut effects = Vec::new();
+    shard.on_store(NOW, StoreAnswer::Written { version: 1 }, &mut effects);
+    let state = ClaimState::Answered {
+        target: "t".to_owned(),
+        prompt_tokens: 3,
+        output_tokens: 0,
+    };
+    shard.finish(
+        NOW,
+        &key(1),
+        &"run-1".to_owned(),
+        state.clone(),
+        &mut effects,
+    );
+    shard.on_store(NOW, StoreAnswer::Written { version: 2 }, &mut effects);
+    effects.clear();
+
+    // Act
+    shard.claim(NOW, &key(1), &"run-2".to_owned(), &mut effects);
+
+    // Assert
+    assert_matches!(&effects[..], [ClaimEffect::Repeated { claim, .. }] if claim.state == state);
+}
--- a/crates/damaskstiled/tests/support/mod.rs
+++ b/crates/damaskstiled/tests/support/mod.rs
@@ -170,10 +170,11 @@
             );
             for (other, (peer, peer_port)) in peers.iter().enumerate() {
                 if peer != name {
-                    config += &format!(
+                    let entry = format!(
                         "[[peer]]\ninstance = \"{peer}\"\ndata_centre = \"dc-{other}\"\n\
                          address = \"127.0.0.1:{peer_port}\"\n"
                     );
+                    config.push_str(&entry);
                 }
             }
             let path = self.dir.join(format!("{name}.toml"));
