Measure targets and membership; keep gossip's cost independent of the fleet

Cause: at 100 members heartbeats were sampled too rarely for a fixed 5 s of silence, so members flapped and each flap renewed grants (160 store calls a second). Ruled out: deaths (there were none). Silence now grows with the number of members, and witnesses greet each other directly with a small message.

--- a/crates/damaskstile-fakes/src/targets.rs
+++ b/crates/damaskstile-fakes/src/targets.rs
@@ -23,6 +23,8 @@
     pub started_at: Duration,
     /// Instance that listens to it.
     pub listener: Option<InstanceId>,
+    /// Whether it has a slot; until then it waits.
+    pub has_slot: bool,
     /// Whether it is over.
     pub has_ended: bool,
 }
@@ -53,6 +55,8 @@
 pub enum Start {
     /// It runs.
     Started,
+    /// It waits for a slot.
+    Waiting,
     /// It was running, and goes on to a new listener.
     Resumed,
     /// It was refused and has not run.
@@ -126,6 +130,7 @@
             || self.fenced.contains(&dispatch.run)
             || target.is_refusing
             || running >= target.slots_requests * 8;
+        let slots = target.slots_requests;
         if is_refused {
             return Start::Refused;
         }
@@ -146,11 +151,16 @@
             made_chunks: 0,
             started_at: now,
             listener: Some(listener.to_owned()),
+            has_slot: running < slots,
             has_ended: false,
         };
         self.runs.insert(dispatch.run.clone(), run);
         self.note_load(now, &dispatch.target);
-        Start::Started
+        if running < slots {
+            Start::Started
+        } else {
+            Start::Waiting
+        }
     }
 
     /// Generates a run's next chunk. Returns whether there was one.
@@ -171,6 +181,17 @@
         true
     }
 
+    /// Gives a free slot of a target to the run that has waited longest. Returns that run.
+    pub fn next_waiting(&mut self, target: &str) -> Option<RunId> {
+        let waiting = self
+            .runs
+            .iter_mut()
+            .filter(|(_, run)| run.target == target && !run.has_slot && !run.has_ended)
+            .min_by_key(|(_, run)| run.started_at)?;
+        waiting.1.has_slot = true;
+        Some(waiting.0.clone())
+    }
+
     /// Returns the report on a chunk of a run.
     #[must_use]
     pub fn chunk(&self, id: &RunId, index: usize) -> Option<RunReport> {
--- a/crates/damaskstile-fakes/src/world.rs
+++ b/crates/damaskstile-fakes/src/world.rs
@@ -167,6 +167,12 @@
     pub logged: BTreeMap<EventCode, u64>,
     /// Messages between instances.
     pub messages: u64,
+    /// Bytes of those messages; counted only where `counts_bytes` is set.
+    pub bytes: u64,
+    /// Whether messages are encoded to count their bytes.
+    pub counts_bytes: bool,
+    /// Instances that watch the settings.
+    pub watchers: BTreeSet<InstanceId>,
     /// Whether hosts check the time limit of a dispatch just before they send it.
     pub has_careful_hosts: bool,
     /// Instances that said that they have stopped.
@@ -193,6 +199,9 @@
             non_idempotent: BTreeSet::new(),
             logged: BTreeMap::new(),
             messages: 0,
+            bytes: 0,
+            counts_bytes: false,
+            watchers: BTreeSet::new(),
             has_careful_hosts: true,
             stopped: BTreeSet::new(),
             random: Random::new(options.seed),
@@ -247,6 +256,22 @@
         self.store.put("settings/tree", stored.to_string())
     }
 
+    /// Shows the stored settings to the instances that watch, as their watches would.
+    pub fn show_settings(&mut self) {
+        let Some(object) = self.store.get("settings/tree").cloned() else {
+            return;
+        };
+        for name in self.watchers.clone() {
+            let event = Event::Changed {
+                key: "settings/tree".to_owned(),
+                object: object.clone(),
+            };
+            let incarnation = self.incarnation(&name);
+            let delay = self.options.store_delay;
+            self.later(delay, &name, What::Event(incarnation, event));
+        }
+    }
+
     /// Starts an instance that does not run, as a new incarnation.
     pub fn start(&mut self, name: &str) {
         let seeds: Vec<MemberState> = self
--- a/crates/damaskstile-fakes/src/world/deliver.rs
+++ b/crates/damaskstile-fakes/src/world/deliver.rs
@@ -1,5 +1,6 @@
 //! `deliver` carries effects out and brings their consequences back.
 
+use damaskstile::core::peer::encode_frame;
 use damaskstile::core::prelude::*;
 
 use super::{What, World};
@@ -71,6 +72,13 @@
                 let event = Event::TargetStatus { target, status };
                 self.later(TARGET_DELAY * 2, name, What::Event(incarnation, event));
             }
+            Effect::WatchSettings { is_watching } => {
+                if is_watching {
+                    self.watchers.insert(name.to_owned());
+                } else {
+                    self.watchers.remove(name);
+                }
+            }
             Effect::Relay { request, data } => self.relay(request, data),
             Effect::Answer { request, outcome } => self.answer(name, request, outcome),
             Effect::Log(event) => *self.logged.entry(event.code).or_default() += 1,
@@ -101,6 +109,10 @@
 
     fn send(&mut self, from: &str, incarnation: Incarnation, to: &str, message: &PeerMessage) {
         self.messages += 1;
+        if self.counts_bytes {
+            let frame = encode_frame(from, incarnation, message.clone());
+            self.bytes += u64::try_from(frame.len()).unwrap_or(0);
+        }
         if !self.network.is_joined(from, to) {
             return;
         }
@@ -159,6 +171,7 @@
                 let pace = self.targets.targets[&dispatch.target].pace;
                 self.later(TARGET_DELAY + pace, name, What::Generate(run));
             }
+            Start::Waiting => {}
             Start::Resumed => self.replay(name, &dispatch),
             Start::Refused => self.report(name, &run, RunReport::Refused, TARGET_DELAY * 2),
             Start::Unreachable => {
@@ -201,6 +214,10 @@
                 self.report(listener, run, report, TARGET_DELAY);
             }
         }
+        if !has_made && let Some(next) = self.targets.next_waiting(&ran.target) {
+            let pace = self.targets.targets[&ran.target].pace;
+            self.later(pace, "", What::Generate(next));
+        }
         if has_made {
             let pace = self.targets.targets[&ran.target].pace;
             self.later(pace, "", What::Generate(run.clone()));
--- a/crates/damaskstile-fleet/src/membership.rs
+++ b/crates/damaskstile-fleet/src/membership.rs
@@ -153,7 +153,11 @@
 
     /// Returns the members that have just fallen silent.
     pub fn next_silent(&mut self, now: Duration) -> Vec<InstanceId> {
-        let silent_after = self.options.silent_after;
+        // A message tells of a fixed number of members, so news of each takes longer the more
+        // there are. A member that has not been heard of for that long is not gone yet.
+        let rounds = self.members.len() / self.options.members_per_message.max(1);
+        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+        let silent_after = self.options.silent_after + self.options.interval * rounds;
         self.members
             .iter_mut()
             .filter(|(_, member)| !member.is_silent)
@@ -252,22 +256,18 @@
     pub fn next_round(
         &mut self,
         now: Duration,
-        always: &BTreeSet<InstanceId>,
     ) -> Option<(BTreeSet<InstanceId>, Vec<MemberState>)> {
         if now < self.next_round_at {
             return None;
         }
         self.next_round_at = now + self.options.interval;
         self.own.heartbeat += 1;
-        Some(self.round(always))
+        Some(self.round())
     }
 
     /// Makes up a round at once, for news that should not wait.
-    pub fn round(
-        &mut self,
-        always: &BTreeSet<InstanceId>,
-    ) -> (BTreeSet<InstanceId>, Vec<MemberState>) {
-        let mut peers = always.clone();
+    pub fn round(&mut self) -> (BTreeSet<InstanceId>, Vec<MemberState>) {
+        let mut peers = BTreeSet::new();
         let live: Vec<InstanceId> = self.live().map(|state| state.instance.clone()).collect();
         for _ in 0..self.options.fanout {
             if let Some(peer) = self.pick(&live) {
--- a/crates/damaskstile-measure/src/main.rs
+++ b/crates/damaskstile-measure/src/main.rs
@@ -2,6 +2,8 @@
 
 mod budgets;
 mod load;
+mod members;
+mod targets;
 
 use clap::{Parser, Subcommand};
 
@@ -18,6 +20,10 @@
     /// Compares policies for the last tokens of a budget, as a table. The same seed gives the
     /// same table.
     Budgets(budgets::BudgetsArgs),
+    /// Compares ways to choose a target, as a table.
+    Targets(targets::TargetsArgs),
+    /// Measures what membership and configuration cost at several sizes, as a table.
+    Members(members::MembersArgs),
     /// Sends requests through running instances and compares bills with what targets ran.
     Load(load::LoadArgs),
 }
@@ -25,6 +31,14 @@
 fn main() -> anyhow::Result<()> {
     match Args::parse().command {
         Command::Budgets(args) => budgets::run(&args),
+        Command::Targets(args) => {
+            targets::run(&args);
+            Ok(())
+        }
+        Command::Members(args) => {
+            members::run(&args);
+            Ok(())
+        }
         Command::Load(args) => load::run(args),
     }
 }
--- /dev/null
+++ b/crates/damaskstile-measure/src/members.rs
@@ -0,0 +1,98 @@
+//! `members` measures what membership and configuration cost, over real decisions and frames.
+
+use std::time::{Duration, Instant};
+
+use clap::Args;
+use damaskstile_fakes::{World, WorldOptions, options};
+
+/// Time in which instances find one another.
+const WARM_UP: Duration = Duration::from_secs(30);
+/// Time over which the cost is measured.
+const MEASURED: Duration = Duration::from_secs(30);
+/// Time in which news must have reached all.
+const SPREAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// What to measure.
+#[derive(Debug, Clone, Args)]
+pub struct MembersArgs {
+    /// Numbers of members.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 9, 30, 100])]
+    members: Vec<usize>,
+    /// Seed of all choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Prints the table. The time of a processor is that of this machine in this run.
+pub fn run(args: &MembersArgs) {
+    println!(
+        "members\tmessages_per_member_s\tbytes_per_member_s\tcpu_us_per_member_s\t\
+         store_calls_per_s\tsettings_p95_ms\tsettings_slowest_ms"
+    );
+    for members in &args.members {
+        println!("{}", row(args, *members));
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "rates for a person to read")]
+fn row(args: &MembersArgs, members: usize) -> String {
+    let options = WorldOptions {
+        seed: args.seed,
+        instances: members,
+        data_centres: 6,
+        settings: options::settings(&format!("instances = {members}")),
+        ..WorldOptions::default()
+    };
+    let mut world = World::new(options, 1_000_000);
+    world.counts_bytes = true;
+    world.run_for(WARM_UP);
+    let (messages, bytes) = (world.messages, world.bytes);
+    let calls = world.store.reads + world.store.writes;
+    let started = Instant::now();
+    world.run_for(MEASURED);
+    let cpu = started.elapsed();
+    let per_member = |count: u64| count as f64 / members as f64 / MEASURED.as_secs_f64();
+    let calls = world.store.reads + world.store.writes - calls;
+    let (p95, slowest) = spread(&mut world);
+    format!(
+        "{members}\t{:.1}\t{:.0}\t{:.0}\t{:.1}\t{}\t{}",
+        per_member(world.messages - messages),
+        per_member(world.bytes - bytes),
+        per_member(u64::try_from(cpu.as_micros()).unwrap_or(u64::MAX)),
+        calls as f64 / MEASURED.as_secs_f64(),
+        p95.as_millis(),
+        slowest.as_millis()
+    )
+}
+
+/// Accepts settings, shows them to the watchers, and waits until all have them in force.
+fn spread(world: &mut World) -> (Duration, Duration) {
+    let text = format!(
+        "[fleet]\nmax_output_tokens = 77\n{}",
+        options::settings("instances = 9")
+    );
+    let version = world.put_settings(&text);
+    world.show_settings();
+    let started_at = world.now;
+    let mut times = Vec::new();
+    let all = world.names().len();
+    while times.len() < all && world.now.saturating_sub(started_at) < SPREAD_LIMIT {
+        world.run_for(Duration::from_millis(5));
+        let have = world
+            .live_instances()
+            .filter(|(_, instance)| instance.settings().version() >= version)
+            .count();
+        let now = world.now.saturating_sub(started_at);
+        while times.len() < have {
+            times.push(now);
+        }
+    }
+    let index = (times.len() * 95 / 100).min(times.len().saturating_sub(1));
+    let p95 = times.get(index).copied().unwrap_or(SPREAD_LIMIT);
+    let slowest = if times.len() == all {
+        times.last().copied().unwrap_or(SPREAD_LIMIT)
+    } else {
+        SPREAD_LIMIT
+    };
+    (p95, slowest)
+}
--- /dev/null
+++ b/crates/damaskstile-measure/src/targets.rs
@@ -0,0 +1,157 @@
+//! `targets` compares ways to choose a target, with late load reports and a slow target.
+
+use std::time::Duration;
+
+use clap::Args;
+use damaskstile::core::prelude::*;
+use damaskstile::targets::{RegistryOptions, SelectorKind};
+use damaskstile_fakes::world::Work;
+use damaskstile_fakes::{World, WorldOptions, options};
+
+/// Time before the first request.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time after the last request.
+const COOL_DOWN: Duration = Duration::from_secs(30);
+/// Prompt of a request, in tokens.
+const PROMPT_TOKENS: u64 = 50;
+/// Cap of an answer, in tokens.
+const CAP_TOKENS: u64 = 200;
+
+/// What to compare.
+#[derive(Debug, Clone, Args)]
+pub struct TargetsArgs {
+    /// Seed of the workloads.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Requests of each row.
+    #[arg(long, default_value_t = 3000)]
+    requests: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Shape {
+    name: &'static str,
+    data_centres: usize,
+    targets: usize,
+    far_delay: Duration,
+}
+
+const SHAPES: [Shape; 2] = [
+    Shape {
+        name: "lindsay",
+        data_centres: 3,
+        targets: 10,
+        far_delay: Duration::from_micros(500),
+    },
+    Shape {
+        name: "hengyu",
+        data_centres: 4,
+        targets: 20,
+        far_delay: Duration::from_micros(1500),
+    },
+];
+
+/// Instances of either shape.
+const INSTANCES: usize = 9;
+/// Requests that a target runs at a time.
+const SLOTS: u64 = 4;
+/// Time between two chunks; an answer has four, so a target answers 20 requests a second.
+const PACE: Duration = Duration::from_millis(50);
+
+/// Prints the table.
+pub fn run(args: &TargetsArgs) {
+    println!(
+        "deployment\tselector\treport_lag_s\tslow_target\trequests\tanswered\trefused\t\
+         p50_first_ms\tp95_first_ms\tp99_first_ms"
+    );
+    for shape in SHAPES {
+        for lag_s in [0, 1, 5] {
+            for has_slow in [false, true] {
+                for selector in SelectorKind::ALL {
+                    println!("{}", row(args, shape, selector, lag_s, has_slow));
+                }
+            }
+        }
+    }
+}
+
+fn row(
+    args: &TargetsArgs,
+    shape: Shape,
+    selector: SelectorKind,
+    lag_s: u64,
+    has_slow: bool,
+) -> String {
+    let mut world = world(args, shape, selector, lag_s);
+    if has_slow && let Some(target) = world.targets.targets.get_mut("chat-0") {
+        target.pace = PACE * 10;
+    }
+    world.run_for(WARM_UP);
+    // About seven tenths of what the targets can do.
+    let targets = u32::try_from(shape.targets).unwrap_or(1);
+    let interval = Duration::from_secs(1) / (20 * targets * 7 / 10);
+    let mut random = Random::new(args.seed);
+    for _ in 0..args.requests {
+        let name = format!("i{:03}", random.index(INSTANCES));
+        let output_tokens = 4 + random.below(CAP_TOKENS - 4);
+        world.request(&name, &Work::chat(PROMPT_TOKENS, CAP_TOKENS, output_tokens));
+        world.run_for(interval / 2 + interval * u32::from(random.below(2) == 1));
+    }
+    world.run_for(COOL_DOWN);
+    let slow = if has_slow { "one_tenth" } else { "none" };
+    format!(
+        "{}\t{}\t{lag_s}\t{slow}\t{}",
+        shape.name,
+        selector.as_str(),
+        figures(&world)
+    )
+}
+
+fn world(args: &TargetsArgs, shape: Shape, selector: SelectorKind, lag_s: u64) -> World {
+    let options = WorldOptions {
+        seed: args.seed,
+        data_centres: shape.data_centres,
+        instances: INSTANCES,
+        targets: shape.targets,
+        slots_requests: SLOTS,
+        pace: PACE,
+        far_delay: shape.far_delay,
+        report_lag: Duration::from_secs(lag_s),
+        settings: options::settings(&format!("instances = {INSTANCES}")),
+        registry: RegistryOptions {
+            selector,
+            ..RegistryOptions::default()
+        },
+        ..WorldOptions::default()
+    };
+    World::new(options, 1_000_000_000)
+}
+
+fn figures(world: &World) -> String {
+    let mut first: Vec<u128> = world
+        .answers
+        .values()
+        .filter_map(|answered| {
+            let first_at = answered.first_piece_at?;
+            Some(first_at.saturating_sub(answered.called_at).as_millis())
+        })
+        .collect();
+    first.sort_unstable();
+    let percentile = |percent: usize| {
+        let index = (first.len() * percent / 100).min(first.len().saturating_sub(1));
+        first.get(index).copied().unwrap_or(0)
+    };
+    let requests = world.answers.len();
+    let refused = world
+        .answers
+        .values()
+        .filter(|answered| answered.outcome.as_ref().is_some_and(Outcome::is_not_run))
+        .count();
+    format!(
+        "{requests}\t{}\t{refused}\t{}\t{}\t{}",
+        first.len(),
+        percentile(50),
+        percentile(95),
+        percentile(99)
+    )
+}
--- a/crates/damaskstile/src/instance/fleet.rs
+++ b/crates/damaskstile/src/instance/fleet.rs
@@ -91,20 +91,38 @@
             self.members_changed(effects);
         }
         self.seal_silent(effects);
-        let always = self.witnesses_in_use();
-        if let Some((peers, members)) = self.membership.next_round(self.now, &always) {
+        if let Some((peers, members)) = self.membership.next_round(self.now) {
+            self.greet_partners(&peers, effects);
             self.send_gossip(&peers, members, effects);
         }
         self.probe_targets(effects);
     }
 
+    /// Tells witnesses, and those that this instance is a witness of, that it lives.
+    ///
+    /// Their grants hang on hearing from each other directly; no one else's word will do.
+    fn greet_partners(&self, told: &BTreeSet<InstanceId>, effects: &mut Effects) {
+        let mut partners = self.witnesses_in_use();
+        partners.extend(self.keeper.lives().map(|(instance, _)| instance.clone()));
+        let greeting = Gossip {
+            members: vec![self.membership.own().clone()],
+            targets: Vec::new(),
+        };
+        for to in partners.difference(told) {
+            effects.push(Effect::Send {
+                to: to.clone(),
+                message: PeerMessage::Gossip(greeting.clone()),
+            });
+        }
+    }
+
     /// Tells some peers at once, for news that should not wait for the next round.
     fn gossip_now(&mut self, effects: &mut Effects) {
         let version = self.settings.version();
         let own = self.membership.own_mut();
         own.settings_version = version;
         own.heartbeat += 1;
-        let (peers, members) = self.membership.round(&BTreeSet::new());
+        let (peers, members) = self.membership.round();
         self.send_gossip(&peers, members, effects);
     }
 
@@ -204,7 +222,7 @@
 
     /// Asks peers too: they answer when the store is down.
     pub(super) fn ask_peers_for_settings(&mut self, effects: &mut Effects) {
-        let (peers, _) = self.membership.round(&BTreeSet::new());
+        let (peers, _) = self.membership.round();
         for to in peers {
             let message = PeerMessage::PullSettings(PullSettings { have_version: 0 });
             effects.push(Effect::Send { to, message });
@@ -321,7 +339,7 @@
         if changed.is_some() {
             // Peers that cannot see the target should not have to wait for the next round.
             let notes: Vec<TargetNote> = self.registry.notes(self.now);
-            let (peers, _) = self.membership.round(&BTreeSet::new());
+            let (peers, _) = self.membership.round();
             for to in peers {
                 let gossip = Gossip {
                     members: Vec::new(),
--- a/crates/damaskstile/src/instance/stop.rs
+++ b/crates/damaskstile/src/instance/stop.rs
@@ -21,7 +21,7 @@
         let open = self.open_requests().to_string();
         Self::log(effects, EventCode::StopBegan, &[("open_requests", &open)]);
         self.members_changed(effects);
-        let (peers, members) = self.membership.round(&BTreeSet::new());
+        let (peers, members) = self.membership.round();
         let gossip = damaskstile_core::peer::Gossip {
             members,
             targets: Vec::new(),
