--- a/crates/damaskstile-budgets/src/ledger.rs
+++ b/crates/damaskstile-budgets/src/ledger.rs
@@ -78,7 +78,9 @@
     ///
     /// Returns an error where the value is no ledger or breaks the rule of ledgers.
     pub fn try_from_json(value: &str) -> Result<Self> {
-        let ledger: Self = serde_json::from_str(value)?;
+        // An array would be read as a ledger's fields in their order.
+        let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_str(value)?;
+        let ledger: Self = serde_json::from_value(serde_json::Value::Object(fields))?;
         ledger.check()?;
         Ok(ledger)
     }
--- a/crates/damaskstile-targets/src/registry.rs
+++ b/crates/damaskstile-targets/src/registry.rs
@@ -218,9 +218,11 @@
     fn candidate(&self, now: Duration, target: &Target) -> Candidate {
         Candidate {
             target: target.info.target.clone(),
+            own_requests: target.own_requests,
             load_requests: target.load_requests(now, self.options.load_half_life),
             slots_requests: target.slots_requests(),
             answer_time: target.answer_time(),
+            idle_for: now.saturating_sub(target.used_at),
         }
     }
 
@@ -265,8 +267,9 @@
     }
 
     /// Notes that a request goes to a target.
-    pub fn started(&mut self, target: &TargetId) {
+    pub fn started(&mut self, now: Duration, target: &TargetId) {
         if let Some(target) = self.targets.get_mut(target) {
+            target.used_at = now;
             target.own_requests += 1;
         }
     }
--- a/crates/damaskstile-targets/src/selector.rs
+++ b/crates/damaskstile-targets/src/selector.rs
@@ -2,26 +2,39 @@
 
 use damaskstile_core::prelude::*;
 
+/// Slowness past which a target is not told apart any more, as a power of two.
+const SLOWNESS_MAX: u32 = 6;
+/// Time without work in which a target's slowness is forgotten by half, so that it is tried again.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
 /// `Candidate` is a target that may get work, with what the choice goes by.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
     /// The target.
     pub target: TargetId,
-    /// Requests likely to run or wait there.
+    /// Requests of this instance that run there.
+    pub own_requests: u64,
+    /// Requests of all instances likely to run or wait there.
     pub load_requests: u64,
     /// Requests that it runs at a time.
     pub slots_requests: u64,
     /// Average time of an answer; `None` before the first.
     pub answer_time: Option<Duration>,
+    /// Time since it last got work from this instance.
+    pub idle_for: Duration,
 }
 
 impl Candidate {
-    /// Returns the time that one more request is expected to take there.
-    fn expected_time(&self, typical: Duration) -> Duration {
+    /// Returns how much slower it is than is typical, as a power of two.
+    ///
+    /// Small differences are noise. Told apart, they would draw all work to one target.
+    fn slowness(&self, typical: Duration) -> u64 {
         let time = self.answer_time.unwrap_or(typical);
-        let slots = u32::try_from(self.slots_requests.max(1)).unwrap_or(u32::MAX);
-        let load = u32::try_from(self.load_requests + 1).unwrap_or(u32::MAX);
-        time.saturating_mul(load.max(slots)) / slots
+        let times = time.as_millis() / typical.as_millis().max(1);
+        let power = times.max(1).ilog2().min(SLOWNESS_MAX);
+        let forgotten = self.idle_for.as_secs() / FORGET_AFTER.as_secs();
+        let forgotten = u32::try_from(forgotten).unwrap_or(u32::MAX);
+        1 << power.saturating_sub(forgotten)
     }
 }
 
@@ -34,9 +47,12 @@
     RoundRobin,
     /// The less loaded of two random ones.
     TwoChoices,
-    /// The one of all with the shortest expected time, by load and by its past answers.
+    /// The one with the least own work for its speed; among equals, the one that rested longest.
+    ///
+    /// It goes by what this instance has seen itself. Reports of load are the same for all
+    /// instances and late, so whoever goes by them goes where all others go.
     #[default]
-    ExpectedTime,
+    OwnWork,
 }
 
 /// `Selector` chooses a target.
@@ -57,7 +73,7 @@
 struct TwoChoicesSelector;
 
 #[derive(Debug)]
-struct ExpectedTimeSelector;
+struct OwnWorkSelector;
 
 impl Selector for RandomSelector {
     fn choose(&mut self, candidates: &[Candidate], random: &mut Random) -> Option<usize> {
@@ -90,22 +106,23 @@
     }
 }
 
-impl Selector for ExpectedTimeSelector {
+impl Selector for OwnWorkSelector {
     fn choose(&mut self, candidates: &[Candidate], random: &mut Random) -> Option<usize> {
-        let known: Vec<Duration> = candidates
+        let mut known: Vec<Duration> = candidates
             .iter()
             .filter_map(|one| one.answer_time)
             .collect();
-        let typical = known
-            .iter()
-            .min()
-            .copied()
-            .unwrap_or(Duration::from_secs(1));
-        // Ties go to a random one: instances that choose alike would all send to the same target.
+        known.sort_unstable();
+        let typical = known.get(known.len() / 2).copied();
+        let typical = typical.unwrap_or(Duration::from_secs(1));
         let start = random.index(candidates.len());
         (0..candidates.len())
             .map(|offset| (start + offset) % candidates.len())
-            .min_by_key(|index| candidates[*index].expected_time(typical))
+            .min_by_key(|index| {
+                let candidate = &candidates[*index];
+                let work = (candidate.own_requests + 1) * candidate.slowness(typical);
+                (work, std::cmp::Reverse(candidate.idle_for))
+            })
     }
 }
 
@@ -115,7 +132,7 @@
         Self::Random,
         Self::RoundRobin,
         Self::TwoChoices,
-        Self::ExpectedTime,
+        Self::OwnWork,
     ];
 
     /// Returns the selector's name.
@@ -125,7 +142,7 @@
             Self::Random => "random",
             Self::RoundRobin => "round_robin",
             Self::TwoChoices => "two_choices",
-            Self::ExpectedTime => "expected_time",
+            Self::OwnWork => "own_work",
         }
     }
 
@@ -143,7 +160,7 @@
             Self::Random => Box::new(RandomSelector),
             Self::RoundRobin => Box::new(RoundRobinSelector { next: 0 }),
             Self::TwoChoices => Box::new(TwoChoicesSelector),
-            Self::ExpectedTime => Box::new(ExpectedTimeSelector),
+            Self::OwnWork => Box::new(OwnWorkSelector),
         }
     }
 }
--- a/crates/damaskstile-targets/src/target.rs
+++ b/crates/damaskstile-targets/src/target.rs
@@ -33,6 +33,8 @@
     paused_until: Duration,
     answer_time: Option<Duration>,
     pub(crate) probed_at: Option<Duration>,
+    /// When it last got work from this instance.
+    pub(crate) used_at: Duration,
 }
 
 impl Target {
@@ -49,6 +51,7 @@
             paused_until: Duration::ZERO,
             answer_time: None,
             probed_at: None,
+            used_at: Duration::ZERO,
         }
     }
 
--- a/crates/damaskstile/src/instance/dispatch.rs
+++ b/crates/damaskstile/src/instance/dispatch.rs
@@ -39,7 +39,7 @@
     }
 
     fn assign(&mut self, number: u64, target: TargetId, address: String, effects: &mut Effects) {
-        self.registry.started(&target);
+        self.registry.started(self.now, &target);
         if let Some(request) = self.requests.get_mut(&number) {
             request.target = Some((target, address));
         }
