--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -345,7 +345,7 @@
         self.resend_gives(now, fx);
         self.end_round(now, fx);
         self.pump(now, fx);
-        self.renew_due(now);
+        self.renew_due(now, fx);
         self.flush_due(now, fx);
     }
 
--- a/crates/damaskstile-budgets/src/holder/flush.rs
+++ b/crates/damaskstile-budgets/src/holder/flush.rs
@@ -17,6 +17,8 @@
 const BACKOFF_LONGEST: Duration = Duration::from_secs(3);
 /// Grants that are held side by side; past it the rests of old ones are given back.
 const HOLDINGS_MAX: usize = 6;
+/// Age up to which a view shows that the store is there.
+const VIEW_FRESH: Duration = Duration::from_millis(20);
 /// Time without use after which the ledger is not kept in memory.
 const VIEW_KEPT: Duration = Duration::from_secs(30);
 
@@ -149,17 +151,23 @@
     /// that has been up for long would strand with it, since its witnesses were restarted since.
     /// And a grant from the first moments, when few peers were known, has few witnesses; none of
     /// them may be on its side of a cut.
-    pub(super) fn renew_due(&mut self, now: Duration) {
+    pub(super) fn renew_due(&mut self, now: Duration, fx: &mut Vec<HolderEffect>) {
         if self.wants_renewal_at.is_none_or(|at| now < at) {
             return;
         }
-        self.wants_renewal_at = None;
-        // What is being changed cannot be spent. So it is left as it is while the store is down.
-        let is_store_well = self.retry_at.is_none() && self.batch.is_none();
-        if !is_store_well || !self.waiters.is_empty() || self.is_stopping {
+        let is_busy = self.retry_at.is_some() || self.batch.is_some() || !self.waiters.is_empty();
+        if is_busy || self.is_stopping {
             self.wants_renewal_at = (!self.is_stopping).then(|| now + super::RENEW_AFTER);
             return;
         }
+        // What is being changed cannot be spent. So the store is asked first whether it is there;
+        // in an outage the grants are left as they are.
+        if self.view.is_none() || now.saturating_sub(self.view_at) > VIEW_FRESH {
+            self.wants_renewal_at = Some(now + super::RENEW_AFTER);
+            fx.push(HolderEffect::Read);
+            return;
+        }
+        self.wants_renewal_at = None;
         self.next_flush_at = now;
         let stale: Vec<(GrantId, u64)> = self
             .holdings
@@ -178,6 +186,7 @@
                 grant: self.identity.unique("grant", number),
                 need_tokens: tokens,
                 want_tokens: tokens,
+                part_percent: 100,
                 witnesses: self.witnesses.clone(),
             });
         }
@@ -278,10 +287,15 @@
 
         // The batch may be in the ledger already: its write took effect and the answer was lost.
         let writer = self.identity.writer();
-        let is_in = match (&self.batch, &self.view) {
-            (Some(batch), Some((_, ledger))) => ledger.has_batch(&writer, batch.number),
-            _ => return,
+        let (Some(batch), Some((_, ledger))) = (&self.batch, &self.view) else {
+            // The store was asked whether it is there.
+            if self.wants_renewal_at.is_some() {
+                self.wants_renewal_at = Some(now);
+                self.renew_due(now, fx);
+            }
+            return;
         };
+        let is_in = ledger.has_batch(&writer, batch.number);
         if is_in {
             self.committed(now, fx);
         } else {
--- a/crates/damaskstile-budgets/src/holder/refill.rs
+++ b/crates/damaskstile-budgets/src/holder/refill.rs
@@ -151,22 +151,40 @@
             .filter(|holding| holding.witnesses.is_empty())
             .map(|holding| holding.free_tokens)
             .sum();
-        let open_wanted = want_tokens.saturating_mul(self.options.open_percent) / 100;
+        let open_wanted = want_tokens
+            .max(1)
+            .saturating_mul(self.options.open_percent)
+            .div_ceil(100);
         let has_open_waiter = self.waiters.iter().any(|waiter| waiter.is_open_only);
-        let is_open = has_open_waiter || open_tokens < open_wanted;
-        let witnesses = if is_open {
+        let is_open_wanted = has_open_waiter || open_tokens < open_wanted;
+        if is_open_wanted && !has_open_waiter && !self.witnesses.is_empty() {
+            let percent = self.options.open_percent;
+            self.push_grant(0, want_tokens, percent, BTreeMap::new());
+        }
+        let witnesses = if has_open_waiter {
             BTreeMap::new()
         } else {
             self.witnesses.clone()
         };
+        self.push_grant(need_tokens, want_tokens, 100, witnesses);
+        self.flush(now, fx);
+    }
+
+    fn push_grant(
+        &mut self,
+        need_tokens: u64,
+        want_tokens: u64,
+        part_percent: u64,
+        witnesses: BTreeMap<InstanceId, Incarnation>,
+    ) {
         let number = self.next_number();
         self.pending.push(LedgerOp::Grant {
             grant: self.identity.unique("grant", number),
             need_tokens,
             want_tokens,
+            part_percent,
             witnesses,
         });
-        self.flush(now, fx);
     }
 
     pub(super) fn next_number(&mut self) -> u64 {
--- a/crates/damaskstile-budgets/src/ledger.rs
+++ b/crates/damaskstile-budgets/src/ledger.rs
@@ -229,6 +229,7 @@
                 grant,
                 need_tokens,
                 want_tokens,
+                part_percent,
                 witnesses,
             } => {
                 let request = GrantRequest {
@@ -242,7 +243,9 @@
                         .entry(identity.instance.clone())
                         .or_default();
                 }
-                let tokens = policy.size_tokens(self, &request);
+                let whole = policy.size_tokens(self, &request);
+                let part = whole.saturating_mul((*part_percent).min(100)) / 100;
+                let tokens = part.max(*need_tokens);
                 self.grant(identity, grant, tokens.min(self.free_tokens()), witnesses);
             }
             LedgerOp::Adopt(adoption) => self.adopt(adoption),
--- a/crates/damaskstile-budgets/src/op.rs
+++ b/crates/damaskstile-budgets/src/op.rs
@@ -19,6 +19,8 @@
         need_tokens: u64,
         /// Tokens that are wanted, by the rate of spending.
         want_tokens: u64,
+        /// Part of what the policy gives that this grant takes, in percent.
+        part_percent: u64,
         /// Peers that will keep the records.
         witnesses: BTreeMap<InstanceId, Incarnation>,
     },
--- a/crates/damaskstile-budgets/src/options.rs
+++ b/crates/damaskstile-budgets/src/options.rs
@@ -31,7 +31,7 @@
             policy: PolicyKind::default(),
             instances: 3,
             horizon: Duration::from_secs(4),
-            open_percent: 50,
+            open_percent: 5,
             flush_interval: Duration::from_millis(500),
             store_patience: Duration::from_millis(120),
             ask_patience: Duration::from_millis(40),
--- a/crates/damaskstile-budgets/tests/ledger.rs
+++ b/crates/damaskstile-budgets/tests/ledger.rs
@@ -27,6 +27,7 @@
         grant: id.to_owned(),
         need_tokens: tokens,
         want_tokens: tokens,
+        part_percent: 100,
         witnesses: witnesses
             .iter()
             .map(|name| ((*name).to_owned(), 7))
--- a/crates/damaskstile-fleet/src/settings/effective.rs
+++ b/crates/damaskstile-fleet/src/settings/effective.rs
@@ -91,7 +91,7 @@
         max_in_flight_requests: 256,
         prompt_token_bytes: 1,
         budget_policy: "spread_transfers".to_owned(),
-        open_percent: 50,
+        open_percent: 5,
         levels: BTreeMap::new(),
     }
 }
--- a/crates/damaskstile-targets/src/queue.rs
+++ b/crates/damaskstile-targets/src/queue.rs
@@ -65,6 +65,29 @@
                 waiting.push_back(queued);
                 Ok(displaced)
             }
+            _ => Self::displace_greedy(waiting, queued, of_account),
+        }
+    }
+
+    /// Takes the newest place of an account that fills most of the queue, for one that has few.
+    fn displace_greedy(
+        waiting: &mut VecDeque<Queued>,
+        queued: Queued,
+        of_account: usize,
+    ) -> Result<Option<Queued>, Queued> {
+        let mut places: BTreeMap<&AccountId, (usize, usize)> = BTreeMap::new();
+        for (index, other) in waiting.iter().enumerate() {
+            let (count, newest) = places.entry(&other.account).or_default();
+            *count += 1;
+            *newest = index;
+        }
+        let greediest = places.values().max().copied();
+        match greediest {
+            Some((count, newest)) if count > of_account + 1 => {
+                let displaced = waiting.remove(newest);
+                waiting.push_back(queued);
+                Ok(displaced)
+            }
             _ => Err(queued),
         }
     }
