--- a/crates/damaskstile-measure/src/main.rs
+++ b/crates/damaskstile-measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `damaskstile-measure` measures: policies over the decision logic, and running processes.
 
 mod budgets;
+mod claims;
 mod load;
 mod members;
 mod targets;
@@ -20,6 +21,8 @@
     /// Compares policies for the last tokens of a budget, as a table. The same seed gives the
     /// same table.
     Budgets(budgets::BudgetsArgs),
+    /// Measures what non-idempotent requests cost the store, as a table.
+    Claims(claims::ClaimsArgs),
     /// Compares ways to choose a target, as a table.
     Targets(targets::TargetsArgs),
     /// Measures what membership and configuration cost at several sizes, as a table.
@@ -31,6 +34,10 @@
 fn main() -> anyhow::Result<()> {
     match Args::parse().command {
         Command::Budgets(args) => budgets::run(&args),
+        Command::Claims(args) => {
+            claims::run(&args);
+            Ok(())
+        }
         Command::Targets(args) => {
             targets::run(&args);
             Ok(())
--- a/crates/damaskstile-requests/src/claims.rs
+++ b/crates/damaskstile-requests/src/claims.rs
@@ -6,6 +6,8 @@
 
 /// Wait after a lost answer before the table is read again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time that the state of a claim waits for a write that it can go along with.
+const STATE_WAIT: Duration = Duration::from_millis(300);
 /// Claims that one table may hold, so that its value stays well below 1 MB.
 const TABLE_CLAIMS_MAX: usize = 5_000;
 /// Room for keys that are younger than the clock allows for, and for clocks that differ.
@@ -56,6 +58,8 @@
     is_called: bool,
     must_write: bool,
     retry_at: Option<Duration>,
+    /// When states of claims are stored at the latest, if no new claim takes them along.
+    due_at: Option<Duration>,
 }
 
 impl ClaimShard {
@@ -72,6 +76,7 @@
             is_called: false,
             must_write: false,
             retry_at: None,
+            due_at: None,
         }
     }
 
@@ -112,6 +117,7 @@
             run: run.clone(),
             state,
         });
+        self.due_at.get_or_insert(now + STATE_WAIT);
         self.pump(now, fx);
     }
 
@@ -141,7 +147,7 @@
         if self.is_called || (self.pending.is_empty() && self.in_flight.is_empty()) {
             return None;
         }
-        self.retry_at
+        self.retry_at.or(self.due_at)
     }
 
     /// Tells whether nothing waits for the store.
@@ -154,8 +160,14 @@
         if self.is_called || self.retry_at.is_some_and(|at| now < at) {
             return;
         }
-        if self.in_flight.is_empty() {
+        let is_urgent = self
+            .pending
+            .iter()
+            .any(|op| !matches!(op, ClaimOp::Finish { .. }));
+        let is_due = self.due_at.is_some_and(|at| at <= now);
+        if self.in_flight.is_empty() && (is_urgent || is_due) {
             self.in_flight = std::mem::take(&mut self.pending);
+            self.due_at = None;
         }
         if self.in_flight.is_empty() {
             return;
--- a/crates/damaskstile-requests/tests/claims.rs
+++ b/crates/damaskstile-requests/tests/claims.rs
@@ -169,6 +169,8 @@
         state.clone(),
         &mut effects,
     );
+    let due_at = shard.next_wake().unwrap();
+    shard.tick(due_at, &mut effects);
     shard.on_store(NOW, StoreAnswer::Written { version: 2 }, &mut effects);
     effects.clear();
 
--- a/crates/damaskstile/src/instance/admit.rs
+++ b/crates/damaskstile/src/instance/admit.rs
@@ -210,7 +210,7 @@
             request.key.clone(),
             request.run.clone(),
         );
-        let shard = keys::claim_shard(&account, &key);
+        let shard = keys::claim_table(&account, &key);
         self.with_claims(&account, shard, effects, |claims, now, fx| {
             claims.claim(now, &key, &run, fx);
         });
@@ -316,7 +316,7 @@
             return;
         };
         let (account, key) = request.name();
-        let shard = keys::claim_shard(&account, &key);
+        let shard = keys::claim_table(&account, &key);
         self.with_claims(&account, shard, effects, |claims, now, fx| {
             claims.release(now, &key, &run, fx);
         });
@@ -330,7 +330,7 @@
             return;
         };
         let (account, key) = request.name();
-        let shard = keys::claim_shard(&account, &key);
+        let shard = keys::claim_table(&account, &key);
         self.with_claims(&account, shard, effects, |claims, now, fx| {
             claims.finish(now, &key, &run, state, fx);
         });
--- a/crates/damaskstile/src/keys.rs
+++ b/crates/damaskstile/src/keys.rs
@@ -1,8 +1,9 @@
 //! `keys` names the objects in the platform's store.
 
 use damaskstile_core::random::stable_hash;
+use damaskstile_requests::claim::key_unix_ms;
 
-/// Shards of the claims of one client account.
+/// Tables of one client account's claims side by side.
 pub const CLAIM_SHARDS: u64 = 16;
 
 /// Returns the key of a budget's ledger.
@@ -21,16 +22,28 @@
     format!("bills/{budget}/{page:010}")
 }
 
-/// Returns the shard of a claim's key.
+/// Time that the keys in one table of claims span, in milliseconds.
+const CLAIM_SPAN_MS: u64 = 10 * 60 * 1000;
+
+/// Returns the table that a key's claim goes to.
+///
+/// The key carries its time, so whoever claims it goes to the same table, and each table only
+/// ever holds the claims of one span of time.
 #[must_use]
-pub fn claim_shard(account: &str, key: &str) -> u64 {
-    stable_hash(&[account, key]) % CLAIM_SHARDS
+pub fn claim_table(account: &str, key: &str) -> u64 {
+    let span = key_unix_ms(key).unwrap_or(0) / CLAIM_SPAN_MS;
+    span * CLAIM_SHARDS + stable_hash(&[account, key]) % CLAIM_SHARDS
 }
 
-/// Returns the key of a shard of claims.
+/// Returns the store's key of a table of claims.
+///
+/// ```
+/// assert_eq!(damaskstile::keys::claims_key("a", 35), "claims/a/0000000002/03");
+/// ```
 #[must_use]
-pub fn claims_key(account: &str, shard: u64) -> String {
-    format!("claims/{account}/{shard:02}")
+pub fn claims_key(account: &str, table: u64) -> String {
+    let (span, shard) = (table / CLAIM_SHARDS, table % CLAIM_SHARDS);
+    format!("claims/{account}/{span:010}/{shard:02}")
 }
 
 /// Returns the key of a version in the history of the settings.
