--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -1,20 +1,25 @@
 //! `holder` holds an instance's part of a budget: reservations, refills, transfers and bills.
 
+mod batch;
+mod draw;
 mod flush;
 mod holding;
+mod peers;
 mod refill;
+mod renewal;
+mod reserve;
 mod transfer;
 
 use damaskstile_core::peer::Adoption;
 use damaskstile_core::prelude::*;
 
-use crate::effect::{DrawPlan, HolderEffect};
+use crate::effect::HolderEffect;
 use crate::entry::Entry;
 use crate::ledger::Ledger;
 use crate::op::LedgerOp;
 use crate::options::BudgetOptions;
 use crate::records::run_number;
-use flush::Batch;
+use batch::Batch;
 use holding::Holding;
 use refill::{Rate, Waiter};
 use transfer::{AskRound, OpenGive};
@@ -22,27 +27,8 @@
 /// Time between the loss of a witness and the change of its grants for new ones.
 const RENEW_AFTER: Duration = Duration::from_millis(500);
 
-/// `Reserve` is the answer to a request for tokens.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Reserve {
-    /// The tokens are reserved.
-    Ready(Vec<DrawPlan>),
-    /// The answer comes as an effect.
-    Waiting,
-    /// There is no hope of tokens now.
-    Refused(RefusalCode),
-}
-
-/// `Peers` is what a holder knows of the other instances.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Peers {
-    /// Peers that can be asked for tokens.
-    pub askable: BTreeSet<InstanceId>,
-    /// Peers that new grants name as witnesses.
-    pub witnesses: BTreeMap<InstanceId, Incarnation>,
-    /// Whether there are peers that cannot be reached.
-    pub has_silent: bool,
-}
+pub use peers::Peers;
+pub use reserve::Reserve;
 
 /// `Holder` holds one budget's tokens for one instance.
 ///
@@ -349,75 +335,6 @@
         self.flush_due(now, fx);
     }
 
-    /// Returns the draw plans of a run's reservation.
-    #[must_use]
-    pub fn plans(&self, run: &RunId) -> Vec<DrawPlan> {
-        let draws = self.reservations.get(run).cloned().unwrap_or_default();
-        draws.into_iter().map(|draw| self.plan(draw)).collect()
-    }
-
-    fn plan(&self, draw: Draw) -> DrawPlan {
-        let holding = self.holdings.get(&draw.grant);
-        let witnesses = holding.map(|holding| holding.witnesses.clone());
-        let origins = holding.map(|holding| holding.origins.clone());
-        DrawPlan {
-            draw,
-            witnesses: witnesses.unwrap_or_default(),
-            origins: origins.unwrap_or_default(),
-        }
-    }
-
-    /// Takes tokens out of as few holdings as possible, those with records first.
-    fn draw(&mut self, run: &RunId, tokens: u64, is_open_only: bool) -> Option<Vec<DrawPlan>> {
-        let mut order: Vec<(GrantId, u64)> = self
-            .holdings
-            .iter()
-            .filter(|(_, holding)| holding.free_tokens > 0)
-            .filter(|(_, holding)| !is_open_only || holding.witnesses.is_empty())
-            .map(|(grant, holding)| (grant.clone(), holding.free_tokens))
-            .collect();
-        order.sort_by_key(|(grant, free)| (self.is_open(grant), *free < tokens, *free));
-        let available: u64 = order.iter().map(|(_, free)| free).sum();
-        if available < tokens {
-            return None;
-        }
-
-        let mut left_tokens = tokens;
-        let mut draws = Vec::new();
-        for (grant, free) in order {
-            let taken = left_tokens.min(free);
-            if taken == 0 {
-                break;
-            }
-            left_tokens -= taken;
-            if let Some(holding) = self.holdings.get_mut(&grant) {
-                holding.free_tokens -= taken;
-            }
-            draws.push(Draw {
-                grant,
-                tokens: taken,
-            });
-        }
-        self.reservations.insert(run.clone(), draws.clone());
-        Some(draws.into_iter().map(|draw| self.plan(draw)).collect())
-    }
-
-    fn is_open(&self, grant: &GrantId) -> bool {
-        self.holdings
-            .get(grant)
-            .is_some_and(|holding| holding.witnesses.is_empty())
-    }
-
-    fn put_back(&mut self, grant: &GrantId, tokens: u64) {
-        // A grant that was closed meanwhile is no longer in the list; its rest is not ours.
-        if let Some(holding) = self.holdings.get_mut(grant) {
-            holding.free_tokens = holding.free_tokens.saturating_add(tokens);
-        }
-        if self.is_stopping {
-            self.return_free();
-        }
-    }
-
     fn return_free(&mut self) {
         for (grant, holding) in &mut self.holdings {
             let tokens = std::mem::take(&mut holding.free_tokens);
--- a/crates/damaskstile-budgets/src/lib.rs
+++ b/crates/damaskstile-budgets/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod errors;
 pub mod grant;
+pub mod grant_request;
 pub mod holder;
 pub mod ledger;
 pub mod op;
--- a/crates/damaskstile-budgets/src/policy.rs
+++ b/crates/damaskstile-budgets/src/policy.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::grant_request::GrantRequest;
 use crate::ledger::Ledger;
 
 /// Smallest grant worth a write while the budget has more, in tokens.
@@ -43,19 +44,6 @@
     }
 }
 
-/// `GrantRequest` is what a policy decides on.
-#[derive(Debug)]
-pub struct GrantRequest<'a> {
-    /// Instance that asks.
-    pub instance: &'a str,
-    /// Instances of the fleet.
-    pub instances: u64,
-    /// Tokens needed now.
-    pub need_tokens: u64,
-    /// Tokens wanted by the rate of spending.
-    pub want_tokens: u64,
-}
-
 struct FixedSlices;
 struct Adaptive {
     is_transferring: bool,
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod identity;
 pub mod ids;
 pub mod log;
+pub mod object;
 pub mod outcome;
 pub mod peer;
 pub mod random;
--- a/crates/damaskstile-core/src/peer.rs
+++ b/crates/damaskstile-core/src/peer.rs
@@ -1,15 +1,37 @@
 //! `peer` lists the messages between instances. They are encoded as protocol buffers.
 
+mod adoption;
+mod ask_tokens;
+mod draw;
+mod forget_runs;
+mod give_tokens;
 mod gossip;
-mod records;
-mod tokens;
+mod member_state;
+mod pull_settings;
+mod record_ack;
+mod run_end;
+mod run_record;
+mod settings_update;
+mod take_tokens;
+mod target_note;
 
 use prost::Message;
 use serde::{Deserialize, Serialize};
 
-pub use gossip::{Gossip, MemberState, PullSettings, SettingsUpdate, TargetNote};
-pub use records::{Draw, ForgetRuns, RecordAck, RunEnd, RunRecord};
-pub use tokens::{Adoption, AskTokens, GiveTokens, TakeTokens};
+pub use adoption::Adoption;
+pub use ask_tokens::AskTokens;
+pub use draw::Draw;
+pub use forget_runs::ForgetRuns;
+pub use give_tokens::GiveTokens;
+pub use gossip::Gossip;
+pub use member_state::MemberState;
+pub use pull_settings::PullSettings;
+pub use record_ack::RecordAck;
+pub use run_end::RunEnd;
+pub use run_record::RunRecord;
+pub use settings_update::SettingsUpdate;
+pub use take_tokens::TakeTokens;
+pub use target_note::TargetNote;
 
 use crate::errors::{Result, invalid_error, malformed_error};
 use crate::ids::{Incarnation, InstanceId};
--- a/crates/damaskstile-fakes/src/lib.rs
+++ b/crates/damaskstile-fakes/src/lib.rs
@@ -3,16 +3,22 @@
 //! It is for tests and measurements. Time is virtual and every choice comes out of a seed, so the
 //! same scenario gives the same result on every run.
 
+pub mod answered;
 pub mod check;
+pub mod fake_run;
+pub mod fake_target;
 pub mod network;
 pub mod options;
 pub mod oracle;
 pub mod store;
 pub mod targets;
+pub mod work;
 pub mod world;
 
+pub use answered::Answered;
 pub use network::Network;
 pub use options::WorldOptions;
 pub use store::FakeStore;
 pub use targets::FakeTargets;
-pub use world::{Answered, World};
+pub use work::Work;
+pub use world::World;
