--- a/crates/damaskstile-fleet/src/lib.rs
+++ b/crates/damaskstile-fleet/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod errors;
 pub mod membership;
+pub mod membership_options;
 pub mod settings;
 pub mod spread;
 
 pub use errors::{Error, Result};
-pub use membership::{Membership, MembershipOptions};
+pub use membership::Membership;
+pub use membership_options::MembershipOptions;
 pub use settings::Settings;
 pub use spread::SettingsInForce;
--- a/crates/damaskstile-requests/src/claims.rs
+++ b/crates/damaskstile-requests/src/claims.rs
@@ -2,7 +2,9 @@
 
 use damaskstile_core::prelude::*;
 
-use crate::claim::{Claim, ClaimOp, ClaimState, ClaimTable};
+use crate::claim::{Claim, ClaimState};
+use crate::claim_op::ClaimOp;
+use crate::claim_table::ClaimTable;
 
 /// Wait after a lost answer before the table is read again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -2,10 +2,14 @@
 
 pub mod answer;
 pub mod claim;
+pub mod claim_op;
+pub mod claim_table;
 pub mod claims;
 pub mod retries;
 
 pub use answer::{Assembled, Assembly};
-pub use claim::{Claim, ClaimState, ClaimTable};
+pub use claim::{Claim, ClaimState};
+pub use claim_op::ClaimOp;
+pub use claim_table::ClaimTable;
 pub use claims::{ClaimEffect, ClaimShard};
 pub use retries::RetryBudget;
--- a/crates/damaskstile-targets/src/registry.rs
+++ b/crates/damaskstile-targets/src/registry.rs
@@ -4,42 +4,14 @@
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
 
-use crate::selector::{Candidate, Selector, SelectorKind};
+use crate::candidate::Candidate;
+use crate::registry_options::RegistryOptions;
+use crate::selector::Selector;
 use crate::target::{Evidence, Target};
 
 /// Notes that one gossip carries at most.
 const NOTES_MAX: usize = 8;
 
-/// `RegistryOptions` sets how targets are chosen.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RegistryOptions {
-    /// How the target is chosen.
-    pub selector: SelectorKind,
-    /// Age of evidence past which a target is asked before it gets new work.
-    pub evidence_age: Duration,
-    /// Time between two questions to a target in use.
-    pub probe_interval: Duration,
-    /// Time in which the others' part of a load report counts half.
-    pub load_half_life: Duration,
-    /// Targets of one service that this instance uses, at most.
-    pub subset_targets: usize,
-    /// Load at which a target gets no more, in hundredths of its slots.
-    pub full_percent: u64,
-}
-
-impl Default for RegistryOptions {
-    fn default() -> Self {
-        Self {
-            selector: SelectorKind::default(),
-            evidence_age: Duration::from_secs(3),
-            probe_interval: Duration::from_secs(1),
-            load_half_life: Duration::from_secs(2),
-            subset_targets: 32,
-            full_percent: 200,
-        }
-    }
-}
-
 /// `Choice` is the answer to the question for a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
--- a/crates/damaskstile/src/instance.rs
+++ b/crates/damaskstile/src/instance.rs
@@ -1,10 +1,14 @@
 //! `instance` composes the duties of one instance behind a single entry.
 
 mod admit;
+mod claims;
 mod dispatch;
 mod explain;
+mod finish;
 mod fleet;
+mod gifts;
 mod money;
+mod record;
 mod request;
 mod run;
 mod stop;
@@ -20,7 +24,7 @@
 
 use crate::options::InstanceOptions;
 use explain::PendingExplain;
-use money::PendingGive;
+use gifts::PendingGive;
 use request::Request;
 use stray::Stray;
 use timers::Timer;
--- a/crates/damaskstile/src/instance/admit.rs
+++ b/crates/damaskstile/src/instance/admit.rs
@@ -2,23 +2,20 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_fleet::settings::{Effective, ServiceKind, ServiceSettings};
-use damaskstile_requests::claim::{ClaimState, key_unix_ms};
-use damaskstile_requests::claims::ClaimEffect;
-use damaskstile_requests::{Assembly, Claim, ClaimShard};
+use damaskstile_requests::Assembly;
+use damaskstile_requests::claim::key_unix_ms;
 
 use super::request::{Caller, Request, Step};
 use super::timers::Timer;
-use super::{Call, Effects, Instance};
+use super::{Effects, Instance};
 use crate::keys;
 
 /// Time by which a caller's clock may be ahead of ours.
 const CLOCK_MARGIN: Duration = Duration::from_mins(5);
 /// Longest key that is taken.
 const KEY_BYTES_MAX: usize = 128;
-/// Wait that is advised where only an operator can help.
-const RETRY_LONG: Duration = Duration::from_secs(30);
 /// Wait that is advised where the cause is likely to pass.
-const RETRY_SHORT: Duration = Duration::from_secs(1);
+pub(super) const RETRY_SHORT: Duration = Duration::from_secs(1);
 /// Entries that may wait for the store before new work is refused.
 const PENDING_ENTRIES_MAX: usize = 10_000;
 
@@ -130,7 +127,7 @@
         })
     }
 
-    fn claims_kept(&self) -> Duration {
+    pub(super) fn claims_kept(&self) -> Duration {
         Duration::from_secs(self.settings.settings().system.claims_kept_s)
     }
 
@@ -285,274 +282,6 @@
             ),
         }
     }
-
-    /// Ends a request that was not sent, or whose sending is proved not to have begun a run.
-    pub(super) fn refuse(
-        &mut self,
-        number: u64,
-        code: RefusalCode,
-        retry_after: Option<Duration>,
-        effects: &mut Effects,
-    ) {
-        self.drop_run(number, effects);
-        let has_begun = self
-            .requests
-            .get(&number)
-            .is_some_and(|request| request.has_begun);
-        if has_begun {
-            // An earlier run was cut and this one cannot be sent. Something has run.
-            self.end_unknown(number, code, effects);
-            return;
-        }
-        self.release_claim(number, effects);
-        self.finish(number, &Outcome::not_run(code, retry_after), effects);
-    }
-
-    fn release_claim(&mut self, number: u64, effects: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let Some(run) = request.claim_run.take() else {
-            return;
-        };
-        let (account, key) = request.name();
-        let shard = keys::claim_table(&account, &key);
-        self.with_claims(&account, shard, effects, |claims, now, fx| {
-            claims.release(now, &key, &run, fx);
-        });
-    }
-
-    pub(super) fn finish_claim(&mut self, number: u64, state: ClaimState, effects: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let Some(run) = request.claim_run.take() else {
-            return;
-        };
-        let (account, key) = request.name();
-        let shard = keys::claim_table(&account, &key);
-        self.with_claims(&account, shard, effects, |claims, now, fx| {
-            claims.finish(now, &key, &run, state, fx);
-        });
-    }
-
-    /// Ends a request that may have run.
-    pub(super) fn end_unknown(&mut self, number: u64, code: RefusalCode, effects: &mut Effects) {
-        self.finish_claim(number, ClaimState::Unknown, effects);
-        let Some(request) = self.requests.get(&number) else {
-            return;
-        };
-        let outcome = Outcome::Unknown {
-            code,
-            key: request.key.clone(),
-            retry_after: Some(RETRY_SHORT),
-        };
-        self.finish(number, &outcome, effects);
-    }
-
-    /// Gives the final word to all callers of a request.
-    pub(super) fn finish(&mut self, number: u64, outcome: &Outcome, effects: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        if request.is_done() {
-            return;
-        }
-        request.step = Step::Done;
-        request.outcome = Some(outcome.clone());
-        request.kept_until = self.now + self.options.replay_kept;
-        let account = request.account.clone();
-        let callers = std::mem::take(&mut request.callers);
-        effects.push(Effect::BodyDone {
-            request: request.first_call,
-        });
-        log_outcome(request, outcome, effects);
-        for caller in callers {
-            self.by_caller.remove(&caller.request);
-            effects.push(Effect::Answer {
-                request: caller.request,
-                outcome: outcome.clone(),
-            });
-        }
-        if let Some(open) = self.open_of_account.get_mut(&account) {
-            *open = open.saturating_sub(1);
-        }
-        self.keep_for_repeat(number, outcome);
-        self.queue_soon();
-    }
-
-    fn keep_for_repeat(&mut self, number: u64, outcome: &Outcome) {
-        let Some(request) = self.requests.get(&number) else {
-            return;
-        };
-        let is_kept = match outcome {
-            // A refused request may be sent again under its key, and a cut one may be rerun.
-            Outcome::NotRun { .. } => false,
-            Outcome::Unknown { .. } => request.is_non_idempotent,
-            Outcome::Answered(_) => {
-                self.replay_bytes + request.answer.bytes() <= self.options.replay_bytes_max
-            }
-        };
-        if is_kept {
-            self.replay_bytes += request.answer.bytes();
-            self.clean_up_later();
-        } else {
-            self.forget_request(number);
-        }
-    }
-
-    fn forget_request(&mut self, number: u64) {
-        if let Some(request) = self.requests.remove(&number) {
-            self.by_name.remove(&request.name());
-        }
-    }
-
-    pub(super) fn clean_up(&mut self) {
-        let now = self.now;
-        let old: Vec<u64> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.is_done() && request.kept_until <= now)
-            .map(|(number, _)| *number)
-            .collect();
-        for number in old {
-            if let Some(request) = self.requests.get(&number) {
-                self.replay_bytes = self.replay_bytes.saturating_sub(request.answer.bytes());
-            }
-            self.forget_request(number);
-        }
-        self.open_of_account.retain(|_, open| *open > 0);
-        self.claims.retain(|_, claims| !claims.is_settled());
-        let idle_for = self.options.replay_kept;
-        self.holders
-            .retain(|_, holder| !holder.is_idle(now, idle_for));
-        let has_kept = self.requests.values().any(Request::is_done);
-        if has_kept || !self.holders.is_empty() {
-            self.clean_up_later();
-        }
-    }
-
-    pub(super) fn with_claims(
-        &mut self,
-        account: &AccountId,
-        shard: u64,
-        effects: &mut Effects,
-        act: impl FnOnce(&mut ClaimShard, Duration, &mut Vec<ClaimEffect>),
-    ) {
-        let kept = self.claims_kept();
-        let instance = &self.options.identity.instance;
-        let claims = self
-            .claims
-            .entry((account.clone(), shard))
-            .or_insert_with(|| ClaimShard::new(instance, kept));
-        let mut fx = Vec::new();
-        act(claims, self.now, &mut fx);
-        let wake = claims.next_wake();
-        self.set_timer_at(wake, Timer::Claims(account.clone(), shard));
-        for effect in fx {
-            self.on_claim_effect(account, shard, effect, effects);
-        }
-    }
-
-    fn on_claim_effect(
-        &mut self,
-        account: &AccountId,
-        shard: u64,
-        effect: ClaimEffect,
-        effects: &mut Effects,
-    ) {
-        let key = keys::claims_key(account, shard);
-        match effect {
-            ClaimEffect::Read => self.call_store(
-                Call::Claims(account.clone(), shard),
-                StoreCall::Read { key },
-                effects,
-            ),
-            ClaimEffect::Write {
-                expected_version,
-                value,
-            } => self.call_store(
-                Call::Claims(account.clone(), shard),
-                StoreCall::Write {
-                    key,
-                    expected_version,
-                    value,
-                },
-                effects,
-            ),
-            ClaimEffect::Won { run } => self.on_claim_won(&run, effects),
-            ClaimEffect::Repeated { run, claim } => self.on_claim_repeated(&run, &claim, effects),
-            ClaimEffect::Failed { run } => {
-                if let Some(number) = self.by_run.get(&run).copied() {
-                    self.clear_claim(number);
-                    let code = RefusalCode::ClaimUnavailable;
-                    self.refuse(number, code, Some(RETRY_SHORT), effects);
-                }
-            }
-            ClaimEffect::Log(event) => effects.push(Effect::Log(event)),
-        }
-    }
-
-    fn on_claim_won(&mut self, run: &RunId, effects: &mut Effects) {
-        // A request that was refused while its claim was on its way has queued the release.
-        if let Some(number) = self.by_run.get(run).copied() {
-            // The run is numbered anew: the ledger takes all runs below the lowest one that is
-            // reserved or waits for tokens as accounted for, and this one had not waited yet.
-            self.drop_run(number, effects);
-            self.renew_run(number);
-            self.reserve(number, false, effects);
-        }
-    }
-
-    fn on_claim_repeated(&mut self, run: &RunId, claim: &Claim, effects: &mut Effects) {
-        let Some(number) = self.by_run.get(run).copied() else {
-            return;
-        };
-        self.clear_claim(number);
-        self.drop_run(number, effects);
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        request.note(format!("claimed by {} before", claim.instance));
-        let key = request.key.clone();
-        Self::log(
-            effects,
-            EventCode::ClaimRepeated,
-            &[("key", &key), ("instance", &claim.instance)],
-        );
-        let (code, retry_after) = match claim.state {
-            ClaimState::Answered { .. } => (RefusalCode::AlreadyRan, None),
-            ClaimState::Claimed => (RefusalCode::InProgress, Some(RETRY_SHORT)),
-            ClaimState::Unknown => (RefusalCode::TargetLost, None),
-        };
-        let outcome = Outcome::Unknown {
-            code,
-            key,
-            retry_after,
-        };
-        self.finish(number, &outcome, effects);
-        self.forget_request(number);
-    }
-
-    fn clear_claim(&mut self, number: u64) {
-        if let Some(request) = self.requests.get_mut(&number) {
-            request.claim_run = None;
-        }
-    }
-
-    /// Returns the wait that is advised for a refusal.
-    pub(super) fn retry_after(&self, code: RefusalCode, service: &str) -> Duration {
-        match code {
-            RefusalCode::BudgetExhausted => RETRY_LONG,
-            RefusalCode::Overloaded => {
-                let waiting = u32::try_from(self.queue.len(service)).unwrap_or(u32::MAX);
-                let time = self.registry.answer_time(service);
-                let wait = time.saturating_mul(waiting.clamp(1, 32)) / 4;
-                wait.max(RETRY_SHORT)
-            }
-            _ => RETRY_SHORT,
-        }
-    }
 }
 
 fn refuse_call(
@@ -571,23 +300,3 @@
         outcome: Outcome::not_run(code, retry_after),
     });
 }
-
-fn log_outcome(request: &Request, outcome: &Outcome, effects: &mut Effects) {
-    let (event, code) = match outcome {
-        Outcome::Answered(_) => (EventCode::RequestAnswered, "answered"),
-        Outcome::NotRun { code, .. } => (EventCode::RequestRefused, code.as_str()),
-        Outcome::Unknown { code, .. } => (EventCode::RequestUnknown, code.as_str()),
-    };
-    let target = request.target.as_ref().map_or("", |(target, _)| target);
-    effects.push(Effect::Log(LogEvent::new(
-        event,
-        &[
-            ("account", &request.account),
-            ("service", &request.service),
-            ("key", &request.key),
-            ("run", &request.run),
-            ("target", target),
-            ("code", code),
-        ],
-    )));
-}
--- /dev/null
+++ b/crates/damaskstile/src/instance/claims.rs
@@ -0,0 +1,149 @@
+//! `claims` lets a non-idempotent request be sent by one run only.
+
+use damaskstile_core::prelude::*;
+use damaskstile_requests::claim::ClaimState;
+use damaskstile_requests::claims::ClaimEffect;
+use damaskstile_requests::{Claim, ClaimShard};
+
+use super::admit::RETRY_SHORT;
+use super::timers::Timer;
+use super::{Call, Effects, Instance};
+use crate::keys;
+
+impl Instance {
+    pub(super) fn release_claim(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(run) = request.claim_run.take() else {
+            return;
+        };
+        let (account, key) = request.name();
+        let shard = keys::claim_table(&account, &key);
+        self.with_claims(&account, shard, effects, |claims, now, fx| {
+            claims.release(now, &key, &run, fx);
+        });
+    }
+
+    pub(super) fn finish_claim(&mut self, number: u64, state: ClaimState, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(run) = request.claim_run.take() else {
+            return;
+        };
+        let (account, key) = request.name();
+        let shard = keys::claim_table(&account, &key);
+        self.with_claims(&account, shard, effects, |claims, now, fx| {
+            claims.finish(now, &key, &run, state, fx);
+        });
+    }
+
+    pub(super) fn with_claims(
+        &mut self,
+        account: &AccountId,
+        shard: u64,
+        effects: &mut Effects,
+        act: impl FnOnce(&mut ClaimShard, Duration, &mut Vec<ClaimEffect>),
+    ) {
+        let kept = self.claims_kept();
+        let instance = &self.options.identity.instance;
+        let claims = self
+            .claims
+            .entry((account.clone(), shard))
+            .or_insert_with(|| ClaimShard::new(instance, kept));
+        let mut fx = Vec::new();
+        act(claims, self.now, &mut fx);
+        let wake = claims.next_wake();
+        self.set_timer_at(wake, Timer::Claims(account.clone(), shard));
+        for effect in fx {
+            self.on_claim_effect(account, shard, effect, effects);
+        }
+    }
+
+    fn on_claim_effect(
+        &mut self,
+        account: &AccountId,
+        shard: u64,
+        effect: ClaimEffect,
+        effects: &mut Effects,
+    ) {
+        let key = keys::claims_key(account, shard);
+        match effect {
+            ClaimEffect::Read => self.call_store(
+                Call::Claims(account.clone(), shard),
+                StoreCall::Read { key },
+                effects,
+            ),
+            ClaimEffect::Write {
+                expected_version,
+                value,
+            } => self.call_store(
+                Call::Claims(account.clone(), shard),
+                StoreCall::Write {
+                    key,
+                    expected_version,
+                    value,
+                },
+                effects,
+            ),
+            ClaimEffect::Won { run } => self.on_claim_won(&run, effects),
+            ClaimEffect::Repeated { run, claim } => self.on_claim_repeated(&run, &claim, effects),
+            ClaimEffect::Failed { run } => {
+                if let Some(number) = self.by_run.get(&run).copied() {
+                    self.clear_claim(number);
+                    let code = RefusalCode::ClaimUnavailable;
+                    self.refuse(number, code, Some(RETRY_SHORT), effects);
+                }
+            }
+            ClaimEffect::Log(event) => effects.push(Effect::Log(event)),
+        }
+    }
+
+    fn on_claim_won(&mut self, run: &RunId, effects: &mut Effects) {
+        // A request that was refused while its claim was on its way has queued the release.
+        if let Some(number) = self.by_run.get(run).copied() {
+            // The run is numbered anew: the ledger takes all runs below the lowest one that is
+            // reserved or waits for tokens as accounted for, and this one had not waited yet.
+            self.drop_run(number, effects);
+            self.renew_run(number);
+            self.reserve(number, false, effects);
+        }
+    }
+
+    fn on_claim_repeated(&mut self, run: &RunId, claim: &Claim, effects: &mut Effects) {
+        let Some(number) = self.by_run.get(run).copied() else {
+            return;
+        };
+        self.clear_claim(number);
+        self.drop_run(number, effects);
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.note(format!("claimed by {} before", claim.instance));
+        let key = request.key.clone();
+        Self::log(
+            effects,
+            EventCode::ClaimRepeated,
+            &[("key", &key), ("instance", &claim.instance)],
+        );
+        let (code, retry_after) = match claim.state {
+            ClaimState::Answered { .. } => (RefusalCode::AlreadyRan, None),
+            ClaimState::Claimed => (RefusalCode::InProgress, Some(RETRY_SHORT)),
+            ClaimState::Unknown => (RefusalCode::TargetLost, None),
+        };
+        let outcome = Outcome::Unknown {
+            code,
+            key,
+            retry_after,
+        };
+        self.finish(number, &outcome, effects);
+        self.forget_request(number);
+    }
+
+    fn clear_claim(&mut self, number: u64) {
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.claim_run = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/instance/gifts.rs
@@ -0,0 +1,125 @@
+//! `gifts` hands tokens to peers and takes theirs.
+
+use damaskstile_budgets::DrawPlan;
+use damaskstile_core::peer::{AskTokens, ForgetRuns, GiveTokens, RecordAck, RunRecord};
+use damaskstile_core::prelude::*;
+
+use super::timers::Timer;
+use super::{Effects, Instance};
+
+/// `PendingGive` is a gift whose record is not kept yet.
+#[derive(Debug)]
+pub(super) struct PendingGive {
+    budget: BudgetId,
+    witnesses: BTreeMap<InstanceId, Incarnation>,
+}
+
+impl Instance {
+    pub(super) fn on_give_wanted(
+        &mut self,
+        budget: &BudgetId,
+        transfer: GrantId,
+        plan: &DrawPlan,
+        effects: &mut Effects,
+    ) {
+        if plan.witnesses.is_empty() {
+            self.with_holder(budget, effects, |holder, now, fx| {
+                holder.send_give(now, &transfer, fx);
+            });
+            return;
+        }
+        // The witness must know of the gift first; else it would give the tokens back to the
+        // budget when this instance is lost, while the taker spends them.
+        let record = RunRecord {
+            run: transfer.clone(),
+            budget: budget.clone(),
+            draws: vec![plan.draw.clone()],
+            ..RunRecord::default()
+        };
+        for witness in plan.witnesses.keys() {
+            effects.push(Effect::Send {
+                to: witness.clone(),
+                message: PeerMessage::Record(record.clone()),
+            });
+        }
+        let give = PendingGive {
+            budget: budget.clone(),
+            witnesses: plan.witnesses.clone(),
+        };
+        self.gives.insert(transfer.clone(), give);
+        self.set_timer(self.options.record_patience, Timer::Give(transfer));
+    }
+
+    pub(super) fn on_give_recorded(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        ack: &RecordAck,
+        effects: &mut Effects,
+    ) {
+        let Some(give) = self.gives.get_mut(&ack.run) else {
+            return;
+        };
+        if !ack.is_accepted {
+            give.witnesses.remove(from);
+            if give.witnesses.is_empty() {
+                self.on_give_late(&ack.run, effects);
+            }
+            return;
+        }
+        if give.witnesses.get(from) != Some(&incarnation) {
+            return;
+        }
+        if let Some(give) = self.gives.remove(&ack.run) {
+            let transfer = ack.run.clone();
+            self.with_holder(&give.budget, effects, |holder, now, fx| {
+                holder.send_give(now, &transfer, fx);
+            });
+        }
+    }
+
+    pub(super) fn on_give_late(&mut self, transfer: &GrantId, effects: &mut Effects) {
+        let Some(give) = self.gives.remove(transfer) else {
+            return;
+        };
+        self.with_holder(&give.budget, effects, |holder, now, fx| {
+            holder.cancel_give(transfer, fx);
+            holder.tick(now, fx);
+        });
+        for witness in give.witnesses.into_keys() {
+            effects.push(Effect::Send {
+                to: witness,
+                message: PeerMessage::Forget(ForgetRuns {
+                    runs: vec![transfer.clone()],
+                }),
+            });
+        }
+    }
+
+    pub(super) fn on_ask(&mut self, from: &InstanceId, ask: &AskTokens, effects: &mut Effects) {
+        if self.holders.contains_key(&ask.budget) {
+            self.with_holder(&ask.budget, effects, |holder, now, fx| {
+                holder.on_ask(now, from, ask, fx);
+            });
+            return;
+        }
+        let none = GiveTokens {
+            ask: ask.ask,
+            budget: ask.budget.clone(),
+            ..GiveTokens::default()
+        };
+        effects.push(Effect::Send {
+            to: from.clone(),
+            message: PeerMessage::Give(none),
+        });
+    }
+
+    pub(super) fn on_give(&mut self, from: &InstanceId, give: &GiveTokens, effects: &mut Effects) {
+        let budget = give.budget.clone();
+        if self.holders.contains_key(&budget) {
+            self.with_holder(&budget, effects, |holder, now, fx| {
+                holder.on_give(now, from, give, fx);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile/src/instance/record.rs
@@ -0,0 +1,235 @@
+//! `record` has runs put on record at witnesses, and keeps the records of others.
+
+use damaskstile_budgets::DrawPlan;
+use damaskstile_core::peer::{RecordAck, RunEnd, RunRecord};
+use damaskstile_core::prelude::*;
+
+use super::request::Step;
+use super::timers::Timer;
+use super::{Effects, Instance};
+
+impl Instance {
+    /// Tells a grant's witnesses of it, so that they can close it when this instance is lost.
+    pub(super) fn send_watch(
+        budget: &BudgetId,
+        grant: GrantId,
+        witnesses: &BTreeSet<InstanceId>,
+        effects: &mut Effects,
+    ) {
+        let record = RunRecord {
+            run: grant.clone(),
+            budget: budget.clone(),
+            draws: vec![Draw { grant, tokens: 0 }],
+            ..RunRecord::default()
+        };
+        for witness in witnesses {
+            effects.push(Effect::Send {
+                to: witness.clone(),
+                message: PeerMessage::Record(record.clone()),
+            });
+        }
+    }
+
+    /// Has a run's record kept before it is sent; without witnesses it can be sent at once.
+    pub(super) fn record(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let plans = self
+            .holders
+            .get(&request.budget)
+            .map(|holder| holder.plans(&request.run))
+            .unwrap_or_default();
+        request.awaited = awaited(&plans);
+        let (target, address) = request.target.clone().unwrap_or_default();
+        let record = RunRecord {
+            run: request.run.clone(),
+            key: request.key.clone(),
+            account: request.account.clone(),
+            budget: request.budget.clone(),
+            ended: None,
+            origins: plans.iter().flat_map(|plan| plan.origins.clone()).collect(),
+            draws: plans.into_iter().map(|plan| plan.draw).collect(),
+            target,
+            address,
+            prompt_tokens: request.prompt_tokens,
+        };
+        self.records.insert(record.run.clone(), record.clone());
+        let is_awaited = !request.awaited.is_empty();
+        let timer = Timer::Record(number, request.run.clone());
+        // A run on open tokens is recorded too, so that its bill survives this instance; but
+        // nothing waits for that.
+        let witnesses: BTreeSet<InstanceId> = if is_awaited {
+            request.step = Step::Recording;
+            request
+                .awaited
+                .values()
+                .flat_map(|witnesses| witnesses.keys().cloned())
+                .collect()
+        } else {
+            self.membership.witnesses().into_keys().collect()
+        };
+        for witness in witnesses {
+            effects.push(Effect::Send {
+                to: witness,
+                message: PeerMessage::Record(record.clone()),
+            });
+        }
+        if is_awaited {
+            self.set_timer(self.options.record_patience, timer);
+        } else {
+            self.send_request(number, effects);
+        }
+    }
+
+    pub(super) fn on_record(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        record: RunRecord,
+        effects: &mut Effects,
+    ) {
+        let run = record.run.clone();
+        let life = (from.clone(), incarnation);
+        if let Some(end) = record.ended.clone() {
+            // A run that was already being looked into is over, by its own holder's word.
+            let state = RunState::Ended {
+                prompt_tokens: end.prompt_tokens,
+                output_tokens: end.output_tokens,
+            };
+            self.on_run_state(&run, &state, effects);
+        }
+        let is_accepted = self.keeper.keep(&life, record);
+        effects.push(Effect::Send {
+            to: from.clone(),
+            message: PeerMessage::RecordAck(RecordAck { run, is_accepted }),
+        });
+    }
+
+    pub(super) fn on_record_ack(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        ack: &RecordAck,
+        effects: &mut Effects,
+    ) {
+        if self.gives.contains_key(&ack.run) {
+            self.on_give_recorded(from, incarnation, ack, effects);
+            return;
+        }
+        let Some(number) = self.by_run.get(&ack.run).copied() else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        if request.step != Step::Recording {
+            return;
+        }
+        // Only the incarnation that the grant names may accept. One that came after it does not
+        // know whether the grant was closed, and would accept what must be refused.
+        let is_named = |witnesses: &BTreeMap<InstanceId, Incarnation>| {
+            witnesses.get(from) == Some(&incarnation)
+        };
+        if ack.is_accepted {
+            request.awaited.retain(|_, witnesses| !is_named(witnesses));
+        } else {
+            for witnesses in request.awaited.values_mut() {
+                witnesses.remove(from);
+            }
+        }
+        let is_refused = request.awaited.values().any(BTreeMap::is_empty);
+        if request.awaited.is_empty() {
+            self.send_request(number, effects);
+        } else if is_refused {
+            self.draw_open(number, effects);
+        }
+    }
+
+    pub(super) fn on_record_late(&mut self, number: u64, run: &RunId, effects: &mut Effects) {
+        let is_waiting = self
+            .requests
+            .get(&number)
+            .is_some_and(|request| request.step == Step::Recording && &request.run == run);
+        if is_waiting {
+            self.draw_open(number, effects);
+        }
+    }
+
+    /// Goes on with tokens that need no record, because no witness of a grant accepts any.
+    ///
+    /// The run gets a new name: a witness may have kept the record of the old one, and would
+    /// account for it too.
+    pub(super) fn draw_open(&mut self, number: u64, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.note("no witness kept the record; open tokens are drawn".to_owned());
+        let budget = request.budget.clone();
+        let lost: BTreeSet<GrantId> = request.awaited.keys().cloned().collect();
+        self.drop_run(number, effects);
+        self.with_holder(&budget, effects, |holder, now, fx| {
+            holder.witnesses_lost(now, &lost);
+            holder.tick(now, fx);
+        });
+        self.renew_run(number);
+        self.reserve(number, true, effects);
+    }
+
+    /// Tells witnesses what a run has used, so that its bill survives this instance and the target.
+    pub(super) fn record_end(&mut self, run: &RunId, end: RunEnd, effects: &mut Effects) {
+        let Some(record) = self.records.get_mut(run) else {
+            return;
+        };
+        record.ended = Some(end);
+        let record = record.clone();
+        for witness in self.witnesses_of(&record) {
+            effects.push(Effect::Send {
+                to: witness,
+                message: PeerMessage::Record(record.clone()),
+            });
+        }
+    }
+
+    /// Returns the witnesses that have a record: those of its grants, or the usual ones.
+    fn witnesses_of(&self, record: &RunRecord) -> BTreeSet<InstanceId> {
+        let of_grants: BTreeSet<InstanceId> = self
+            .holders
+            .get(&record.budget)
+            .map(|holder| holder.witnesses_of(&record.draws))
+            .unwrap_or_default();
+        if of_grants.is_empty() {
+            return self.membership.witnesses().into_keys().collect();
+        }
+        of_grants
+    }
+
+    /// Hands the records of own runs to witnesses that were not told of them.
+    ///
+    /// Bills wait in memory while the store is down, and the witnesses that have their records
+    /// may be lost one after the other in that time.
+    pub(super) fn hand_records_on(&mut self, effects: &mut Effects) {
+        let witnesses = self.membership.witnesses();
+        for (witness, incarnation) in &witnesses {
+            if self.record_keepers.get(witness) == Some(incarnation) {
+                continue;
+            }
+            for record in self.records.values() {
+                effects.push(Effect::Send {
+                    to: witness.clone(),
+                    message: PeerMessage::Record(record.clone()),
+                });
+            }
+        }
+        self.record_keepers = witnesses;
+    }
+}
+
+/// Returns the grants of a reservation that need a record, with their witnesses.
+fn awaited(plans: &[DrawPlan]) -> BTreeMap<GrantId, BTreeMap<InstanceId, Incarnation>> {
+    plans
+        .iter()
+        .filter(|plan| !plan.witnesses.is_empty())
+        .map(|plan| (plan.draw.grant.clone(), plan.witnesses.clone()))
+        .collect()
+}
--- a/crates/damaskstile/src/trace.rs
+++ b/crates/damaskstile/src/trace.rs
@@ -1,57 +1,19 @@
 //! `trace` records the events of an instance, and replays them against stated outcomes.
 
+mod error;
+mod line;
+
 use std::io::{BufRead, Write};
 
 use damaskstile_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+pub use error::Error;
+pub use line::{TraceHead, TraceLine};
+
 use crate::instance::Instance;
 use crate::options::InstanceOptions;
 
-/// `TraceHead` is the first line of a trace: who the instance was.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct TraceHead {
-    /// The instance.
-    pub identity: Identity,
-    /// Seed of its choices.
-    pub seed: u64,
-    /// Time of its start.
-    pub started_at: Duration,
-}
-
-/// `TraceLine` is one line of a trace after its head.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TraceLine {
-    /// An event at a time.
-    Event {
-        /// Time of the event.
-        now: Duration,
-        /// The event.
-        event: Event,
-    },
-    /// An outcome that the call must have by now.
-    Expect {
-        /// The call.
-        request: RequestHandle,
-        /// Its final word.
-        outcome: Outcome,
-    },
-    /// Says that the call must have no final word by now.
-    ExpectOpen {
-        /// The call.
-        request: RequestHandle,
-    },
-    /// Says that a target must have been sent the call's request this many times by now.
-    ExpectDispatches {
-        /// The call.
-        request: RequestHandle,
-        /// How often.
-        dispatches: u64,
-    },
-}
-
 /// `Replayed` tells what a replay gave.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,40 +28,6 @@
     pub outcomes: BTreeMap<RequestHandle, Outcome>,
 }
 
-/// `Error` tells why a trace cannot be read or written.
-#[derive(Debug)]
-pub enum Error {
-    /// Reading or writing failed.
-    Io(std::io::Error),
-    /// A line is no line of a trace.
-    Malformed {
-        /// Number of the line, from 1.
-        line: usize,
-        /// What is wrong.
-        error: serde_json::Error,
-    },
-    /// The trace has no head.
-    Empty,
-}
-
-impl std::fmt::Display for Error {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Io(error) => write!(f, "trace: {error}"),
-            Self::Malformed { line, error } => write!(f, "trace, line {line}: {error}"),
-            Self::Empty => write!(f, "trace without head"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
-impl From<std::io::Error> for Error {
-    fn from(error: std::io::Error) -> Self {
-        Self::Io(error)
-    }
-}
-
 /// Writes one line of a trace.
 ///
 /// # Errors
