--- a/crates/damaskstile-budgets/src/ledger.rs
+++ b/crates/damaskstile-budgets/src/ledger.rs
@@ -5,6 +5,7 @@
 use damaskstile_core::identity::writer_name;
 use damaskstile_core::peer::Adoption;
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 use serde::{Deserialize, Serialize};
 
 use crate::entry::Entry;
@@ -390,14 +391,3 @@
         });
     }
 }
-
-/// Returns a time as milliseconds, as the store and peers have it.
-///
-/// ```
-/// use std::time::Duration;
-/// assert_eq!(damaskstile_budgets::ledger::unix_ms(Duration::from_secs(2)), 2000);
-/// ```
-#[must_use]
-pub fn unix_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod request;
 pub mod store;
 pub mod target;
+pub mod time;
 
 pub mod prelude {
     //! `prelude` re-exports the types that nearly every module needs.
--- a/crates/damaskstile-measure/src/load.rs
+++ b/crates/damaskstile-measure/src/load.rs
@@ -44,6 +44,9 @@
     /// Requests at a time.
     #[arg(long, default_value_t = 8)]
     at_a_time: usize,
+    /// Makes no direct calls beside those through the fleet.
+    #[arg(long)]
+    no_direct: bool,
     /// Tokens of each answer.
     #[arg(long, default_value_t = 8)]
     output_tokens: u64,
@@ -114,7 +117,7 @@
     let through = started.elapsed();
     let outcome = outcome(reply);
     let mut direct_time = None;
-    if plain.is_none() {
+    if plain.is_none() && !args.no_direct {
         let started = Instant::now();
         let call = completion(args, direct, number.is_multiple_of(2));
         if send_whole(call, REQUEST_LIMIT).await.is_ok() {
@@ -124,9 +127,9 @@
     let mut tally = tally.lock().await;
     let is_answered = outcome == "answered";
     *tally.outcomes.entry(outcome).or_default() += 1;
-    if is_answered && let Some(direct_time) = direct_time {
+    if is_answered && plain.is_none() {
         tally.through.push(through);
-        tally.direct.push(direct_time);
+        tally.direct.extend(direct_time);
     }
 }
 
--- a/crates/damaskstile/src/instance/run.rs
+++ b/crates/damaskstile/src/instance/run.rs
@@ -1,9 +1,9 @@
 //! `run` follows what targets say of runs, to a whole answer, a retry or a cut.
 
 use damaskstile_budgets::Entry;
-use damaskstile_budgets::ledger::unix_ms;
 use damaskstile_core::peer::RunEnd;
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 use damaskstile_requests::Assembled;
 use damaskstile_requests::claim::ClaimState;
 
--- a/crates/damaskstile/src/instance/stray.rs
+++ b/crates/damaskstile/src/instance/stray.rs
@@ -4,9 +4,9 @@
 //! that this instance has on record. Each is accounted for once its target says what was run.
 
 use damaskstile_budgets::Entry;
-use damaskstile_budgets::ledger::unix_ms;
 use damaskstile_core::peer::{Adoption, RunRecord};
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 
 use super::timers::Timer;
 use super::{Effects, Instance};
--- a/crates/damaskstile/tests/together.rs
+++ b/crates/damaskstile/tests/together.rs
@@ -163,6 +163,7 @@
         let key = "settings/tree".to_owned();
         let object = old.clone();
         world.give(&name, Event::Changed { key, object });
+        assert_eq!(world.instance(&name).unwrap().settings().version(), version);
     }
     world.kill("i001");
     world.start("i001");
--- a/crates/damaskstiled/src/answers.rs
+++ b/crates/damaskstiled/src/answers.rs
@@ -2,7 +2,7 @@
 
 use damaskstile::core::prelude::*;
 use damaskstile_http::SseLines;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
 /// `Usage` is a target's count of tokens.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
@@ -21,18 +21,6 @@
     usage: Option<Usage>,
 }
 
-/// `PlainAnswer` is the whole answer of a plain service, as one piece.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PlainAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Type of the content.
-    pub content_type: String,
-    /// Body, in hexadecimal.
-    pub body_hex: String,
-}
-
 /// `AnswerReader` turns the bytes of a target's stream into reports.
 #[derive(Debug)]
 pub struct AnswerReader {
--- a/crates/damaskstiled/src/callers/relay.rs
+++ b/crates/damaskstiled/src/callers/relay.rs
@@ -12,9 +12,9 @@
 use http_body_util::StreamBody;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::answers::PlainAnswer;
 use crate::completion::{self, Asked, Tokens};
 use crate::front::{Front, ToCaller};
+use crate::plain_answer::PlainAnswer;
 use crate::problem::{Answer, Problem, finish, json_answer};
 
 /// `OpenCall` is a call on its way. When it is dropped the caller has its answer, or has gone.
--- a/crates/damaskstiled/src/decide.rs
+++ b/crates/damaskstiled/src/decide.rs
@@ -15,12 +15,13 @@
 use crate::config::Config;
 use crate::front::{Front, ToCaller};
 use crate::logs;
-use crate::metrics::Timings;
+
 use crate::peers::ToPeers;
 use crate::recorder::Recorder;
 use crate::status::Status;
 use crate::store::ToStore;
 use crate::targets::ToTargets;
+use crate::timings::Timings;
 
 /// Events that are decided on before time is looked at again.
 const EVENTS_AT_A_TIME: usize = 64;
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -11,14 +11,17 @@
 mod duty;
 mod front;
 mod logs;
+mod member_status;
 mod metrics;
 mod operators;
 mod peers;
+mod plain_answer;
 mod problem;
 mod recorder;
 mod status;
 mod store;
 mod targets;
+mod timings;
 
 use std::io::Read;
 use std::path::PathBuf;
--- a/crates/damaskstiled/src/metrics.rs
+++ b/crates/damaskstiled/src/metrics.rs
@@ -1,8 +1,6 @@
 //! `metrics` measures requests for each client account and service.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::sync::{Mutex, PoisonError};
 
 use damaskstile::core::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -15,7 +13,8 @@
 /// `AccountLabels` tell whose request was measured.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AccountLabels {
-    account: String,
+    /// Client account.
+    pub account: String,
 }
 
 /// `CodeLabels` tell why requests were not answered.
@@ -31,10 +30,10 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
-    reserve_wait: Times,
-    overhead: Times,
-    first_token: Times,
-    between_tokens: Times,
+    pub(crate) reserve_wait: Times,
+    pub(crate) overhead: Times,
+    pub(crate) first_token: Times,
+    pub(crate) between_tokens: Times,
     outcomes: Family<CodeLabels, Counter>,
 }
 
@@ -96,7 +95,7 @@
         text
     }
 
-    fn count(&self, outcome: &Outcome) {
+    pub(crate) fn count(&self, outcome: &Outcome) {
         let (outcome, code) = match outcome {
             Outcome::Answered(_) => ("answered", "answered"),
             Outcome::NotRun { code, .. } => ("not_run", code.as_str()),
@@ -109,91 +108,3 @@
         self.outcomes.get_or_create(&labels).inc();
     }
 }
-
-#[derive(Debug)]
-struct Timing {
-    labels: AccountLabels,
-    arrived: Instant,
-    last_piece: Option<Instant>,
-    is_sent: bool,
-}
-
-/// `Timings` follows open calls and observes their times.
-#[derive(Debug)]
-pub struct Timings {
-    metrics: Arc<Metrics>,
-    open: BTreeMap<RequestHandle, Timing>,
-}
-
-impl Timings {
-    /// Makes the timings of no calls.
-    pub fn new(metrics: Arc<Metrics>) -> Self {
-        Self {
-            metrics,
-            open: BTreeMap::new(),
-        }
-    }
-
-    /// Takes note of an effect.
-    pub fn note(&mut self, effect: &Effect) {
-        match effect {
-            Effect::Accepted {
-                request, account, ..
-            } => {
-                let timing = Timing {
-                    labels: AccountLabels {
-                        account: account.clone(),
-                    },
-                    arrived: Instant::now(),
-                    last_piece: None,
-                    is_sent: false,
-                };
-                self.open.insert(*request, timing);
-            }
-            Effect::Reserved { request } => self.reserved(*request),
-            Effect::Dispatch(dispatch) => self.sent(dispatch.request),
-            Effect::Relay { request, .. } => self.piece(*request),
-            Effect::Answer { request, outcome } => {
-                self.open.remove(request);
-                self.metrics.count(outcome);
-            }
-            _ => {}
-        }
-    }
-
-    fn reserved(&self, request: RequestHandle) {
-        if let Some(timing) = self.open.get(&request) {
-            let waited = timing.arrived.elapsed().as_secs_f64();
-            let times = self.metrics.reserve_wait.get_or_create(&timing.labels);
-            times.observe(waited);
-        }
-    }
-
-    fn sent(&mut self, request: RequestHandle) {
-        if let Some(timing) = self.open.get_mut(&request)
-            && !timing.is_sent
-        {
-            timing.is_sent = true;
-            let waited = timing.arrived.elapsed().as_secs_f64();
-            self.metrics
-                .overhead
-                .get_or_create(&timing.labels)
-                .observe(waited);
-        }
-    }
-
-    fn piece(&mut self, request: RequestHandle) {
-        let Some(timing) = self.open.get_mut(&request) else {
-            return;
-        };
-        let now = Instant::now();
-        let (times, since) = match timing.last_piece {
-            Some(last) => (&self.metrics.between_tokens, last),
-            None => (&self.metrics.first_token, timing.arrived),
-        };
-        times
-            .get_or_create(&timing.labels)
-            .observe(now.duration_since(since).as_secs_f64());
-        timing.last_piece = Some(now);
-    }
-}
--- a/crates/damaskstiled/src/status.rs
+++ b/crates/damaskstiled/src/status.rs
@@ -5,21 +5,7 @@
 use damaskstile::Instance;
 use serde::{Deserialize, Serialize};
 
-/// `MemberStatus` is what the instance knows of one peer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct MemberStatus {
-    /// Name of the peer.
-    pub instance: String,
-    /// Data centre that it stands in.
-    pub data_centre: String,
-    /// Its address.
-    pub address: String,
-    /// `live`, `stopping` or `silent`.
-    pub state: String,
-    /// Settings in force there, as far as is known.
-    pub settings_version: u64,
-}
+use crate::member_status::MemberStatus;
 
 /// `Snapshot` is what operators see of the instance.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -12,12 +12,13 @@
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::task::AbortHandle;
 
-use crate::answers::{AnswerReader, PlainAnswer};
+use crate::answers::AnswerReader;
 use crate::clock::Clock;
 use crate::completion;
 use crate::config::Config;
 use crate::duty;
 use crate::front::{Front, Kept};
+use crate::plain_answer::PlainAnswer;
 
 /// Messages that may wait.
 const TARGETS_RING: usize = 4096;
