--- a/crates/damaskstiled/src/answers.rs
+++ b/crates/damaskstile-http/src/answers.rs
@@ -1,9 +1,10 @@
 //! `answers` reads a target's answer and reports its pieces.
 
-use damaskstile::core::prelude::*;
-use damaskstile_http::SseLines;
+use damaskstile_core::prelude::*;
 use serde::Deserialize;
 
+use crate::sse::SseLines;
+
 /// `Usage` is a target's count of tokens.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 pub struct Usage {
@@ -32,6 +33,7 @@
 
 impl AnswerReader {
     /// Makes a reader of a stream that begins with this chunk.
+    #[must_use]
     pub fn new(first_index: u64) -> Self {
         Self {
             lines: SseLines::new(),
@@ -42,6 +44,14 @@
     }
 
     /// Takes in bytes and returns the reports that they make up.
+    ///
+    /// ```
+    /// use damaskstile_core::report::RunReport;
+    /// use damaskstile_http::AnswerReader;
+    /// let mut reader = AnswerReader::new(0);
+    /// let reports = reader.push(b"data: {\"choices\":[{}]}\n\ndata: [DONE]\n\n");
+    /// assert!(matches!(reports[1], RunReport::Finished { chunks: 1, .. }));
+    /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Vec<RunReport> {
         let lines = self.lines.push(bytes);
         let mut reports = Vec::new();
@@ -97,6 +107,7 @@
     }
 
     /// Tells whether the stream has said its last word.
+    #[must_use]
     pub fn is_done(&self) -> bool {
         self.is_done
     }
--- a/crates/damaskstile-http/src/lib.rs
+++ b/crates/damaskstile-http/src/lib.rs
@@ -1,10 +1,12 @@
 //! `damaskstile-http` speaks HTTP to targets and to the platform, over `hyper`.
 
+pub mod answers;
 pub mod client;
 pub mod errors;
 pub mod platform;
 pub mod sse;
 
+pub use answers::AnswerReader;
 pub use client::{Call, Reply, send, send_whole};
 pub use errors::{Error, Result};
 pub use platform::Platform;
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -2,7 +2,6 @@
 //!
 //! No decision is taken here. Each duty has a thread of its own; bounded rings join them.
 
-mod answers;
 mod callers;
 mod clock;
 mod completion;
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -6,13 +6,12 @@
 
 use damaskstile::core::hex::to_hex;
 use damaskstile::core::prelude::*;
-use damaskstile_http::{Call, Error, send, send_whole};
+use damaskstile_http::{AnswerReader, Call, Error, send, send_whole};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::task::AbortHandle;
 
-use crate::answers::AnswerReader;
 use crate::clock::Clock;
 use crate::completion;
 use crate::config::Config;
