Store the bills of a long outage in batches that fit

Cause: all that waited went in one write; past about 4,000 entries the value is above 1 MB and refused on every try, for ever. Ruled out: pages (they were stored, but the word to drop them stood behind the waiting bills; it goes first now). Before: 6,000 bills after a 30 s outage, value above 1 MB (test fails). After: all stored. Found while measuring one instance at 3,000 requests a second.

--- a/crates/damaskstile-budgets/src/holder/flush.rs
+++ b/crates/damaskstile-budgets/src/holder/flush.rs
@@ -16,6 +16,8 @@
 const BACKOFF_FIRST: Duration = Duration::from_millis(200);
 /// Longest wait after lost answers.
 const BACKOFF_LONGEST: Duration = Duration::from_secs(3);
+/// Changes of one batch.
+const OPS_MAX: usize = 512;
 /// Time without use after which the ledger is not kept in memory.
 const VIEW_KEPT: Duration = Duration::from_secs(30);
 
@@ -44,13 +46,18 @@
             return;
         }
         self.return_crumbs();
-        let number = self.settled_below();
+        // Many bills wait after an outage. All in one write would make the value larger than the
+        // store takes, on this try and on every one after it.
+        let rest = self
+            .pending
+            .split_off(self.pending.len().min(self.batch_ops_max()));
+        let number = self.settled_below(&rest);
         self.pending.push(LedgerOp::SettledBelow { number });
         self.last_batch += 1;
         self.next_flush_at = now + self.options.flush_interval;
         self.batch = Some(Batch {
             number: self.last_batch,
-            ops: std::mem::take(&mut self.pending),
+            ops: std::mem::replace(&mut self.pending, rest),
             is_called: false,
             candidate: None,
             refused: Vec::new(),
@@ -63,9 +70,27 @@
         }
     }
 
+    /// Returns how many changes the next batch may have, by the room that the ledger has left.
+    fn batch_ops_max(&self) -> usize {
+        let entries = self
+            .view
+            .as_ref()
+            .map_or(0, |(_, ledger)| ledger.entries.len());
+        if entries >= RECENT_ENTRIES + PAGE_ENTRIES {
+            // As many as one page takes out again.
+            PAGE_ENTRIES
+        } else {
+            OPS_MAX
+        }
+    }
+
     /// Returns the number below which no run is open after the batch that is being made.
-    fn settled_below(&self) -> u64 {
-        let open = self.reservations.keys();
+    fn settled_below(&self, rest: &[LedgerOp]) -> u64 {
+        let left = rest.iter().filter_map(|op| match op {
+            LedgerOp::Spend { entry, .. } => Some(&entry.run),
+            _ => None,
+        });
+        let open = self.reservations.keys().chain(left);
         let waiting = self.waiters.iter().map(|waiter| &waiter.run);
         open.chain(waiting)
             .filter_map(|run| run_number(run))
@@ -275,6 +300,9 @@
             fx.push(HolderEffect::Flushed { runs });
         }
         self.check_holdings(fx);
+        if !self.pending.is_empty() {
+            self.next_flush_at = self.next_flush_at.min(now);
+        }
         let has_asked = batch
             .ops
             .iter()
@@ -390,7 +418,8 @@
         );
         if is_stored {
             self.next_flush_at = self.next_flush_at.min(now);
-            self.pending.push(LedgerOp::DropPage { page });
+            // Before the bills that wait, so that there is room for them.
+            self.pending.insert(0, LedgerOp::DropPage { page });
         }
     }
 }
--- a/crates/damaskstile-measure/src/load.rs
+++ b/crates/damaskstile-measure/src/load.rs
@@ -76,6 +76,7 @@
         .iter()
         .find(|info| info.service == args.model)
         .context("no target of the model's service")?;
+    let bills_before = read_ledger(&args, &platform).await?.bills;
     let tally = Arc::new(Mutex::new(Tally::default()));
     let places = Arc::new(Semaphore::new(args.at_a_time));
     let args = Arc::new(args);
@@ -95,7 +96,7 @@
     }
     let took = started.elapsed();
     let tally = std::mem::take(&mut *tally.lock().await);
-    report(&args, &platform, &tally, took).await
+    report(&args, &platform, &tally, bills_before, took).await
 }
 
 async fn one(args: &LoadArgs, number: u64, direct: &str, tally: &Mutex<Tally>) {
@@ -177,10 +178,11 @@
     args: &LoadArgs,
     platform: &Platform,
     tally: &Tally,
+    bills_before: u64,
     took: Duration,
 ) -> anyhow::Result<()> {
     let answered = tally.outcomes.get("answered").copied().unwrap_or(0);
-    let ledger = settled_ledger(args, platform, answered).await?;
+    let ledger = settled_ledger(args, platform, bills_before + answered).await?;
     let (runs, ran_tokens) = truth(platform).await?;
     println!("outcome\trequests");
     for (outcome, count) in &tally.outcomes {
@@ -225,18 +227,22 @@
     Ok(())
 }
 
+async fn read_ledger(args: &LoadArgs, platform: &Platform) -> anyhow::Result<Ledger> {
+    let object = platform.read(&ledger_key(&args.budget)).await?;
+    let object = object.context("no such budget")?;
+    Ok(Ledger::try_from_json(&object.value)?)
+}
+
 /// Waits until the bills of all answers are stored.
 async fn settled_ledger(
     args: &LoadArgs,
     platform: &Platform,
-    answered: u64,
+    bills: u64,
 ) -> anyhow::Result<Ledger> {
     let until = Instant::now() + BILLS_LIMIT;
     loop {
-        let object = platform.read(&ledger_key(&args.budget)).await?;
-        let object = object.context("no such budget")?;
-        let ledger = Ledger::try_from_json(&object.value)?;
-        if ledger.bills >= answered || Instant::now() >= until {
+        let ledger = read_ledger(args, platform).await?;
+        if ledger.bills >= bills || Instant::now() >= until {
             return Ok(ledger);
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/damaskstile/tests/together.rs
+++ b/crates/damaskstile/tests/together.rs
@@ -280,3 +280,34 @@
         assert!(outcome.is_answered(), "{outcome:?}");
     }
 }
+
+#[test]
+fn bills_of_a_long_outage_fit_into_the_store_afterwards() {
+    // Symptom: after a long outage no bill is stored any more, and the ledger stays as it was.
+    // Sequence: thousands of bills wait while the store is down; then all go in one write.
+    // Cause: the value grows above what the store takes, and is refused on every try.
+
+    // Arrange
+    let options = WorldOptions {
+        instances: 1,
+        slots_requests: 100_000,
+        settings: settings("instances = 1"),
+        ..WorldOptions::default()
+    };
+    let mut world = World::new(options, 10_000_000);
+    world.run_for(Duration::from_secs(3));
+    world.store.is_out = true;
+
+    // Act
+    for _ in 0..6_000 {
+        world.request("i000", &Work::chat(1, 2, 2));
+        world.run_for(Duration::from_millis(5));
+    }
+    world.store.is_out = false;
+    world.run_for(Duration::from_mins(1));
+
+    // Assert
+    assert_eq!(check::at_the_end(&world), Ok(()));
+    assert_eq!(answered(&world), 6_000);
+    assert_eq!(check::answered_is_billed(&world), Ok(()));
+}
