Never send a plain service's call again to resume it

Symptom: a non-idempotent call ran twice after its connection broke (found on reading). Cause: can_resume is on unless set, and only model engines know a run again. The test fails before (2 dispatches) and passes after (1). Also: one maker of dispatches, one end of claims.

--- a/crates/damaskstile-fakes/src/options.rs
+++ b/crates/damaskstile-fakes/src/options.rs
@@ -66,7 +66,7 @@
         "[system]\n{system}\n\
          [service.chat]\nkind = \"model\"\n\
          [service.status]\nkind = \"plain\"\nprice_tokens = 2\ncan_resume = false\n\
-         [service.publish]\nkind = \"plain\"\nprice_tokens = 3\nis_non_idempotent = true\ncan_resume = false\n\
+         [service.publish]\nkind = \"plain\"\nprice_tokens = 3\nis_non_idempotent = true\n\
          [account.office]\nbudget = \"office\"\ntoken_sha256 = [\"{OFFICE_TOKEN}\"]\n"
     )
 }
--- a/crates/damaskstile/src/instance/admit.rs
+++ b/crates/damaskstile/src/instance/admit.rs
@@ -162,7 +162,8 @@
             first_call: request.request,
             body_hash: request.body_hash,
             is_non_idempotent: terms.service.is_non_idempotent || request.non_idempotent,
-            can_resume: terms.service.can_resume,
+            // Only model engines know a run again; a plain service would run the call once more.
+            can_resume: terms.service.can_resume && terms.service.kind == ServiceKind::Model,
             prompt_tokens,
             cap_tokens,
             priority: request.priority.unwrap_or(effective.priority),
--- a/crates/damaskstile/src/instance/claims.rs
+++ b/crates/damaskstile/src/instance/claims.rs
@@ -12,20 +12,15 @@
 
 impl Instance {
     pub(super) fn release_claim(&mut self, number: u64, effects: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&number) else {
-            return;
-        };
-        let Some(run) = request.claim_run.take() else {
-            return;
-        };
-        let (account, key) = request.name();
-        let shard = keys::claim_table(&account, &key);
-        self.with_claims(&account, shard, effects, |claims, now, fx| {
-            claims.release(now, &key, &run, fx);
-        });
+        self.end_claim(number, None, effects);
     }
 
     pub(super) fn finish_claim(&mut self, number: u64, state: ClaimState, effects: &mut Effects) {
+        self.end_claim(number, Some(state), effects);
+    }
+
+    /// Stores the state of a request's claim, or gives the claim up where there is none.
+    fn end_claim(&mut self, number: u64, state: Option<ClaimState>, effects: &mut Effects) {
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
@@ -34,8 +29,9 @@
         };
         let (account, key) = request.name();
         let shard = keys::claim_table(&account, &key);
-        self.with_claims(&account, shard, effects, |claims, now, fx| {
-            claims.finish(now, &key, &run, state, fx);
+        self.with_claims(&account, shard, effects, |claims, now, fx| match state {
+            Some(state) => claims.finish(now, &key, &run, state, fx),
+            None => claims.release(now, &key, &run, fx),
         });
     }
 
--- a/crates/damaskstile/src/instance/dispatch.rs
+++ b/crates/damaskstile/src/instance/dispatch.rs
@@ -138,7 +138,7 @@
         let Some(request) = self.requests.get_mut(&number) else {
             return;
         };
-        let Some((target, address)) = request.target.clone() else {
+        let Some((target, _)) = request.target.clone() else {
             return;
         };
         if !self.registry.may_send(self.now, &target) {
@@ -150,19 +150,8 @@
         request.sent_at = self.now;
         request.runs += 1;
         request.note(format!("sent to {target}"));
-        effects.push(Effect::Dispatch(Dispatch {
-            run: request.run.clone(),
-            request: request.first_call,
-            target,
-            address,
-            account: request.account.clone(),
-            key: request.key.clone(),
-            service: request.service.clone(),
-            cap_tokens: request.cap_tokens,
-            resume_from: request.answer.len(),
-            priority: request.priority,
-            expires_at: self.now + SEND_WITHIN,
-        }));
+        let dispatch = request.dispatch(self.now + SEND_WITHIN);
+        effects.extend(dispatch.map(Effect::Dispatch));
     }
 
     /// Sends a request that has not run to another target, as a new run.
--- a/crates/damaskstile/src/instance/request.rs
+++ b/crates/damaskstile/src/instance/request.rs
@@ -95,6 +95,24 @@
         (self.account.clone(), self.key.clone())
     }
 
+    /// Makes the order to send the request to its target, from the first piece that is missing.
+    pub(super) fn dispatch(&self, expires_at: Duration) -> Option<Dispatch> {
+        let (target, address) = self.target.clone()?;
+        Some(Dispatch {
+            run: self.run.clone(),
+            request: self.first_call,
+            target,
+            address,
+            account: self.account.clone(),
+            key: self.key.clone(),
+            service: self.service.clone(),
+            cap_tokens: self.cap_tokens,
+            resume_from: self.answer.len(),
+            priority: self.priority,
+            expires_at,
+        })
+    }
+
     pub(super) fn note(&mut self, why: String) {
         self.why.push(why);
     }
--- a/crates/damaskstile/src/instance/run.rs
+++ b/crates/damaskstile/src/instance/run.rs
@@ -254,27 +254,15 @@
         };
         request.resumes += 1;
         request.note("resumed".to_owned());
-        let Some((target, address)) = request.target.clone() else {
+        let Some(dispatch) = request.dispatch(request.until) else {
             return;
         };
         Self::log(
             effects,
             EventCode::RunRetried,
-            &[("target", &target), ("run", &request.run)],
+            &[("target", &dispatch.target), ("run", &dispatch.run)],
         );
-        effects.push(Effect::Dispatch(Dispatch {
-            run: request.run.clone(),
-            request: request.first_call,
-            target,
-            address,
-            account: request.account.clone(),
-            key: request.key.clone(),
-            service: request.service.clone(),
-            cap_tokens: request.cap_tokens,
-            resume_from: request.answer.len(),
-            priority: request.priority,
-            expires_at: request.until,
-        }));
+        effects.push(Effect::Dispatch(dispatch));
     }
 
     fn rerun(&mut self, number: u64, target: &TargetId, effects: &mut Effects) {
--- a/crates/damaskstile/tests/together.rs
+++ b/crates/damaskstile/tests/together.rs
@@ -281,6 +281,30 @@
     }
 }
 
+#[test]
+fn a_cut_call_of_a_plain_service_is_not_sent_again() {
+    // Symptom: a call that must never run twice runs twice.
+    // Sequence: the call is sent, its connection breaks, and it is sent again to be resumed.
+    // Cause: a service's `can_resume` is on unless it is set, and plain services cannot resume.
+
+    // Arrange
+    let mut world = fleet(3);
+    let before = world.targets.dispatches;
+    let call = world.request("i000", &Work::publish(""));
+    world.run_for(Duration::from_millis(15));
+    let run = world.targets.runs.keys().next().unwrap().clone();
+
+    // Act
+    let report = RunReport::Broken;
+    world.give("i000", Event::Run { run, report });
+    world.run_for(Duration::from_secs(5));
+
+    // Assert
+    assert_eq!(world.targets.dispatches - before, 1);
+    let outcome = world.answers[&call].outcome.as_ref().unwrap();
+    assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome:?}");
+}
+
 #[test]
 fn bills_of_a_long_outage_fit_into_the_store_afterwards() {
     // Symptom: after a long outage no bill is stored any more, and the ledger stays as it was.
