--- a/crates/damaskstile-budgets/src/holder.rs
+++ b/crates/damaskstile-budgets/src/holder.rs
@@ -4,6 +4,7 @@
 mod draw;
 mod flush;
 mod holding;
+mod pages;
 mod peers;
 mod refill;
 mod renewal;
--- a/crates/damaskstile-budgets/src/holder/flush.rs
+++ b/crates/damaskstile-budgets/src/holder/flush.rs
@@ -7,7 +7,6 @@
 use super::holding::Holding;
 use super::refill::Stage;
 use crate::effect::HolderEffect;
-use crate::entry::Entry;
 use crate::ledger::{Ledger, PAGE_ENTRIES, RECENT_ENTRIES};
 use crate::op::LedgerOp;
 use crate::records::run_number;
@@ -310,7 +309,7 @@
         if has_asked {
             self.serve_after_grant();
         }
-        self.store_page(now, fx);
+        self.store_page(fx);
     }
 
     fn serve_after_grant(&mut self) {
@@ -384,42 +383,4 @@
             holding.witnesses.clear();
         }
     }
-
-    /// Stores the oldest entries as a page of their own when the ledger has grown long.
-    fn store_page(&mut self, _now: Duration, fx: &mut Vec<HolderEffect>) {
-        let Some((_, ledger)) = &self.view else {
-            return;
-        };
-        let is_long = ledger.entries.len() >= RECENT_ENTRIES + PAGE_ENTRIES;
-        if !is_long || self.page_in_flight.is_some() {
-            return;
-        }
-        // Entries are only ever added at the end and taken from the front as whole pages. So
-        // whoever writes page n writes the same content, and a second write changes nothing.
-        let page: &[Entry] = &ledger.entries[..PAGE_ENTRIES];
-        if let Ok(value) = serde_json::to_string(page) {
-            let number = ledger.next_page;
-            self.page_in_flight = Some(number);
-            fx.push(HolderEffect::WritePage {
-                page: number,
-                value,
-            });
-        }
-    }
-
-    /// Takes the store's answer to the write of a page.
-    pub fn on_page_stored(&mut self, now: Duration, answer: &StoreAnswer) {
-        let Some(page) = self.page_in_flight.take() else {
-            return;
-        };
-        let is_stored = matches!(
-            answer,
-            StoreAnswer::Written { .. } | StoreAnswer::Conflict(Some(_))
-        );
-        if is_stored {
-            self.next_flush_at = self.next_flush_at.min(now);
-            // Before the bills that wait, so that there is room for them.
-            self.pending.insert(0, LedgerOp::DropPage { page });
-        }
-    }
 }
