Make one piece serve both stand-ins, and drop parameters that nothing used

The stand-ins each had their own maker of JSON answers; three starters of the daemon took a logger or settings that they threw away. Behaviour is the same.

--- a/crates/damaskstile-standins/src/lib.rs
+++ b/crates/damaskstile-standins/src/lib.rs
@@ -6,7 +6,11 @@
 pub mod platform;
 pub mod target;
 
-use dropshot::{ConfigDropshot, ConfigLogging, ConfigLoggingLevel, HttpServerStarter};
+use dropshot::{
+    Body, ConfigDropshot, ConfigLogging, ConfigLoggingLevel, HttpError, HttpServerStarter,
+};
+use http::{Response, StatusCode};
+use serde::Serialize;
 
 /// Starts a server on an address; `:0` takes any free port.
 ///
@@ -32,3 +36,17 @@
         .map_err(|error| anyhow::anyhow!("cannot serve on {address}: {error}"))?;
     Ok(starter.start())
 }
+
+/// What the stand-ins' handlers give to the server.
+pub(crate) type Answer = Result<Response<Body>, HttpError>;
+
+/// Makes an answer of a JSON value.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let text = serde_json::to_string(value)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Body::from(text))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
--- a/crates/damaskstile-standins/src/platform.rs
+++ b/crates/damaskstile-standins/src/platform.rs
@@ -6,13 +6,15 @@
 
 use damaskstile_core::prelude::{Object, TargetInfo};
 use dropshot::{
-    ApiDescription, Body, HttpError, Path, Query, RequestContext, TypedBody, UntypedBody, endpoint,
+    ApiDescription, HttpError, Path, Query, RequestContext, TypedBody, UntypedBody, endpoint,
 };
-use http::{Response, StatusCode};
+use http::StatusCode;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::{Answer, json};
+
 /// `Faults` are set while the platform runs.
 #[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -108,18 +110,6 @@
     name: String,
 }
 
-type Answer = Result<Response<Body>, HttpError>;
-
-fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
-    let text = serde_json::to_string(value)
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
-    Response::builder()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(Body::from(text))
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))
-}
-
 /// Reads an object.
 #[endpoint { method = GET, path = "/objects/{key:.*}", unpublished = true }]
 async fn read_object(rqctx: RequestContext<Platform>, path: Path<KeyPath>) -> Answer {
--- a/crates/damaskstile-standins/src/target.rs
+++ b/crates/damaskstile-standins/src/target.rs
@@ -16,6 +16,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::{Answer, json};
+
 pub use engine::{Engine, Faults, Run, StartError};
 
 /// Header that names the run.
@@ -27,8 +29,6 @@
 /// Header that says from which chunk on a run is resumed.
 pub const RESUME_HEADER: &str = "x-damaskstile-resume-from";
 
-type Answer = Result<Response<Body>, HttpError>;
-
 #[derive(Debug, Deserialize, JsonSchema)]
 struct RunPath {
     run: String,
@@ -51,16 +51,6 @@
     pub argument: String,
 }
 
-fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
-    let text = serde_json::to_string(value)
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
-    Response::builder()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(Body::from(text))
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))
-}
-
 fn header<'a>(rqctx: &'a RequestContext<Arc<Engine>>, name: &str) -> &'a str {
     rqctx
         .request
--- a/crates/damaskstiled/src/callers.rs
+++ b/crates/damaskstiled/src/callers.rs
@@ -43,7 +43,7 @@
 }
 
 /// Starts the server on threads of its own.
-pub fn start(config: &Config, front: Arc<Front>, log: &Logger) -> anyhow::Result<()> {
+pub fn start(config: &Config, front: Arc<Front>) -> anyhow::Result<()> {
     let api = api()?;
     let server_config = ConfigDropshot {
         bind_address: config.callers_address,
@@ -53,7 +53,6 @@
     };
     // The server's own lines tell of single calls; the numbered events do that already.
     let quiet = Logger::root(slog::Discard, slog::o!());
-    let _ = log;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .thread_name("callers")
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -70,9 +70,9 @@
     let identity = Identity::new(&config.instance, incarnation, &config.data_centre);
     let store = store::start(config, Arc::clone(&front))?;
     let peers = peers::start(config, identity.clone(), Arc::clone(&front), &log)?;
-    let targets = targets::start(config, Arc::clone(&front), clock)?;
-    callers::start(config, Arc::clone(&front), &log)?;
-    operators::start(config, Arc::clone(&front), Arc::clone(&status), &log)?;
+    let targets = targets::start(Arc::clone(&front), clock)?;
+    callers::start(config, Arc::clone(&front))?;
+    operators::start(config, Arc::clone(&front), Arc::clone(&status))?;
 
     let outputs = decide::Outputs {
         store,
--- a/crates/damaskstiled/src/operators.rs
+++ b/crates/damaskstiled/src/operators.rs
@@ -22,12 +22,7 @@
 }
 
 /// Starts the server, and the handling of signals, on a thread of their own.
-pub fn start(
-    config: &Config,
-    front: Arc<Front>,
-    status: Arc<Status>,
-    log: &Logger,
-) -> anyhow::Result<()> {
+pub fn start(config: &Config, front: Arc<Front>, status: Arc<Status>) -> anyhow::Result<()> {
     let mut api = ApiDescription::new();
     api.register(get_metrics)?;
     api.register(get_health)?;
@@ -37,7 +32,6 @@
         ..ConfigDropshot::default()
     };
     let quiet = Logger::root(slog::Discard, slog::o!());
-    let _ = log;
     let stopper = Arc::clone(&front);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -14,7 +14,6 @@
 
 use crate::clock::Clock;
 use crate::completion;
-use crate::config::Config;
 use crate::duty;
 use crate::front::{Front, Kept};
 use crate::plain_answer::PlainAnswer;
@@ -56,13 +55,8 @@
 type Reading = Arc<Mutex<BTreeMap<RunId, (String, AbortHandle)>>>;
 
 /// Starts the thread.
-pub fn start(
-    config: &Config,
-    front: Arc<Front>,
-    clock: Clock,
-) -> anyhow::Result<Sender<ToTargets>> {
+pub fn start(front: Arc<Front>, clock: Clock) -> anyhow::Result<Sender<ToTargets>> {
     let (sender, receiver) = mpsc::channel(TARGETS_RING);
-    let _ = config;
     duty::start_async("targets", run(front, clock, receiver))?;
     Ok(sender)
 }
