--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -10,6 +10,14 @@
     UnknownAccount,
     /// No service of that name is set for the client account.
     UnknownService,
+    /// No route leads from the host and path to a service.
+    UnknownRoute,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The caller did not send the whole body in time.
+    BodyIncomplete,
+    /// The target's answer was spoiled or belonged to another request.
+    AnswerSpoiled,
     /// The request breaks a limit or a rule of its service.
     BadRequest,
     /// A non-idempotent request needs a `UUIDv7` key, within the retention of claims.
@@ -56,6 +64,10 @@
         match self {
             Self::UnknownAccount => "unknown_account",
             Self::UnknownService => "unknown_service",
+            Self::UnknownRoute => "unknown_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::AnswerSpoiled => "answer_spoiled",
             Self::BadRequest => "bad_request",
             Self::BadKey => "bad_key",
             Self::BudgetExhausted => "budget_exhausted",
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -0,0 +1,186 @@
+//! `holder` is one instance's part of the budgets.
+
+mod plan;
+mod round;
+
+use damaskstile_core::prelude::*;
+
+use crate::ledger::Ledger;
+use crate::options::EscrowOptions;
+use crate::purse::Purse;
+use crate::shortage::Shortage;
+
+pub use round::Round;
+use round::Pending;
+
+/// `Holder` reserves tokens for calls and says what to write to the ledger.
+///
+/// It has no clock and makes no calls. A host carries [`Round`]s to the store and reports what
+/// became of them; a write without a clear answer may still take effect later, and until the
+/// ledger shows otherwise the smaller of the possible allowances holds.
+#[derive(Debug)]
+pub struct Holder {
+    identity: Identity,
+    address: String,
+    options: EscrowOptions,
+    prepaid_tokens: BTreeMap<AccountId, u64>,
+    catalogue_version: Version,
+    purses: BTreeMap<AccountId, Purse>,
+    ledger: Ledger,
+    ledger_version: Version,
+    seen_at: Option<Duration>,
+    /// Writes whose outcome is not known.
+    pending: Vec<Pending>,
+    last_round: u64,
+    round_at: Option<Duration>,
+    is_short: bool,
+    is_stopping: bool,
+    /// A write got no clear answer, and the ledger has not been seen since.
+    is_in_doubt: bool,
+}
+
+impl Holder {
+    /// Makes a holder that has nothing yet.
+    #[must_use]
+    pub fn new(identity: Identity, address: &str, options: EscrowOptions) -> Self {
+        Self {
+            identity,
+            address: address.to_owned(),
+            options,
+            prepaid_tokens: BTreeMap::new(),
+            catalogue_version: 0,
+            purses: BTreeMap::new(),
+            ledger: Ledger::default(),
+            ledger_version: 0,
+            seen_at: None,
+            pending: Vec::new(),
+            last_round: 0,
+            round_at: None,
+            is_short: false,
+            is_stopping: false,
+            is_in_doubt: false,
+        }
+    }
+
+    /// Takes in what the accounts have bought, with the catalogue version that says so.
+    pub fn set_prepaid(&mut self, version: Version, prepaid_tokens: BTreeMap<AccountId, u64>) {
+        if version > self.catalogue_version {
+            self.catalogue_version = version;
+            self.prepaid_tokens = prepaid_tokens;
+        }
+    }
+
+    /// Reserves the worst case of a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns where the missing tokens are, as far as this instance can know.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_core::prelude::*;
+    /// use damaskstile_escrow::{EscrowOptions, Holder};
+    /// let identity = Identity::new("a", 1, "north");
+    /// let mut holder = Holder::new(identity, "", EscrowOptions::default());
+    /// // An account that is not prepaid has no bound.
+    /// assert_eq!(holder.try_reserve(Duration::ZERO, "free", 100), Ok(()));
+    /// ```
+    pub fn try_reserve(
+        &mut self,
+        now: Duration,
+        account: &str,
+        tokens: u64,
+    ) -> Result<(), Shortage> {
+        if !self.prepaid_tokens.contains_key(account) {
+            return Ok(());
+        }
+        let bound = self.allowance(account);
+        let purse = self.purses.entry(account.to_owned()).or_default();
+        if purse.free(bound) >= tokens {
+            purse.reserved_tokens += tokens;
+            return Ok(());
+        }
+        self.is_short = true;
+        Err(self.shortage(now, account, tokens))
+    }
+
+    /// Notes that a call asked for tokens, once for each call however often it is tried.
+    pub fn note_demand(&mut self, now: Duration, account: &str, tokens: u64) {
+        if self.prepaid_tokens.contains_key(account) {
+            let purse = self.purses.entry(account.to_owned()).or_default();
+            purse.note_demand(now, tokens);
+        }
+    }
+
+    /// Ends a reservation: `used_tokens` of it are spent and the rest is free again.
+    pub fn release(&mut self, account: &str, reserved_tokens: u64, used_tokens: u64) {
+        if let Some(purse) = self.purses.get_mut(account) {
+            purse.reserved_tokens = purse.reserved_tokens.saturating_sub(reserved_tokens);
+            purse.used_tokens += used_tokens.min(reserved_tokens);
+        }
+    }
+
+    /// Returns the tokens that could be reserved at once.
+    #[must_use]
+    pub fn free_tokens(&self, account: &str) -> u64 {
+        let bound = self.allowance(account);
+        self.purses
+            .get(account)
+            .map_or(0, |purse| purse.free(bound))
+    }
+
+    /// Returns the ledger as last seen.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the version of the ledger as last seen; 0 where none was.
+    #[must_use]
+    pub fn ledger_version(&self) -> Version {
+        self.ledger_version
+    }
+
+    /// Returns the time since the ledger was last seen.
+    #[must_use]
+    pub fn ledger_age(&self, now: Duration) -> Option<Duration> {
+        self.seen_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the smallest allowance that any possible outcome of the writes under way leaves.
+    fn allowance(&self, account: &str) -> u64 {
+        let committed = self
+            .purses
+            .get(account)
+            .map_or(0, |purse| purse.allowed_tokens);
+        self.pending
+            .iter()
+            .map(|pending| pending.allowed(account))
+            .fold(committed, u64::min)
+    }
+
+    fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
+        let is_recent = self
+            .ledger_age(now)
+            .is_some_and(|age| age <= self.options.evidence_age);
+        if !is_recent {
+            return Shortage::Elsewhere;
+        }
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let purse = self.purses.get(account);
+        let own_unsettled = purse.map_or(0, Purse::unsettled);
+        let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
+        let left = prepaid
+            .saturating_sub(self.ledger.settled(account))
+            .saturating_sub(own_unsettled)
+            .saturating_sub(own_reserved);
+        if tokens > left {
+            return Shortage::Exhausted;
+        }
+        let missing = tokens.saturating_sub(self.free_tokens(account));
+        if missing <= self.ledger.pool(account, prepaid) {
+            return Shortage::InStore;
+        }
+        Shortage::Elsewhere
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -0,0 +1,49 @@
+//! `plan` says how many free tokens of an account an instance should hold.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+
+/// Divisor of percentages.
+const PERCENT: u64 = 100;
+
+impl Holder {
+    /// Returns the free tokens that this instance should hold of an account.
+    ///
+    /// Tokens stand where they are asked for, because an instance that is cut off from the store
+    /// and all peers can spend only what it holds. A part is divided evenly for accounts that
+    /// move, and a part stays in the store for instances that come back with nothing.
+    pub(super) fn target_tokens(&self, now: Duration, account: &str) -> u64 {
+        if self.is_stopping {
+            return 0;
+        }
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let purse = self.purses.get(account);
+        let spent = self.ledger.settled(account) + purse.map_or(0, crate::purse::Purse::unsettled);
+        let left = prepaid.saturating_sub(spent);
+        let spendable = left * (PERCENT - self.options.reserve_percent) / PERCENT;
+
+        let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
+        let all = own + self.ledger.demand_of_others(account, &self.identity.instance);
+        let is_listed = self.ledger.holders.contains_key(&self.identity.instance);
+        let instances = self.ledger.holders.len() + usize::from(!is_listed);
+        let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
+
+        if all == 0 {
+            // Nothing is known of the demand yet: half is divided evenly.
+            return spendable / 2 / instances;
+        }
+        let even = spendable * self.options.even_percent / PERCENT / instances;
+        let by_demand = spendable - spendable * self.options.even_percent / PERCENT;
+        let by_demand = mul_div(by_demand, own, all);
+        let of_horizon = own.saturating_mul(self.options.horizon.as_secs());
+        even + by_demand.min(of_horizon)
+    }
+}
+
+/// Returns `value * part / whole` without overflow.
+fn mul_div(value: u64, part: u64, whole: u64) -> u64 {
+    let product = u128::from(value) * u128::from(part);
+    let quotient = product / u128::from(whole.max(1));
+    u64::try_from(quotient).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -0,0 +1,252 @@
+//! `round` writes to the ledger and finds out what became of a write.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use crate::ledger::{HolderEntry, Ledger};
+use crate::purse::Purse;
+
+/// Change of a grant that is worth a write, in parts of the grant. Smaller ones would have every
+/// instance write in every round.
+const WORTH_PART: u64 = 8;
+
+/// `Round` is one conditional write to the ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Round {
+    /// Number of the write within the incarnation.
+    pub number: u64,
+    /// Version that the ledger must still have; 0 where there must be none.
+    pub expected_version: Version,
+    /// The ledger to write.
+    pub ledger: Ledger,
+}
+
+/// `Pending` is a write whose outcome is not known.
+#[derive(Debug, Clone)]
+pub(super) struct Pending {
+    number: u64,
+    expected_version: Version,
+    /// Allowance and settled sum of each account, should the write take effect.
+    sums: BTreeMap<AccountId, Sums>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sums {
+    allowed_tokens: u64,
+    settled_tokens: u64,
+}
+
+impl Pending {
+    pub(super) fn allowed(&self, account: &str) -> u64 {
+        self.sums.get(account).map_or(0, |sums| sums.allowed_tokens)
+    }
+}
+
+impl Holder {
+    /// Takes in the ledger as the store shows it. Version 0 means that there is none.
+    pub fn observe(&mut self, now: Duration, version: Version, ledger: Ledger) {
+        if version < self.ledger_version {
+            return;
+        }
+        self.seen_at = Some(now);
+        self.is_in_doubt = false;
+        let is_news = version > self.ledger_version || self.ledger_version == 0;
+        if !is_news {
+            return;
+        }
+        self.ledger_version = version;
+        let standing = ledger
+            .holders
+            .get(&self.identity.instance)
+            .filter(|entry| entry.incarnation == self.identity.incarnation)
+            .map(|entry| entry.round);
+        self.ledger = ledger;
+        let took_effect = self
+            .pending
+            .iter()
+            .position(|pending| Some(pending.number) == standing);
+        if let Some(index) = took_effect {
+            let pending = self.pending.swap_remove(index);
+            self.commit(&pending);
+        } else if standing.is_none() {
+            // Nothing of this incarnation stands there: what it was granted is void.
+            for purse in self.purses.values_mut() {
+                purse.allowed_tokens = purse.settled_tokens;
+            }
+        }
+        // A write on an older version can no longer take effect.
+        self.pending
+            .retain(|pending| pending.expected_version >= version);
+    }
+
+    /// Takes in that a write took effect, with the version that it made.
+    pub fn written(&mut self, now: Duration, version: Version, round: Round) {
+        self.observe(now, version, round.ledger);
+    }
+
+    /// Takes in that a write surely has not taken effect and never will.
+    pub fn not_written(&mut self, number: u64) {
+        self.pending.retain(|pending| pending.number != number);
+    }
+
+    /// Takes in that a write got no clear answer: it may have taken effect, or may yet.
+    ///
+    /// No further write is made until the ledger was seen again. While an instance is cut off
+    /// each further write in doubt could only lower what it may spend.
+    pub fn in_doubt(&mut self) {
+        self.is_in_doubt = true;
+    }
+
+    /// Tells whether the host should read the ledger before it asks for a write.
+    #[must_use]
+    pub fn needs_read(&self, now: Duration) -> bool {
+        let is_old = self
+            .ledger_age(now)
+            .is_none_or(|age| age >= self.options.urgent_interval * 4);
+        self.seen_at.is_none() || self.is_in_doubt || (self.is_short && is_old)
+    }
+
+    /// Makes the next round due at once, after a conflict.
+    pub fn hurry(&mut self) {
+        self.round_at = None;
+    }
+
+    /// Begins to hand everything back.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Tells whether the ledger holds nothing for this instance that it could hand back.
+    #[must_use]
+    pub fn is_handed_back(&self) -> bool {
+        self.purses
+            .values()
+            .all(|purse| purse.unsettled() == 0 && purse.granted() == purse.reserved_tokens)
+    }
+
+    /// Returns the write that is due, if one is. At most one is under way at a time.
+    ///
+    /// `None` too where the ledger was never seen: the host reads it first.
+    pub fn next_round(&mut self, now: Duration) -> Option<Round> {
+        self.seen_at?;
+        if self.is_in_doubt || self.catalogue_version < self.ledger.catalogue_version {
+            return None;
+        }
+        let interval = if self.is_short || self.is_stopping {
+            self.options.urgent_interval
+        } else {
+            self.options.round_interval
+        };
+        let is_due = self.round_at.is_none_or(|at| now >= at + interval);
+        if !is_due || !self.is_worth_a_round(now) {
+            return None;
+        }
+        self.round_at = Some(now);
+        self.is_short = false;
+        Some(self.make_round(now))
+    }
+
+    fn commit(&mut self, pending: &Pending) {
+        for (account, sums) in &pending.sums {
+            let purse = self.purses.entry(account.clone()).or_default();
+            purse.allowed_tokens = sums.allowed_tokens;
+            purse.settled_tokens = sums.settled_tokens;
+        }
+    }
+
+    fn is_worth_a_round(&self, now: Duration) -> bool {
+        let is_listed = self
+            .ledger
+            .holders
+            .get(&self.identity.instance)
+            .is_some_and(|entry| entry.incarnation == self.identity.incarnation);
+        if !is_listed {
+            return !self.is_stopping;
+        }
+        if self.is_stopping {
+            return !self.is_handed_back();
+        }
+        self.prepaid_tokens.keys().any(|account| {
+            let empty = Purse::default();
+            let purse = self.purses.get(account).unwrap_or(&empty);
+            let free = purse.free(purse.allowed_tokens);
+            let target = self.target_tokens(now, account);
+            let change = free.abs_diff(target);
+            let is_change = change > target / WORTH_PART;
+            let is_possible = target < free || self.pool(account) > 0;
+            (is_change && is_possible && change > 0)
+                || purse.unsettled() > purse.granted() / WORTH_PART
+        })
+    }
+
+    fn pool(&self, account: &str) -> u64 {
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        self.ledger.pool(account, prepaid)
+    }
+
+    fn make_round(&mut self, now: Duration) -> Round {
+        self.last_round += 1;
+        let mut ledger = self.ledger.clone();
+        ledger.catalogue_version = self.catalogue_version;
+        let own = &self.identity.instance;
+        let is_other_life = ledger
+            .holders
+            .get(own)
+            .is_some_and(|entry| entry.incarnation != self.identity.incarnation);
+        if is_other_life {
+            ledger.write_off(own);
+        }
+        let mut entry = HolderEntry {
+            incarnation: self.identity.incarnation,
+            round: self.last_round,
+            address: self.address.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            ..HolderEntry::default()
+        };
+        let mut sums = BTreeMap::new();
+        let accounts: Vec<AccountId> = self.prepaid_tokens.keys().cloned().collect();
+        for account in accounts {
+            let of_account = self.account_sums(now, &account, &ledger);
+            let purse = self.purses.entry(account.clone()).or_default();
+            ledger.settle(&account, purse.unsettled());
+            let grant = of_account.allowed_tokens - of_account.settled_tokens;
+            let demand = purse.demand.tokens_per_s(now);
+            if grant > 0 {
+                entry.grants_tokens.insert(account.clone(), grant);
+            }
+            if demand > 0 {
+                entry.demand_tokens_per_s.insert(account.clone(), demand);
+            }
+            sums.insert(account, of_account);
+        }
+        ledger.holders.insert(own.clone(), entry);
+        self.pending.push(Pending {
+            number: self.last_round,
+            expected_version: self.ledger_version,
+            sums,
+        });
+        Round {
+            number: self.last_round,
+            expected_version: self.ledger_version,
+            ledger,
+        }
+    }
+
+    /// Returns the sums that a write would leave: all that was used is settled, and the free part
+    /// comes as near to its target as the pool allows.
+    fn account_sums(&self, now: Duration, account: &str, ledger: &Ledger) -> Sums {
+        let empty = Purse::default();
+        let purse = self.purses.get(account).unwrap_or(&empty);
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let pool = ledger.pool(account, prepaid);
+        let needed = purse.used_tokens + purse.reserved_tokens;
+        let wanted = needed + self.target_tokens(now, account);
+        let reachable = purse.allowed_tokens + pool;
+        // What is reserved stays covered even where the sums were lowered meanwhile.
+        let allowed = wanted.min(reachable).max(needed.min(purse.allowed_tokens));
+        Sums {
+            allowed_tokens: allowed.max(purse.used_tokens),
+            settled_tokens: purse.used_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -0,0 +1,93 @@
+//! `ledger` is the stored state of all budgets of a shard.
+
+use damaskstile_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// `HolderEntry` is one instance's part of the ledger.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HolderEntry {
+    /// Incarnation that holds the grants; its successors hold none of them.
+    pub incarnation: Incarnation,
+    /// Number of the incarnation's write that stands.
+    pub round: u64,
+    /// Address for messages from peers.
+    pub address: String,
+    /// Data centre that the instance stands in.
+    pub data_centre: String,
+    /// Tokens that the incarnation may spend, on top of what is settled.
+    pub grants_tokens: BTreeMap<AccountId, u64>,
+    /// Tokens asked for in a second.
+    pub demand_tokens_per_s: BTreeMap<AccountId, u64>,
+}
+
+/// `Ledger` says what is spent for good and what each instance may still spend.
+///
+/// At every version, for every account, settled and granted tokens together are at most what the
+/// account had bought when the version was written.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    /// Newest catalogue whose sums were used. A writer that knows only an older one grants
+    /// nothing, because the sums may have been lowered since.
+    pub catalogue_version: Version,
+    /// Tokens that count as spent.
+    pub settled_tokens: BTreeMap<AccountId, u64>,
+    /// The instances with their grants.
+    pub holders: BTreeMap<InstanceId, HolderEntry>,
+}
+
+impl Ledger {
+    /// Returns the tokens that count as spent.
+    #[must_use]
+    pub fn settled(&self, account: &str) -> u64 {
+        self.settled_tokens.get(account).copied().unwrap_or(0)
+    }
+
+    /// Returns the tokens that are granted to instances.
+    #[must_use]
+    pub fn granted(&self, account: &str) -> u64 {
+        self.holders
+            .values()
+            .filter_map(|holder| holder.grants_tokens.get(account))
+            .sum()
+    }
+
+    /// Returns the tokens that are neither spent nor granted.
+    ///
+    /// ```
+    /// use damaskstile_escrow::Ledger;
+    /// assert_eq!(Ledger::default().pool("a", 50), 50);
+    /// ```
+    #[must_use]
+    pub fn pool(&self, account: &str, prepaid_tokens: u64) -> u64 {
+        prepaid_tokens
+            .saturating_sub(self.settled(account))
+            .saturating_sub(self.granted(account))
+    }
+
+    /// Returns the demand of all instances but one.
+    #[must_use]
+    pub fn demand_of_others(&self, account: &str, own: &str) -> u64 {
+        self.holders
+            .iter()
+            .filter(|(name, _)| name.as_str() != own)
+            .filter_map(|(_, holder)| holder.demand_tokens_per_s.get(account))
+            .sum()
+    }
+
+    pub(crate) fn settle(&mut self, account: &str, tokens: u64) {
+        if tokens > 0 {
+            *self.settled_tokens.entry(account.to_owned()).or_default() += tokens;
+        }
+    }
+
+    /// Counts all grants of an incarnation that ended as spent, since nobody knows what it spent.
+    pub(crate) fn write_off(&mut self, instance: &str) {
+        if let Some(entry) = self.holders.remove(instance) {
+            for (account, tokens) in entry.grants_tokens {
+                self.settle(&account, tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/src/lib.rs
@@ -0,0 +1,18 @@
+//! `damaskstile-escrow` divides prepaid tokens among instances, so that each can spend its part
+//! alone and all together never spend more than was bought.
+//!
+//! One stored [`Ledger`] says what is spent for good and what each instance may still spend. A
+//! [`Holder`] is one instance's part: it reserves the worst case of each call before the call is
+//! sent, and writes to the ledger under the condition that nobody else has written meanwhile.
+
+pub mod demand;
+pub mod holder;
+pub mod ledger;
+pub mod options;
+pub mod purse;
+pub mod shortage;
+
+pub use holder::{Holder, Round};
+pub use ledger::{HolderEntry, Ledger};
+pub use options::EscrowOptions;
+pub use shortage::Shortage;
--- /dev/null
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -0,0 +1,35 @@
+//! `options` sets where the tokens of a budget stand.
+
+use damaskstile_core::prelude::*;
+
+/// `EscrowOptions` sets where the tokens of a budget stand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EscrowOptions {
+    /// Time between two rounds of an instance that has something to write.
+    pub round_interval: Duration,
+    /// Time between two rounds while tokens are short here. Longer than a call to the store
+    /// takes, so that a burst of refusals does not become a burst of calls.
+    pub urgent_interval: Duration,
+    /// Demand that an instance holds at most, as a time: the longest isolation to be outlived,
+    /// about 9 s, with the time until the demand is measured.
+    pub horizon: Duration,
+    /// Part of what is left that stays in the store, for instances that restart with nothing.
+    pub reserve_percent: u64,
+    /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
+    pub even_percent: u64,
+    /// Age past which the ledger as last seen proves nothing about the tokens of others.
+    pub evidence_age: Duration,
+}
+
+impl Default for EscrowOptions {
+    fn default() -> Self {
+        Self {
+            round_interval: Duration::from_secs(1),
+            urgent_interval: Duration::from_millis(60),
+            horizon: Duration::from_secs(12),
+            reserve_percent: 15,
+            even_percent: 10,
+            evidence_age: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/src/purse.rs
@@ -0,0 +1,46 @@
+//! `purse` is what one instance has of one account's tokens.
+
+use damaskstile_core::prelude::*;
+
+use crate::demand::Demand;
+
+/// `Purse` is what one instance has of one account's tokens.
+///
+/// All sums count from the start of the incarnation and only grow, except the allowance, which
+/// the instance may lower by a write of its own.
+#[derive(Debug, Clone, Default)]
+pub struct Purse {
+    /// Tokens that the incarnation may spend in all, by the ledger as last seen.
+    pub(crate) allowed_tokens: u64,
+    /// Tokens that finished calls have used.
+    pub(crate) used_tokens: u64,
+    /// Part of the used tokens that the ledger counts as spent.
+    pub(crate) settled_tokens: u64,
+    /// Worst case of the calls under way.
+    pub(crate) reserved_tokens: u64,
+    /// How fast the account asks here.
+    pub(crate) demand: Demand,
+}
+
+impl Purse {
+    /// Returns the tokens that a finished write leaves to this instance.
+    pub(crate) fn granted(&self) -> u64 {
+        self.allowed_tokens.saturating_sub(self.settled_tokens)
+    }
+
+    /// Returns the used tokens that the ledger does not count as spent yet.
+    pub(crate) fn unsettled(&self) -> u64 {
+        self.used_tokens.saturating_sub(self.settled_tokens)
+    }
+
+    /// Returns what may still be reserved under a bound on the allowance.
+    pub(crate) fn free(&self, allowed_tokens: u64) -> u64 {
+        allowed_tokens
+            .saturating_sub(self.used_tokens)
+            .saturating_sub(self.reserved_tokens)
+    }
+
+    pub(crate) fn note_demand(&mut self, now: Duration, tokens: u64) {
+        self.demand.add(now, tokens);
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -0,0 +1,239 @@
+//! Several holders before one store whose answers get lost: spend never exceeds what was bought.
+
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Round};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const ACCOUNTS: [&str; 2] = ["a", "b"];
+const INSTANCES: usize = 4;
+/// Steps of one case.
+const STEPS: usize = 120;
+/// Cases of each property: enough to meet every pair of faults many times within seconds.
+const CASES: u32 = 400;
+
+/// `Step` is one thing that happens.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An instance reserves tokens for a call.
+    Reserve(usize, usize, u64),
+    /// The oldest call of an instance ends with a part of its reservation used.
+    Finish(usize, u64),
+    /// An instance writes, and the store and the network do as `Fate` says.
+    Write(usize, Fate),
+    /// An instance reads the ledger.
+    Read(usize),
+    /// A write that is still under way reaches the store.
+    Deliver(usize),
+    /// An instance loses power and comes back with nothing.
+    Restart(usize),
+    /// An account buys more.
+    TopUp(usize, u64),
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    /// The write arrives later or never.
+    Held,
+    /// The write is refused without effect.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    version: Version,
+    ledger: Ledger,
+    held: Vec<Round>,
+}
+
+impl Store {
+    fn write(&mut self, round: &Round) -> bool {
+        if round.expected_version != self.version {
+            return false;
+        }
+        self.version += 1;
+        self.ledger = round.ledger.clone();
+        true
+    }
+}
+
+#[derive(Debug)]
+struct World {
+    now: Duration,
+    store: Store,
+    holders: Vec<Holder>,
+    incarnation: u64,
+    calls: Vec<VecDeque<(usize, u64)>>,
+    prepaid: BTreeMap<AccountId, u64>,
+    catalogue_version: Version,
+    /// What targets truly ran, by account: the truth to compare with.
+    spent: [u64; 2],
+}
+
+impl World {
+    fn new() -> Self {
+        let prepaid = ACCOUNTS.map(|name| (name.to_owned(), 10_000));
+        let mut world = Self {
+            now: Duration::ZERO,
+            store: Store::default(),
+            holders: Vec::new(),
+            incarnation: 0,
+            calls: vec![VecDeque::new(); INSTANCES],
+            prepaid: BTreeMap::from(prepaid),
+            catalogue_version: 1,
+            spent: [0; 2],
+        };
+        for index in 0..INSTANCES {
+            let holder = world.new_holder(index);
+            world.holders.push(holder);
+        }
+        world
+    }
+
+    fn new_holder(&mut self, index: usize) -> Holder {
+        self.incarnation += 1;
+        let identity = Identity::new(&format!("i{index}"), self.incarnation, "north");
+        let mut holder = Holder::new(identity, "", EscrowOptions::default());
+        holder.set_prepaid(self.catalogue_version, self.prepaid.clone());
+        holder
+    }
+
+    fn take(&mut self, step: &Step) {
+        self.now += Duration::from_millis(300);
+        match *step {
+            Step::Reserve(index, account, tokens) => self.reserve(index, account, tokens),
+            Step::Finish(index, part) => self.finish(index, part),
+            Step::Write(index, fate) => self.write(index, fate),
+            Step::Read(index) => self.read(index),
+            Step::Deliver(index) => {
+                if !self.store.held.is_empty() {
+                    let round = self.store.held.remove(index % self.store.held.len());
+                    self.store.write(&round);
+                }
+            }
+            Step::Restart(index) => {
+                // All that ran is spent in full, since nobody was there to count.
+                for (account, tokens) in std::mem::take(&mut self.calls[index]) {
+                    self.spent[account] += tokens;
+                }
+                self.holders[index] = self.new_holder(index);
+            }
+            Step::TopUp(account, tokens) => {
+                self.catalogue_version += 1;
+                *self.prepaid.get_mut(ACCOUNTS[account]).unwrap() += tokens;
+                for holder in &mut self.holders {
+                    holder.set_prepaid(self.catalogue_version, self.prepaid.clone());
+                }
+            }
+        }
+    }
+
+    fn reserve(&mut self, index: usize, account: usize, tokens: u64) {
+        let holder = &mut self.holders[index];
+        holder.note_demand(self.now, ACCOUNTS[account], tokens);
+        if holder
+            .try_reserve(self.now, ACCOUNTS[account], tokens)
+            .is_ok()
+        {
+            self.calls[index].push_back((account, tokens));
+        }
+    }
+
+    fn finish(&mut self, index: usize, part: u64) {
+        if let Some((account, tokens)) = self.calls[index].pop_front() {
+            let used = tokens * part / 100;
+            self.spent[account] += used;
+            self.holders[index].release(ACCOUNTS[account], tokens, used);
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        let ledger = self.store.ledger.clone();
+        self.holders[index].observe(self.now, self.store.version, ledger);
+    }
+
+    fn write(&mut self, index: usize, fate: Fate) {
+        if self.holders[index].needs_read(self.now) {
+            self.read(index);
+        }
+        let Some(round) = self.holders[index].next_round(self.now) else {
+            return;
+        };
+        match fate {
+            Fate::Answered => {
+                if self.store.write(&round) {
+                    self.holders[index].written(self.now, self.store.version, round);
+                } else {
+                    self.holders[index].not_written(round.number);
+                    self.read(index);
+                }
+            }
+            Fate::AnswerLost => {
+                self.store.write(&round);
+                self.holders[index].in_doubt();
+            }
+            Fate::Held => {
+                self.store.held.push(round);
+                self.holders[index].in_doubt();
+            }
+            Fate::Refused => self.holders[index].not_written(round.number),
+        }
+    }
+
+    fn check(&self) {
+        for (index, account) in ACCOUNTS.iter().enumerate() {
+            let prepaid = self.prepaid[*account];
+            let running: u64 = self
+                .calls
+                .iter()
+                .flatten()
+                .filter(|(of, _)| *of == index)
+                .map(|(_, tokens)| tokens)
+                .sum();
+            let ledger = &self.store.ledger;
+            assert!(self.spent[index] + running <= prepaid, "spent too much");
+            assert!(ledger.settled(account) + ledger.granted(account) <= prepaid);
+        }
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let fate = prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Held),
+        1 => Just(Fate::Refused),
+    ];
+    let step = prop_oneof![
+        6 => (0..INSTANCES, 0..2_usize, 1..1_500_u64)
+            .prop_map(|(index, account, tokens)| Step::Reserve(index, account, tokens)),
+        4 => (0..INSTANCES, 0..=100_u64).prop_map(|(index, part)| Step::Finish(index, part)),
+        6 => (0..INSTANCES, fate).prop_map(|(index, fate)| Step::Write(index, fate)),
+        1 => (0..INSTANCES).prop_map(Step::Read),
+        1 => (0..8_usize).prop_map(Step::Deliver),
+        1 => (0..INSTANCES).prop_map(Step::Restart),
+        1 => (0..2_usize, 1..3_000_u64).prop_map(|(account, tokens)| Step::TopUp(account, tokens)),
+    ];
+    prop::collection::vec(step, STEPS)
+}
+
+#[test]
+fn spend_never_exceeds_what_was_bought() {
+    let config = Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    proptest!(config, |(steps in steps())| {
+        let mut world = World::new();
+        for step in &steps {
+            world.take(step);
+            world.check();
+        }
+    });
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -0,0 +1,29 @@
+//! `answer` holds what the decisions need of an answer's head, in the project's own words.
+
+use damaskstile_core::prelude::*;
+
+/// `Load` is a target's report of its calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Calls that run.
+    pub running: u64,
+    /// Calls that wait.
+    pub waiting: u64,
+}
+
+/// `AnswerHead` is what a target says of an answer, besides its status.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerHead {
+    /// Name of the attempt that it answers.
+    pub id: Option<String>,
+    /// Whether the target vouches for the answer as its own.
+    pub is_signed: bool,
+    /// Whether the target proves that it has not run the call.
+    pub is_not_run: bool,
+    /// Whether another target has the address.
+    pub is_misdirected: bool,
+    /// The target's load.
+    pub load: Option<Load>,
+    /// Time for which the connection may be used again; `None` where it may not.
+    pub reuse_for: Option<Duration>,
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -0,0 +1,65 @@
+//! `contact` remembers when the store answered, to judge what its silence means.
+
+use damaskstile_core::prelude::*;
+
+/// Time after an outage in which the list of targets may still lack some that live. Their entries
+/// come back within about two seconds; one that is missing after that is gone.
+const AFTER_OUTAGE: Duration = Duration::from_secs(2);
+
+/// `Contact` remembers when the store answered.
+#[derive(Debug, Clone, Default)]
+pub struct Contact {
+    answered_at: Option<Duration>,
+    lost_at: Option<Duration>,
+    regained_at: Option<Duration>,
+}
+
+impl Contact {
+    /// Notes an answer; returns true where the store was lost before.
+    pub fn answered(&mut self, now: Duration) -> bool {
+        self.answered_at = Some(now);
+        let was_lost = self.lost_at.take().is_some();
+        if was_lost {
+            self.regained_at = Some(now);
+        }
+        was_lost
+    }
+
+    /// Notes a call without an answer; returns true where the store was not lost before.
+    pub fn failed(&mut self, now: Duration) -> bool {
+        let is_new = self.lost_at.is_none();
+        self.lost_at.get_or_insert(now);
+        is_new
+    }
+
+    /// Tells whether the store is lost, or was so lately that its list may lack targets.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_gateway::contact::Contact;
+    /// let mut contact = Contact::default();
+    /// contact.failed(Duration::from_secs(1));
+    /// contact.answered(Duration::from_secs(5));
+    /// assert!(contact.is_around_outage(Duration::from_secs(6)));
+    /// assert!(!contact.is_around_outage(Duration::from_secs(8)));
+    /// ```
+    #[must_use]
+    pub fn is_around_outage(&self, now: Duration) -> bool {
+        self.lost_at.is_some()
+            || self
+                .regained_at
+                .is_some_and(|at| now.saturating_sub(at) < AFTER_OUTAGE)
+    }
+
+    /// Returns the time since the last answer.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.answered_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Tells whether the last call got no answer.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -0,0 +1,413 @@
+//! `exchange` takes one call from its caller to its answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::Shortage;
+use damaskstile_requests::attempts::{Attempts, Next, SendEnd};
+use http::{HeaderValue, Request, Response, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::call::CallHead;
+use crate::events::EventCutter;
+use crate::gateway::{Gateway, OpenCall, Phase};
+use crate::record::Record;
+use crate::relay::Relay;
+use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
+use crate::reservation::Reservation;
+use crate::run::{self, Run, Sendable};
+use crate::state::Terms;
+
+/// Longest wait for tokens that the store has: a few round trips to it.
+const TOKENS_WAIT: Duration = Duration::from_millis(60);
+/// Shortest time that a target is given before a repeatable call goes to another one. Below it a
+/// long prompt ahead in the batch would be taken for silence.
+const PATIENCE_MIN: Duration = Duration::from_millis(1_000);
+/// Largest answer that is kept to be sent again from another target, in bytes.
+const WHOLE_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// `Exchange` is one call on its way.
+struct Exchange {
+    gateway: Arc<Gateway>,
+    call: Sendable,
+    terms: Terms,
+    record: Record,
+    deadline: Duration,
+    _open: OpenCall,
+    attempts: Attempts,
+    tried: Vec<TargetId>,
+    last_event: Option<u64>,
+}
+
+/// Serves one call.
+pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let open = gateway.open_call();
+    let (parts, body) = request.into_parts();
+    let head = gateway.dialect.read_call(&parts);
+    let began_at = gateway.now();
+    let mut record = Record::new(&gateway, began_at, head.id.as_deref());
+    let id = head.id.clone();
+    let mut response = match admit(&gateway, &parts, &head, &mut record) {
+        Ok(terms) => {
+            let limit = head
+                .time_limit
+                .map_or(terms.route.timeout, |limit| limit.min(terms.route.timeout));
+            let exchange = Exchange {
+                gateway: Arc::clone(&gateway),
+                call: Sendable {
+                    method: parts.method,
+                    uri: parts.uri,
+                    headers: parts.headers,
+                    body: Bytes::new(),
+                    id: head.id,
+                    work: head.work.unwrap_or_default(),
+                },
+                terms,
+                record,
+                deadline: began_at + limit,
+                _open: open,
+                attempts: Attempts::default(),
+                tried: Vec::new(),
+                last_event: head.last_event,
+            };
+            exchange.go(body).await
+        }
+        Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
+    };
+    if *gateway.phase.borrow() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn admit(
+    gateway: &Gateway,
+    parts: &request::Parts,
+    head: &CallHead,
+    record: &mut Record,
+) -> Result<Terms, Refusal> {
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or("");
+    let host = host.split(':').next().unwrap_or("").to_ascii_lowercase();
+    let now = gateway.now();
+    let terms = gateway.state().terms(now, &host, parts.uri.path(), head);
+    let terms = terms.map_err(|code| {
+        let wait = (code == RefusalCode::Starting).then_some(RETRY_LATER);
+        Refusal::not_run(code, wait)
+    })?;
+    record.set_account(terms.account.as_deref().unwrap_or("-"));
+    record.add("route", &terms.route.name);
+    record.add("service", &terms.service);
+    record.add("version", terms.catalogue.version());
+    record.add("version_age_ms", terms.catalogue_age.as_millis());
+    Ok(terms)
+}
+
+fn refuse(
+    gateway: &Gateway,
+    record: &mut Record,
+    refusal: &Refusal,
+    id: Option<&str>,
+) -> Response<ReplyBody> {
+    record.add("status", refusal.status().as_u16());
+    let code = if refusal.has_run {
+        EventCode::CallFailed
+    } else {
+        EventCode::CallRefused
+    };
+    record.end(code, refusal.code.as_str());
+    refusal.reply(gateway, id)
+}
+
+/// Returns how long a target may take until the head of its answer.
+pub(crate) fn patience(terms: &Terms, left: Duration) -> Duration {
+    let has_other = terms.route.kind.is_repeatable() && terms.route.attempts_max > 1;
+    if has_other {
+        left.min((terms.route.objective * 3).max(PATIENCE_MIN))
+    } else {
+        left
+    }
+}
+
+/// Decides what follows a send that brought no answer for the caller.
+pub(crate) fn plan_next(gateway: &Gateway, terms: &Terms, attempts: &Attempts) -> Next {
+    let is_repeatable = terms.route.kind.is_repeatable();
+    attempts.next(is_repeatable, terms.route.attempts_max, || {
+        let now = gateway.now();
+        gateway.state().try_retry(now, &terms.service)
+    })
+}
+
+impl Exchange {
+    async fn go(mut self, body: Incoming) -> Response<ReplyBody> {
+        match self.read_body(body).await {
+            Ok(body) => self.call.body = body,
+            Err(refusal) => return self.refuse(&refusal),
+        }
+        let reservation = match self.reserve().await {
+            Ok(reservation) => reservation,
+            Err(refusal) => return self.refuse(&refusal),
+        };
+        self.send(reservation).await
+    }
+
+    fn refuse(&mut self, refusal: &Refusal) -> Response<ReplyBody> {
+        let id = self.call.id.clone();
+        refuse(&self.gateway, &mut self.record, refusal, id.as_deref())
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.gateway.now())
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+        let limit = self.terms.catalogue.limits().body_bytes;
+        let reading = Limited::new(body, limit).collect();
+        match tokio::time::timeout(self.left(), reading).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(Refusal::not_run(RefusalCode::BodyTooLarge, None))
+            }
+            Ok(Err(_)) => Err(Refusal::not_run(RefusalCode::BadRequest, None)),
+            Err(_) => Err(Refusal::not_run(RefusalCode::BodyIncomplete, None)),
+        }
+    }
+
+    /// Reserves the worst case; waits a moment for tokens that the store has.
+    async fn reserve(&mut self) -> Result<Reservation, Refusal> {
+        let work = self.call.work.clone();
+        let account = self.terms.account.clone();
+        let tokens_per_event = self
+            .terms
+            .catalogue
+            .service(&self.terms.service)
+            .and_then(|service| service.tokens_per_event)
+            .unwrap_or(1);
+        let now = self.gateway.now();
+        let tokens = work.prompt_tokens + work.output_tokens;
+        if let Some(account) = &account
+            && tokens > 0
+        {
+            let mut state = self.gateway.state();
+            state.holder.note_demand(now, account, tokens);
+        }
+        let until = now + TOKENS_WAIT.min(self.left());
+        loop {
+            let gateway = Arc::clone(&self.gateway);
+            let round_done = gateway.round_done.notified();
+            let reserved = Reservation::try_new(
+                &self.gateway,
+                account.as_deref(),
+                Some(&work),
+                tokens_per_event,
+            );
+            let shortage = match reserved {
+                Ok(reservation) => {
+                    self.record.add("reserved", reservation.reserved_tokens());
+                    return Ok(reservation);
+                }
+                Err(shortage) => shortage,
+            };
+            self.gateway.round_wanted.notify_one();
+            let wait = until.saturating_sub(self.gateway.now());
+            if shortage != Shortage::InStore || wait.is_zero() {
+                return Err(self.short(shortage, tokens));
+            }
+            // Either outcome leads to another look.
+            let _ = tokio::time::timeout(wait, round_done).await;
+        }
+    }
+
+    fn short(&mut self, shortage: Shortage, tokens: u64) -> Refusal {
+        let now = self.gateway.now();
+        let account = self.terms.account.clone().unwrap_or_default();
+        let state = self.gateway.state();
+        let free = state.holder.free_tokens(&account);
+        let age = state.holder.ledger_age(now);
+        let version = state.holder.ledger_version();
+        drop(state);
+        self.record.add("needed", tokens);
+        self.record.add("free", free);
+        self.record.add("shortage", shortage.as_str());
+        self.record.add("ledger_version", version);
+        let age_ms = age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
+        self.record.add("ledger_age_ms", age_ms);
+        match shortage {
+            Shortage::Exhausted => Refusal::not_run(RefusalCode::BudgetExhausted, None),
+            Shortage::InStore | Shortage::Elsewhere => {
+                Refusal::not_run(RefusalCode::BudgetUnreachable, Some(RETRY_LATER))
+            }
+        }
+    }
+
+    async fn send(mut self, mut reservation: Reservation) -> Response<ReplyBody> {
+        loop {
+            let left = self.left();
+            if left.is_zero() {
+                return self.too_late();
+            }
+            let now = self.gateway.now();
+            let choice = {
+                let state = self.gateway.state();
+                let work = &self.call.work;
+                state
+                    .book
+                    .choose(now, &self.terms.service, work, &self.tried)
+            };
+            let Some(choice) = choice else {
+                return self.give_up(RefusalCode::NoTarget, RETRY_LATER);
+            };
+            self.tried.push(choice.target.clone());
+            self.record.set_target(&choice.target);
+            self.record.add("cost_ms", format!("{:.0}", choice.cost_ms));
+            reservation.sending();
+            let patience = patience(&self.terms, left);
+            let started = run::start(
+                &self.gateway,
+                &self.call,
+                &self.terms,
+                choice,
+                self.deadline,
+                patience,
+                None,
+            );
+            let no_run = match started.await {
+                Ok(run) => match self.answer(run, reservation).await {
+                    Ok(response) => return response,
+                    Err((cause, kept)) => {
+                        reservation = kept;
+                        run::NoRun {
+                            end: SendEnd::Failed,
+                            cause,
+                        }
+                    }
+                },
+                Err(no_run) => no_run,
+            };
+            if matches!(no_run.end, SendEnd::NotSent | SendEnd::NotRun) {
+                reservation.not_run();
+            }
+            self.attempts.note(no_run.end);
+            self.record.add("cause", no_run.cause);
+            if self.left().is_zero() {
+                return self.too_late();
+            }
+            match plan_next(&self.gateway, &self.terms, &self.attempts) {
+                Next::Again if reservation.extend() => self.note_retry(no_run.cause),
+                Next::Again | Next::GiveUp if self.attempts.has_run() => {
+                    return self.refuse(&Refusal::unknown(RefusalCode::TargetLost));
+                }
+                _ => return self.give_up(RefusalCode::Overloaded, RETRY_SOON),
+            }
+        }
+    }
+
+    fn note_retry(&self, cause: &str) {
+        let id = self.call.id.as_deref().unwrap_or("-");
+        self.gateway
+            .log(EventCode::SendRetried, &[("id", id), ("cause", cause)]);
+    }
+
+    fn too_late(&mut self) -> Response<ReplyBody> {
+        let code = RefusalCode::DeadlineExceeded;
+        let refusal = if self.attempts.has_run() {
+            Refusal::unknown(code)
+        } else {
+            Refusal::not_run(code, Some(RETRY_SOON))
+        };
+        self.refuse(&refusal)
+    }
+
+    fn give_up(&mut self, code: RefusalCode, wait: Duration) -> Response<ReplyBody> {
+        let refusal = if self.attempts.has_run() {
+            Refusal::unknown(RefusalCode::TargetLost)
+        } else {
+            Refusal::not_run(code, Some(wait))
+        };
+        self.refuse(&refusal)
+    }
+
+    /// Passes an answer on. Gives the reservation back where the call should be sent again.
+    async fn answer(
+        &mut self,
+        run: Run,
+        reservation: Reservation,
+    ) -> Result<Response<ReplyBody>, (&'static str, Reservation)> {
+        let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
+        if is_stream {
+            return Ok(self.relay(run, reservation));
+        }
+        let is_last = self.attempts.sent() + 1 >= self.terms.route.attempts_max;
+        let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
+        if run.parts.status.is_server_error() && may_repeat {
+            run.running.note(false);
+            return Err(("failed", reservation));
+        }
+        self.pass_whole(run, reservation).await
+    }
+
+    async fn pass_whole(
+        &mut self,
+        run: Run,
+        mut reservation: Reservation,
+    ) -> Result<Response<ReplyBody>, (&'static str, Reservation)> {
+        let Run {
+            mut parts,
+            head,
+            body,
+            lease,
+            running,
+        } = run;
+        let reading = Limited::new(body, WHOLE_BYTES_MAX).collect();
+        let body = match tokio::time::timeout(self.left(), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                running.note(false);
+                return Err(("body_broken", reservation));
+            }
+            Err(_) => return Err(("body_late", reservation)),
+        };
+        lease.give_back(head.reuse_for).await;
+        running.note(!parts.status.is_server_error());
+        reservation.finished(0);
+        self.record.first_byte();
+        self.record.add("status", parts.status.as_u16());
+        let (code, outcome) = if parts.status.is_success() {
+            (EventCode::CallAnswered, "answered")
+        } else {
+            (EventCode::CallFailed, "target_failed")
+        };
+        self.record.end(code, outcome);
+        self.gateway.dialect.dress_answer(&mut parts.headers);
+        Ok(Response::from_parts(parts, whole(body)))
+    }
+
+    fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
+        let mut parts = run.parts.clone();
+        self.gateway.dialect.dress_answer(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        let relay = Relay {
+            gateway: Arc::clone(&self.gateway),
+            call: self.call.clone(),
+            terms: self.terms.clone(),
+            reservation,
+            record: self.record.hand_over(),
+            attempts: std::mem::take(&mut self.attempts),
+            tried: std::mem::take(&mut self.tried),
+            deadline: self.deadline,
+            run: Some(run),
+            open: self.gateway.open_call(),
+            last_event: self.last_event,
+            cutter: EventCutter::default(),
+            events: 0,
+            is_over: false,
+        };
+        Response::from_parts(parts, relay.into_body())
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -0,0 +1,203 @@
+//! `follow` keeps what the store holds of routes and targets up to date.
+
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+
+use crate::gateway::Gateway;
+use crate::objects::{Change, Listing, StoreError, StoredObject};
+
+/// Longest time that one watch waits. Each further one is a call to the store; a connection that
+/// fell silent is found by its keep-alive long before.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a call that failed. Short beside the time within which a change must be in force.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// What is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// Routes, services and client accounts.
+    Catalogue,
+    /// The list of targets.
+    Targets,
+}
+
+/// Follows a kind of objects until the process ends.
+pub async fn follow(gateway: Arc<Gateway>, followed: Followed) {
+    let kind = match followed {
+        Followed::Catalogue => gateway.directory.catalogue_kind(),
+        Followed::Targets => gateway.directory.targets_kind(),
+    };
+    loop {
+        let listing = gateway.store.list(kind).await;
+        match listing {
+            Ok(listing) => {
+                note_answer(&gateway);
+                let version = listing.version;
+                take_all(&gateway, followed, listing);
+                watch(&gateway, followed, kind, version).await;
+            }
+            Err(error) => note_failure(&gateway, &error),
+        }
+        tokio::time::sleep(FAILURE_PAUSE).await;
+    }
+}
+
+/// Watches until a call fails; then the list is read anew.
+async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
+    loop {
+        match gateway.store.watch(kind, version, WATCH_WAIT).await {
+            Ok((changes, next)) => {
+                note_answer(gateway);
+                version = next;
+                for change in changes {
+                    take_change(gateway, followed, change);
+                }
+                if followed == Followed::Targets {
+                    gateway.state().targets_version = version;
+                }
+            }
+            Err(error) => {
+                note_failure(gateway, &error);
+                return;
+            }
+        }
+    }
+}
+
+/// Notes that the store answered.
+pub(crate) fn note_answer(gateway: &Gateway) {
+    let now = gateway.now();
+    if gateway.state().contact.answered(now) {
+        gateway.log(EventCode::StoreRegained, &[]);
+    }
+}
+
+/// Notes that the store did not answer.
+pub(crate) fn note_failure(gateway: &Gateway, error: &StoreError) {
+    let cause = match error {
+        // These are answers.
+        StoreError::Outdated | StoreError::Conflict(_) => return,
+        StoreError::NotDone(cause) | StoreError::Lost(cause) => cause,
+    };
+    let now = gateway.now();
+    if gateway.state().contact.failed(now) {
+        gateway.log(EventCode::StoreLost, &[("cause", cause)]);
+    }
+}
+
+fn take_all(gateway: &Gateway, followed: Followed, listing: Listing) {
+    match followed {
+        Followed::Catalogue => {
+            for object in &listing.objects {
+                take_catalogue(gateway, object, "store");
+            }
+        }
+        Followed::Targets => {
+            let mut all = Vec::new();
+            for object in &listing.objects {
+                match gateway.directory.target(object) {
+                    Ok(listed) => all.push(listed),
+                    Err(error) => note_refused(gateway, object, &error),
+                }
+            }
+            let count = all.len().to_string();
+            let now = gateway.now();
+            let mut state = gateway.state();
+            let is_around_outage = state.contact.is_around_outage(now);
+            state.book.list_all(now, all, is_around_outage);
+            state.targets_version = listing.version;
+            drop(state);
+            let version = listing.version.to_string();
+            gateway.log(
+                EventCode::TargetListed,
+                &[("targets", &count), ("version", &version)],
+            );
+        }
+    }
+}
+
+fn take_change(gateway: &Gateway, followed: Followed, change: Change) {
+    match (followed, change) {
+        (Followed::Catalogue, Change::Put(object)) => take_catalogue(gateway, &object, "store"),
+        // Routes that are gone as a whole were never accepted; the last good state stays.
+        (Followed::Catalogue, Change::Gone(name)) => {
+            gateway.log(EventCode::EntryRefused, &[("gone", &name)]);
+        }
+        (Followed::Targets, Change::Put(object)) => take_target(gateway, &object),
+        (Followed::Targets, Change::Gone(name)) => {
+            let now = gateway.now();
+            let mut state = gateway.state();
+            let is_around_outage = state.contact.is_around_outage(now);
+            state.book.unlist(now, &name, is_around_outage);
+            drop(state);
+            gateway.metrics.forget_target(&name);
+            let around = is_around_outage.to_string();
+            gateway.log(
+                EventCode::TargetUnlisted,
+                &[("target", &name), ("around_outage", &around)],
+            );
+        }
+    }
+}
+
+/// Takes in a catalogue, from the store or a peer.
+pub(crate) fn take_catalogue(gateway: &Gateway, object: &StoredObject, source: &str) {
+    match gateway.directory.catalogue(object) {
+        Ok(Some(catalogue)) => {
+            let version = catalogue.version();
+            let prepaid = catalogue.prepaid_tokens();
+            let now = gateway.now();
+            let mut state = gateway.state();
+            let is_new = state.catalogue.apply(now, catalogue);
+            if !is_new {
+                return;
+            }
+            state.holder.set_prepaid(version, prepaid);
+            state.stored_catalogue = Some(object.clone());
+            drop(state);
+            gateway.round_wanted.notify_one();
+            let version = version.to_string();
+            gateway.log(
+                EventCode::CatalogueApplied,
+                &[("version", &version), ("source", source)],
+            );
+        }
+        Ok(None) => {}
+        Err(error) => note_refused(gateway, object, &error),
+    }
+}
+
+fn take_target(gateway: &Gateway, object: &StoredObject) {
+    match gateway.directory.target(object) {
+        Ok(listed) => {
+            let target = listed.target.clone();
+            let is_ready = listed.is_ready.to_string();
+            let is_news = gateway.state().book.list(listed);
+            if is_news {
+                let version = object.version.to_string();
+                gateway.log(
+                    EventCode::TargetListed,
+                    &[
+                        ("target", &target),
+                        ("ready", &is_ready),
+                        ("version", &version),
+                    ],
+                );
+            }
+        }
+        Err(error) => note_refused(gateway, object, &error),
+    }
+}
+
+fn note_refused(gateway: &Gateway, object: &StoredObject, error: &str) {
+    let version = object.version.to_string();
+    gateway.log(
+        EventCode::EntryRefused,
+        &[
+            ("name", &object.name),
+            ("version", &version),
+            ("error", error),
+        ],
+    );
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -0,0 +1,129 @@
+//! `gateway` is what all duties of an instance share.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use damaskstile_core::prelude::*;
+use slog::Logger;
+use tokio::sync::{Notify, watch};
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::logs;
+use crate::metrics::Metrics;
+use crate::objects::ObjectStore;
+use crate::options::GatewayOptions;
+use crate::pool::Pool;
+use crate::state::State;
+
+/// `Gateway` is what all duties of an instance share.
+pub struct Gateway {
+    /// How it is set up.
+    pub options: GatewayOptions,
+    /// Time of the decisions.
+    pub clock: Clock,
+    /// Headers of callers and targets.
+    pub dialect: Box<dyn Dialect>,
+    /// Stored objects.
+    pub directory: Box<dyn Directory>,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Kept connections to targets.
+    pub pool: Arc<Pool>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Numbered events.
+    pub log: Logger,
+    /// Wakes the duty that writes to the ledger.
+    pub round_wanted: Notify,
+    /// Wakes calls that wait for tokens.
+    pub round_done: Notify,
+    /// Tells all duties how far a stop has come.
+    pub phase: watch::Sender<Phase>,
+    open_calls: AtomicUsize,
+    state: Mutex<State>,
+}
+
+/// `Phase` is how far a stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// No stop was asked for.
+    Serving,
+    /// The balancer is told to send no more work; what comes is still served.
+    Leaving,
+    /// No new work is taken.
+    Closing,
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Gateway").finish_non_exhaustive()
+    }
+}
+
+impl Gateway {
+    /// Makes a gateway that has not begun to serve.
+    #[must_use]
+    pub fn new(
+        options: GatewayOptions,
+        dialect: Box<dyn Dialect>,
+        directory: Box<dyn Directory>,
+        store: Arc<dyn ObjectStore>,
+        log: Logger,
+    ) -> Arc<Self> {
+        let state = Mutex::new(State::new(&options));
+        Arc::new(Self {
+            clock: Clock::start(),
+            dialect,
+            directory,
+            store,
+            pool: Pool::new(),
+            metrics: Metrics::new(),
+            log,
+            round_wanted: Notify::new(),
+            round_done: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            open_calls: AtomicUsize::new(0),
+            state,
+            options,
+        })
+    }
+
+    /// Returns the state to decide by. It is held for a decision, never across a wait.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        // A panic in another duty leaves the state as it was between two decisions.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time of the decisions.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Writes a numbered event.
+    pub fn log(&self, code: EventCode, fields: &[(&str, &str)]) {
+        logs::write(&self.log, &LogEvent::new(code, fields));
+    }
+
+    /// Counts a call as open until the guard is dropped.
+    pub fn open_call(self: &Arc<Self>) -> OpenCall {
+        self.open_calls.fetch_add(1, Ordering::Relaxed);
+        OpenCall(Arc::clone(self))
+    }
+
+    /// Returns the number of open calls.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.load(Ordering::Relaxed)
+    }
+}
+
+/// `OpenCall` counts a call as open.
+#[derive(Debug)]
+pub struct OpenCall(Arc<Gateway>);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -0,0 +1,77 @@
+//! `damaskstile-gateway` takes calls from callers to targets and back.
+//!
+//! It hosts the decisions on routes, targets and tokens. What callers, targets and the platform's
+//! store speak is behind the traits [`Dialect`](dialect::Dialect),
+//! [`Directory`](directory::Directory) and [`ObjectStore`](objects::ObjectStore).
+
+pub mod answer;
+pub mod call;
+pub mod clock;
+pub mod contact;
+pub mod dialect;
+pub mod directory;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod gateway;
+pub mod logs;
+pub mod metrics;
+pub mod objects;
+pub mod operators;
+pub mod options;
+pub mod pool;
+pub mod record;
+pub mod relay;
+pub mod reply;
+pub mod reservation;
+pub mod rounds;
+pub mod run;
+pub mod state;
+pub mod stop;
+
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+
+use crate::follow::{Followed, follow};
+use crate::gateway::Gateway;
+
+/// Time between two looks at the kept connections.
+const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Serves until the process is told to stop, and stops without cutting off a call.
+///
+/// # Errors
+///
+/// Returns an error where an address cannot be used.
+pub async fn serve(gateway: Arc<Gateway>) -> anyhow::Result<()> {
+    let options = &gateway.options;
+    let callers = front::listen(options.callers_address)?;
+    let readiness = operators::start_readiness(&gateway, options.readiness_address)?;
+    let metrics = operators::start_metrics(&gateway, options.metrics_address)?;
+    let data_centre = options.identity.data_centre.clone();
+    gateway.log(EventCode::Started, &[("data_centre", &data_centre)]);
+
+    tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
+    tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
+    tokio::spawn(rounds::keep(Arc::clone(&gateway)));
+    tokio::spawn(prune(Arc::clone(&gateway)));
+    tokio::spawn(front::accept(Arc::clone(&gateway), callers));
+    stop::run(Arc::clone(&gateway)).await?;
+    drop((readiness, metrics));
+    Ok(())
+}
+
+async fn prune(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(PRUNE_INTERVAL).await;
+        let listed: BTreeSet<TargetId> = gateway
+            .state()
+            .book
+            .listed()
+            .map(|listed| listed.target.clone())
+            .collect();
+        gateway.pool.prune(|target| listed.contains(target));
+    }
+}
--- a/crates/damaskstiled/src/logs.rs
+++ b/crates/damaskstile-gateway/src/logs.rs
@@ -1,24 +1,40 @@
-//! `logs` writes numbered events.
+//! `logs` writes numbered events as lines, without ever holding up the thread that logs.
 
-use damaskstile::core::log::LogEvent;
-use slog::{Drain, Logger, o};
+use std::io::Write;
+use std::sync::Mutex;
 
-use crate::config::LogFormat;
+use damaskstile_core::log::LogEvent;
+use serde::Deserialize;
+use slog::{Drain, Logger, o};
 
-/// Events that may wait to be written; past it they are counted and dropped.
+/// Events that may wait to be written; past it they are counted, and the count is written.
 const LOG_RING: usize = 4096;
 
+/// `LogFormat` is the form of the logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Lines for a person.
+    #[default]
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
 /// Makes the logger. Lines are written by a thread of their own.
-pub fn logger(format: LogFormat, instance: &str) -> Logger {
+pub fn logger<W>(format: LogFormat, instance: &str, output: W) -> Logger
+where
+    W: Write + Send + 'static,
+{
     let instance = instance.to_owned();
     match format {
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = Mutex::new(slog_json::Json::default(output)).fuse();
             wrap(drain, instance)
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            let decorator = slog_term::PlainDecorator::new(output);
+            let drain = Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse();
             wrap(drain, instance)
         }
     }
@@ -30,6 +46,7 @@
 {
     let drain = slog_async::Async::new(drain)
         .chan_size(LOG_RING)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
         .fuse();
     Logger::root(drain, o!("instance" => instance))
--- /dev/null
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -0,0 +1,151 @@
+//! `metrics` counts calls and measures their times.
+
+use std::sync::{Mutex, PoisonError};
+
+use damaskstile_core::prelude::*;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of what is measured for a client account.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AccountLabels {
+    account: String,
+}
+
+/// Labels of what is measured for a target.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TargetLabels {
+    target: String,
+}
+
+/// Labels of how calls ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    account: String,
+    outcome: &'static str,
+}
+
+/// `Metrics` counts calls and measures their times.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    outcomes: Family<OutcomeLabels, Counter>,
+    first_byte: Family<AccountLabels, Histogram>,
+    target_first_byte: Family<TargetLabels, Histogram>,
+    free_tokens: Family<AccountLabels, Gauge>,
+    store_age_ms: Gauge,
+    catalogue_version: Gauge,
+}
+
+fn histogram() -> Histogram {
+    // From half a millisecond to about 16 s.
+    Histogram::new(exponential_buckets(0.000_5, 2.0, 16))
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("damaskstile");
+        let outcomes = Family::default();
+        let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let free_tokens = Family::default();
+        let store_age_ms = Gauge::default();
+        let catalogue_version = Gauge::default();
+        registry.register("calls", "Calls by outcome", outcomes.clone());
+        let help = "Seconds to the first byte of an answer, by client account";
+        registry.register("first_byte_seconds", help, first_byte.clone());
+        let help = "Seconds to the first byte of an answer, by target";
+        registry.register("target_first_byte_seconds", help, target_first_byte.clone());
+        let help = "Tokens that could be reserved here at once";
+        registry.register("free_tokens", help, free_tokens.clone());
+        let help = "Milliseconds since the store last answered";
+        registry.register("store_age_ms", help, store_age_ms.clone());
+        let help = "Version of the catalogue in force";
+        registry.register("catalogue_version", help, catalogue_version.clone());
+        Self {
+            registry: Mutex::new(registry),
+            outcomes,
+            first_byte,
+            target_first_byte,
+            free_tokens,
+            store_age_ms,
+            catalogue_version,
+        }
+    }
+
+    /// Counts a call that ended.
+    pub fn ended(&self, account: &str, outcome: &'static str) {
+        let labels = OutcomeLabels {
+            account: account.to_owned(),
+            outcome,
+        };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    /// Notes the time to the first byte of an answer.
+    pub fn first_byte(&self, account: &str, target: &str, took: Duration) {
+        let labels = AccountLabels {
+            account: account.to_owned(),
+        };
+        self.first_byte
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
+        let labels = TargetLabels {
+            target: target.to_owned(),
+        };
+        self.target_first_byte
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
+    }
+
+    /// Forgets a target that is gone, so that the series do not grow for ever.
+    pub fn forget_target(&self, target: &str) {
+        let labels = TargetLabels {
+            target: target.to_owned(),
+        };
+        self.target_first_byte.remove(&labels);
+    }
+
+    /// Notes what is measured whenever it is asked for.
+    pub fn sample(
+        &self,
+        free_tokens: &BTreeMap<AccountId, u64>,
+        store_age: Option<Duration>,
+        version: Version,
+    ) {
+        for (account, tokens) in free_tokens {
+            let labels = AccountLabels {
+                account: account.clone(),
+            };
+            let tokens = i64::try_from(*tokens).unwrap_or(i64::MAX);
+            self.free_tokens.get_or_create(&labels).set(tokens);
+        }
+        let age_ms = store_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.store_age_ms.set(age_ms);
+        self.catalogue_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Gives all metrics in the customary text form.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -0,0 +1,100 @@
+//! `operators` answers the balancer's question for readiness and gives metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, HttpServerStarter, RequestContext,
+    endpoint,
+};
+use http::{Response, StatusCode};
+use slog::Logger;
+
+use crate::gateway::{Gateway, Phase};
+
+type Server = HttpServer<Arc<Gateway>>;
+type Answer = Result<Response<Body>, HttpError>;
+
+/// Starts the server of the balancer's question.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be used.
+pub fn start_readiness(gateway: &Arc<Gateway>, address: SocketAddr) -> anyhow::Result<Server> {
+    let mut api = ApiDescription::new();
+    api.register(get_readiness)?;
+    start(gateway, address, api)
+}
+
+/// Starts the server of metrics.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be used.
+pub fn start_metrics(gateway: &Arc<Gateway>, address: SocketAddr) -> anyhow::Result<Server> {
+    let mut api = ApiDescription::new();
+    api.register(get_metrics)?;
+    start(gateway, address, api)
+}
+
+fn start(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+    api: ApiDescription<Arc<Gateway>>,
+) -> anyhow::Result<Server> {
+    let config = ConfigDropshot {
+        bind_address: address,
+        ..ConfigDropshot::default()
+    };
+    let quiet = Logger::root(slog::Discard, slog::o!());
+    let starter = HttpServerStarter::new(&config, api, Arc::clone(gateway), &quiet)
+        .map_err(|error| anyhow::anyhow!("cannot listen at {address}: {error}"))?;
+    Ok(starter.start())
+}
+
+fn finish(status: StatusCode, content_type: &str, text: String) -> Answer {
+    Response::builder()
+        .status(status)
+        .header("content-type", content_type)
+        .body(Body::from(text))
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+}
+
+/// Tells the balancer whether to send new connections here.
+#[endpoint { method = GET, path = "/v1/readiness" }]
+async fn get_readiness(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
+    let gateway = rqctx.context();
+    let is_serving = *gateway.phase.borrow() == Phase::Serving;
+    let has_catalogue = gateway.state().catalogue.get().is_some();
+    let status = if is_serving && has_catalogue {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    finish(status, "application/json", "{}".to_owned())
+}
+
+/// Gives the metrics in the customary text form.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn get_metrics(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
+    let gateway = rqctx.context();
+    let now = gateway.now();
+    let state = gateway.state();
+    let prepaid = state
+        .catalogue
+        .get()
+        .map(|catalogue| catalogue.prepaid_tokens())
+        .unwrap_or_default();
+    let free = prepaid
+        .into_keys()
+        .map(|account| {
+            let tokens = state.holder.free_tokens(&account);
+            (account, tokens)
+        })
+        .collect();
+    let (age, version) = (state.contact.age(now), state.catalogue.version());
+    drop(state);
+    gateway.metrics.sample(&free, age, version);
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    finish(StatusCode::OK, content_type, gateway.metrics.encode())
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -0,0 +1,34 @@
+//! `options` sets up a gateway.
+
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_targets::BookOptions;
+
+/// `GatewayOptions` sets up a gateway.
+#[derive(Debug, Clone)]
+pub struct GatewayOptions {
+    /// Who this is.
+    pub identity: Identity,
+    /// Address for callers.
+    pub callers_address: SocketAddr,
+    /// Address for the balancer's question whether to send work.
+    pub readiness_address: SocketAddr,
+    /// Address for metrics.
+    pub metrics_address: SocketAddr,
+    /// Address for messages from peers.
+    pub peers_address: SocketAddr,
+    /// Addresses of peers to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Time within which a stop must be over.
+    pub stop_limit: Duration,
+    /// Retries of the fleet, in percent of requests.
+    pub retry_percent: u64,
+    /// Retries of the fleet beyond that, in a second.
+    pub extra_retries_per_s: u64,
+    /// Where tokens stand.
+    pub escrow: EscrowOptions,
+    /// How targets are chosen.
+    pub book: BookOptions,
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -0,0 +1,115 @@
+//! `record` collects what decided a call's way and writes it as one line when the call ends.
+
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+
+use crate::gateway::Gateway;
+
+/// `Record` collects what decided a call's way. Dropped, it writes one line.
+#[derive(Debug)]
+pub struct Record {
+    gateway: Arc<Gateway>,
+    began_at: Duration,
+    code: EventCode,
+    outcome: &'static str,
+    account: AccountId,
+    fields: Vec<(&'static str, String)>,
+    first_byte: Option<Duration>,
+    target: TargetId,
+    /// Whether another record has taken over.
+    is_handed_over: bool,
+}
+
+impl Record {
+    /// Begins the record of a call. Until another outcome is set, the caller left.
+    #[must_use]
+    pub fn new(gateway: &Arc<Gateway>, began_at: Duration, id: Option<&str>) -> Self {
+        let mut record = Self {
+            gateway: Arc::clone(gateway),
+            began_at,
+            code: EventCode::CallerLeft,
+            outcome: "caller_left",
+            account: String::new(),
+            fields: Vec::with_capacity(12),
+            first_byte: None,
+            target: String::new(),
+            is_handed_over: false,
+        };
+        record.add("id", id.unwrap_or("-"));
+        record
+    }
+
+    /// Hands all that was collected over to a new record; this one writes no line.
+    #[must_use]
+    pub fn hand_over(&mut self) -> Self {
+        self.is_handed_over = true;
+        Self {
+            gateway: Arc::clone(&self.gateway),
+            began_at: self.began_at,
+            code: self.code,
+            outcome: self.outcome,
+            account: self.account.clone(),
+            fields: std::mem::take(&mut self.fields),
+            first_byte: self.first_byte,
+            target: self.target.clone(),
+            is_handed_over: false,
+        }
+    }
+
+    /// Adds an input of a decision.
+    pub fn add(&mut self, name: &'static str, value: impl ToString) {
+        self.fields.push((name, value.to_string()));
+    }
+
+    /// Sets the client account.
+    pub fn set_account(&mut self, account: &str) {
+        account.clone_into(&mut self.account);
+    }
+
+    /// Sets the target that the call was last sent to.
+    pub fn set_target(&mut self, target: &str) {
+        target.clone_into(&mut self.target);
+        self.add("target", target);
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn first_byte(&mut self) {
+        if self.first_byte.is_none() {
+            let took = self.gateway.now().saturating_sub(self.began_at);
+            self.first_byte = Some(took);
+            self.gateway
+                .metrics
+                .first_byte(&self.account, &self.target, took);
+        }
+    }
+
+    /// Sets how the call ended.
+    pub fn end(&mut self, code: EventCode, outcome: &'static str) {
+        self.code = code;
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        if self.is_handed_over {
+            return;
+        }
+        let took = self.gateway.now().saturating_sub(self.began_at);
+        self.gateway.metrics.ended(&self.account, self.outcome);
+        if let Some(first) = self.first_byte {
+            self.add("first_byte_ms", first.as_millis());
+        }
+        self.add("took_ms", took.as_millis());
+        self.add("outcome", self.outcome);
+        let account = std::mem::take(&mut self.account);
+        self.add("account", account);
+        let fields: Vec<(&str, &str)> = self
+            .fields
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect();
+        self.gateway.log(self.code, &fields);
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -0,0 +1,250 @@
+//! `relay` passes a target's stream on to its caller, event by event.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_requests::attempts::{Attempts, Next, SendEnd};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+
+use crate::events::{EventCutter, WholeEvent};
+use crate::exchange::{patience, plan_next};
+use crate::gateway::{Gateway, OpenCall};
+use crate::record::Record;
+use crate::reply::ReplyBody;
+use crate::reservation::Reservation;
+use crate::run::{self, Run, Sendable};
+use crate::state::Terms;
+
+/// Pause of a stream after which it goes on at another target, where it may. Callers give up
+/// after two seconds or more, and a preempted run pauses for less than a second.
+const STALL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// `Relay` is a stream on its way to its caller.
+#[derive(Debug)]
+pub struct Relay {
+    /// What is shared by all duties.
+    pub gateway: Arc<Gateway>,
+    /// The call, to send it again.
+    pub call: Sendable,
+    /// What holds for it.
+    pub terms: Terms,
+    /// Tokens held.
+    pub reservation: Reservation,
+    /// Its line in the logs.
+    pub record: Record,
+    /// Its sends.
+    pub attempts: Attempts,
+    /// Targets that it was sent to.
+    pub tried: Vec<TargetId>,
+    /// When the caller gets its final answer in any case.
+    pub deadline: Duration,
+    /// The run under way.
+    pub run: Option<Run>,
+    /// Counts the call as open.
+    pub open: OpenCall,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Cuts the stream into events.
+    pub cutter: EventCutter,
+    /// Events of the run under way.
+    pub events: u64,
+    /// Whether the answer's end was given.
+    pub is_over: bool,
+}
+
+/// How the stream of one run went on.
+enum Piece {
+    Event(WholeEvent),
+    End,
+    Broken(&'static str),
+    TooLate,
+}
+
+impl Relay {
+    /// Makes the answer's body.
+    #[must_use]
+    pub fn into_body(self) -> ReplyBody {
+        let stream = futures_util::stream::unfold(self, |mut relay| async move {
+            let frame = relay.next_frame().await?;
+            Some((frame, relay))
+        });
+        StreamBody::new(Box::pin(stream)).boxed_unsync()
+    }
+
+    async fn next_frame(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.next_piece().await {
+                Piece::Event(event) => {
+                    if let Some(bytes) = self.take_event(event) {
+                        return Some(Ok(Frame::data(bytes)));
+                    }
+                }
+                Piece::End => return self.end().await,
+                Piece::Broken(cause) => {
+                    if !self.go_on(cause).await {
+                        return Some(Err(self.break_off(cause)));
+                    }
+                }
+                Piece::TooLate => return Some(Err(self.break_off("deadline"))),
+            }
+        }
+    }
+
+    async fn next_piece(&mut self) -> Piece {
+        loop {
+            if let Some(event) = self.cutter.next_event() {
+                return Piece::Event(event);
+            }
+            let left = self.deadline.saturating_sub(self.gateway.now());
+            let is_resumable = self.is_resumable();
+            let Some(run) = &mut self.run else {
+                return Piece::Broken("no_run");
+            };
+            let patience = if is_resumable {
+                left.min(STALL_LIMIT)
+            } else {
+                left
+            };
+            let frame = match tokio::time::timeout(patience, run.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Piece::Broken("broken"),
+                Ok(None) if self.cutter.is_empty() => return Piece::End,
+                Ok(None) => return Piece::Broken("half_event"),
+                Err(_) if left <= patience => return Piece::TooLate,
+                Err(_) => return Piece::Broken("stalled"),
+            };
+            if let Ok(bytes) = frame.into_data()
+                && !self.cutter.push(&bytes)
+            {
+                return Piece::Broken("endless_event");
+            }
+        }
+    }
+
+    /// Counts an event; returns its bytes where the caller does not have it yet.
+    fn take_event(&mut self, event: WholeEvent) -> Option<Bytes> {
+        self.record.first_byte();
+        self.events += 1;
+        self.reservation.received(self.events);
+        if let Some(run) = &mut self.run {
+            run.running.prefilled();
+        }
+        let is_repeated = match (event.id, self.last_event) {
+            (Some(id), Some(last)) => id <= last,
+            _ => false,
+        };
+        if is_repeated {
+            return None;
+        }
+        self.last_event = event.id.or(self.last_event);
+        Some(event.bytes)
+    }
+
+    async fn end(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
+        self.is_over = true;
+        self.reservation.finished(self.events);
+        self.record.add("events", self.events);
+        self.record.end(EventCode::CallAnswered, "answered");
+        if let Some(run) = self.run.take() {
+            run.running.note(true);
+            let reuse_for = run.head.reuse_for;
+            run.lease.give_back(reuse_for).await;
+        }
+        None
+    }
+
+    fn break_off(&mut self, cause: &'static str) -> std::io::Error {
+        self.is_over = true;
+        self.run = None;
+        self.record.add("events", self.events);
+        self.record.add("cause", cause);
+        self.record.end(EventCode::CallFailed, "broken_off");
+        std::io::Error::other(cause)
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.terms.route.kind.is_repeatable()
+    }
+
+    /// Goes on at another target after a broken run, if the route allows it.
+    async fn go_on(&mut self, cause: &'static str) -> bool {
+        if let Some(run) = self.run.take() {
+            run.running.note(false);
+        }
+        self.reservation.broken();
+        self.cutter = EventCutter::default();
+        self.attempts.note(SendEnd::Unknown);
+        let mut cause = cause;
+        loop {
+            let next = plan_next(&self.gateway, &self.terms, &self.attempts);
+            let left = self.deadline.saturating_sub(self.gateway.now());
+            if next != Next::Again || left.is_zero() || !self.reservation.extend() {
+                return false;
+            }
+            let choice = {
+                let now = self.gateway.now();
+                let state = self.gateway.state();
+                let work = &self.call.work;
+                state
+                    .book
+                    .choose(now, &self.terms.service, work, &self.tried)
+            };
+            let Some(choice) = choice else {
+                return false;
+            };
+            self.note_resumption(cause, &choice.target);
+            self.tried.push(choice.target.clone());
+            self.record.set_target(&choice.target);
+            self.reservation.sending();
+            let patience = patience(&self.terms, left);
+            let resume_after = self.last_event;
+            let started = run::start(
+                &self.gateway,
+                &self.call,
+                &self.terms,
+                choice,
+                self.deadline,
+                patience,
+                resume_after,
+            );
+            match started.await {
+                Ok(run) if run.parts.status.is_success() => {
+                    self.events = 0;
+                    self.run = Some(run);
+                    return true;
+                }
+                Ok(run) => {
+                    run.running.note(false);
+                    self.attempts.note(SendEnd::Failed);
+                    cause = "failed";
+                }
+                Err(no_run) => {
+                    if no_run.end != SendEnd::Unknown {
+                        self.reservation.not_run();
+                    }
+                    self.attempts.note(no_run.end);
+                    cause = no_run.cause;
+                }
+            }
+        }
+    }
+
+    fn note_resumption(&self, cause: &str, target: &str) {
+        let id = self.call.id.as_deref().unwrap_or("-");
+        let after = self.last_event.map_or_else(String::new, |id| id.to_string());
+        self.gateway.log(
+            EventCode::SendRetried,
+            &[
+                ("id", id),
+                ("cause", cause),
+                ("after_event", &after),
+                ("target", target),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -0,0 +1,215 @@
+//! `run` sends a call to one target and follows it there.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_requests::attempts::SendEnd;
+use damaskstile_targets::{Choice, Work};
+use http::{Method, Request, StatusCode, Uri, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::answer::AnswerHead;
+use crate::call::SendHead;
+use crate::gateway::Gateway;
+use crate::pool::{Lease, SendError};
+use crate::state::Terms;
+
+/// `Sendable` is a call as it goes to any target.
+#[derive(Debug, Clone)]
+pub struct Sendable {
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: http::HeaderMap,
+    /// Body, unchanged.
+    pub body: Bytes,
+    /// The caller's name of the attempt.
+    pub id: Option<String>,
+    /// What it asks of a target.
+    pub work: Work,
+}
+
+/// `Running` counts a call at its target while it runs there.
+#[derive(Debug)]
+pub struct Running {
+    gateway: Arc<Gateway>,
+    /// The target.
+    pub choice: Choice,
+    is_prefilled: bool,
+}
+
+/// `Run` is an answer that a target has begun.
+#[derive(Debug)]
+pub struct Run {
+    /// Status and headers.
+    pub parts: response::Parts,
+    /// What the target says of it.
+    pub head: AnswerHead,
+    /// Body, still to come.
+    pub body: Incoming,
+    /// The connection, closed when dropped.
+    pub lease: Lease,
+    /// The call's place at the target.
+    pub running: Running,
+}
+
+/// `NoRun` tells why a send brought no answer for the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoRun {
+    /// What it proves.
+    pub end: SendEnd,
+    /// What happened, for the logs.
+    pub cause: &'static str,
+}
+
+impl NoRun {
+    const fn new(end: SendEnd, cause: &'static str) -> Self {
+        Self { end, cause }
+    }
+}
+
+impl Running {
+    fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
+        gateway.state().book.sent(gateway.now(), &choice, work);
+        Self {
+            gateway: Arc::clone(gateway),
+            choice,
+            is_prefilled: false,
+        }
+    }
+
+    /// Notes that the first token came.
+    pub fn prefilled(&mut self) {
+        if !self.is_prefilled {
+            self.is_prefilled = true;
+            self.gateway.state().book.prefilled(&self.choice);
+        }
+    }
+
+    /// Notes how the target served the call.
+    pub fn note(&self, is_success: bool) {
+        let now = self.gateway.now();
+        let book = &mut self.gateway.state().book;
+        if is_success {
+            book.succeeded(now, &self.choice.target);
+        } else {
+            book.failed(now, &self.choice.target);
+        }
+    }
+
+    fn silent(&self) {
+        let now = self.gateway.now();
+        self.gateway.state().book.silent(now, &self.choice.target);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.prefilled();
+        self.gateway.state().book.ended(&self.choice.target);
+    }
+}
+
+/// Sends a call to one target and waits for the head of its answer, until `patience` is over.
+///
+/// # Errors
+///
+/// Returns what the failed send proves.
+pub async fn start(
+    gateway: &Arc<Gateway>,
+    call: &Sendable,
+    terms: &Terms,
+    choice: Choice,
+    deadline: Duration,
+    patience: Duration,
+    resume_after: Option<u64>,
+) -> Result<Run, NoRun> {
+    let running = Running::new(gateway, choice, &call.work);
+    let choice = &running.choice;
+    let mut lease = match gateway.pool.lease(&choice.target, choice.address).await {
+        Ok(lease) => lease,
+        Err(_) => {
+            running.silent();
+            return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
+        }
+    };
+    let send = SendHead {
+        target: &choice.target,
+        account: terms.account.as_deref(),
+        time_left: deadline.saturating_sub(gateway.now()),
+        priority: terms.priority,
+        resume_after,
+    };
+    let request = build(gateway, call, &send);
+    let answer = match tokio::time::timeout(patience, lease.send(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(SendError::NotSent)) => return Err(NoRun::new(SendEnd::NotSent, "closed_before")),
+        Ok(Err(SendError::Broken(_))) => {
+            // A kept connection that its target closes in time says nothing of the target.
+            if !lease.is_reused {
+                running.note(false);
+            }
+            return Err(NoRun::new(SendEnd::Unknown, "broken"));
+        }
+        Err(_) => {
+            running.silent();
+            return Err(NoRun::new(SendEnd::Unknown, "silent"));
+        }
+    };
+    let (parts, body) = answer.into_parts();
+    let head = gateway.dialect.read_answer(&parts);
+    let run = Run {
+        parts,
+        head,
+        body,
+        lease,
+        running,
+    };
+    judge(gateway, call, run)
+}
+
+fn build(gateway: &Gateway, call: &Sendable, send: &SendHead<'_>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let mut headers = call.headers.clone();
+    gateway.dialect.dress_send(&mut headers, send);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Decides whether an answer is the one to this call and tells of a run.
+fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
+    let target = &run.running.choice.target;
+    if let Some(load) = run.head.load {
+        let now = gateway.now();
+        let mut state = gateway.state();
+        state.book.report(now, target, load.running, load.waiting);
+    }
+    // An answer to an earlier call may arrive late, where the next one is expected. Passed on,
+    // it would give this caller another's answer. The connection is closed with the run.
+    if run.head.id.is_some() && call.id.is_some() && run.head.id != call.id {
+        run.running.note(false);
+        return Err(NoRun::new(SendEnd::Unknown, "foreign_answer"));
+    }
+    if run.head.is_misdirected {
+        gateway.state().book.leave(target);
+        return Err(NoRun::new(SendEnd::NotRun, "misdirected"));
+    }
+    if run.head.is_not_run {
+        run.running.note(false);
+        return Err(NoRun::new(SendEnd::NotRun, "rejected"));
+    }
+    if run.parts.status.is_success() && !run.head.is_signed {
+        run.running.note(false);
+        return Err(NoRun::new(SendEnd::Unknown, "unsigned_answer"));
+    }
+    if run.parts.status == StatusCode::SWITCHING_PROTOCOLS || run.parts.status.is_informational() {
+        return Err(NoRun::new(SendEnd::Unknown, "unexpected_status"));
+    }
+    Ok(run)
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -0,0 +1,144 @@
+//! `state` holds all that one instance decides by.
+
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::Holder;
+use damaskstile_requests::RetryBudget;
+use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
+use damaskstile_targets::Book;
+
+use crate::call::CallHead;
+use crate::contact::Contact;
+use crate::objects::StoredObject;
+use crate::options::GatewayOptions;
+
+/// Retries are allowed as a part of this many seconds' requests.
+const RETRY_SPAN: Duration = Duration::from_secs(10);
+
+/// `Terms` are what the catalogue in force says of a call.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// The catalogue that said so.
+    pub catalogue: Arc<Catalogue>,
+    /// Time since it came into force here.
+    pub catalogue_age: Duration,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service chosen among the route's shares.
+    pub service: ServiceId,
+    /// Client account; `None` on routes that need none.
+    pub account: Option<AccountId>,
+    /// Rank of the call.
+    pub priority: u8,
+}
+
+/// `State` holds all that one instance decides by.
+#[derive(Debug)]
+pub struct State {
+    /// Routes, services and client accounts.
+    pub catalogue: CatalogueInForce,
+    /// Targets.
+    pub book: Book,
+    /// This instance's part of the budgets.
+    pub holder: Holder,
+    /// When the store last answered, by duty.
+    pub contact: Contact,
+    /// The catalogue in force as stored, for peers.
+    pub stored_catalogue: Option<StoredObject>,
+    /// Version of the list of targets.
+    pub targets_version: Version,
+    /// Whether a stop has begun.
+    pub is_stopping: bool,
+    retries: BTreeMap<ServiceId, RetryBudget>,
+    retry_percent: u64,
+    extra_retries: u64,
+    random: Random,
+}
+
+impl State {
+    /// Makes the state of an instance that knows nothing yet.
+    #[must_use]
+    pub fn new(options: &GatewayOptions) -> Self {
+        let identity = options.identity.clone();
+        let address = options.peers_address.to_string();
+        Self {
+            catalogue: CatalogueInForce::default(),
+            book: Book::new(&identity.data_centre, options.book.clone()),
+            random: Random::new(identity.incarnation),
+            holder: Holder::new(identity, &address, options.escrow.clone()),
+            contact: Contact::default(),
+            stored_catalogue: None,
+            targets_version: 0,
+            is_stopping: false,
+            retries: BTreeMap::new(),
+            retry_percent: options.retry_percent,
+            extra_retries: options.extra_retries_per_s * RETRY_SPAN.as_secs(),
+        }
+    }
+
+    /// Finds out what holds for a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is refused.
+    pub fn terms(
+        &mut self,
+        now: Duration,
+        host: &str,
+        path: &str,
+        head: &CallHead,
+    ) -> Result<Terms, RefusalCode> {
+        let Some(catalogue) = self.catalogue.get().cloned() else {
+            return Err(RefusalCode::Starting);
+        };
+        let route = catalogue
+            .route(host, path)
+            .ok_or(RefusalCode::UnknownRoute)?
+            .clone();
+        let account = account_of(&catalogue, &route, head)?;
+        let draw = self.random.next_u64();
+        let service = route.service(draw).ok_or(RefusalCode::UnknownService)?;
+        let priority = account
+            .and_then(|account| account.priority)
+            .unwrap_or(route.priority);
+        let terms = Terms {
+            catalogue_age: self.catalogue.age(now),
+            service: service.to_owned(),
+            account: account.map(|account| account.name.clone()),
+            priority,
+            route: Arc::clone(&route),
+            catalogue: Arc::clone(&catalogue),
+        };
+        self.retry_budget(now, &terms.service).add_request();
+        Ok(terms)
+    }
+
+    /// Takes one retry from the instance's part of the fleet's budget.
+    pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
+        self.retry_budget(now, service).try_retry(now)
+    }
+
+    fn retry_budget(&mut self, now: Duration, service: &str) -> &mut RetryBudget {
+        let instances = u64::try_from(self.holder.ledger().holders.len()).unwrap_or(u64::MAX);
+        let (percent, extra) = (self.retry_percent, self.extra_retries);
+        self.retries
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::of_fleet(percent, extra, RETRY_SPAN, instances, now))
+    }
+}
+
+fn account_of<'a>(
+    catalogue: &'a Catalogue,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<&'a Account>, RefusalCode> {
+    let account = head
+        .key
+        .as_deref()
+        .and_then(|key| catalogue.account_of_key(key));
+    if account.is_none() && catalogue.has_accounts() && !route.is_anonymous {
+        return Err(RefusalCode::UnknownAccount);
+    }
+    Ok(account)
+}
--- a/crates/damaskstile-http/src/client.rs
+++ b/crates/damaskstile-http/src/client.rs
@@ -7,16 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
 use crate::errors::{Error, Result};
+use crate::socket::connect;
 
-/// Time in which a connection must be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest body that is read as a whole, in bytes.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
@@ -95,7 +93,7 @@
 /// `NotConnected` where no byte was sent, `Broken` where some may have been.
 pub async fn send(call: Call) -> Result<Response<Incoming>> {
     let request = build(&call)?;
-    let stream = connect(&call.address).await?;
+    let stream = connect(&call.address).await.map_err(Error::NotConnected)?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
@@ -113,38 +111,28 @@
 pub async fn send_whole(call: Call, limit: Duration) -> Result<Reply> {
     let exchange = async {
         let (head, body) = send(call).await?.into_parts();
-        let body = http_body_util::Limited::new(body, BODY_BYTES_MAX)
-            .collect()
-            .await
-            .map_err(|error| Error::Broken(error.to_string()))?
-            .to_bytes();
-        Ok(Reply {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        read_whole(head, body).await
     };
     tokio::time::timeout(limit, exchange)
         .await
         .unwrap_or_else(|_| Err(Error::Broken("no answer in time".to_owned())))
 }
 
-async fn connect(address: &str) -> Result<TcpStream> {
-    let connecting = TcpStream::connect(address);
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(Error::NotConnected(error)),
-        Err(_) => {
-            let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
-            return Err(Error::NotConnected(error));
-        }
-    };
-    // Tokens are small and must not wait to be sent together.
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
+/// Reads the rest of an answer.
+pub(crate) async fn read_whole(head: response::Parts, body: Incoming) -> Result<Reply> {
+    let body = http_body_util::Limited::new(body, BODY_BYTES_MAX)
+        .collect()
+        .await
+        .map_err(|error| Error::Broken(error.to_string()))?
+        .to_bytes();
+    Ok(Reply {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
 }
 
-fn build(call: &Call) -> Result<Request<Full<Bytes>>> {
+pub(crate) fn build(call: &Call) -> Result<Request<Full<Bytes>>> {
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(&call.path)
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod claim_op;
 pub mod claim_table;
 pub mod claims;
+pub mod attempts;
 pub mod retries;
 
 pub use answer::{Assembled, Assembly};
--- a/crates/damaskstile-requests/src/retries.rs
+++ b/crates/damaskstile-requests/src/retries.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     percent: u64,
+    saved_max: u64,
+    parts_per_s: u64,
     parts: u64,
     at: Duration,
 }
@@ -26,11 +28,35 @@
     pub fn new(percent: u64, now: Duration) -> Self {
         Self {
             percent,
+            saved_max: SAVED_MAX,
+            parts_per_s: PARTS_PER_S,
             parts: SAVED_MAX * PARTS / 2,
             at: now,
         }
     }
 
+    /// Makes a budget of an instance's part of what the fleet may retry beyond its share: so many
+    /// in a span of time, divided by the instances.
+    #[must_use]
+    pub fn of_fleet(
+        percent: u64,
+        extra: u64,
+        span: Duration,
+        instances: u64,
+        now: Duration,
+    ) -> Self {
+        // What is saved up and what comes in during the span may both be used within it.
+        let saved_max = extra / 2 / instances.max(1);
+        let span_s = span.as_secs().max(1);
+        Self {
+            percent,
+            saved_max,
+            parts_per_s: extra * PARTS / 2 / instances.max(1) / span_s,
+            parts: saved_max * PARTS,
+            at: now,
+        }
+    }
+
     /// Sets the share in force from now on.
     pub fn set_percent(&mut self, percent: u64) {
         self.percent = percent;
@@ -38,7 +64,7 @@
 
     /// Notes a request.
     pub fn add_request(&mut self) {
-        self.parts = (self.parts + self.percent).min(SAVED_MAX * PARTS);
+        self.parts = (self.parts + self.percent).min(self.parts_max());
     }
 
     /// Takes one retry, if there is one.
@@ -57,8 +83,8 @@
         let whole_seconds = now.saturating_sub(self.at).as_secs();
         if whole_seconds > 0 {
             self.at += Duration::from_secs(whole_seconds);
-            let saved = whole_seconds.saturating_mul(PARTS_PER_S);
-            self.parts = self.parts.saturating_add(saved).min(SAVED_MAX * PARTS);
+            let saved = whole_seconds.saturating_mul(self.parts_per_s);
+            self.parts = self.parts.saturating_add(saved).min(self.parts_max());
         }
         if self.parts < PARTS {
             return false;
@@ -66,4 +92,9 @@
         self.parts -= PARTS;
         true
     }
+
+    /// Returns the most that can be saved up; at least one retry, or a share could never add up.
+    fn parts_max(&self) -> u64 {
+        self.saved_max.max(1) * PARTS
+    }
 }
--- /dev/null
+++ b/crates/damaskstile-routes/src/lib.rs
@@ -0,0 +1,20 @@
+//! `damaskstile-routes` holds what operators say of routes, services and client accounts, and
+//! answers which of it applies to a call.
+
+pub mod account;
+pub mod catalogue;
+pub mod errors;
+pub mod in_force;
+pub mod kind;
+pub mod limits;
+pub mod route;
+pub mod service;
+
+pub use account::Account;
+pub use catalogue::Catalogue;
+pub use errors::{Error, Result};
+pub use in_force::CatalogueInForce;
+pub use limits::Limits;
+pub use kind::RouteKind;
+pub use route::{Route, Share};
+pub use service::Service;
--- /dev/null
+++ b/crates/damaskstile-routes/src/service.rs
@@ -0,0 +1,26 @@
+//! `service` holds what operators say of a service and its targets.
+
+use damaskstile_core::prelude::*;
+
+/// `Service` is a group of targets that do the same work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: ServiceId,
+    /// Connections that one target takes from all instances together.
+    pub connections_max: usize,
+    /// Most tokens in one event of a stream; `None` for services without a model.
+    pub tokens_per_event: Option<u64>,
+}
+
+impl Service {
+    /// Makes a service without a model.
+    #[must_use]
+    pub fn plain(name: &str, connections_max: usize) -> Self {
+        Self {
+            name: name.to_owned(),
+            connections_max,
+            tokens_per_event: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-routes/tests/catalogue.rs
@@ -0,0 +1,97 @@
+//! Look-ups in a catalogue, and versions that may not come into force.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use damaskstile_routes::{
+    Account, Catalogue, CatalogueInForce, Error, Limits, Route, RouteKind, Service, Share,
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        shares: vec![Share {
+            service: "s".to_owned(),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 0,
+        attempts_max: 1,
+        is_anonymous: false,
+    }
+}
+
+fn account(name: &str, key: &str) -> Account {
+    Account {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        priority: None,
+        prepaid_tokens: Some(10),
+    }
+}
+
+fn catalogue(version: u64, routes: Vec<Route>, accounts: Vec<Account>) -> Result<Catalogue, Error> {
+    let services = vec![Service::plain("s", 10)];
+    Catalogue::try_new(version, Limits::default(), routes, services, accounts)
+}
+
+#[test]
+fn the_longest_prefix_that_ends_at_a_slash_wins() {
+    // Arrange
+    let routes = vec![route("a", "/a/"), route("ab", "/a/b/"), route("all", "/")];
+    let catalogue = catalogue(1, routes, vec![]).unwrap();
+    let found = |path: &str| catalogue.route("host", path).map(|route| route.name.clone());
+
+    // Act and assert
+    assert_eq!(found("/a/b/c").as_deref(), Some("ab"));
+    assert_eq!(found("/a/b").as_deref(), Some("a"));
+    assert_eq!(found("/ab/").as_deref(), Some("all"));
+    assert_eq!(found("").as_deref(), None);
+    assert!(catalogue.route("other", "/a/").is_none());
+}
+
+#[test]
+fn catalogues_that_contradict_themselves_are_refused_whole() {
+    let twice = vec![route("a", "/a/"), route("b", "/a/")];
+    assert_matches!(catalogue(1, twice, vec![]), Err(Error::RouteTwice(_)));
+    assert_matches!(
+        catalogue(1, vec![route("a", "/a")], vec![]),
+        Err(Error::BadPrefix(_))
+    );
+    let mut astray = route("a", "/a/");
+    astray.shares[0].service = "none".to_owned();
+    assert_matches!(
+        catalogue(1, vec![astray], vec![]),
+        Err(Error::UnknownService(_))
+    );
+    let accounts = vec![account("x", "k"), account("y", "k")];
+    assert_matches!(catalogue(1, vec![], accounts), Err(Error::KeyTwice(_)));
+}
+
+#[test]
+fn an_older_version_never_comes_back() {
+    // Symptom: a key that was taken away works again. Sequence: a peer that was cut off hands on
+    // the version it still has. Cause: the newest word was taken for the newest version.
+
+    // Arrange
+    let mut in_force = CatalogueInForce::default();
+    let with_key = catalogue(5, vec![], vec![account("x", "k")]).unwrap();
+    let without = catalogue(6, vec![], vec![]).unwrap();
+
+    // Act
+    let applied = [
+        in_force.apply(Duration::from_secs(1), with_key.clone()),
+        in_force.apply(Duration::from_secs(2), without),
+        in_force.apply(Duration::from_secs(3), with_key),
+    ];
+
+    // Assert
+    assert_eq!(applied, [true, true, false]);
+    let catalogue = in_force.get().unwrap();
+    assert!(catalogue.account_of_key("k").is_none());
+    assert_eq!(in_force.age(Duration::from_secs(5)), Duration::from_secs(3));
+}
--- /dev/null
+++ b/crates/damaskstile-targets/src/known.rs
@@ -0,0 +1,134 @@
+//! `known` is what an instance has seen of one listed target.
+
+use damaskstile_core::prelude::*;
+
+use crate::listed::Listed;
+use crate::work::Work;
+
+/// Time after which a part of a prompt that was sent is no longer taken to be cached.
+const PART_MEMORY: Duration = Duration::from_secs(10);
+/// Parts remembered for one target. A replica caches some hundred thousand tokens, which is at
+/// most a few hundred parts.
+const PARTS_MAX: usize = 1024;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Weight of a target that did not answer at all: two in a row take it out of the choice.
+const SILENCE_WEIGHT: f64 = 0.7;
+/// Time in which the share of failures falls to about a third without any call, so that a target
+/// that recovered is tried again.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+/// Age at which a report of load counts half.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+
+/// `Known` is what an instance has seen of one listed target.
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub(crate) listed: Listed,
+    /// When the list stopped showing it; kept while that may be an outage of the list.
+    pub(crate) missing_since: Option<Duration>,
+    own_running: u64,
+    own_prefill_tokens: u64,
+    others_running: u64,
+    others_waiting: u64,
+    reported_at: Duration,
+    failure_share: f64,
+    failure_at: Duration,
+    parts: BTreeMap<u64, Duration>,
+}
+
+impl Known {
+    pub(crate) fn new(listed: Listed) -> Self {
+        Self {
+            listed,
+            missing_since: None,
+            own_running: 0,
+            own_prefill_tokens: 0,
+            others_running: 0,
+            others_waiting: 0,
+            reported_at: Duration::ZERO,
+            failure_share: 0.0,
+            failure_at: Duration::ZERO,
+            parts: BTreeMap::new(),
+        }
+    }
+
+    /// Notes that work was sent, with the tokens of the prompt that are not cached there.
+    pub(crate) fn sent(&mut self, now: Duration, work: &Work, uncached_tokens: u64) {
+        self.own_running += 1;
+        self.own_prefill_tokens += uncached_tokens;
+        for part in &work.parts {
+            self.parts.insert(part.name, now);
+        }
+        if self.parts.len() > PARTS_MAX {
+            self.parts
+                .retain(|_, at| now.saturating_sub(*at) < PART_MEMORY);
+        }
+    }
+
+    pub(crate) fn prefilled(&mut self, uncached_tokens: u64) {
+        self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(uncached_tokens);
+    }
+
+    pub(crate) fn ended(&mut self) {
+        self.own_running = self.own_running.saturating_sub(1);
+    }
+
+    pub(crate) fn report(&mut self, now: Duration, running: u64, waiting: u64) {
+        self.others_running = running.saturating_sub(self.own_running);
+        self.others_waiting = waiting;
+        self.reported_at = now;
+    }
+
+    pub(crate) fn succeeded(&mut self, now: Duration) {
+        self.note_outcome(now, 0.0, FAILURE_WEIGHT);
+    }
+
+    pub(crate) fn failed(&mut self, now: Duration) {
+        self.note_outcome(now, 1.0, FAILURE_WEIGHT);
+    }
+
+    pub(crate) fn silent(&mut self, now: Duration) {
+        self.note_outcome(now, 1.0, SILENCE_WEIGHT);
+    }
+
+    fn note_outcome(&mut self, now: Duration, outcome: f64, weight: f64) {
+        let share = self.failure_share(now);
+        self.failure_share = share + (outcome - share) * weight;
+        self.failure_at = now;
+    }
+
+    /// Returns the share of calls that failed lately, between 0 and 1.
+    pub(crate) fn failure_share(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_at).as_secs_f64();
+        self.failure_share * (-age / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+
+    pub(crate) fn own_running(&self) -> u64 {
+        self.own_running
+    }
+
+    pub(crate) fn own_prefill_tokens(&self) -> u64 {
+        self.own_prefill_tokens
+    }
+
+    /// Returns the calls of other instances that are likely to run or wait there now.
+    #[allow(clippy::cast_precision_loss)] // a few hundred calls
+    pub(crate) fn others(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.reported_at).as_secs_f64();
+        let halvings = age / REPORT_HALF_LIFE.as_secs_f64();
+        (self.others_running + self.others_waiting) as f64 * 0.5_f64.powf(halvings)
+    }
+
+    /// Returns the tokens at the beginning of a prompt that this instance has sent there lately.
+    pub(crate) fn cached_tokens(&self, now: Duration, work: &Work) -> u64 {
+        work.parts
+            .iter()
+            .take_while(|part| {
+                self.parts
+                    .get(&part.name)
+                    .is_some_and(|at| now.saturating_sub(*at) < PART_MEMORY)
+            })
+            .map(|part| part.tokens)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-targets/src/listed.rs
@@ -0,0 +1,22 @@
+//! `listed` is a target as the platform's list has it.
+
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+
+/// `Listed` is a target as the platform's list has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Name of the target's incarnation.
+    pub target: TargetId,
+    /// Service that it works for.
+    pub service: ServiceId,
+    /// Address that takes calls.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: String,
+    /// Calls that it works on at a time.
+    pub slots_requests: u64,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+}
--- a/crates/damaskstiled/src/config.rs
+++ b/crates/damaskstiled/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, bail};
+use damaskstile_gateway::logs::LogFormat;
 use serde::Deserialize;
 
 /// `Config` holds an instance's own settings. All else comes from the platform's store.
@@ -35,17 +36,6 @@
     pub peer: Vec<PeerConfig>,
 }
 
-/// `LogFormat` is the form of the logs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogFormat {
-    /// Lines for a person.
-    #[default]
-    Terminal,
-    /// One JSON object a line.
-    Json,
-}
-
 /// `PeerConfig` names a peer to begin with.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/damaskstiled/src/decide.rs
+++ b/crates/damaskstiled/src/decide.rs
@@ -11,10 +11,10 @@
 use slog::Logger;
 use tokio::sync::mpsc::{Receiver, Sender};
 
-use crate::clock::Clock;
+use damaskstile_gateway::clock::Clock;
 use crate::config::Config;
 use crate::front::{Front, ToCaller};
-use crate::logs;
+use damaskstile_gateway::logs;
 
 use crate::peers::ToPeers;
 use crate::recorder::Recorder;
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -3,13 +3,11 @@
 //! No decision is taken here. Each duty has a thread of its own; bounded rings join them.
 
 mod callers;
-mod clock;
 mod completion;
 mod config;
 mod decide;
 mod duty;
 mod front;
-mod logs;
 mod member_status;
 mod metrics;
 mod operators;
@@ -31,6 +29,8 @@
 use clap::Parser;
 use damaskstile::core::identity::Identity;
 
+use damaskstile_gateway::{clock, logs};
+
 use crate::config::Config;
 
 /// Time that callers have to read the last of their answers after all work is done.
@@ -59,7 +59,7 @@
 }
 
 fn run(config: &Config) -> anyhow::Result<()> {
-    let log = logs::logger(config.log_format, &config.instance);
+    let log = logs::logger(config.log_format, &config.instance, std::io::stderr());
     let clock = clock::Clock::start();
     let metrics = Arc::new(metrics::Metrics::new());
     let (front, events) = front::Front::new(Arc::clone(&metrics));
--- a/crates/damaskstiled/src/peers.rs
+++ b/crates/damaskstiled/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::config::Config;
 use crate::duty;
 use crate::front::Front;
-use crate::logs;
+use damaskstile_gateway::logs;
 
 /// Messages that may wait for the thread.
 const PEERS_RING: usize = 4096;
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -13,13 +13,15 @@
 pub fn status(code: RefusalCode) -> StatusCode {
     match code {
         RefusalCode::UnknownAccount => StatusCode::UNAUTHORIZED,
-        RefusalCode::UnknownService => StatusCode::NOT_FOUND,
+        RefusalCode::UnknownService | RefusalCode::UnknownRoute => StatusCode::NOT_FOUND,
+        RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalCode::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
         RefusalCode::BadRequest | RefusalCode::BadKey => StatusCode::BAD_REQUEST,
         RefusalCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalCode::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
         RefusalCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
         RefusalCode::AlreadyRan | RefusalCode::InProgress => StatusCode::CONFLICT,
-        RefusalCode::TargetLost => StatusCode::BAD_GATEWAY,
+        RefusalCode::TargetLost | RefusalCode::AnswerSpoiled => StatusCode::BAD_GATEWAY,
         RefusalCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         RefusalCode::BudgetUnreachable
         | RefusalCode::NoTarget
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::task::AbortHandle;
 
-use crate::clock::Clock;
+use damaskstile_gateway::clock::Clock;
 use crate::completion;
 use crate::duty;
 use crate::front::{Front, Kept};
