--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -1,17 +1,20 @@
 //! `holder` is one instance's part of the budgets.
 
+mod gifts;
 mod plan;
 mod round;
 
 use damaskstile_core::prelude::*;
 
+use crate::entry::Unlocked;
 use crate::ledger::Ledger;
 use crate::options::EscrowOptions;
 use crate::purse::Purse;
 use crate::shortage::Shortage;
+use crate::stamp::Stamp;
 
-pub use round::Round;
 use round::Pending;
+pub use round::Round;
 
 /// `Holder` reserves tokens for calls and says what to write to the ledger.
 ///
@@ -29,6 +32,11 @@
     ledger: Ledger,
     ledger_version: Version,
     seen_at: Option<Duration>,
+    /// When the write that stands was made.
+    committed_at: Duration,
+    /// Stamp of the start of this incarnation, by which its predecessor was gone.
+    start: Option<Stamp>,
+    started_at: Option<Duration>,
     /// Writes whose outcome is not known.
     pending: Vec<Pending>,
     last_round: u64,
@@ -53,6 +61,9 @@
             ledger: Ledger::default(),
             ledger_version: 0,
             seen_at: None,
+            committed_at: Duration::ZERO,
+            start: None,
+            started_at: None,
             pending: Vec::new(),
             last_round: 0,
             round_at: None,
@@ -94,7 +105,7 @@
         if !self.prepaid_tokens.contains_key(account) {
             return Ok(());
         }
-        let bound = self.allowance(account);
+        let bound = self.allowance(now, account);
         let purse = self.purses.entry(account.to_owned()).or_default();
         if purse.free(bound) >= tokens {
             purse.reserved_tokens += tokens;
@@ -116,19 +127,24 @@
     pub fn release(&mut self, account: &str, reserved_tokens: u64, used_tokens: u64) {
         if let Some(purse) = self.purses.get_mut(account) {
             purse.reserved_tokens = purse.reserved_tokens.saturating_sub(reserved_tokens);
-            purse.used_tokens += used_tokens.min(reserved_tokens);
+            purse.add_used(used_tokens.min(reserved_tokens));
         }
     }
 
     /// Returns the tokens that could be reserved at once.
     #[must_use]
-    pub fn free_tokens(&self, account: &str) -> u64 {
-        let bound = self.allowance(account);
+    pub fn free_tokens(&self, now: Duration, account: &str) -> u64 {
+        let bound = self.allowance(now, account);
         self.purses
             .get(account)
             .map_or(0, |purse| purse.free(bound))
     }
 
+    /// Returns the accounts that are prepaid.
+    pub fn prepaid_accounts(&self) -> impl Iterator<Item = &AccountId> {
+        self.prepaid_tokens.keys()
+    }
+
     /// Returns the ledger as last seen.
     #[must_use]
     pub fn ledger(&self) -> &Ledger {
@@ -148,17 +164,24 @@
     }
 
     /// Returns the smallest allowance that any possible outcome of the writes under way leaves.
-    fn allowance(&self, account: &str) -> u64 {
-        let committed = self
-            .purses
-            .get(account)
-            .map_or(0, |purse| purse.allowed_tokens);
+    ///
+    /// In touch with the store an instance stays below its ceiling, so that a death costs little.
+    /// Isolated it goes on to its whole grant, at a pace that whoever settles its grant knows.
+    fn allowance(&self, now: Duration, account: &str) -> u64 {
+        let committed = self.purses.get(account).map_or(0, |purse| {
+            let unlocked = self.unlocked(now.saturating_sub(self.committed_at));
+            unlocked.of(purse.ceiling_tokens, purse.allowed_tokens)
+        });
         self.pending
             .iter()
-            .map(|pending| pending.allowed(account))
+            .map(|pending| pending.allowed(account, self.unlocked(pending.age(now))))
             .fold(committed, u64::min)
     }
 
+    fn unlocked(&self, since: Duration) -> Unlocked {
+        Unlocked::after(since, self.options.unlock_after, self.options.unlock_span)
+    }
+
     fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
         let is_recent = self
             .ledger_age(now)
@@ -177,8 +200,8 @@
         if tokens > left {
             return Shortage::Exhausted;
         }
-        let missing = tokens.saturating_sub(self.free_tokens(account));
-        if missing <= self.ledger.pool(account, prepaid) {
+        let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
+        if tokens <= held + self.ledger.pool(account, prepaid) {
             return Shortage::InStore;
         }
         Shortage::Elsewhere
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -24,7 +24,10 @@
         let spendable = left * (PERCENT - self.options.reserve_percent) / PERCENT;
 
         let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
-        let all = own + self.ledger.demand_of_others(account, &self.identity.instance);
+        let all = own
+            + self
+                .ledger
+                .demand_of_others(account, &self.identity.instance);
         let is_listed = self.ledger.holders.contains_key(&self.identity.instance);
         let instances = self.ledger.holders.len() + usize::from(!is_listed);
         let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -1,15 +1,22 @@
 //! `round` writes to the ledger and finds out what became of a write.
 
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 
 use super::Holder;
-use crate::ledger::{HolderEntry, Ledger};
+use crate::entry::{HolderEntry, Unlocked};
+use crate::ledger::Ledger;
 use crate::purse::Purse;
+use crate::stamp::Stamp;
 
 /// Change of a grant that is worth a write, in parts of the grant. Smaller ones would have every
 /// instance write in every round.
 const WORTH_PART: u64 = 8;
 
+/// Part of the free tokens that is below the ceiling without any demand, as a divisor, so that
+/// the first calls of an account need no round.
+const FIRST_CALL_PART: u64 = 4;
+
 /// `Round` is one conditional write to the ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Round {
@@ -26,6 +33,7 @@
 pub(super) struct Pending {
     number: u64,
     expected_version: Version,
+    made_at: Duration,
     /// Allowance and settled sum of each account, should the write take effect.
     sums: BTreeMap<AccountId, Sums>,
 }
@@ -33,12 +41,19 @@
 #[derive(Debug, Clone, Copy)]
 struct Sums {
     allowed_tokens: u64,
+    ceiling_tokens: u64,
     settled_tokens: u64,
 }
 
 impl Pending {
-    pub(super) fn allowed(&self, account: &str) -> u64 {
-        self.sums.get(account).map_or(0, |sums| sums.allowed_tokens)
+    pub(super) fn allowed(&self, account: &str, unlocked: Unlocked) -> u64 {
+        self.sums.get(account).map_or(0, |sums| {
+            unlocked.of(sums.ceiling_tokens, sums.allowed_tokens)
+        })
+    }
+
+    pub(super) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.made_at)
     }
 }
 
@@ -72,6 +87,7 @@
             // Nothing of this incarnation stands there: what it was granted is void.
             for purse in self.purses.values_mut() {
                 purse.allowed_tokens = purse.settled_tokens;
+                purse.ceiling_tokens = purse.settled_tokens;
             }
         }
         // A write on an older version can no longer take effect.
@@ -127,7 +143,8 @@
     /// Returns the write that is due, if one is. At most one is under way at a time.
     ///
     /// `None` too where the ledger was never seen: the host reads it first.
-    pub fn next_round(&mut self, now: Duration) -> Option<Round> {
+    pub fn next_round(&mut self, now: Duration, stamp: &Stamp) -> Option<Round> {
+        self.note_stamp(now, stamp);
         self.seen_at?;
         if self.is_in_doubt || self.catalogue_version < self.ledger.catalogue_version {
             return None;
@@ -143,13 +160,70 @@
         }
         self.round_at = Some(now);
         self.is_short = false;
-        Some(self.make_round(now))
+        Some(self.make_round(now, stamp))
+    }
+
+    /// Keeps the stamp of this incarnation's start, once the fleet's time is known for it.
+    fn note_stamp(&mut self, now: Duration, stamp: &Stamp) {
+        let started_at = *self.started_at.get_or_insert(now);
+        let is_known = |start: &Stamp| start.fleet_late_ms.is_some();
+        if self.start.as_ref().is_some_and(is_known) {
+            return;
+        }
+        // What the clocks showed at the start follows from the time that went by since.
+        let gone_ms = unix_ms(now.saturating_sub(started_at));
+        let before = |ms: u64| ms.saturating_sub(gone_ms);
+        self.start = Some(Stamp {
+            boot_name: stamp.boot_name.clone(),
+            boot_ms: before(stamp.boot_ms),
+            unix_ms: before(stamp.unix_ms),
+            fleet_early_ms: stamp.fleet_early_ms.map(before),
+            fleet_late_ms: stamp.fleet_late_ms.map(before),
+        });
+    }
+
+    /// Settles the parts of this instance's earlier incarnations as far as is known when they
+    /// ended: each had ended when this one started.
+    fn settle_estates(&self, now: Duration, ledger: &mut Ledger) {
+        let own = format!("{}/", self.identity.instance);
+        let names: Vec<String> = ledger
+            .estates
+            .keys()
+            .filter(|name| name.starts_with(&own))
+            .cloned()
+            .collect();
+        for name in names {
+            if let Some(unlocked) = self.estate_unlocked(now, &ledger.estates[&name]) {
+                ledger.settle_estate(&name, unlocked);
+            }
+        }
+    }
+
+    /// Returns what an ended incarnation can have unlocked; `None` while that may become known.
+    fn estate_unlocked(&self, now: Duration, estate: &HolderEntry) -> Option<Unlocked> {
+        let start = self.start.as_ref()?;
+        if let Some(passed) = estate.stamp.until(start) {
+            return Some(self.unlocked(passed + self.options.clock_margin));
+        }
+        let waited = now.saturating_sub(self.started_at.unwrap_or(now));
+        let is_hopeless =
+            waited >= self.options.estate_patience || estate.stamp.fleet_early_ms.is_none();
+        is_hopeless.then_some(Unlocked::ALL)
+    }
+
+    fn has_estate_to_settle(&self, now: Duration) -> bool {
+        let own = format!("{}/", self.identity.instance);
+        self.ledger.estates.iter().any(|(name, estate)| {
+            name.starts_with(&own) && self.estate_unlocked(now, estate).is_some()
+        })
     }
 
     fn commit(&mut self, pending: &Pending) {
+        self.committed_at = pending.made_at;
         for (account, sums) in &pending.sums {
             let purse = self.purses.entry(account.clone()).or_default();
             purse.allowed_tokens = sums.allowed_tokens;
+            purse.ceiling_tokens = sums.ceiling_tokens;
             purse.settled_tokens = sums.settled_tokens;
         }
     }
@@ -166,6 +240,9 @@
         if self.is_stopping {
             return !self.is_handed_back();
         }
+        if self.has_estate_to_settle(now) {
+            return true;
+        }
         self.prepaid_tokens.keys().any(|account| {
             let empty = Purse::default();
             let purse = self.purses.get(account).unwrap_or(&empty);
@@ -174,7 +251,11 @@
             let change = free.abs_diff(target);
             let is_change = change > target / WORTH_PART;
             let is_possible = target < free || self.pool(account) > 0;
+            let ceiling = self.ceiling_tokens(now, account, purse);
+            let below_ceiling = purse.free(purse.ceiling_tokens);
+            let is_ceiling_near = below_ceiling < ceiling.min(free) * 3 / 4;
             (is_change && is_possible && change > 0)
+                || is_ceiling_near
                 || purse.unsettled() > purse.granted() / WORTH_PART
         })
     }
@@ -184,7 +265,7 @@
         self.ledger.pool(account, prepaid)
     }
 
-    fn make_round(&mut self, now: Duration) -> Round {
+    fn make_round(&mut self, now: Duration, stamp: &Stamp) -> Round {
         self.last_round += 1;
         let mut ledger = self.ledger.clone();
         ledger.catalogue_version = self.catalogue_version;
@@ -194,11 +275,13 @@
             .get(own)
             .is_some_and(|entry| entry.incarnation != self.identity.incarnation);
         if is_other_life {
-            ledger.write_off(own);
+            ledger.close(own);
         }
+        self.settle_estates(now, &mut ledger);
         let mut entry = HolderEntry {
             incarnation: self.identity.incarnation,
             round: self.last_round,
+            stamp: stamp.clone(),
             address: self.address.clone(),
             data_centre: self.identity.data_centre.clone(),
             ..HolderEntry::default()
@@ -211,6 +294,10 @@
             ledger.settle(&account, purse.unsettled());
             let grant = of_account.allowed_tokens - of_account.settled_tokens;
             let demand = purse.demand.tokens_per_s(now);
+            let ceiling = of_account.ceiling_tokens - of_account.settled_tokens;
+            if ceiling > 0 {
+                entry.ceilings_tokens.insert(account.clone(), ceiling);
+            }
             if grant > 0 {
                 entry.grants_tokens.insert(account.clone(), grant);
             }
@@ -223,6 +310,7 @@
         self.pending.push(Pending {
             number: self.last_round,
             expected_version: self.ledger_version,
+            made_at: now,
             sums,
         });
         Round {
@@ -244,9 +332,22 @@
         let reachable = purse.allowed_tokens + pool;
         // What is reserved stays covered even where the sums were lowered meanwhile.
         let allowed = wanted.min(reachable).max(needed.min(purse.allowed_tokens));
+        let allowed_tokens = allowed.max(purse.used_tokens);
+        let ceiling = needed + self.ceiling_tokens(now, account, purse);
         Sums {
-            allowed_tokens: allowed.max(purse.used_tokens),
+            allowed_tokens,
+            ceiling_tokens: ceiling.min(allowed_tokens),
             settled_tokens: purse.used_tokens,
         }
     }
+
+    /// Returns the free tokens that may be spent ahead of the next write.
+    fn ceiling_tokens(&self, now: Duration, account: &str, purse: &Purse) -> u64 {
+        let demand = u128::from(purse.demand.tokens_per_s(now));
+        let ahead = demand * self.options.ceiling.as_millis() / 1000;
+        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
+        let target = self.target_tokens(now, account);
+        let ahead = ahead.saturating_add(purse.largest_tokens);
+        ahead.max(target / FIRST_CALL_PART).min(target)
+    }
 }
--- a/crates/damaskstile-escrow/src/ledger.rs
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -1,25 +1,10 @@
 //! `ledger` is the stored state of all budgets of a shard.
 
+use damaskstile_core::identity::writer_name;
 use damaskstile_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// `HolderEntry` is one instance's part of the ledger.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct HolderEntry {
-    /// Incarnation that holds the grants; its successors hold none of them.
-    pub incarnation: Incarnation,
-    /// Number of the incarnation's write that stands.
-    pub round: u64,
-    /// Address for messages from peers.
-    pub address: String,
-    /// Data centre that the instance stands in.
-    pub data_centre: String,
-    /// Tokens that the incarnation may spend, on top of what is settled.
-    pub grants_tokens: BTreeMap<AccountId, u64>,
-    /// Tokens asked for in a second.
-    pub demand_tokens_per_s: BTreeMap<AccountId, u64>,
-}
+use crate::entry::{HolderEntry, Unlocked};
 
 /// `Ledger` says what is spent for good and what each instance may still spend.
 ///
@@ -35,6 +20,9 @@
     pub settled_tokens: BTreeMap<AccountId, u64>,
     /// The instances with their grants.
     pub holders: BTreeMap<InstanceId, HolderEntry>,
+    /// Parts of incarnations that ended, until it is known what they can have spent.
+    #[serde(default)]
+    pub estates: BTreeMap<String, HolderEntry>,
 }
 
 impl Ledger {
@@ -44,11 +32,12 @@
         self.settled_tokens.get(account).copied().unwrap_or(0)
     }
 
-    /// Returns the tokens that are granted to instances.
+    /// Returns the tokens that are granted to instances, those that ended among them.
     #[must_use]
     pub fn granted(&self, account: &str) -> u64 {
         self.holders
             .values()
+            .chain(self.estates.values())
             .filter_map(|holder| holder.grants_tokens.get(account))
             .sum()
     }
@@ -82,11 +71,19 @@
         }
     }
 
-    /// Counts all grants of an incarnation that ended as spent, since nobody knows what it spent.
-    pub(crate) fn write_off(&mut self, instance: &str) {
+    /// Sets the part of an incarnation that ended apart.
+    pub(crate) fn close(&mut self, instance: &str) {
         if let Some(entry) = self.holders.remove(instance) {
-            for (account, tokens) in entry.grants_tokens {
-                self.settle(&account, tokens);
+            let name = writer_name(instance, entry.incarnation);
+            self.estates.insert(name, entry);
+        }
+    }
+
+    /// Settles what an incarnation that ended can have spent; the rest of its grants is free.
+    pub(crate) fn settle_estate(&mut self, name: &str, unlocked: Unlocked) {
+        if let Some(entry) = self.estates.remove(name) {
+            for account in entry.grants_tokens.keys() {
+                self.settle(account, entry.spent_bound(account, unlocked));
             }
         }
     }
--- a/crates/damaskstile-escrow/src/lib.rs
+++ b/crates/damaskstile-escrow/src/lib.rs
@@ -6,13 +6,17 @@
 //! sent, and writes to the ledger under the condition that nobody else has written meanwhile.
 
 pub mod demand;
+pub mod entry;
 pub mod holder;
 pub mod ledger;
 pub mod options;
 pub mod purse;
 pub mod shortage;
+pub mod stamp;
 
+pub use entry::HolderEntry;
 pub use holder::{Holder, Round};
-pub use ledger::{HolderEntry, Ledger};
+pub use ledger::Ledger;
 pub use options::EscrowOptions;
 pub use shortage::Shortage;
+pub use stamp::Stamp;
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -17,6 +17,20 @@
     pub reserve_percent: u64,
     /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
     pub even_percent: u64,
+    /// Demand that an instance in touch with the store may spend ahead of its last write, as a
+    /// time: the time between two writes, and as much again for a burst.
+    pub ceiling: Duration,
+    /// Time since the last write that took effect after which an instance goes beyond its
+    /// ceiling. It is longer than a restart, so that what lies beyond comes back from an instance
+    /// that restarts, and shorter than the ceiling lasts.
+    pub unlock_after: Duration,
+    /// Time from then on in which an isolated instance comes to its whole grant.
+    pub unlock_span: Duration,
+    /// Error of the fleet's time that is allowed for.
+    pub clock_margin: Duration,
+    /// Time for which a successor waits for the fleet's time before it writes its predecessor's
+    /// grant off as spent.
+    pub estate_patience: Duration,
     /// Age past which the ledger as last seen proves nothing about the tokens of others.
     pub evidence_age: Duration,
 }
@@ -29,6 +43,11 @@
             horizon: Duration::from_secs(12),
             reserve_percent: 15,
             even_percent: 10,
+            ceiling: Duration::from_millis(2_500),
+            unlock_after: Duration::from_millis(2_500),
+            unlock_span: Duration::from_secs(5),
+            clock_margin: Duration::from_millis(500),
+            estate_patience: Duration::from_secs(6),
             evidence_age: Duration::from_secs(3),
         }
     }
--- a/crates/damaskstile-escrow/src/purse.rs
+++ b/crates/damaskstile-escrow/src/purse.rs
@@ -12,16 +12,26 @@
 pub struct Purse {
     /// Tokens that the incarnation may spend in all, by the ledger as last seen.
     pub(crate) allowed_tokens: u64,
+    /// Part of the allowance that may be spent before the instance counts as isolated.
+    pub(crate) ceiling_tokens: u64,
     /// Tokens that finished calls have used.
     pub(crate) used_tokens: u64,
     /// Part of the used tokens that the ledger counts as spent.
     pub(crate) settled_tokens: u64,
+    /// Tokens that peers handed over and that are not spent; the givers' grants cover them.
+    pub(crate) gift_tokens: u64,
     /// Worst case of the calls under way.
     pub(crate) reserved_tokens: u64,
     /// How fast the account asks here.
     pub(crate) demand: Demand,
+    /// Worst case of the largest call lately.
+    pub(crate) largest_tokens: u64,
 }
 
+/// Part of the largest call that is forgotten with each further call, as a divisor: an account
+/// that ceases to send large calls needs no room for them after some dozens.
+const FORGET_DIVISOR: u64 = 64;
+
 impl Purse {
     /// Returns the tokens that a finished write leaves to this instance.
     pub(crate) fn granted(&self) -> u64 {
@@ -35,12 +45,21 @@
 
     /// Returns what may still be reserved under a bound on the allowance.
     pub(crate) fn free(&self, allowed_tokens: u64) -> u64 {
-        allowed_tokens
+        (allowed_tokens + self.gift_tokens)
             .saturating_sub(self.used_tokens)
             .saturating_sub(self.reserved_tokens)
     }
 
     pub(crate) fn note_demand(&mut self, now: Duration, tokens: u64) {
         self.demand.add(now, tokens);
+        let kept = self.largest_tokens - self.largest_tokens / FORGET_DIVISOR;
+        self.largest_tokens = kept.max(tokens);
+    }
+
+    /// Notes tokens as used, those that peers handed over first.
+    pub(crate) fn add_used(&mut self, tokens: u64) {
+        let of_gifts = tokens.min(self.gift_tokens);
+        self.gift_tokens -= of_gifts;
+        self.used_tokens += tokens - of_gifts;
     }
 }
--- a/crates/damaskstile-escrow/src/shortage.rs
+++ b/crates/damaskstile-escrow/src/shortage.rs
@@ -5,7 +5,7 @@
 pub enum Shortage {
     /// The account's tokens are spent: no instance has enough, by a recent look at the ledger.
     Exhausted,
-    /// The store has tokens to hand out; a round brings them within milliseconds.
+    /// A round with the store brings them within milliseconds.
     InStore,
     /// Other instances may have tokens, or nobody can be asked.
     Elsewhere,
--- a/crates/damaskstile-fleet/src/lib.rs
+++ b/crates/damaskstile-fleet/src/lib.rs
@@ -1,12 +1,14 @@
 //! `damaskstile-fleet` lets the instances act as one: who is there, and which settings hold.
 
 pub mod errors;
+pub mod fleet_clock;
 pub mod membership;
 pub mod membership_options;
 pub mod settings;
 pub mod spread;
 
 pub use errors::{Error, Result};
+pub use fleet_clock::FleetClock;
 pub use membership::Membership;
 pub use membership_options::MembershipOptions;
 pub use settings::Settings;
--- a/crates/damaskstile-gateway/src/clock.rs
+++ b/crates/damaskstile-gateway/src/clock.rs
@@ -38,3 +38,33 @@
     let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
     Duration::new(seconds, nanos)
 }
+
+/// `BootTime` is what the boot clock shows, with the name of the machine's run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BootTime {
+    /// Name of the machine's run; empty where the system gives none.
+    pub name: String,
+    /// Milliseconds that the boot clock shows.
+    pub ms: u64,
+}
+
+impl BootTime {
+    /// Reads the boot clock.
+    #[must_use]
+    pub fn now() -> Self {
+        let name = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+        Self {
+            name: name.trim().to_owned(),
+            ms: damaskstile_core::time::unix_ms(boot_time()),
+        }
+    }
+}
+
+/// Returns the machine's time of day, in milliseconds since the Unix epoch. It may step.
+#[must_use]
+pub fn own_unix_ms() -> u64 {
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    damaskstile_core::time::unix_ms(time)
+}
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -214,9 +214,9 @@
                 }
                 Err(shortage) => shortage,
             };
-            self.gateway.round_wanted.notify_one();
+            let is_coming = self.call_for_tokens(shortage, tokens);
             let wait = until.saturating_sub(self.gateway.now());
-            if shortage != Shortage::InStore || wait.is_zero() {
+            if !is_coming || wait.is_zero() {
                 return Err(self.short(shortage, tokens));
             }
             // Either outcome leads to another look.
@@ -224,11 +224,31 @@
         }
     }
 
+    /// Has missing tokens fetched from the store or a peer; returns whether they may come soon.
+    fn call_for_tokens(&self, shortage: Shortage, tokens: u64) -> bool {
+        let gateway = &self.gateway;
+        gateway.round_wanted.notify_one();
+        if shortage != Shortage::Elsewhere {
+            return shortage == Shortage::InStore;
+        }
+        let account = self.terms.account.clone().unwrap_or_default();
+        let now = gateway.now();
+        let mut state = gateway.state();
+        let missing = tokens.saturating_sub(state.holder.free_tokens(now, &account));
+        if state.richest_member(now, &account, missing).is_none() {
+            return false;
+        }
+        state.wanted_tokens.insert(account, missing);
+        drop(state);
+        gateway.tokens_wanted.notify_one();
+        true
+    }
+
     fn short(&mut self, shortage: Shortage, tokens: u64) -> Refusal {
         let now = self.gateway.now();
         let account = self.terms.account.clone().unwrap_or_default();
         let state = self.gateway.state();
-        let free = state.holder.free_tokens(&account);
+        let free = state.holder.free_tokens(now, &account);
         let age = state.holder.ledger_age(now);
         let version = state.holder.ledger_version();
         drop(state);
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -131,6 +131,7 @@
             let is_around_outage = state.contact.is_around_outage(now);
             state.book.unlist(now, &name, is_around_outage);
             drop(state);
+            gateway.news.notify_one();
             gateway.metrics.forget_target(&name);
             let around = is_around_outage.to_string();
             gateway.log(
@@ -157,6 +158,7 @@
             state.stored_catalogue = Some(object.clone());
             drop(state);
             gateway.round_wanted.notify_one();
+            gateway.news.notify_one();
             let version = version.to_string();
             gateway.log(
                 EventCode::CatalogueApplied,
@@ -173,8 +175,10 @@
         Ok(listed) => {
             let target = listed.target.clone();
             let is_ready = listed.is_ready.to_string();
-            let is_news = gateway.state().book.list(listed);
+            let now = gateway.now();
+            let is_news = gateway.state().book.list(now, listed);
             if is_news {
+                gateway.news.notify_one();
                 let version = object.version.to_string();
                 gateway.log(
                     EventCode::TargetListed,
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -39,6 +39,10 @@
     pub round_wanted: Notify,
     /// Wakes calls that wait for tokens.
     pub round_done: Notify,
+    /// Wakes the duty that tells peers.
+    pub news: Notify,
+    /// Wakes the duty that asks peers for tokens.
+    pub tokens_wanted: Notify,
     /// Tells all duties how far a stop has come.
     pub phase: watch::Sender<Phase>,
     open_calls: AtomicUsize,
@@ -83,6 +87,8 @@
             log,
             round_wanted: Notify::new(),
             round_done: Notify::new(),
+            news: Notify::new(),
+            tokens_wanted: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             open_calls: AtomicUsize::new(0),
             state,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -16,10 +16,12 @@
 pub mod front;
 pub mod gateway;
 pub mod logs;
+pub mod member;
 pub mod metrics;
 pub mod objects;
 pub mod operators;
 pub mod options;
+pub mod peers;
 pub mod pool;
 pub mod record;
 pub mod relay;
@@ -36,6 +38,7 @@
 
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
+use crate::peers::{Peers, serve_pulls};
 
 /// Time between two looks at the kept connections.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
@@ -50,12 +53,18 @@
     let callers = front::listen(options.callers_address)?;
     let readiness = operators::start_readiness(&gateway, options.readiness_address)?;
     let metrics = operators::start_metrics(&gateway, options.metrics_address)?;
+    let pulls = front::listen(options.peers_address)?;
+    let peers = Peers::try_new(&gateway).await?;
     let data_centre = options.identity.data_centre.clone();
     gateway.log(EventCode::Started, &[("data_centre", &data_centre)]);
 
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
     tokio::spawn(rounds::keep(Arc::clone(&gateway)));
+    tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
+    tokio::spawn(Arc::clone(&peers).tell());
+    tokio::spawn(Arc::clone(&peers).beg());
+    tokio::spawn(peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
     tokio::spawn(front::accept(Arc::clone(&gateway), callers));
     stop::run(Arc::clone(&gateway)).await?;
--- /dev/null
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -0,0 +1,43 @@
+//! `member` is what is known of a peer from its last digest.
+
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+
+use crate::peers::Digest;
+
+/// `Member` is what is known of a peer from its last digest.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its address.
+    pub address: SocketAddr,
+    /// When the digest came.
+    pub heard_at: Duration,
+    /// Tokens that it could reserve at once.
+    pub free_tokens: BTreeMap<AccountId, u64>,
+}
+
+impl Member {
+    /// Makes a member from its digest.
+    #[must_use]
+    pub fn new(
+        incarnation: Incarnation,
+        address: SocketAddr,
+        now: Duration,
+        digest: &Digest,
+    ) -> Self {
+        let free_tokens = digest
+            .free
+            .iter()
+            .map(|free| (free.account.clone(), free.tokens))
+            .collect();
+        Self {
+            incarnation,
+            address,
+            heard_at: now,
+            free_tokens,
+        }
+    }
+}
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -88,7 +88,7 @@
     let free = prepaid
         .into_keys()
         .map(|account| {
-            let tokens = state.holder.free_tokens(&account);
+            let tokens = state.holder.free_tokens(now, &account);
             (account, tokens)
         })
         .collect();
--- /dev/null
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -0,0 +1,310 @@
+//! `peers` tells the other instances what this one knows, and hears them.
+//!
+//! Digests go as datagrams to all peers of a small fleet and to some of a large one. What is too
+//! large for a datagram is pulled over a connection by whoever lacks it.
+
+mod datagram;
+mod digest;
+mod pull;
+mod tokens;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
+use prost::Message;
+use tokio::net::UdpSocket;
+
+pub use datagram::{Datagram, DatagramBody};
+pub use digest::{AccountTokens, Digest};
+pub use pull::serve as serve_pulls;
+pub use tokens::{AskTokens, GiveTokens};
+
+use crate::gateway::Gateway;
+use crate::member::Member;
+use pull::Wanted;
+
+/// Time between two digests.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
+/// Peers that a digest goes to. With more instances it goes to so many of them by chance.
+const DIGEST_FANOUT: usize = 10;
+/// Largest datagram.
+const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
+/// Time that the own watch is given before a newer catalogue is pulled from a peer.
+const PULL_DELAY: Duration = Duration::from_millis(80);
+/// Age of the last word of the store past which a peer's list of targets is better.
+const STORE_AGE_MAX: Duration = Duration::from_millis(700);
+/// Pause after a failure to receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
+
+/// `Peers` is the socket for datagrams.
+#[derive(Debug)]
+pub struct Peers {
+    gateway: Arc<Gateway>,
+    socket: UdpSocket,
+}
+
+impl Peers {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address cannot be used.
+    pub async fn try_new(gateway: &Arc<Gateway>) -> std::io::Result<Arc<Self>> {
+        let socket = UdpSocket::bind(gateway.options.peers_address).await?;
+        Ok(Arc::new(Self {
+            gateway: Arc::clone(gateway),
+            socket,
+        }))
+    }
+
+    /// Sends digests until the process ends.
+    pub async fn tell(self: Arc<Self>) {
+        loop {
+            let changed = self.gateway.news.notified();
+            // Either news or the passing of time brings the next digest.
+            let _ = tokio::time::timeout(DIGEST_INTERVAL, changed).await;
+            let digest = self.make_digest();
+            for address in self.addresses() {
+                let body = DatagramBody::Digest(digest.clone());
+                self.send(address, body).await;
+            }
+        }
+    }
+
+    /// Asks peers for tokens whenever calls lack them.
+    pub async fn beg(self: Arc<Self>) {
+        loop {
+            self.gateway.tokens_wanted.notified().await;
+            for (address, ask) in self.asks() {
+                self.send(address, DatagramBody::Ask(ask)).await;
+            }
+        }
+    }
+
+    /// Takes datagrams in until the process ends.
+    pub async fn hear(self: Arc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((len, from)) => match Datagram::decode(&buffer[..len]) {
+                    Ok(datagram) => self.take(datagram, from).await,
+                    Err(error) => {
+                        let error = error.to_string();
+                        self.gateway
+                            .log(EventCode::PeerFrameInvalid, &[("error", &error)]);
+                    }
+                },
+                Err(error) => {
+                    let error = error.to_string();
+                    self.gateway
+                        .log(EventCode::HostFailed, &[("peers", &error)]);
+                    tokio::time::sleep(RECEIVE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn send(&self, address: SocketAddr, body: DatagramBody) {
+        let identity = &self.gateway.options.identity;
+        let datagram = Datagram {
+            from: identity.instance.clone(),
+            incarnation: identity.incarnation,
+            body: Some(body),
+        };
+        // A datagram may get lost at any time; the next digest says the same.
+        let _ = self
+            .socket
+            .send_to(&datagram.encode_to_vec(), address)
+            .await;
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let own = self.gateway.options.peers_address;
+        let mut state = self.gateway.state();
+        let mut known: BTreeSet<SocketAddr> = state
+            .holder
+            .ledger()
+            .holders
+            .values()
+            .filter_map(|holder| holder.address.parse().ok())
+            .collect();
+        known.extend(state.members.values().map(|member| member.address));
+        if known.len() <= 1 {
+            known.extend(&self.gateway.options.seeds);
+        }
+        known.remove(&own);
+        let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
+        while addresses.len() > DIGEST_FANOUT {
+            let index = state.random.index(addresses.len());
+            addresses.swap_remove(index);
+        }
+        addresses
+    }
+
+    fn make_digest(&self) -> Digest {
+        let now = self.gateway.now();
+        let state = self.gateway.state();
+        let free = state
+            .holder
+            .prepaid_accounts()
+            .map(|account| AccountTokens {
+                account: account.clone(),
+                tokens: state.holder.free_tokens(now, account),
+            })
+            .filter(|free| free.tokens > 0)
+            .collect();
+        Digest {
+            unix_ms: crate::clock::own_unix_ms(),
+            catalogue_version: state.catalogue.version(),
+            targets_version: state.targets_version,
+            store_age_ms: state.contact.age(now).map_or(u64::MAX, unix_ms),
+            leaving: state.book.left_targets(now, true),
+            vanished: state.book.left_targets(now, false),
+            free,
+            is_stopping: state.is_stopping,
+        }
+    }
+
+    /// Makes one question for each account that calls here lack tokens of, to the peer that said
+    /// last that it has most.
+    fn asks(&self) -> Vec<(SocketAddr, AskTokens)> {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let wanted = std::mem::take(&mut state.wanted_tokens);
+        wanted
+            .into_iter()
+            .filter_map(|(account, tokens)| {
+                let address = state.richest_member(now, &account, tokens)?;
+                Some((address, AskTokens { account, tokens }))
+            })
+            .collect()
+    }
+
+    async fn take(&self, datagram: Datagram, from: SocketAddr) {
+        let Some(body) = datagram.body else {
+            return;
+        };
+        match body {
+            DatagramBody::Digest(digest) => {
+                self.take_digest(&datagram.from, datagram.incarnation, digest, from);
+            }
+            DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
+            DatagramBody::Give(gift) => self.take_gift(&datagram.from, datagram.incarnation, &gift),
+        }
+    }
+
+    fn take_digest(&self, from: &str, incarnation: u64, digest: Digest, address: SocketAddr) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let mut state = gateway.state();
+        state.fleet_clock.hear(now, from, digest.unix_ms);
+        let lacks_catalogue = digest.catalogue_version > state.catalogue.version();
+        let is_store_old = state.contact.age(now).is_none_or(|age| age > STORE_AGE_MAX);
+        let is_store_lost = state.contact.is_lost() && is_store_old;
+        let is_peer_in_touch = Duration::from_millis(digest.store_age_ms) < STORE_AGE_MAX;
+        let mut left = Vec::new();
+        for target in &digest.leaving {
+            if state.book.leave(now, target) {
+                left.push(target.clone());
+            }
+        }
+        // In touch with the store, the own list is newer than what peers say of it.
+        for target in digest.vanished.iter().filter(|_| is_store_lost) {
+            if state.book.vanish(now, target) {
+                left.push(target.clone());
+            }
+        }
+        let lacks_targets =
+            is_store_lost && is_peer_in_touch && digest.targets_version > state.targets_version;
+        let is_new = state.members.insert(
+            from.to_owned(),
+            Member::new(incarnation, address, now, &digest),
+        );
+        let is_new = is_new.is_none_or(|member| member.incarnation != incarnation);
+        drop(state);
+        if is_new {
+            gateway.log(EventCode::MemberJoined, &[("peer", from)]);
+        }
+        for target in left {
+            gateway.log(
+                EventCode::TargetLeaving,
+                &[("target", &target), ("source", from)],
+            );
+        }
+        if lacks_catalogue {
+            let delay = if is_store_lost {
+                Duration::ZERO
+            } else {
+                PULL_DELAY
+            };
+            let version = digest.catalogue_version;
+            tokio::spawn(pull::pull(
+                Arc::clone(gateway),
+                address,
+                Wanted::Catalogue(version),
+                delay,
+            ));
+        }
+        if lacks_targets {
+            let wanted = Wanted::Targets(digest.targets_version);
+            tokio::spawn(pull::pull(
+                Arc::clone(gateway),
+                address,
+                wanted,
+                Duration::ZERO,
+            ));
+        }
+    }
+
+    async fn answer_ask(&self, from: &str, ask: AskTokens, address: SocketAddr) {
+        let now = self.gateway.now();
+        let (tokens, gift) = {
+            let mut state = self.gateway.state();
+            let tokens = state.holder.give(now, &ask.account, ask.tokens);
+            state.gifts_made += u64::from(tokens > 0);
+            (tokens, state.gifts_made)
+        };
+        if tokens == 0 {
+            return;
+        }
+        let gift = GiveTokens {
+            account: ask.account,
+            tokens,
+            gift,
+        };
+        self.note_gift(EventCode::TokensGiven, from, &gift);
+        self.send(address, DatagramBody::Give(gift)).await;
+    }
+
+    fn take_gift(&self, from: &str, incarnation: u64, gift: &GiveTokens) {
+        {
+            let mut state = self.gateway.state();
+            // A network may deliver a datagram twice; tokens taken twice would be spent twice.
+            let is_first = state
+                .gifts_taken
+                .entry((from.to_owned(), incarnation))
+                .or_default()
+                .insert(gift.gift);
+            if !is_first {
+                return;
+            }
+            state.holder.take(&gift.account, gift.tokens);
+        }
+        self.note_gift(EventCode::TokensTaken, from, gift);
+        self.gateway.round_done.notify_waiters();
+    }
+
+    fn note_gift(&self, code: EventCode, peer: &str, gift: &GiveTokens) {
+        let tokens = gift.tokens.to_string();
+        let number = gift.gift.to_string();
+        let fields = [
+            ("peer", peer),
+            ("account", gift.account.as_str()),
+            ("tokens", tokens.as_str()),
+            ("gift", number.as_str()),
+        ];
+        self.gateway.log(code, &fields);
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -0,0 +1,31 @@
+//! `datagram` is one message between instances.
+
+use super::{AskTokens, Digest, GiveTokens};
+
+/// `DatagramBody` is what a datagram says.
+#[derive(prost::Oneof, Clone, PartialEq)]
+pub enum DatagramBody {
+    /// What the sender knows.
+    #[prost(message, tag = "3")]
+    Digest(Digest),
+    /// A question for tokens.
+    #[prost(message, tag = "4")]
+    Ask(AskTokens),
+    /// Tokens handed over.
+    #[prost(message, tag = "5")]
+    Give(GiveTokens),
+}
+
+/// `Datagram` is one message with its sender.
+#[derive(prost::Message, Clone, PartialEq)]
+pub struct Datagram {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Incarnation of the sender.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// What it says.
+    #[prost(oneof = "DatagramBody", tags = "3, 4, 5")]
+    pub body: Option<DatagramBody>,
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -0,0 +1,205 @@
+//! `pull` fetches from a peer what is too large for a datagram.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_http::socket::connect;
+use damaskstile_targets::Listed;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::follow::take_catalogue;
+use crate::gateway::Gateway;
+use crate::objects::StoredObject;
+
+/// Largest frame: a stored object with room for its name.
+const FRAME_BYTES_MAX: usize = 2 * 1024 * 1024;
+/// Time that a pull may take.
+const PULL_LIMIT: Duration = Duration::from_millis(800);
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// `Wanted` is what an instance lacks, with the version that the peer has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wanted {
+    Catalogue(Version),
+    Targets(Version),
+}
+
+#[derive(prost::Message, Clone, PartialEq)]
+struct PullRequest {
+    /// Whether the list of targets is wanted, and not the catalogue.
+    #[prost(bool, tag = "1")]
+    is_targets: bool,
+}
+
+#[derive(prost::Message, Clone, PartialEq)]
+struct PullAnswer {
+    /// Version of the catalogue's object or of the list.
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    /// Name of the catalogue's object.
+    #[prost(string, tag = "2")]
+    name: String,
+    /// The catalogue as stored.
+    #[prost(bytes = "bytes", tag = "3")]
+    content: Bytes,
+    /// The list of targets.
+    #[prost(message, repeated, tag = "4")]
+    targets: Vec<PulledTarget>,
+}
+
+#[derive(prost::Message, Clone, PartialEq)]
+struct PulledTarget {
+    #[prost(string, tag = "1")]
+    target: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    address: String,
+    #[prost(string, tag = "4")]
+    data_centre: String,
+    #[prost(uint64, tag = "5")]
+    slots_requests: u64,
+    #[prost(bool, tag = "6")]
+    is_ready: bool,
+}
+
+/// Pulls from a peer, unless the store was faster.
+pub(super) async fn pull(gateway: Arc<Gateway>, peer: SocketAddr, wanted: Wanted, delay: Duration) {
+    tokio::time::sleep(delay).await;
+    let lacks = {
+        let state = gateway.state();
+        match wanted {
+            Wanted::Catalogue(version) => state.catalogue.version() < version,
+            Wanted::Targets(version) => state.targets_version < version,
+        }
+    };
+    if !lacks {
+        return;
+    }
+    let is_targets = matches!(wanted, Wanted::Targets(_));
+    let answer = tokio::time::timeout(PULL_LIMIT, fetch(peer, is_targets)).await;
+    // A pull that fails is made again on the peer's next digest.
+    let Ok(Ok(answer)) = answer else {
+        return;
+    };
+    let source = peer.to_string();
+    if is_targets {
+        take_targets(&gateway, answer, &source);
+    } else {
+        let object = StoredObject {
+            name: answer.name,
+            version: answer.version,
+            content: answer.content,
+        };
+        take_catalogue(&gateway, &object, &source);
+    }
+}
+
+async fn fetch(peer: SocketAddr, is_targets: bool) -> std::io::Result<PullAnswer> {
+    let mut frames = Framed::new(connect(peer).await?, codec());
+    let request = PullRequest { is_targets };
+    frames.send(Bytes::from(request.encode_to_vec())).await?;
+    let frame = frames
+        .next()
+        .await
+        .ok_or(std::io::ErrorKind::UnexpectedEof)??;
+    PullAnswer::decode(frame).map_err(std::io::Error::other)
+}
+
+fn take_targets(gateway: &Gateway, answer: PullAnswer, source: &str) {
+    let all = answer
+        .targets
+        .into_iter()
+        .filter_map(|pulled| {
+            Some(Listed {
+                target: pulled.target,
+                service: pulled.service,
+                address: pulled.address.parse().ok()?,
+                data_centre: pulled.data_centre,
+                slots_requests: pulled.slots_requests,
+                is_ready: pulled.is_ready,
+            })
+        })
+        .collect();
+    let now = gateway.now();
+    let mut state = gateway.state();
+    if answer.version <= state.targets_version {
+        return;
+    }
+    state.targets_version = answer.version;
+    state.book.list_all(now, all, false);
+    drop(state);
+    let version = answer.version.to_string();
+    gateway.log(
+        EventCode::CatalogueFromPeer,
+        &[("targets_version", &version), ("source", source)],
+    );
+}
+
+/// Answers pulls until the process ends.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let answering = answer(Arc::clone(&gateway), stream);
+                // Whoever does not get its answer pulls again.
+                tokio::spawn(tokio::time::timeout(PULL_LIMIT, answering));
+            }
+            Err(error) => {
+                let error = error.to_string();
+                gateway.log(EventCode::HostFailed, &[("pulls", &error)]);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(gateway: Arc<Gateway>, stream: TcpStream) -> std::io::Result<()> {
+    let mut frames = Framed::new(stream, codec());
+    let Some(frame) = frames.next().await else {
+        return Ok(());
+    };
+    let request = PullRequest::decode(frame?).map_err(std::io::Error::other)?;
+    let answer = make_answer(&gateway, request.is_targets);
+    frames.send(Bytes::from(answer.encode_to_vec())).await
+}
+
+fn make_answer(gateway: &Gateway, is_targets: bool) -> PullAnswer {
+    let state = gateway.state();
+    if is_targets {
+        let targets = state.book.listed().map(|listed| PulledTarget {
+            target: listed.target.clone(),
+            service: listed.service.clone(),
+            address: listed.address.to_string(),
+            data_centre: listed.data_centre.clone(),
+            slots_requests: listed.slots_requests,
+            is_ready: listed.is_ready,
+        });
+        return PullAnswer {
+            version: state.targets_version,
+            targets: targets.collect(),
+            ..PullAnswer::default()
+        };
+    }
+    match &state.stored_catalogue {
+        Some(object) => PullAnswer {
+            version: object.version,
+            name: object.name.clone(),
+            content: object.content.clone(),
+            targets: Vec::new(),
+        },
+        None => PullAnswer::default(),
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES_MAX)
+        .new_codec()
+}
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -236,7 +236,9 @@
 
     fn note_resumption(&self, cause: &str, target: &str) {
         let id = self.call.id.as_deref().unwrap_or("-");
-        let after = self.last_event.map_or_else(String::new, |id| id.to_string());
+        let after = self
+            .last_event
+            .map_or_else(String::new, |id| id.to_string());
         self.gateway.log(
             EventCode::SendRetried,
             &[
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::{Ledger, Round};
 
+use crate::clock::{BootTime, own_unix_ms};
 use crate::follow::{note_answer, note_failure};
 use crate::gateway::Gateway;
 use crate::objects::{StoreError, StoredObject};
@@ -42,7 +43,7 @@
     }
     // A conflict shows the ledger as it is, so the second try is made on that.
     for _ in 0..3 {
-        let round = gateway.state().holder.next_round(gateway.now());
+        let round = next_round(gateway);
         let Some(round) = round else {
             break;
         };
@@ -54,6 +55,14 @@
     gateway.round_done.notify_waiters();
 }
 
+fn next_round(gateway: &Gateway) -> Option<Round> {
+    let now = gateway.now();
+    let (boot, own_unix_ms) = (BootTime::now(), own_unix_ms());
+    let mut state = gateway.state();
+    let stamp = state.stamp(now, boot, own_unix_ms);
+    state.holder.next_round(now, &stamp)
+}
+
 async fn read(gateway: &Gateway) {
     match gateway.store.read(LEDGER_KIND, LEDGER_NAME).await {
         Ok(object) => {
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -197,7 +197,7 @@
         return Err(NoRun::new(SendEnd::Unknown, "foreign_answer"));
     }
     if run.head.is_misdirected {
-        gateway.state().book.leave(target);
+        gateway.state().book.leave(gateway.now(), target);
         return Err(NoRun::new(SendEnd::NotRun, "misdirected"));
     }
     if run.head.is_not_run {
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -1,21 +1,28 @@
 //! `state` holds all that one instance decides by.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::Holder;
+use damaskstile_escrow::{Holder, Stamp};
+use damaskstile_fleet::FleetClock;
 use damaskstile_requests::RetryBudget;
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
 use damaskstile_targets::Book;
 
 use crate::call::CallHead;
+use crate::clock::BootTime;
 use crate::contact::Contact;
+use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
 
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
 
+/// Age past which a peer's digest says nothing of what it has.
+const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
+
 /// `Terms` are what the catalogue in force says of a call.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -48,12 +55,23 @@
     pub stored_catalogue: Option<StoredObject>,
     /// Version of the list of targets.
     pub targets_version: Version,
+    /// The other instances, from their digests.
+    pub members: BTreeMap<InstanceId, Member>,
+    /// The fleet's time.
+    pub fleet_clock: FleetClock,
+    /// Tokens that calls here lack, by account.
+    pub wanted_tokens: BTreeMap<AccountId, u64>,
+    /// Gifts of tokens that were made.
+    pub gifts_made: u64,
+    /// Gifts of tokens that were taken, by giver and its incarnation.
+    pub gifts_taken: BTreeMap<(InstanceId, Incarnation), BTreeSet<u64>>,
+    /// Source of choices.
+    pub random: Random,
     /// Whether a stop has begun.
     pub is_stopping: bool,
     retries: BTreeMap<ServiceId, RetryBudget>,
     retry_percent: u64,
     extra_retries: u64,
-    random: Random,
 }
 
 impl State {
@@ -70,6 +88,11 @@
             contact: Contact::default(),
             stored_catalogue: None,
             targets_version: 0,
+            members: BTreeMap::new(),
+            fleet_clock: FleetClock::default(),
+            wanted_tokens: BTreeMap::new(),
+            gifts_made: 0,
+            gifts_taken: BTreeMap::new(),
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
@@ -114,6 +137,33 @@
         Ok(terms)
     }
 
+    /// Makes a stamp for what is written to the store.
+    #[must_use]
+    pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
+        let instances = self.holder.ledger().holders.len();
+        let middle = self.fleet_clock.middle(now, own_unix_ms, instances);
+        Stamp {
+            boot_name: boot.name,
+            boot_ms: boot.ms,
+            unix_ms: own_unix_ms,
+            fleet_early_ms: middle.map(|(early, _)| early),
+            fleet_late_ms: middle.map(|(_, late)| late),
+        }
+    }
+
+    /// Returns the address of the peer that said last that it has most tokens of an account, if
+    /// that is twice what is needed.
+    #[must_use]
+    pub fn richest_member(&self, now: Duration, account: &str, tokens: u64) -> Option<SocketAddr> {
+        self.members
+            .values()
+            .filter(|member| now.saturating_sub(member.heard_at) < MEMBER_AGE_MAX)
+            .filter_map(|member| Some((member.free_tokens.get(account)?, member.address)))
+            .filter(|(free, _)| **free / 2 >= tokens)
+            .max()
+            .map(|(_, address)| address)
+    }
+
     /// Takes one retry from the instance's part of the fleet's budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
--- a/crates/damaskstile-http/src/lib.rs
+++ b/crates/damaskstile-http/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use answers::AnswerReader;
 pub use client::{Call, Reply, send, send_whole};
-pub use kept::KeptClient;
 pub use errors::{Error, Result};
+pub use kept::KeptClient;
 pub use platform::Platform;
 pub use sse::SseLines;
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -1,11 +1,11 @@
 //! `damaskstile-requests` follows requests: their claims, their retries and their answers.
 
 pub mod answer;
+pub mod attempts;
 pub mod claim;
 pub mod claim_op;
 pub mod claim_table;
 pub mod claims;
-pub mod attempts;
 pub mod retries;
 
 pub use answer::{Assembled, Assembly};
--- a/crates/damaskstile-routes/src/lib.rs
+++ b/crates/damaskstile-routes/src/lib.rs
@@ -14,7 +14,7 @@
 pub use catalogue::Catalogue;
 pub use errors::{Error, Result};
 pub use in_force::CatalogueInForce;
-pub use limits::Limits;
 pub use kind::RouteKind;
+pub use limits::Limits;
 pub use route::{Route, Share};
 pub use service::Service;
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -10,6 +10,9 @@
 use crate::listed::Listed;
 use crate::work::Work;
 
+/// Time for which peers are told that a target is leaving: longer than an isolation lasts.
+const LEAVING_NEWS: Duration = Duration::from_secs(15);
+
 /// `Choice` is the target chosen for a call.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
@@ -23,6 +26,15 @@
     pub uncached_tokens: u64,
 }
 
+/// How it was learnt that a target is leaving.
+#[derive(Debug, Clone, Copy)]
+struct Left {
+    at: Duration,
+    /// Whether the target is known to drain. It never takes work again then; one that only
+    /// vanished from the list may come back to it.
+    is_final: bool,
+}
+
 /// `Book` knows the listed targets and chooses one for a call.
 ///
 /// The choice weighs three things in one unit, the time to the first token: prompt tokens that
@@ -34,8 +46,8 @@
     options: BookOptions,
     data_centre: String,
     targets: BTreeMap<TargetId, Known>,
-    /// Targets that a peer or the target itself has said to be leaving.
-    leaving: BTreeSet<TargetId>,
+    /// Targets that are leaving or gone, by any source, with when that was learnt.
+    leaving: BTreeMap<TargetId, Left>,
 }
 
 impl Book {
@@ -46,12 +58,21 @@
             options,
             data_centre: data_centre.to_owned(),
             targets: BTreeMap::new(),
-            leaving: BTreeSet::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
     /// Takes in one entry of the list; returns whether its readiness changed.
-    pub fn list(&mut self, listed: Listed) -> bool {
+    pub fn list(&mut self, now: Duration, listed: Listed) -> bool {
+        if !listed.is_ready {
+            self.leave(now, &listed.target);
+        } else if self
+            .leaving
+            .get(&listed.target)
+            .is_some_and(|left| !left.is_final)
+        {
+            self.leaving.remove(&listed.target);
+        }
         match self.targets.get_mut(&listed.target) {
             Some(known) => {
                 let was_ready = known.listed.is_ready && known.missing_since.is_none();
@@ -75,6 +96,7 @@
     pub fn unlist(&mut self, now: Duration, target: &str, is_around_outage: bool) {
         if !is_around_outage {
             self.targets.remove(target);
+            self.vanish(now, target);
             return;
         }
         if let Some(known) = self.targets.get_mut(target) {
@@ -95,13 +117,51 @@
             self.unlist(now, &target, is_around_outage);
         }
         for listed in all {
-            self.list(listed);
+            self.list(now, listed);
         }
     }
 
-    /// Takes in that a target is leaving, from its own word or a peer's.
-    pub fn leave(&mut self, target: &str) -> bool {
-        self.leaving.insert(target.to_owned())
+    /// Takes in that a target drains or has ended; returns whether that is news.
+    pub fn leave(&mut self, now: Duration, target: &str) -> bool {
+        let left = Left {
+            at: now,
+            is_final: true,
+        };
+        let before = self.leaving.insert(target.to_owned(), left);
+        if let Some(before) = before {
+            // The news is as old as it was at first.
+            let left = Left {
+                at: before.at,
+                is_final: true,
+            };
+            self.leaving.insert(target.to_owned(), left);
+        }
+        before.is_none()
+    }
+
+    /// Takes in that a target vanished from the list; returns whether that is news.
+    pub fn vanish(&mut self, now: Duration, target: &str) -> bool {
+        if self.leaving.contains_key(target) {
+            return false;
+        }
+        let left = Left {
+            at: now,
+            is_final: false,
+        };
+        self.leaving.insert(target.to_owned(), left);
+        true
+    }
+
+    /// Returns the targets that lately began to drain or, where `is_final` is not set, vanished
+    /// from the list, to tell peers.
+    #[must_use]
+    pub fn left_targets(&self, now: Duration, is_final: bool) -> Vec<TargetId> {
+        self.leaving
+            .iter()
+            .filter(|(_, left)| left.is_final == is_final)
+            .filter(|(_, left)| now.saturating_sub(left.at) < LEAVING_NEWS)
+            .map(|(target, _)| target.clone())
+            .collect()
     }
 
     /// Returns the targets of the list with what it says of them.
@@ -195,7 +255,7 @@
             known.listed.service == service
                 && known.listed.is_ready
                 && is_listed
-                && !self.leaving.contains(&known.listed.target)
+                && !self.leaving.contains_key(&known.listed.target)
         })
     }
 
--- a/crates/damaskstiled/src/decide.rs
+++ b/crates/damaskstiled/src/decide.rs
@@ -11,9 +11,9 @@
 use slog::Logger;
 use tokio::sync::mpsc::{Receiver, Sender};
 
-use damaskstile_gateway::clock::Clock;
 use crate::config::Config;
 use crate::front::{Front, ToCaller};
+use damaskstile_gateway::clock::Clock;
 use damaskstile_gateway::logs;
 
 use crate::peers::ToPeers;
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -12,11 +12,11 @@
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::task::AbortHandle;
 
-use damaskstile_gateway::clock::Clock;
 use crate::completion;
 use crate::duty;
 use crate::front::{Front, Kept};
 use crate::plain_answer::PlainAnswer;
+use damaskstile_gateway::clock::Clock;
 
 /// Messages that may wait.
 const TARGETS_RING: usize = 4096;
