--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -111,8 +111,10 @@
             purse.reserved_tokens += tokens;
             return Ok(());
         }
-        self.is_short = true;
-        Err(self.shortage(now, account, tokens))
+        let shortage = self.shortage(now, account, tokens);
+        // Where no instance has the tokens, neither a read nor a write brings any.
+        self.is_short |= shortage != Shortage::Exhausted;
+        Err(shortage)
     }
 
     /// Notes that a call asked for tokens, once for each call however often it is tried.
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -118,7 +118,7 @@
     pub fn needs_read(&self, now: Duration) -> bool {
         let is_old = self
             .ledger_age(now)
-            .is_none_or(|age| age >= self.options.urgent_interval * 4);
+            .is_none_or(|age| age >= self.options.round_interval);
         self.seen_at.is_none() || self.is_in_doubt || (self.is_short && is_old)
     }
 
@@ -347,7 +347,8 @@
         let ahead = demand * self.options.ceiling.as_millis() / 1000;
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
         let target = self.target_tokens(now, account);
-        let ahead = ahead.saturating_add(purse.largest_tokens);
+        let calls = purse.call_tokens * self.options.ceiling_call_percent / 100;
+        let ahead = ahead.saturating_add(calls);
         ahead.max(target / FIRST_CALL_PART).min(target)
     }
 }
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -13,16 +13,21 @@
     /// Demand that an instance holds at most, as a time: the longest isolation to be outlived,
     /// about 9 s, with the time until the demand is measured.
     pub horizon: Duration,
-    /// Part of what is left that stays in the store, for instances that restart with nothing.
+    /// Part of what is left that stays in the store. Where an account has plenty, the horizon
+    /// bounds what is out; where it has little, what is out would be lost with its holders, while
+    /// what the store keeps can still be spent after an isolation.
     pub reserve_percent: u64,
     /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
     pub even_percent: u64,
     /// Demand that an instance in touch with the store may spend ahead of its last write, as a
     /// time: the time between two writes, and as much again for a burst.
     pub ceiling: Duration,
+    /// Average calls that it may spend beyond that, in percent of one, so that a large call
+    /// seldom needs a round of its own.
+    pub ceiling_call_percent: u64,
     /// Time since the last write that took effect after which an instance goes beyond its
-    /// ceiling. It is longer than a restart, so that what lies beyond comes back from an instance
-    /// that restarts, and shorter than the ceiling lasts.
+    /// ceiling: a little more than the time between two writes, so that nothing is unlocked in
+    /// touch, and less than the ceiling lasts.
     pub unlock_after: Duration,
     /// Time from then on in which an isolated instance comes to its whole grant.
     pub unlock_span: Duration,
@@ -41,12 +46,13 @@
             round_interval: Duration::from_secs(1),
             urgent_interval: Duration::from_millis(60),
             horizon: Duration::from_secs(12),
-            reserve_percent: 15,
+            reserve_percent: 50,
             even_percent: 10,
-            ceiling: Duration::from_millis(2_500),
-            unlock_after: Duration::from_millis(2_500),
-            unlock_span: Duration::from_secs(5),
-            clock_margin: Duration::from_millis(500),
+            ceiling: Duration::from_millis(1_500),
+            ceiling_call_percent: 100,
+            unlock_after: Duration::from_millis(1_200),
+            unlock_span: Duration::from_millis(5_500),
+            clock_margin: Duration::from_millis(300),
             estate_patience: Duration::from_secs(6),
             evidence_age: Duration::from_secs(3),
         }
--- a/crates/damaskstile-escrow/src/purse.rs
+++ b/crates/damaskstile-escrow/src/purse.rs
@@ -24,13 +24,12 @@
     pub(crate) reserved_tokens: u64,
     /// How fast the account asks here.
     pub(crate) demand: Demand,
-    /// Worst case of the largest call lately.
-    pub(crate) largest_tokens: u64,
+    /// Average worst case of the latest calls.
+    pub(crate) call_tokens: u64,
 }
 
-/// Part of the largest call that is forgotten with each further call, as a divisor: an account
-/// that ceases to send large calls needs no room for them after some dozens.
-const FORGET_DIVISOR: u64 = 64;
+/// Weight of the newest call in the average, as a divisor.
+const AVERAGE_DIVISOR: u64 = 8;
 
 impl Purse {
     /// Returns the tokens that a finished write leaves to this instance.
@@ -52,8 +51,11 @@
 
     pub(crate) fn note_demand(&mut self, now: Duration, tokens: u64) {
         self.demand.add(now, tokens);
-        let kept = self.largest_tokens - self.largest_tokens / FORGET_DIVISOR;
-        self.largest_tokens = kept.max(tokens);
+        self.call_tokens = if self.call_tokens == 0 {
+            tokens
+        } else {
+            (self.call_tokens * (AVERAGE_DIVISOR - 1) + tokens) / AVERAGE_DIVISOR
+        };
     }
 
     /// Notes tokens as used, those that peers handed over first.
