--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -111,6 +111,7 @@
             purse.reserved_tokens += tokens;
             return Ok(());
         }
+        purse.wanted_tokens = purse.wanted_tokens.max(tokens);
         let shortage = self.shortage(now, account, tokens);
         // Where no instance has the tokens, neither a read nor a write brings any.
         self.is_short |= shortage != Shortage::Exhausted;
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -32,15 +32,30 @@
         let instances = self.ledger.holders.len() + usize::from(!is_listed);
         let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
 
+        let wanted = purse.map_or(0, |purse| purse.wanted_tokens);
         if all == 0 {
             // Nothing is known of the demand yet: half is divided evenly.
-            return spendable / 2 / instances;
+            return (spendable / 2 / instances).max(wanted);
         }
         let even = spendable * self.options.even_percent / PERCENT / instances;
         let by_demand = spendable - spendable * self.options.even_percent / PERCENT;
         let by_demand = mul_div(by_demand, own, all);
         let of_horizon = own.saturating_mul(self.options.horizon.as_secs());
-        even + by_demand.min(of_horizon)
+        let share = even + by_demand.min(of_horizon);
+
+        let call = purse.map_or(0, |purse| purse.call_tokens);
+        let floor = call.saturating_mul(self.options.floor_calls);
+        let is_plenty = floor.saturating_mul(instances) <= spendable;
+        if is_plenty {
+            // A share smaller than a few calls would refuse the first large one.
+            return share.max(floor).max(wanted);
+        }
+        if share < floor {
+            // So little everywhere that no instance could serve a call: the store keeps it whole
+            // and hands it out call by call.
+            return wanted;
+        }
+        share.max(wanted)
     }
 }
 
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -291,6 +291,7 @@
         for account in accounts {
             let of_account = self.account_sums(now, &account, &ledger);
             let purse = self.purses.entry(account.clone()).or_default();
+            purse.wanted_tokens = 0;
             ledger.settle(&account, purse.unsettled());
             let grant = of_account.allowed_tokens - of_account.settled_tokens;
             let demand = purse.demand.tokens_per_s(now);
@@ -349,6 +350,9 @@
         let target = self.target_tokens(now, account);
         let calls = purse.call_tokens * self.options.ceiling_call_percent / 100;
         let ahead = ahead.saturating_add(calls);
-        ahead.max(target / FIRST_CALL_PART).min(target)
+        ahead
+            .max(target / FIRST_CALL_PART)
+            .max(purse.wanted_tokens)
+            .min(target)
     }
 }
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -17,6 +17,8 @@
     /// bounds what is out; where it has little, what is out would be lost with its holders, while
     /// what the store keeps can still be spent after an isolation.
     pub reserve_percent: u64,
+    /// Average calls that an instance holds tokens for, or else none at all.
+    pub floor_calls: u64,
     /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
     pub even_percent: u64,
     /// Demand that an instance in touch with the store may spend ahead of its last write, as a
@@ -46,7 +48,8 @@
             round_interval: Duration::from_secs(1),
             urgent_interval: Duration::from_millis(60),
             horizon: Duration::from_secs(12),
-            reserve_percent: 50,
+            reserve_percent: 15,
+            floor_calls: 2,
             even_percent: 10,
             ceiling: Duration::from_millis(1_500),
             ceiling_call_percent: 100,
--- a/crates/damaskstile-escrow/src/purse.rs
+++ b/crates/damaskstile-escrow/src/purse.rs
@@ -24,6 +24,8 @@
     pub(crate) reserved_tokens: u64,
     /// How fast the account asks here.
     pub(crate) demand: Demand,
+    /// Most that one call lacked since the last round.
+    pub(crate) wanted_tokens: u64,
     /// Average worst case of the latest calls.
     pub(crate) call_tokens: u64,
 }
