--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -192,19 +192,19 @@
         if !is_recent {
             return Shortage::Elsewhere;
         }
-        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let purse = self.purses.get(account);
-        let own_unsettled = purse.map_or(0, Purse::unsettled);
         let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
-        let left = prepaid
-            .saturating_sub(self.ledger.settled(account))
-            .saturating_sub(own_unsettled)
-            .saturating_sub(own_reserved);
-        if tokens > left {
+        if tokens > self.left_tokens(account).saturating_sub(own_reserved) {
             return Shortage::Exhausted;
         }
+        // A write without an answer, or none for longer than a round, tells of an isolation.
+        let is_in_touch = !self.is_in_doubt
+            && self
+                .ledger_age(now)
+                .is_some_and(|age| age <= self.options.round_interval * 3 / 2);
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
-        if tokens <= held + self.ledger.pool(account, prepaid) {
+        if is_in_touch && tokens <= held + self.ledger.pool(account, prepaid) {
             return Shortage::InStore;
         }
         Shortage::Elsewhere
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -3,6 +3,7 @@
 use damaskstile_core::prelude::*;
 
 use super::Holder;
+use crate::purse::Purse;
 
 /// Divisor of percentages.
 const PERCENT: u64 = 100;
@@ -17,11 +18,8 @@
         if self.is_stopping {
             return 0;
         }
-        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let purse = self.purses.get(account);
-        let spent = self.ledger.settled(account) + purse.map_or(0, crate::purse::Purse::unsettled);
-        let left = prepaid.saturating_sub(spent);
-        let spendable = left * (PERCENT - self.options.reserve_percent) / PERCENT;
+        let spendable = self.left_tokens(account) * (PERCENT - self.options.reserve_percent) / PERCENT;
 
         let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
         let all = own
@@ -59,8 +57,19 @@
     }
 }
 
+impl Holder {
+    /// Returns what is left of a budget, as far as is known here.
+    pub(super) fn left_tokens(&self, account: &str) -> u64 {
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let unsettled = self.purses.get(account).map_or(0, Purse::unsettled);
+        prepaid
+            .saturating_sub(self.ledger.settled(account))
+            .saturating_sub(unsettled)
+    }
+}
+
 /// Returns `value * part / whole` without overflow.
-fn mul_div(value: u64, part: u64, whole: u64) -> u64 {
+pub(super) fn mul_div(value: u64, part: u64, whole: u64) -> u64 {
     let product = u128::from(value) * u128::from(part);
     let quotient = product / u128::from(whole.max(1));
     u64::try_from(quotient).unwrap_or(u64::MAX)
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -4,6 +4,7 @@
 use damaskstile_core::time::unix_ms;
 
 use super::Holder;
+use super::plan::mul_div;
 use crate::entry::{HolderEntry, Unlocked};
 use crate::ledger::Ledger;
 use crate::purse::Purse;
@@ -13,6 +14,8 @@
 /// instance write in every round.
 const WORTH_PART: u64 = 8;
 
+/// Part of what is left of a budget that may be lost with all instances, as a divisor.
+const LEFT_PART: u64 = 10;
 /// Part of the free tokens that is below the ceiling without any demand, as a divisor, so that
 /// the first calls of an account need no round.
 const FIRST_CALL_PART: u64 = 4;
@@ -342,14 +345,18 @@
         }
     }
 
-    /// Returns the free tokens that may be spent ahead of the next write.
+    /// Returns the free tokens that may be spent ahead of the next write: what is asked for until
+    /// then, or the instance's share of a tenth of what is left, whichever is more. Where much is
+    /// left, losing a tenth of it with an instance refuses nobody.
     fn ceiling_tokens(&self, now: Duration, account: &str, purse: &Purse) -> u64 {
-        let demand = u128::from(purse.demand.tokens_per_s(now));
-        let ahead = demand * self.options.ceiling.as_millis() / 1000;
-        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let target = self.target_tokens(now, account);
+        let own = purse.demand.tokens_per_s(now);
+        let until_next = u128::from(own) * self.options.ceiling.as_millis() / 1000;
+        let until_next = u64::try_from(until_next).unwrap_or(u64::MAX);
+        let all = own + self.ledger.demand_of_others(account, &self.identity.instance);
+        let of_left = mul_div(self.left_tokens(account) / LEFT_PART, own, all);
         let calls = purse.call_tokens * self.options.ceiling_call_percent / 100;
-        let ahead = ahead.saturating_add(calls);
+        let ahead = until_next.saturating_add(calls).max(of_left);
+        let target = self.target_tokens(now, account);
         ahead
             .max(target / FIRST_CALL_PART)
             .max(purse.wanted_tokens)
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -46,7 +46,7 @@
     fn default() -> Self {
         Self {
             round_interval: Duration::from_secs(1),
-            urgent_interval: Duration::from_millis(60),
+            urgent_interval: Duration::from_millis(20),
             horizon: Duration::from_secs(12),
             reserve_percent: 15,
             floor_calls: 2,
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -20,8 +20,9 @@
 use crate::run::{self, Run, Sendable};
 use crate::state::Terms;
 
-/// Longest wait for tokens that the store has: a few round trips to it.
-const TOKENS_WAIT: Duration = Duration::from_millis(60);
+/// Longest wait for tokens that the store or a peer has: a few round trips, with conflicts, and
+/// still a small part of the time within which an answer is of full use.
+const TOKENS_WAIT: Duration = Duration::from_millis(120);
 /// Shortest time that a target is given before a repeatable call goes to another one. Below it a
 /// long prompt ahead in the batch would be taken for silence.
 const PATIENCE_MIN: Duration = Duration::from_millis(1_000);
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -18,7 +18,7 @@
 /// Time between two looks at whether a round is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two calls, so that refusals do not become a stream of calls.
-const CALL_INTERVAL: Duration = Duration::from_millis(25);
+const CALL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Writes rounds until the process ends.
 pub async fn keep(gateway: Arc<Gateway>) {
