Send a prompt's subject to the same target from every instance

Cause: the hash was of the last part, which is each call's own (2,001 of 2,128 occur once), so shared parts were read again everywhere. Ruled out: own memory alone, with nine instances each sees a subject once in a minute.

--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -19,7 +19,8 @@
             return 0;
         }
         let purse = self.purses.get(account);
-        let spendable = self.left_tokens(account) * (PERCENT - self.options.reserve_percent) / PERCENT;
+        let spendable =
+            self.left_tokens(account) * (PERCENT - self.options.reserve_percent) / PERCENT;
 
         let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
         let all = own
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -352,7 +352,10 @@
         let own = purse.demand.tokens_per_s(now);
         let until_next = u128::from(own) * self.options.ceiling.as_millis() / 1000;
         let until_next = u64::try_from(until_next).unwrap_or(u64::MAX);
-        let all = own + self.ledger.demand_of_others(account, &self.identity.instance);
+        let all = own
+            + self
+                .ledger
+                .demand_of_others(account, &self.identity.instance);
         let of_left = mul_div(self.left_tokens(account) / LEFT_PART, own, all);
         let calls = purse.call_tokens * self.options.ceiling_call_percent / 100;
         let ahead = until_next.saturating_add(calls).max(of_left);
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -259,12 +259,12 @@
         })
     }
 
-    /// Returns the target that a prompt's session hashes to, the same on every instance, so that
-    /// all send the session where its parts are cached.
+    /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
+    /// all send the subject where its parts are cached.
     fn home(&self, now: Duration, service: &str, work: &Work) -> Option<TargetId> {
-        let session = work.parts.last()?.name.to_string();
+        let subject = work.shared_parts().last()?.name.to_string();
         self.usable(now, service)
-            .max_by_key(|known| stable_hash(&[&session, &known.listed.target]))
+            .max_by_key(|known| stable_hash(&[&subject, &known.listed.target]))
             .map(|known| known.listed.target.clone())
     }
 
@@ -272,7 +272,7 @@
     fn weigh(&self, now: Duration, known: &Known, work: &Work, home: Option<&str>) -> Choice {
         let mut cached = known.cached_tokens(now, work) as f64;
         if home == Some(known.listed.target.as_str()) {
-            let shared: u64 = work.parts.iter().map(|part| part.tokens).sum();
+            let shared: u64 = work.shared_parts().iter().map(|part| part.tokens).sum();
             cached = cached.max(shared as f64 * self.options.home_share);
         }
         let uncached = (work.prompt_tokens as f64 - cached).max(0.0);
--- a/crates/damaskstile-targets/src/book_options.rs
+++ b/crates/damaskstile-targets/src/book_options.rs
@@ -25,10 +25,10 @@
     fn default() -> Self {
         Self {
             prefill_tokens_per_ms: 56.9,
-            running_ms: 4.0,
+            running_ms: 3.0,
             failure_ms: 2_000.0,
             distance_ms: 1.0,
-            home_share: 0.7,
+            home_share: 0.95,
             lapse_grace: Duration::from_millis(1_500),
         }
     }
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -19,3 +19,23 @@
     /// Parts of the prompt in their order.
     pub parts: Vec<Part>,
 }
+
+impl Work {
+    /// Returns the parts that other calls are likely to share: all but the last, which is the
+    /// call's own, unless it is the only one.
+    ///
+    /// ```
+    /// use damaskstile_targets::{Part, Work};
+    /// let part = |name| Part { name, tokens: 10 };
+    /// let work = Work { parts: vec![part(1), part(2), part(3)], ..Work::default() };
+    /// assert_eq!(work.shared_parts().last(), Some(&part(2)));
+    /// ```
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        match self.parts.as_slice() {
+            [] => &[],
+            [only] => std::slice::from_ref(only),
+            [shared @ .., _own] => shared,
+        }
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -0,0 +1,170 @@
+//! Which target a call gets: by what is cached, by what waits there, by who fails and who leaves.
+
+use std::time::Duration;
+
+use damaskstile_core::random::Random;
+use damaskstile_targets::{Book, BookOptions, Listed, Part, Work};
+
+const SERVICE: &str = "model";
+/// Prompts of a calm minute at today's sizes: a shared beginning, a subject, an own part.
+const CALLS: u64 = 2_000;
+/// Subjects that calls are about.
+const SUBJECTS: u64 = 104;
+const SUBJECT_TOKENS: u64 = 3_800;
+const BEGINNING_TOKENS: u64 = 2_500;
+const OWN_TOKENS: u64 = 2_900;
+const TARGETS: u64 = 9;
+
+fn listed(name: &str, is_ready: bool) -> Listed {
+    Listed {
+        target: name.to_owned(),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "north".to_owned(),
+        slots_requests: 64,
+        is_ready,
+    }
+}
+
+fn book(targets: u64) -> Book {
+    let mut book = Book::new("north", BookOptions::default());
+    for index in 0..targets {
+        book.list(Duration::ZERO, listed(&format!("t{index}"), true));
+    }
+    book
+}
+
+fn prompt(subject: u64, own: u64) -> Work {
+    let part = |name, tokens| Part { name, tokens };
+    Work {
+        prompt_tokens: BEGINNING_TOKENS + SUBJECT_TOKENS + OWN_TOKENS,
+        output_tokens: 200,
+        parts: vec![
+            part(1, BEGINNING_TOKENS),
+            part(1_000 + subject, SUBJECT_TOKENS),
+            part(1_000_000 + own, OWN_TOKENS),
+        ],
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn instances_that_do_not_talk_send_a_subject_to_the_same_target() {
+    // Symptom: shared parts of prompts are read again at every target, and first tokens come late
+    // on heavy days. Sequence: calls about one subject come to several instances, and each sends
+    // them elsewhere. Cause: the hash was taken of the last part, which is the call's own.
+
+    // Arrange: the sizes are those of house-style revisions, 104 subjects before nine targets.
+    let mut books = [book(TARGETS), book(TARGETS), book(TARGETS)];
+    let mut random = Random::new(3);
+    let mut homes = std::collections::BTreeMap::<u64, std::collections::BTreeSet<String>>::new();
+
+    // Act
+    for call in 0..CALLS {
+        let now = at(call * 30);
+        let subject = random.below(SUBJECTS);
+        let work = prompt(subject, call);
+        let book = &mut books[random.index(3)];
+        let choice = book.choose(now, SERVICE, &work, &[]).unwrap();
+        book.sent(now, &choice, &work);
+        book.prefilled(&choice);
+        book.ended(&choice.target);
+        homes.entry(subject).or_default().insert(choice.target);
+    }
+
+    // Assert
+    let targets: usize = homes.values().map(std::collections::BTreeSet::len).sum();
+    let targets_per_subject = targets as f64 / homes.len() as f64;
+    assert!(targets_per_subject < 1.2, "{targets_per_subject}");
+}
+
+#[test]
+fn a_subject_that_everybody_asks_for_is_spread() {
+    // Arrange: one subject gets calls faster than one target reads their own parts.
+    let mut book = book(TARGETS);
+    let mut used = std::collections::BTreeSet::new();
+
+    // Act: nothing is prefilled meanwhile.
+    for call in 0..40 {
+        let work = prompt(7, call);
+        let choice = book.choose(at(call), SERVICE, &work, &[]).unwrap();
+        book.sent(at(call), &choice, &work);
+        used.insert(choice.target);
+    }
+
+    // Assert
+    assert!(used.len() > 4, "{used:?}");
+}
+
+#[test]
+fn a_target_that_fails_is_left_and_tried_again() {
+    // Arrange
+    let mut book = book(2);
+    let work = Work::default();
+    for _ in 0..3 {
+        book.silent(at(1_000), "t0");
+    }
+
+    // Act
+    let soon = book.choose(at(1_100), SERVICE, &work, &[]).unwrap();
+    for _ in 0..50 {
+        let choice = book.choose(at(20_000), SERVICE, &work, &["t0".to_owned()]);
+        book.sent(at(20_000), &choice.unwrap(), &work);
+    }
+    let later = book.choose(at(20_000), SERVICE, &work, &[]).unwrap();
+
+    // Assert
+    assert_eq!(soon.target, "t1");
+    assert_eq!(later.target, "t0");
+}
+
+#[test]
+fn a_draining_target_never_gets_work_again() {
+    // Symptom: a target that leaves gets work. Sequence: a peer says that it drains; then a late
+    // entry of the list says that it is ready. Cause: the last word was taken for the newest.
+
+    // Arrange
+    let mut book = book(1);
+    book.leave(at(10), "t0");
+
+    // Act
+    book.list(at(20), listed("t0", true));
+
+    // Assert
+    assert_eq!(book.choose(at(30), SERVICE, &Work::default(), &[]), None);
+    assert_eq!(book.left_targets(at(30), true), ["t0"]);
+}
+
+#[test]
+fn entries_that_lapse_around_an_outage_stay_in_use_for_a_moment() {
+    // Symptom: after an outage of the store every call is refused for lack of targets. Sequence:
+    // the entries lapse while the store is away, the list comes back empty, and the targets write
+    // themselves in again within two seconds. Cause: a missing entry was taken for a stop.
+
+    // Arrange
+    let mut book = book(1);
+    let work = Work::default();
+
+    // Act
+    book.list_all(at(1_000), Vec::new(), true);
+    let at_once = book.choose(at(1_100), SERVICE, &work, &[]);
+    let past_grace = book.choose(at(3_000), SERVICE, &work, &[]);
+    book.list(at(3_100), listed("t0", true));
+    let back = book.choose(at(3_200), SERVICE, &work, &[]);
+
+    // Assert
+    assert!(at_once.is_some());
+    assert_eq!(past_grace, None);
+    assert!(back.is_some());
+}
+
+#[test]
+fn an_entry_that_vanishes_at_other_times_is_leaving_at_once() {
+    let mut book = book(1);
+    book.unlist(at(1_000), "t0", false);
+    assert_eq!(book.choose(at(1_000), SERVICE, &Work::default(), &[]), None);
+    assert_eq!(book.left_targets(at(1_000), false), ["t0"]);
+}
