--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -19,14 +19,13 @@
             return 0;
         }
         let purse = self.purses.get(account);
-        let spendable =
-            self.left_tokens(account) * (PERCENT - self.options.reserve_percent) / PERCENT;
-
         let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
         let all = own
             + self
                 .ledger
                 .demand_of_others(account, &self.identity.instance);
+        let left = self.left_tokens(account);
+        let spendable = left * (PERCENT - self.reserve_percent(left, all)) / PERCENT;
         let is_listed = self.ledger.holders.contains_key(&self.identity.instance);
         let instances = self.ledger.holders.len() + usize::from(!is_listed);
         let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
@@ -59,6 +58,24 @@
 }
 
 impl Holder {
+    /// Returns the part of what is left that stays in the store: more of it the sooner the budget
+    /// ends. Close to the end nothing is gained by holding tokens, since an isolation only delays
+    /// the calls that they pay for, while whatever is held is lost with its holder.
+    fn reserve_percent(&self, left_tokens: u64, demand_tokens_per_s: u64) -> u64 {
+        let options = &self.options;
+        let lasts_ms = left_tokens.saturating_mul(1000) / demand_tokens_per_s.max(1);
+        let lasts = Duration::from_millis(lasts_ms);
+        let missing = options.plenty_from.saturating_sub(lasts);
+        let span = options.plenty_from.saturating_sub(options.scarce_from);
+        let span_ms = span.as_millis().max(1);
+        let part = missing.as_millis().min(span_ms) * u128::from(PERCENT) / span_ms;
+        let part = u64::try_from(part).unwrap_or(PERCENT);
+        let more = options
+            .scarce_reserve_percent
+            .saturating_sub(options.reserve_percent);
+        options.reserve_percent + more * part / PERCENT
+    }
+
     /// Returns what is left of a budget, as far as is known here.
     pub(super) fn left_tokens(&self, account: &str) -> u64 {
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -13,10 +13,14 @@
     /// Demand that an instance holds at most, as a time: the longest isolation to be outlived,
     /// about 9 s, with the time until the demand is measured.
     pub horizon: Duration,
-    /// Part of what is left that stays in the store. Where an account has plenty, the horizon
-    /// bounds what is out; where it has little, what is out would be lost with its holders, while
-    /// what the store keeps can still be spent after an isolation.
+    /// Part of what is left that stays in the store where an account has plenty.
     pub reserve_percent: u64,
+    /// Part that stays in the store where little is left.
+    pub scarce_reserve_percent: u64,
+    /// Time that what is left lasts from which on an account has plenty: longer than an isolation.
+    pub plenty_from: Duration,
+    /// Time that what is left lasts below which little is left.
+    pub scarce_from: Duration,
     /// Average calls that an instance holds tokens for, or else none at all.
     pub floor_calls: u64,
     /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
@@ -49,6 +53,9 @@
             urgent_interval: Duration::from_millis(20),
             horizon: Duration::from_secs(12),
             reserve_percent: 15,
+            scarce_reserve_percent: 75,
+            plenty_from: Duration::from_secs(10),
+            scarce_from: Duration::from_secs(3),
             floor_calls: 2,
             even_percent: 10,
             ceiling: Duration::from_millis(1_500),
