--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -24,6 +24,8 @@
     BadKey,
     /// The budget cannot cover the worst case of the request.
     BudgetExhausted,
+    /// What is left of the budget is kept for more urgent requests.
+    BudgetReserved,
     /// Money may be left, but neither the store nor a holder answered in time.
     BudgetUnreachable,
     /// Too many requests wait or run for the targets of the service.
@@ -71,6 +73,7 @@
             Self::BadRequest => "bad_request",
             Self::BadKey => "bad_key",
             Self::BudgetExhausted => "budget_exhausted",
+            Self::BudgetReserved => "budget_reserved",
             Self::BudgetUnreachable => "budget_unreachable",
             Self::Overloaded => "overloaded",
             Self::NoTarget => "no_target",
--- a/crates/damaskstile-escrow/src/entry.rs
+++ b/crates/damaskstile-escrow/src/entry.rs
@@ -25,6 +25,8 @@
     pub ceilings_tokens: BTreeMap<AccountId, u64>,
     /// Tokens asked for in a second.
     pub demand_tokens_per_s: BTreeMap<AccountId, u64>,
+    /// Part of that for the account's most urgent calls.
+    pub urgent_tokens_per_s: BTreeMap<AccountId, u64>,
 }
 
 impl HolderEntry {
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -9,7 +9,7 @@
 use crate::entry::Unlocked;
 use crate::ledger::Ledger;
 use crate::options::EscrowOptions;
-use crate::purse::Purse;
+use crate::purse::{Purse, Rank};
 use crate::shortage::Shortage;
 use crate::stamp::Stamp;
 
@@ -32,6 +32,8 @@
     ledger: Ledger,
     ledger_version: Version,
     seen_at: Option<Duration>,
+    /// When the store itself last showed the ledger.
+    touched_at: Option<Duration>,
     /// When the write that stands was made.
     committed_at: Duration,
     /// Stamp of the start of this incarnation, by which its predecessor was gone.
@@ -61,6 +63,7 @@
             ledger: Ledger::default(),
             ledger_version: 0,
             seen_at: None,
+            touched_at: None,
             committed_at: Duration::ZERO,
             start: None,
             started_at: None,
@@ -94,17 +97,21 @@
     /// let identity = Identity::new("a", 1, "north");
     /// let mut holder = Holder::new(identity, "", EscrowOptions::default());
     /// // An account that is not prepaid has no bound.
-    /// assert_eq!(holder.try_reserve(Duration::ZERO, "free", 100), Ok(()));
+    /// assert_eq!(holder.try_reserve(Duration::ZERO, "free", 100, 0), Ok(()));
     /// ```
     pub fn try_reserve(
         &mut self,
         now: Duration,
         account: &str,
         tokens: u64,
+        rank: Rank,
     ) -> Result<(), Shortage> {
         if !self.prepaid_tokens.contains_key(account) {
             return Ok(());
         }
+        if self.is_kept_for_urgent(now, account, tokens, rank) {
+            return Err(Shortage::Reserved);
+        }
         let bound = self.allowance(now, account);
         let purse = self.purses.entry(account.to_owned()).or_default();
         if purse.free(bound) >= tokens {
@@ -119,10 +126,10 @@
     }
 
     /// Notes that a call asked for tokens, once for each call however often it is tried.
-    pub fn note_demand(&mut self, now: Duration, account: &str, tokens: u64) {
+    pub fn note_demand(&mut self, now: Duration, account: &str, tokens: u64, rank: Rank) {
         if self.prepaid_tokens.contains_key(account) {
             let purse = self.purses.entry(account.to_owned()).or_default();
-            purse.note_demand(now, tokens);
+            purse.note_demand(now, tokens, rank);
         }
     }
 
@@ -185,6 +192,22 @@
         Unlocked::after(since, self.options.unlock_after, self.options.unlock_span)
     }
 
+    /// Tells whether a call must leave what is left to more urgent ones of its account. Near its
+    /// end a budget pays for many short urgent calls or for a few long ones that can wait.
+    fn is_kept_for_urgent(&self, now: Duration, account: &str, tokens: u64, rank: Rank) -> bool {
+        let Some(purse) = self.purses.get(account) else {
+            return false;
+        };
+        if purse.is_urgent(rank) {
+            return false;
+        }
+        let own = &self.identity.instance;
+        let urgent = purse.urgent_demand.tokens_per_s(now)
+            + self.ledger.urgent_demand_of_others(account, own);
+        let kept = urgent.saturating_mul(self.options.urgent_horizon.as_secs());
+        self.left_tokens(account) < kept.saturating_add(tokens)
+    }
+
     fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
         let is_recent = self
             .ledger_age(now)
@@ -200,8 +223,8 @@
         // A write without an answer, or none for longer than a round, tells of an isolation.
         let is_in_touch = !self.is_in_doubt
             && self
-                .ledger_age(now)
-                .is_some_and(|age| age <= self.options.round_interval * 3 / 2);
+                .touched_at
+                .is_some_and(|at| now.saturating_sub(at) <= self.options.round_interval * 3 / 2);
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
         if is_in_touch && tokens <= held + self.ledger.pool(account, prepaid) {
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -7,6 +7,7 @@
 use super::plan::mul_div;
 use crate::entry::{HolderEntry, Unlocked};
 use crate::ledger::Ledger;
+use crate::ledger_change::LedgerChange;
 use crate::purse::Purse;
 use crate::stamp::Stamp;
 
@@ -63,6 +64,25 @@
 impl Holder {
     /// Takes in the ledger as the store shows it. Version 0 means that there is none.
     pub fn observe(&mut self, now: Duration, version: Version, ledger: Ledger) {
+        self.touched_at = Some(now);
+        self.take_ledger(now, version, ledger);
+    }
+
+    /// Takes in a write that a peer says the ledger took; returns whether it followed on what was
+    /// known here. With it the next write here is made on the ledger as it stands, instead of
+    /// being refused once for each write of a peer.
+    pub fn hear(&mut self, now: Duration, change: LedgerChange) -> bool {
+        if change.follows != self.ledger_version || self.seen_at.is_none() {
+            return false;
+        }
+        let version = change.version;
+        let mut ledger = self.ledger.clone();
+        change.apply(&mut ledger);
+        self.take_ledger(now, version, ledger);
+        true
+    }
+
+    fn take_ledger(&mut self, now: Duration, version: Version, ledger: Ledger) {
         if version < self.ledger_version {
             return;
         }
@@ -305,6 +325,10 @@
             if grant > 0 {
                 entry.grants_tokens.insert(account.clone(), grant);
             }
+            let urgent = purse.urgent_demand.tokens_per_s(now);
+            if urgent > 0 {
+                entry.urgent_tokens_per_s.insert(account.clone(), urgent);
+            }
             if demand > 0 {
                 entry.demand_tokens_per_s.insert(account.clone(), demand);
             }
--- /dev/null
+++ b/crates/damaskstile-escrow/src/ledger_change.rs
@@ -0,0 +1,60 @@
+//! `ledger_change` is what one write changed in the ledger, for peers.
+
+use damaskstile_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::entry::HolderEntry;
+use crate::ledger::Ledger;
+
+/// `LedgerChange` is what one write changed in the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerChange {
+    /// Version that the write was made on.
+    pub follows: Version,
+    /// Version that it made.
+    pub version: Version,
+    /// Newest catalogue whose sums were used.
+    pub catalogue_version: Version,
+    /// The writer.
+    pub instance: InstanceId,
+    /// The writer's part.
+    pub entry: HolderEntry,
+    /// Tokens that count as spent.
+    pub settled_tokens: BTreeMap<AccountId, u64>,
+    /// Parts of incarnations that ended.
+    pub estates: BTreeMap<String, HolderEntry>,
+}
+
+impl LedgerChange {
+    /// Makes the change that an instance's write made; `None` where the ledger has no part of it.
+    ///
+    /// ```
+    /// use damaskstile_escrow::{Ledger, LedgerChange};
+    /// assert!(LedgerChange::try_new(&Ledger::default(), "one", 1, 2).is_none());
+    /// ```
+    #[must_use]
+    pub fn try_new(
+        ledger: &Ledger,
+        instance: &str,
+        follows: Version,
+        version: Version,
+    ) -> Option<Self> {
+        Some(Self {
+            follows,
+            version,
+            catalogue_version: ledger.catalogue_version,
+            instance: instance.to_owned(),
+            entry: ledger.holders.get(instance)?.clone(),
+            settled_tokens: ledger.settled_tokens.clone(),
+            estates: ledger.estates.clone(),
+        })
+    }
+
+    pub(crate) fn apply(self, ledger: &mut Ledger) {
+        ledger.catalogue_version = self.catalogue_version;
+        ledger.settled_tokens = self.settled_tokens;
+        ledger.estates = self.estates;
+        ledger.holders.insert(self.instance, self.entry);
+    }
+}
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -37,6 +37,8 @@
     pub unlock_after: Duration,
     /// Time from then on in which an isolated instance comes to its whole grant.
     pub unlock_span: Duration,
+    /// Demand of an account's most urgent calls that its other calls leave untouched, as a time.
+    pub urgent_horizon: Duration,
     /// Error of the fleet's time that is allowed for.
     pub clock_margin: Duration,
     /// Time for which a successor waits for the fleet's time before it writes its predecessor's
@@ -61,7 +63,8 @@
             ceiling: Duration::from_millis(1_500),
             ceiling_call_percent: 100,
             unlock_after: Duration::from_millis(1_200),
-            unlock_span: Duration::from_millis(5_500),
+            unlock_span: Duration::from_millis(7_500),
+            urgent_horizon: Duration::from_secs(8),
             clock_margin: Duration::from_millis(300),
             estate_patience: Duration::from_secs(6),
             evidence_age: Duration::from_secs(3),
--- a/crates/damaskstile-escrow/src/purse.rs
+++ b/crates/damaskstile-escrow/src/purse.rs
@@ -24,12 +24,19 @@
     pub(crate) reserved_tokens: u64,
     /// How fast the account asks here.
     pub(crate) demand: Demand,
+    /// How fast its most urgent calls ask here.
+    pub(crate) urgent_demand: Demand,
+    /// Rank of its most urgent calls; 0 is the most urgent of all.
+    pub(crate) urgent_rank: Option<Rank>,
     /// Most that one call lacked since the last round.
     pub(crate) wanted_tokens: u64,
     /// Average worst case of the latest calls.
     pub(crate) call_tokens: u64,
 }
 
+/// Rank of a call among those of its account; 0 is the most urgent.
+pub type Rank = u8;
+
 /// Weight of the newest call in the average, as a divisor.
 const AVERAGE_DIVISOR: u64 = 8;
 
@@ -51,8 +58,15 @@
             .saturating_sub(self.reserved_tokens)
     }
 
-    pub(crate) fn note_demand(&mut self, now: Duration, tokens: u64) {
+    pub(crate) fn note_demand(&mut self, now: Duration, tokens: u64, rank: Rank) {
         self.demand.add(now, tokens);
+        if self.urgent_rank.is_none_or(|urgent| rank < urgent) {
+            self.urgent_rank = Some(rank);
+            self.urgent_demand = Demand::default();
+        }
+        if self.is_urgent(rank) {
+            self.urgent_demand.add(now, tokens);
+        }
         self.call_tokens = if self.call_tokens == 0 {
             tokens
         } else {
@@ -66,4 +80,9 @@
         self.gift_tokens -= of_gifts;
         self.used_tokens += tokens - of_gifts;
     }
+
+    /// Tells whether calls of a rank are the most urgent of the account.
+    pub(crate) fn is_urgent(&self, rank: Rank) -> bool {
+        self.urgent_rank.is_none_or(|urgent| rank <= urgent)
+    }
 }
--- a/crates/damaskstile-escrow/src/shortage.rs
+++ b/crates/damaskstile-escrow/src/shortage.rs
@@ -5,6 +5,8 @@
 pub enum Shortage {
     /// The account's tokens are spent: no instance has enough, by a recent look at the ledger.
     Exhausted,
+    /// What is left is kept for more urgent calls of the account.
+    Reserved,
     /// A round with the store brings them within milliseconds.
     InStore,
     /// Other instances may have tokens, or nobody can be asked.
@@ -21,6 +23,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Exhausted => "exhausted",
+            Self::Reserved => "reserved",
             Self::InStore => "in_store",
             Self::Elsewhere => "elsewhere",
         }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -190,13 +190,15 @@
             .service(&self.terms.service)
             .and_then(|service| service.tokens_per_event)
             .unwrap_or(1);
+        // Within an account the route's rank counts; the account's own is the same for all.
+        let rank = self.terms.route.priority;
         let now = self.gateway.now();
         let tokens = work.prompt_tokens + work.output_tokens;
         if let Some(account) = &account
             && tokens > 0
         {
             let mut state = self.gateway.state();
-            state.holder.note_demand(now, account, tokens);
+            state.holder.note_demand(now, account, tokens, rank);
         }
         let until = now + TOKENS_WAIT.min(self.left());
         loop {
@@ -207,6 +209,7 @@
                 account.as_deref(),
                 Some(&work),
                 tokens_per_event,
+                rank,
             );
             let shortage = match reserved {
                 Ok(reservation) => {
@@ -261,6 +264,7 @@
         self.record.add("ledger_age_ms", age_ms);
         match shortage {
             Shortage::Exhausted => Refusal::not_run(RefusalCode::BudgetExhausted, None),
+            Shortage::Reserved => Refusal::not_run(RefusalCode::BudgetReserved, Some(RETRY_LATER)),
             Shortage::InStore | Shortage::Elsewhere => {
                 Refusal::not_run(RefusalCode::BudgetUnreachable, Some(RETRY_LATER))
             }
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use damaskstile_core::prelude::*;
+use damaskstile_escrow::LedgerChange;
 use slog::Logger;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
@@ -17,6 +18,9 @@
 use crate::pool::Pool;
 use crate::state::State;
 
+/// Own writes to the ledger that may wait to be told to peers.
+const CHANGES_RING: usize = 16;
+
 /// `Gateway` is what all duties of an instance share.
 pub struct Gateway {
     /// How it is set up.
@@ -39,6 +43,8 @@
     pub round_wanted: Notify,
     /// Wakes calls that wait for tokens.
     pub round_done: Notify,
+    /// Own writes to the ledger, for the duty that tells peers.
+    pub changes: mpsc::Sender<LedgerChange>,
     /// Wakes the duty that tells peers.
     pub news: Notify,
     /// Wakes the duty that asks peers for tokens.
@@ -67,7 +73,7 @@
 }
 
 impl Gateway {
-    /// Makes a gateway that has not begun to serve.
+    /// Makes a gateway that has not begun to serve, with the ring of its writes to the ledger.
     #[must_use]
     pub fn new(
         options: GatewayOptions,
@@ -75,9 +81,10 @@
         directory: Box<dyn Directory>,
         store: Arc<dyn ObjectStore>,
         log: Logger,
-    ) -> Arc<Self> {
+    ) -> (Arc<Self>, mpsc::Receiver<LedgerChange>) {
+        let (changes, changes_out) = mpsc::channel(CHANGES_RING);
         let state = Mutex::new(State::new(&options));
-        Arc::new(Self {
+        let gateway = Arc::new(Self {
             clock: Clock::start(),
             dialect,
             directory,
@@ -93,7 +100,9 @@
             open_calls: AtomicUsize::new(0),
             state,
             options,
-        })
+            changes,
+        });
+        (gateway, changes_out)
     }
 
     /// Returns the state to decide by. It is held for a decision, never across a wait.
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -35,6 +35,8 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_escrow::LedgerChange;
+use tokio::sync::mpsc::Receiver;
 
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
@@ -48,7 +50,7 @@
 /// # Errors
 ///
 /// Returns an error where an address cannot be used.
-pub async fn serve(gateway: Arc<Gateway>) -> anyhow::Result<()> {
+pub async fn serve(gateway: Arc<Gateway>, changes: Receiver<LedgerChange>) -> anyhow::Result<()> {
     let options = &gateway.options;
     let callers = front::listen(options.callers_address)?;
     let readiness = operators::start_readiness(&gateway, options.readiness_address)?;
@@ -64,6 +66,7 @@
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
     tokio::spawn(Arc::clone(&peers).tell());
     tokio::spawn(Arc::clone(&peers).beg());
+    tokio::spawn(Arc::clone(&peers).tell_changes(changes));
     tokio::spawn(peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
     tokio::spawn(front::accept(Arc::clone(&gateway), callers));
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -11,10 +11,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
+use damaskstile_escrow::LedgerChange;
 use prost::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::Receiver;
 
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
@@ -31,6 +34,8 @@
 const DIGEST_FANOUT: usize = 10;
 /// Largest datagram.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
+/// Largest change of the ledger that is told to peers; a larger one is left to the store.
+const CHANGE_BYTES_MAX: usize = 8 * 1024;
 /// Time that the own watch is given before a newer catalogue is pulled from a peer.
 const PULL_DELAY: Duration = Duration::from_millis(80);
 /// Age of the last word of the store past which a peer's list of targets is better.
@@ -83,6 +88,39 @@
         }
     }
 
+    /// Tells peers of the own writes to the ledger.
+    pub async fn tell_changes(self: Arc<Self>, mut changes: Receiver<LedgerChange>) {
+        while let Some(change) = changes.recv().await {
+            let Ok(bytes) = serde_json::to_vec(&change) else {
+                continue;
+            };
+            if bytes.len() > CHANGE_BYTES_MAX {
+                continue;
+            }
+            let bytes = Bytes::from(bytes);
+            for address in self.addresses() {
+                self.send(address, DatagramBody::Change(bytes.clone()))
+                    .await;
+            }
+        }
+    }
+
+    fn take_change(&self, bytes: &[u8]) {
+        match serde_json::from_slice::<LedgerChange>(bytes) {
+            Ok(change) => {
+                let now = self.gateway.now();
+                // A change that does not follow on what is known here is made up for by the next
+                // read or write.
+                self.gateway.state().holder.hear(now, change);
+            }
+            Err(error) => {
+                let error = error.to_string();
+                self.gateway
+                    .log(EventCode::PeerFrameInvalid, &[("error", &error)]);
+            }
+        }
+    }
+
     /// Takes datagrams in until the process ends.
     pub async fn hear(self: Arc<Self>) {
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
@@ -191,6 +229,7 @@
                 self.take_digest(&datagram.from, datagram.incarnation, digest, from);
             }
             DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
+            DatagramBody::Change(bytes) => self.take_change(&bytes),
             DatagramBody::Give(gift) => self.take_gift(&datagram.from, datagram.incarnation, &gift),
         }
     }
--- a/crates/damaskstile-gateway/src/peers/datagram.rs
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -1,5 +1,7 @@
 //! `datagram` is one message between instances.
 
+use bytes::Bytes;
+
 use super::{AskTokens, Digest, GiveTokens};
 
 /// `DatagramBody` is what a datagram says.
@@ -14,6 +16,9 @@
     /// Tokens handed over.
     #[prost(message, tag = "5")]
     Give(GiveTokens),
+    /// A change of the ledger, in the form that the ledger is stored in.
+    #[prost(bytes = "bytes", tag = "6")]
+    Change(Bytes),
 }
 
 /// `Datagram` is one message with its sender.
@@ -26,6 +31,6 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "DatagramBody", tags = "3, 4, 5")]
+    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6")]
     pub body: Option<DatagramBody>,
 }
--- a/crates/damaskstile-gateway/src/reservation.rs
+++ b/crates/damaskstile-gateway/src/reservation.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::Shortage;
+use damaskstile_escrow::{Rank, Shortage};
 use damaskstile_targets::Work;
 
 use crate::gateway::Gateway;
@@ -31,6 +31,7 @@
     prompt_tokens: u64,
     output_tokens_max: u64,
     tokens_per_event: u64,
+    rank: Rank,
     reserved_tokens: u64,
     /// Output of earlier runs of the call.
     earlier_tokens: u64,
@@ -48,13 +49,17 @@
         account: Option<&str>,
         work: Option<&Work>,
         tokens_per_event: u64,
+        rank: Rank,
     ) -> Result<Self, Shortage> {
         let work = work.cloned().unwrap_or_default();
         let account = account.filter(|_| work.prompt_tokens + work.output_tokens > 0);
         let tokens = work.prompt_tokens + work.output_tokens;
         if let Some(account) = account {
             let now = gateway.now();
-            gateway.state().holder.try_reserve(now, account, tokens)?;
+            gateway
+                .state()
+                .holder
+                .try_reserve(now, account, tokens, rank)?;
         }
         Ok(Self {
             gateway: Arc::clone(gateway),
@@ -62,6 +67,7 @@
             prompt_tokens: work.prompt_tokens,
             output_tokens_max: work.output_tokens,
             tokens_per_event,
+            rank,
             reserved_tokens: tokens,
             earlier_tokens: 0,
             used: Use::Nothing,
@@ -114,7 +120,11 @@
         let missing = needed.saturating_sub(self.reserved_tokens);
         let now = self.gateway.now();
         let mut state = self.gateway.state();
-        if state.holder.try_reserve(now, account, missing).is_err() {
+        if state
+            .holder
+            .try_reserve(now, account, missing, self.rank)
+            .is_err()
+        {
             return false;
         }
         drop(state);
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{Ledger, Round};
+use damaskstile_escrow::{Ledger, LedgerChange, Round};
 
 use crate::clock::{BootTime, own_unix_ms};
 use crate::follow::{note_answer, note_failure};
@@ -20,6 +20,9 @@
 /// Shortest time between two calls, so that refusals do not become a stream of calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest pause after a conflict: two calls to the store.
+const CONFLICT_JITTER_MS: u64 = 12;
+
 /// Writes rounds until the process ends.
 pub async fn keep(gateway: Arc<Gateway>) {
     loop {
@@ -50,7 +53,13 @@
         if write(gateway, round).await {
             break;
         }
-        gateway.state().holder.hurry();
+        // Instances that collided would collide again if all came back at once.
+        let jitter_ms = {
+            let mut state = gateway.state();
+            state.holder.hurry();
+            state.random.below(CONFLICT_JITTER_MS)
+        };
+        tokio::time::sleep(Duration::from_millis(jitter_ms)).await;
     }
     gateway.round_done.notify_waiters();
 }
@@ -107,6 +116,12 @@
     match written {
         Ok(version) => {
             note_answer(gateway);
+            let instance = &gateway.options.identity.instance;
+            let follows = round.expected_version;
+            if let Some(change) = LedgerChange::try_new(&round.ledger, instance, follows, version) {
+                // Peers that miss it read the ledger instead.
+                let _ = gateway.changes.try_send(change);
+            }
             let now = gateway.now();
             gateway.state().holder.written(now, version, round);
             gateway.log(EventCode::RoundWritten, &fields);
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -24,6 +24,7 @@
         RefusalCode::TargetLost | RefusalCode::AnswerSpoiled => StatusCode::BAD_GATEWAY,
         RefusalCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         RefusalCode::BudgetUnreachable
+        | RefusalCode::BudgetReserved
         | RefusalCode::NoTarget
         | RefusalCode::BillsBacklog
         | RefusalCode::ClaimUnavailable
