--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -43,6 +43,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
+#[allow(clippy::struct_field_names)] // fields carry their unit
 struct Sums {
     allowed_tokens: u64,
     ceiling_tokens: u64,
--- a/crates/damaskstile-gateway/src/clock.rs
+++ b/crates/damaskstile-gateway/src/clock.rs
@@ -16,6 +16,7 @@
 
 impl Clock {
     /// Starts the clock.
+    #[must_use]
     pub fn start() -> Self {
         let started_unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -27,6 +28,7 @@
     }
 
     /// Returns the time since the Unix epoch.
+    #[must_use]
     pub fn now(&self) -> Duration {
         self.started_unix + boot_time().saturating_sub(self.started_boot)
     }
--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -8,6 +8,7 @@
 
 /// `Contact` remembers when the store answered.
 #[derive(Debug, Clone, Default)]
+#[allow(clippy::struct_field_names)] // each is a time
 pub struct Contact {
     answered_at: Option<Duration>,
     lost_at: Option<Duration>,
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -1,31 +1,32 @@
 //! `exchange` takes one call from its caller to its answer.
 
+mod tokens;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::Shortage;
-use damaskstile_requests::attempts::{Attempts, Next, SendEnd};
+use damaskstile_requests::{Attempts, Next, SendEnd};
 use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::call::CallHead;
 use crate::events::EventCutter;
-use crate::gateway::{Gateway, OpenCall, Phase};
+use crate::gateway::Gateway;
+use crate::open_call::OpenCall;
+use crate::phase::Phase;
 use crate::record::Record;
 use crate::relay::Relay;
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
 use crate::reservation::Reservation;
-use crate::run::{self, Run, Sendable};
+use crate::run::{self, Run};
+use crate::sendable::Sendable;
 use crate::state::Terms;
 
-/// Longest wait for tokens that the store or a peer has: a few round trips, with conflicts, and
-/// still a small part of the time within which an answer is of full use.
-const TOKENS_WAIT: Duration = Duration::from_millis(120);
 /// Shortest time that a target is given before a repeatable call goes to another one. Below it a
 /// long prompt ahead in the batch would be taken for silence.
-const PATIENCE_MIN: Duration = Duration::from_millis(1_000);
+const PATIENCE_MIN: Duration = Duration::from_secs(1);
 /// Largest answer that is kept to be sent again from another target, in bytes.
 const WHOLE_BYTES_MAX: usize = 8 * 1024 * 1024;
 
@@ -180,97 +181,6 @@
         }
     }
 
-    /// Reserves the worst case; waits a moment for tokens that the store has.
-    async fn reserve(&mut self) -> Result<Reservation, Refusal> {
-        let work = self.call.work.clone();
-        let account = self.terms.account.clone();
-        let tokens_per_event = self
-            .terms
-            .catalogue
-            .service(&self.terms.service)
-            .and_then(|service| service.tokens_per_event)
-            .unwrap_or(1);
-        // Within an account the route's rank counts; the account's own is the same for all.
-        let rank = self.terms.route.priority;
-        let now = self.gateway.now();
-        let tokens = work.prompt_tokens + work.output_tokens;
-        if let Some(account) = &account
-            && tokens > 0
-        {
-            let mut state = self.gateway.state();
-            state.holder.note_demand(now, account, tokens, rank);
-        }
-        let until = now + TOKENS_WAIT.min(self.left());
-        loop {
-            let gateway = Arc::clone(&self.gateway);
-            let round_done = gateway.round_done.notified();
-            let reserved = Reservation::try_new(
-                &self.gateway,
-                account.as_deref(),
-                Some(&work),
-                tokens_per_event,
-                rank,
-            );
-            let shortage = match reserved {
-                Ok(reservation) => {
-                    self.record.add("reserved", reservation.reserved_tokens());
-                    return Ok(reservation);
-                }
-                Err(shortage) => shortage,
-            };
-            let is_coming = self.call_for_tokens(shortage, tokens);
-            let wait = until.saturating_sub(self.gateway.now());
-            if !is_coming || wait.is_zero() {
-                return Err(self.short(shortage, tokens));
-            }
-            // Either outcome leads to another look.
-            let _ = tokio::time::timeout(wait, round_done).await;
-        }
-    }
-
-    /// Has missing tokens fetched from the store or a peer; returns whether they may come soon.
-    fn call_for_tokens(&self, shortage: Shortage, tokens: u64) -> bool {
-        let gateway = &self.gateway;
-        gateway.round_wanted.notify_one();
-        if shortage != Shortage::Elsewhere {
-            return shortage == Shortage::InStore;
-        }
-        let account = self.terms.account.clone().unwrap_or_default();
-        let now = gateway.now();
-        let mut state = gateway.state();
-        let missing = tokens.saturating_sub(state.holder.free_tokens(now, &account));
-        if state.richest_member(now, &account, missing).is_none() {
-            return false;
-        }
-        state.wanted_tokens.insert(account, missing);
-        drop(state);
-        gateway.tokens_wanted.notify_one();
-        true
-    }
-
-    fn short(&mut self, shortage: Shortage, tokens: u64) -> Refusal {
-        let now = self.gateway.now();
-        let account = self.terms.account.clone().unwrap_or_default();
-        let state = self.gateway.state();
-        let free = state.holder.free_tokens(now, &account);
-        let age = state.holder.ledger_age(now);
-        let version = state.holder.ledger_version();
-        drop(state);
-        self.record.add("needed", tokens);
-        self.record.add("free", free);
-        self.record.add("shortage", shortage.as_str());
-        self.record.add("ledger_version", version);
-        let age_ms = age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
-        self.record.add("ledger_age_ms", age_ms);
-        match shortage {
-            Shortage::Exhausted => Refusal::not_run(RefusalCode::BudgetExhausted, None),
-            Shortage::Reserved => Refusal::not_run(RefusalCode::BudgetReserved, Some(RETRY_LATER)),
-            Shortage::InStore | Shortage::Elsewhere => {
-                Refusal::not_run(RefusalCode::BudgetUnreachable, Some(RETRY_LATER))
-            }
-        }
-    }
-
     async fn send(mut self, mut reservation: Reservation) -> Response<ReplyBody> {
         loop {
             let left = self.left();
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -34,7 +34,7 @@
             Ok(listing) => {
                 note_answer(&gateway);
                 let version = listing.version;
-                take_all(&gateway, followed, listing);
+                take_all(&gateway, followed, &listing);
                 watch(&gateway, followed, kind, version).await;
             }
             Err(error) => note_failure(&gateway, &error),
@@ -86,7 +86,7 @@
     }
 }
 
-fn take_all(gateway: &Gateway, followed: Followed, listing: Listing) {
+fn take_all(gateway: &Gateway, followed: Followed, listing: &Listing) {
     match followed {
         Followed::Catalogue => {
             for object in &listing.objects {
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -11,7 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::exchange::serve;
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::phase::Phase;
 
 /// Smallest buffer for a head that the HTTP library takes, in bytes.
 const HEAD_BYTES_MIN: usize = 8 * 1024;
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -14,7 +14,9 @@
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::objects::ObjectStore;
+use crate::open_call::OpenCall;
 use crate::options::GatewayOptions;
+use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::state::State;
 
@@ -55,17 +57,6 @@
     state: Mutex<State>,
 }
 
-/// `Phase` is how far a stop has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// No stop was asked for.
-    Serving,
-    /// The balancer is told to send no more work; what comes is still served.
-    Leaving,
-    /// No new work is taken.
-    Closing,
-}
-
 impl std::fmt::Debug for Gateway {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Gateway").finish_non_exhaustive()
@@ -124,7 +115,12 @@
     /// Counts a call as open until the guard is dropped.
     pub fn open_call(self: &Arc<Self>) -> OpenCall {
         self.open_calls.fetch_add(1, Ordering::Relaxed);
-        OpenCall(Arc::clone(self))
+        OpenCall::new(Arc::clone(self))
+    }
+
+    /// Notes that an open call has ended.
+    pub(crate) fn close_call(&self) {
+        self.open_calls.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Returns the number of open calls.
@@ -132,13 +128,3 @@
         self.open_calls.load(Ordering::Relaxed)
     }
 }
-
-/// `OpenCall` counts a call as open.
-#[derive(Debug)]
-pub struct OpenCall(Arc<Gateway>);
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -10,7 +10,8 @@
 use http::{Response, StatusCode};
 use slog::Logger;
 
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::phase::Phase;
 
 type Server = HttpServer<Arc<Gateway>>;
 type Answer = Result<Response<Body>, HttpError>;
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -226,7 +226,7 @@
         };
         match body {
             DatagramBody::Digest(digest) => {
-                self.take_digest(&datagram.from, datagram.incarnation, digest, from);
+                self.take_digest(&datagram.from, datagram.incarnation, &digest, from);
             }
             DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
             DatagramBody::Change(bytes) => self.take_change(&bytes),
@@ -234,7 +234,7 @@
         }
     }
 
-    fn take_digest(&self, from: &str, incarnation: u64, digest: Digest, address: SocketAddr) {
+    fn take_digest(&self, from: &str, incarnation: u64, digest: &Digest, address: SocketAddr) {
         let gateway = &self.gateway;
         let now = gateway.now();
         let mut state = gateway.state();
@@ -259,7 +259,7 @@
             is_store_lost && is_peer_in_touch && digest.targets_version > state.targets_version;
         let is_new = state.members.insert(
             from.to_owned(),
-            Member::new(incarnation, address, now, &digest),
+            Member::new(incarnation, address, now, digest),
         );
         let is_new = is_new.is_none_or(|member| member.incarnation != incarnation);
         drop(state);
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -58,6 +58,7 @@
     }
 
     /// Adds an input of a decision.
+    #[allow(clippy::needless_pass_by_value)] // callers hand over numbers and texts alike
     pub fn add(&mut self, name: &'static str, value: impl ToString) {
         self.fields.push((name, value.to_string()));
     }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -4,17 +4,19 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_requests::attempts::{Attempts, Next, SendEnd};
+use damaskstile_requests::{Attempts, Next, SendEnd};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
 use crate::events::{EventCutter, WholeEvent};
 use crate::exchange::{patience, plan_next};
-use crate::gateway::{Gateway, OpenCall};
+use crate::gateway::Gateway;
+use crate::open_call::OpenCall;
 use crate::record::Record;
 use crate::reply::ReplyBody;
 use crate::reservation::Reservation;
-use crate::run::{self, Run, Sendable};
+use crate::run::{self, Run};
+use crate::sendable::Sendable;
 use crate::state::Terms;
 
 /// Pause of a stream after which it goes on at another target, where it may. Callers give up
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -4,44 +4,20 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_requests::attempts::SendEnd;
-use damaskstile_targets::{Choice, Work};
-use http::{Method, Request, StatusCode, Uri, response};
+use damaskstile_requests::SendEnd;
+use damaskstile_targets::Choice;
+use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::answer::AnswerHead;
 use crate::call::SendHead;
 use crate::gateway::Gateway;
-use crate::pool::{Lease, SendError};
+use crate::lease::{Lease, SendError};
+use crate::running::Running;
+use crate::sendable::Sendable;
 use crate::state::Terms;
 
-/// `Sendable` is a call as it goes to any target.
-#[derive(Debug, Clone)]
-pub struct Sendable {
-    /// Method.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub uri: Uri,
-    /// The caller's headers.
-    pub headers: http::HeaderMap,
-    /// Body, unchanged.
-    pub body: Bytes,
-    /// The caller's name of the attempt.
-    pub id: Option<String>,
-    /// What it asks of a target.
-    pub work: Work,
-}
-
-/// `Running` counts a call at its target while it runs there.
-#[derive(Debug)]
-pub struct Running {
-    gateway: Arc<Gateway>,
-    /// The target.
-    pub choice: Choice,
-    is_prefilled: bool,
-}
-
 /// `Run` is an answer that a target has begun.
 #[derive(Debug)]
 pub struct Run {
@@ -72,48 +48,6 @@
     }
 }
 
-impl Running {
-    fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
-        gateway.state().book.sent(gateway.now(), &choice, work);
-        Self {
-            gateway: Arc::clone(gateway),
-            choice,
-            is_prefilled: false,
-        }
-    }
-
-    /// Notes that the first token came.
-    pub fn prefilled(&mut self) {
-        if !self.is_prefilled {
-            self.is_prefilled = true;
-            self.gateway.state().book.prefilled(&self.choice);
-        }
-    }
-
-    /// Notes how the target served the call.
-    pub fn note(&self, is_success: bool) {
-        let now = self.gateway.now();
-        let book = &mut self.gateway.state().book;
-        if is_success {
-            book.succeeded(now, &self.choice.target);
-        } else {
-            book.failed(now, &self.choice.target);
-        }
-    }
-
-    fn silent(&self) {
-        let now = self.gateway.now();
-        self.gateway.state().book.silent(now, &self.choice.target);
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.prefilled();
-        self.gateway.state().book.ended(&self.choice.target);
-    }
-}
-
 /// Sends a call to one target and waits for the head of its answer, until `patience` is over.
 ///
 /// # Errors
@@ -130,12 +64,9 @@
 ) -> Result<Run, NoRun> {
     let running = Running::new(gateway, choice, &call.work);
     let choice = &running.choice;
-    let mut lease = match gateway.pool.lease(&choice.target, choice.address).await {
-        Ok(lease) => lease,
-        Err(_) => {
-            running.silent();
-            return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
-        }
+    let Ok(mut lease) = gateway.pool.lease(&choice.target, choice.address).await else {
+        running.silent();
+        return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
     };
     let send = SendHead {
         target: &choice.target,
--- /dev/null
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -0,0 +1,59 @@
+//! `running` counts a call at its target while it runs there.
+
+use std::sync::Arc;
+
+use damaskstile_targets::{Choice, Work};
+
+use crate::gateway::Gateway;
+
+/// `Running` counts a call at its target while it runs there.
+#[derive(Debug)]
+pub struct Running {
+    gateway: Arc<Gateway>,
+    /// The target.
+    pub choice: Choice,
+    is_prefilled: bool,
+}
+
+impl Running {
+    pub(crate) fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
+        gateway.state().book.sent(gateway.now(), &choice, work);
+        Self {
+            gateway: Arc::clone(gateway),
+            choice,
+            is_prefilled: false,
+        }
+    }
+
+    /// Notes that the first token came.
+    pub fn prefilled(&mut self) {
+        if !self.is_prefilled {
+            self.is_prefilled = true;
+            self.gateway.state().book.prefilled(&self.choice);
+        }
+    }
+
+    /// Notes how the target served the call.
+    pub fn note(&self, is_success: bool) {
+        let now = self.gateway.now();
+        let book = &mut self.gateway.state().book;
+        if is_success {
+            book.succeeded(now, &self.choice.target);
+        } else {
+            book.failed(now, &self.choice.target);
+        }
+    }
+
+    /// Notes that the target did not answer at all.
+    pub(crate) fn silent(&self) {
+        let now = self.gateway.now();
+        self.gateway.state().book.silent(now, &self.choice.target);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.prefilled();
+        self.gateway.state().book.ended(&self.choice.target);
+    }
+}
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -5,7 +5,8 @@
 use damaskstile_core::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::gateway::{Gateway, Phase};
+use crate::gateway::Gateway;
+use crate::phase::Phase;
 use crate::rounds;
 
 /// Time for which an instance that is leaving still takes what comes. The balancer asks once a
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/events.rs
@@ -0,0 +1,60 @@
+//! Streams are cut into whole events, however their bytes arrive.
+
+use damaskstile_gateway::events::EventCutter;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+/// Cases of each property; each takes microseconds.
+const CASES: u32 = 1_000;
+
+fn config() -> Config {
+    Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Cuts a stream that arrives in pieces of the given lengths.
+fn cut(stream: &[u8], lengths: &[usize]) -> (Vec<Option<u64>>, Vec<u8>, bool) {
+    let mut cutter = EventCutter::default();
+    let (mut ids, mut passed, mut rest) = (Vec::new(), Vec::new(), stream);
+    let mut lengths = lengths.iter().cycle();
+    while !rest.is_empty() {
+        let length = (*lengths.next().unwrap()).min(rest.len());
+        assert!(cutter.push(&rest[..length]));
+        rest = &rest[length..];
+        while let Some(event) = cutter.next_event() {
+            ids.push(event.id);
+            passed.extend_from_slice(&event.bytes);
+        }
+    }
+    (ids, passed, cutter.is_empty())
+}
+
+#[test]
+fn every_event_is_passed_on_once_and_a_half_one_never() {
+    let pieces = prop::collection::vec(1..20_usize, 1..8);
+    proptest!(config(), |(count in 0..12_u64, lengths in pieces, is_crlf: bool, half: bool)| {
+        let end = if is_crlf { "\r\n" } else { "\n" };
+        let event = |id| format!("id: {id}{end}data: some text {id}{end}{end}");
+        let whole = (1..=count).map(event).collect::<Vec<_>>().concat();
+        let mut stream = whole.clone().into_bytes();
+        if half {
+            stream.extend_from_slice(b"id: 99\ndata: cut o");
+        }
+        let (ids, passed, is_empty) = cut(&stream, &lengths);
+        let expected: Vec<Option<u64>> = (1..=count).map(Some).collect();
+        prop_assert_eq!(ids, expected);
+        prop_assert_eq!(passed, whole.into_bytes());
+        prop_assert_eq!(is_empty, !half);
+    });
+}
+
+#[test]
+fn an_event_without_an_end_is_given_up() {
+    let mut cutter = EventCutter::default();
+    let is_bounded = (0..100).any(|_| !cutter.push(&[b'x'; 8 * 1024]));
+    assert!(is_bounded);
+}
--- a/crates/damaskstile-http/src/socket.rs
+++ b/crates/damaskstile-http/src/socket.rs
@@ -11,6 +11,8 @@
 /// Time after which bytes that nobody acknowledges end a connection. A target that lost power or
 /// is cut off answers nothing at all, and without this a call would wait out its deadline.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time between two such questions. The system counts whole seconds and refuses less.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without bytes after which the other side is asked whether it is there.
 const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
 
@@ -30,7 +32,7 @@
     socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_AFTER)
-        .with_interval(KEEPALIVE_AFTER / 2)
+        .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
     Ok(stream)
--- a/crates/damaskstile-requests/src/attempts.rs
+++ b/crates/damaskstile-requests/src/attempts.rs
@@ -1,17 +1,6 @@
 //! `attempts` decides what follows when a send to a target brought no answer for the caller.
 
-/// `SendEnd` tells how a send ended that brought no answer for the caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendEnd {
-    /// No byte reached a target.
-    NotSent,
-    /// The target proved that it has not run the call.
-    NotRun,
-    /// The call may have run, in whole or in part.
-    Unknown,
-    /// The call ran and failed at the target.
-    Failed,
-}
+use crate::send_end::SendEnd;
 
 /// `Next` is what follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +53,7 @@
     /// where another send would draw on it.
     ///
     /// ```
-    /// use damaskstile_requests::attempts::{Attempts, Next, SendEnd};
+    /// use damaskstile_requests::{Attempts, Next, SendEnd};
     /// let mut attempts = Attempts::default();
     /// attempts.note(SendEnd::Unknown);
     /// assert_eq!(attempts.next(false, 2, || true), Next::GiveUp);
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod claim_table;
 pub mod claims;
 pub mod retries;
+pub mod send_end;
 
 pub use answer::{Assembled, Assembly};
+pub use attempts::{Attempts, Next};
 pub use claim::{Claim, ClaimState};
 pub use claim_op::ClaimOp;
 pub use claim_table::ClaimTable;
 pub use claims::{ClaimEffect, ClaimShard};
 pub use retries::RetryBudget;
+pub use send_end::SendEnd;
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -73,20 +73,16 @@
         {
             self.leaving.remove(&listed.target);
         }
-        match self.targets.get_mut(&listed.target) {
-            Some(known) => {
-                let was_ready = known.listed.is_ready && known.missing_since.is_none();
-                let is_ready = listed.is_ready;
-                known.missing_since = None;
-                known.listed = listed;
-                was_ready != is_ready
-            }
-            None => {
-                self.targets
-                    .insert(listed.target.clone(), Known::new(listed));
-                true
-            }
+        if let Some(known) = self.targets.get_mut(&listed.target) {
+            let was_ready = known.listed.is_ready && known.missing_since.is_none();
+            let is_ready = listed.is_ready;
+            known.missing_since = None;
+            known.listed = listed;
+            return was_ready != is_ready;
         }
+        let target = listed.target.clone();
+        self.targets.insert(target, Known::new(listed));
+        true
     }
 
     /// Takes in that the list no longer holds a target.
