--- a/crates/damaskstile-gateway/src/exchange/tokens.rs
+++ b/crates/damaskstile-gateway/src/exchange/tokens.rs
@@ -6,7 +6,7 @@
 use damaskstile_escrow::Shortage;
 
 use super::Exchange;
-use crate::reply::{RETRY_LATER, Refusal};
+use crate::reply::{RETRY_AFTER_TOP_UP, RETRY_LATER, Refusal};
 use crate::reservation::Reservation;
 
 /// Longest wait for tokens that the store or a peer has: a few round trips, with conflicts, and
@@ -98,7 +98,9 @@
         self.record.add("ledger_age_ms", age_ms);
         match shortage {
             Shortage::Exhausted => Refusal::not_run(RefusalCode::BudgetExhausted, None),
-            Shortage::Reserved => Refusal::not_run(RefusalCode::BudgetReserved, Some(RETRY_LATER)),
+            Shortage::Reserved => {
+                Refusal::not_run(RefusalCode::BudgetReserved, Some(RETRY_AFTER_TOP_UP))
+            }
             Shortage::InStore | Shortage::Elsewhere => {
                 Refusal::not_run(RefusalCode::BudgetUnreachable, Some(RETRY_LATER))
             }
--- a/crates/damaskstile-gateway/src/reply.rs
+++ b/crates/damaskstile-gateway/src/reply.rs
@@ -18,6 +18,10 @@
 /// Wait that is advised where instances or targets have to come back.
 pub const RETRY_LATER: Duration = Duration::from_millis(600);
 
+/// Wait that is advised where only a top-up helps. Operators make one within minutes at best, so
+/// coming back sooner would be refused again.
+pub const RETRY_AFTER_TOP_UP: Duration = Duration::from_secs(5);
+
 /// `Refusal` is an answer of this instance's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
