--- a/crates/damaskstile-escrow/tests/together.rs
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -258,8 +258,10 @@
                 .map(|(_, tokens)| tokens)
                 .sum();
             let ledger = &self.store.ledger;
-            assert!(self.spent[index] + running <= prepaid, "spent too much");
-            assert!(ledger.settled(account) + ledger.granted(account) <= prepaid);
+            let committed = ledger.settled(account) + ledger.granted(account);
+            assert!(committed <= prepaid, "{committed} committed of {prepaid}");
+            let ran = self.spent[index] + running;
+            assert!(ran <= committed, "{ran} ran, {committed} committed");
         }
     }
 }
