--- a/crates/damaskctl/src/main.rs
+++ b/crates/damaskctl/src/main.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod context;
 mod exit;
+mod explain;
 mod instances;
 mod requests;
 mod services;
@@ -68,6 +69,14 @@
     /// Bills.
     #[command(subcommand)]
     Bill(bills::BillCommand),
+    /// Tells from logs what became of a call, with what its instance believed then.
+    Explain {
+        /// The caller's id of the call.
+        id: String,
+        /// Files with the logs of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Replays a recorded trace against its stated outcomes.
     Replay {
         /// File with the trace.
@@ -98,6 +107,7 @@
         Command::Instance(command) => instances::run(context, command).await,
         Command::Request(command) => requests::run(context, command).await,
         Command::Bill(command) => bills::run(context, command).await,
+        Command::Explain { id, logs } => explain::run(context, &id, &logs),
         Command::Replay { trace } => requests::replay(context, &trace),
     }
 }
--- /dev/null
+++ b/crates/damaskctl/tests/explain.rs
@@ -0,0 +1,54 @@
+//! From a call's id to its cause, over the logs of several instances.
+
+use std::process::Command;
+
+/// Lines as two instances write them, the first with what a collector puts before them.
+const LOGS: [&str; 2] = [
+    r#"7.1 host {"msg":"StoreLost","level":"WARN","ts":"2026-01-01T00:00:01Z","instance":"a","fields":"cause=silence","event":506}
+7.2 host {"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:02Z","instance":"a","fields":"id=c1 shortage=elsewhere status=503","event":108}
+no event
+"#,
+    r#"{"msg":"CatalogueApplied","level":"INFO","ts":"2026-01-01T00:00:00Z","instance":"b","fields":"version=7","event":503}
+{"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:03Z","instance":"b","fields":"id=c1 outcome=answered","event":107}
+{"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:03Z","instance":"b","fields":"id=c10 outcome=answered","event":107}
+"#,
+];
+
+fn explain(id: &str) -> (Option<i32>, String) {
+    let dir = std::env::temp_dir().join(format!("damaskctl-explain-{id}"));
+    std::fs::create_dir_all(&dir).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_damaskctl"));
+    command.args(["explain", id]);
+    for (index, text) in LOGS.iter().enumerate() {
+        let path = dir.join(format!("{index}.log"));
+        std::fs::write(&path, text).unwrap();
+        command.arg(path);
+    }
+    let output = command.output().unwrap();
+    std::fs::remove_dir_all(&dir).unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    (output.status.code(), text)
+}
+
+#[test]
+fn each_line_on_a_call_comes_with_what_its_instance_had_learnt() {
+    // Act
+    let (code, text) = explain("c1");
+
+    // Assert
+    assert_eq!(code, Some(0));
+    let order = [
+        "StoreLost",
+        "CallRefused",
+        "CatalogueApplied",
+        "CallAnswered",
+    ];
+    let places: Vec<_> = order.iter().map(|name| text.find(name).unwrap()).collect();
+    assert!(places.is_sorted(), "{text}");
+    assert!(!text.contains("c10"), "{text}");
+}
+
+#[test]
+fn a_call_that_no_log_names_is_not_found() {
+    assert_eq!(explain("none").0, Some(5));
+}
--- a/crates/damaskstile-escrow/tests/holder.rs
+++ b/crates/damaskstile-escrow/tests/holder.rs
@@ -249,3 +249,93 @@
     assert_eq!(urgent, Ok(()));
     assert_eq!(other, Err(Shortage::Reserved));
 }
+
+#[test]
+fn tokens_that_were_handed_over_are_gone_here_and_spent_first_there() {
+    // Symptom: an account gets more than it bought. Cause: giver and taker spend the same tokens.
+
+    // Arrange
+    let (mut giver, _) = started("one");
+    let mut taker = holder("two", 1);
+    let before = giver.free_tokens(at(10), ACCOUNT);
+
+    // Act
+    let given = giver.give(at(10), ACCOUNT, before / 2);
+    taker.take(ACCOUNT, given);
+    taker.try_reserve(at(10), ACCOUNT, given, 0).unwrap();
+    taker.release(ACCOUNT, given, given);
+
+    // Assert
+    assert_eq!(given, before / 2);
+    assert_eq!(giver.free_tokens(at(10), ACCOUNT), before - given);
+    assert_eq!(taker.free_tokens(at(10), ACCOUNT), 0);
+    // What the taker spent was the giver's, so it settles nothing of its own.
+    taker.observe(at(20), 0, Ledger::default());
+    let round = next_round(&mut taker, 20).unwrap();
+    assert_eq!(round.ledger.settled(ACCOUNT), 0);
+}
+
+#[test]
+fn an_ended_incarnation_is_settled_by_its_own_pace_with_room_for_the_clocks_error() {
+    // Symptom: an account gets more than it bought. Sequence: an instance in a small fleet is
+    // isolated and dies; its successor starts in a larger one, where isolated instances wait
+    // longer. Cause: the successor goes by its own pace, or takes the clocks for exact.
+
+    // Arrange
+    let round = last_write();
+    let entry = &round.ledger.holders["one"];
+    let (ceiling, grant) = (entry.ceilings_tokens[ACCOUNT], entry.grants_tokens[ACCOUNT]);
+    let mut crowded = round.clone();
+    for index in 0..40 {
+        let other = damaskstile_escrow::HolderEntry::default();
+        crowded.ledger.holders.insert(format!("i{index}"), other);
+    }
+    // The write was made at 1,500 ms. The grant is unlocked from 1,200 ms after it on.
+    let since_ms = 4_000;
+    let margin_ms = 300;
+
+    // Act
+    let settled = successor_settles(&crowded, 1_500 + since_ms, &stamp(1_500 + since_ms));
+    let at_the_edge = successor_settles(&round, 2_600, &stamp(2_600));
+
+    // Assert
+    let unlocked = (grant - ceiling) * (since_ms + margin_ms - 1_200) / 7_500;
+    assert!(settled.settled(ACCOUNT).abs_diff(ceiling + unlocked) <= grant / 900);
+    assert!(at_the_edge.settled(ACCOUNT) > ceiling);
+}
+
+#[test]
+fn a_boot_clock_that_began_anew_proves_nothing() {
+    // Symptom: an account gets more than it bought. Sequence: an instance writes soon after its
+    // machine started, is isolated for long, loses power, and its successor starts when the new
+    // boot clock shows a little more. Cause: readings of two runs were taken for one.
+
+    // Arrange
+    let before = stamp(1_000);
+    let mut after = stamp(60_000);
+    after.boot_ms = 1_500;
+
+    // Act and assert
+    assert_eq!(before.until(&after), Some(at(59_000)));
+    after.fleet_late_ms = None;
+    assert_eq!(before.until(&after), None);
+}
+
+#[test]
+fn an_instance_with_an_older_catalogue_grants_itself_nothing() {
+    // Symptom: an account whose sum was lowered gets more than it has. Sequence: one instance
+    // knows the new sum, another was cut off and still has the old one. Cause: whoever writes
+    // goes by the sum that it knows.
+
+    // Arrange
+    let (_, round) = started("one");
+    let mut newer = round.ledger.clone();
+    newer.catalogue_version = 9;
+    let mut behind = holder("two", 1);
+
+    // Act
+    behind.observe(at(100), 5, newer);
+
+    // Assert
+    assert_eq!(next_round(&mut behind, 100), None);
+}
