A few instances of each data centre write to the ledger and watch; the others have theirs from them

Cause: with 73 to 81 writers nearly every write met another. Fleets of up to 16 instances work as before.

--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -3,6 +3,7 @@
 mod gifts;
 mod plan;
 mod round;
+mod stewards;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -15,7 +15,7 @@
     /// and all peers can spend only what it holds. A part is divided evenly for accounts that
     /// move, and a part stays in the store for instances that come back with nothing.
     pub(super) fn target_tokens(&self, now: Duration, account: &str) -> u64 {
-        if self.is_stopping {
+        if self.is_stopping || !self.is_steward() {
             return 0;
         }
         let purse = self.purses.get(account);
@@ -28,6 +28,7 @@
         let spendable = left * (PERCENT - self.reserve_percent(left, all)) / PERCENT;
         let is_listed = self.ledger.holders.contains_key(&self.identity.instance);
         let instances = self.ledger.holders.len() + usize::from(!is_listed);
+        let instances = instances.min(self.stewards_max());
         let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
 
         let wanted = purse.map_or(0, |purse| purse.wanted_tokens);
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -148,8 +148,9 @@
     /// Returns how much slower rounds are than in a small fleet. All instances write to one
     /// ledger, so with many each writes less often, and holds tokens for longer.
     pub(super) fn scale(&self) -> u32 {
-        let instances = u32::try_from(self.ledger.holders.len()).unwrap_or(u32::MAX);
-        instances.div_ceil(self.options.small_fleet).max(1)
+        let writers = self.ledger.holders.len().min(self.stewards_max());
+        let writers = u32::try_from(writers).unwrap_or(u32::MAX);
+        writers.div_ceil(self.options.small_fleet).max(1)
     }
 
     /// Makes the next round due at once, after a conflict.
@@ -167,7 +168,7 @@
     pub fn is_handed_back(&self) -> bool {
         self.purses
             .values()
-            .all(|purse| purse.unsettled() == 0 && purse.granted() == purse.reserved_tokens)
+            .all(|purse| purse.unsettled() == 0 && purse.granted() <= purse.reserved_tokens)
     }
 
     /// Returns the write that is due, if one is. At most one is under way at a time.
@@ -271,6 +272,11 @@
         if self.is_stopping {
             return !self.is_handed_back();
         }
+        if !self.is_steward() {
+            let holds = |entry: &HolderEntry| !entry.demand_tokens_per_s.is_empty();
+            let entry = self.ledger.holders.get(&self.identity.instance);
+            return !self.is_handed_back() || entry.is_some_and(holds);
+        }
         if self.has_estate_to_settle(now) {
             return true;
         }
@@ -318,6 +324,7 @@
             data_centre: self.identity.data_centre.clone(),
             ..HolderEntry::default()
         };
+        let is_steward = self.is_steward();
         let mut sums = BTreeMap::new();
         let accounts: Vec<AccountId> = self.prepaid_tokens.keys().cloned().collect();
         for account in accounts {
@@ -326,7 +333,11 @@
             purse.wanted_tokens = 0;
             ledger.settle(&account, purse.unsettled());
             let grant = of_account.allowed_tokens - of_account.settled_tokens;
-            let demand = purse.demand.tokens_per_s(now);
+            let demand = if is_steward {
+                purse.demand.tokens_per_s(now)
+            } else {
+                0
+            };
             let ceiling = of_account.ceiling_tokens - of_account.settled_tokens;
             if ceiling > 0 {
                 entry.ceilings_tokens.insert(account.clone(), ceiling);
@@ -334,7 +345,7 @@
             if grant > 0 {
                 entry.grants_tokens.insert(account.clone(), grant);
             }
-            let urgent = purse.urgent_demand.tokens_per_s(now);
+            let urgent = purse.urgent_demand.tokens_per_s(now).min(demand);
             if urgent > 0 {
                 entry.urgent_tokens_per_s.insert(account.clone(), urgent);
             }
@@ -366,6 +377,15 @@
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let pool = ledger.pool(account, prepaid);
         let needed = purse.used_tokens + purse.reserved_tokens;
+        if !self.is_steward() {
+            // What peers handed over covers the calls under way; nothing more is taken for them.
+            let allowed_tokens = needed.min(purse.allowed_tokens).max(purse.used_tokens);
+            return Sums {
+                allowed_tokens,
+                ceiling_tokens: allowed_tokens,
+                settled_tokens: purse.used_tokens,
+            };
+        }
         let wanted = needed + self.target_tokens(now, account);
         let reachable = purse.allowed_tokens + pool;
         // What is reserved stays covered even where the sums were lowered meanwhile.
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -10,6 +10,10 @@
     /// Instances up to which rounds come at that interval. So many writes a second meet a write of
     /// another instance, 8 ms long, about once in ten times.
     pub small_fleet: u32,
+    /// Instances of each data centre that write to the ledger in a larger fleet.
+    pub stewards_per_data_centre: usize,
+    /// Demand that an instance holds that has its tokens from a steward, as a time.
+    pub gift_horizon: Duration,
     /// Time between two rounds while tokens are short here. Longer than a call to the store
     /// takes, so that a burst of refusals does not become a burst of calls.
     pub urgent_interval: Duration,
@@ -56,6 +60,8 @@
         Self {
             round_interval: Duration::from_secs(1),
             small_fleet: 16,
+            stewards_per_data_centre: 3,
+            gift_horizon: Duration::from_secs(8),
             urgent_interval: Duration::from_millis(20),
             horizon: Duration::from_secs(12),
             reserve_percent: 15,
--- a/crates/damaskstile-escrow/tests/holder.rs
+++ b/crates/damaskstile-escrow/tests/holder.rs
@@ -260,14 +260,14 @@
     let before = giver.free_tokens(at(10), ACCOUNT);
 
     // Act
-    let given = giver.give(at(10), ACCOUNT, before / 2);
-    taker.take(ACCOUNT, given);
-    taker.try_reserve(at(10), ACCOUNT, given, 0).unwrap();
-    taker.release(ACCOUNT, given, given);
+    let gift = giver.give(at(10), ACCOUNT, before / 2);
+    taker.take(ACCOUNT, gift);
+    taker.try_reserve(at(10), ACCOUNT, gift, 0).unwrap();
+    taker.release(ACCOUNT, gift, gift);
 
     // Assert
-    assert_eq!(given, before / 2);
-    assert_eq!(giver.free_tokens(at(10), ACCOUNT), before - given);
+    assert_eq!(gift, before / 2);
+    assert_eq!(giver.free_tokens(at(10), ACCOUNT), before - gift);
     assert_eq!(taker.free_tokens(at(10), ACCOUNT), 0);
     // What the taker spent was the giver's, so it settles nothing of its own.
     taker.observe(at(20), 0, Ledger::default());
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -10,6 +10,10 @@
 /// Longest time that one watch waits. Each further one is a call to the store; a connection that
 /// fell silent is found by its keep-alive long before.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time between two lists of an instance that hears of changes from peers.
+const FOLLOWER_INTERVAL: Duration = Duration::from_secs(8);
+/// Time between two looks at whether it must watch itself.
+const FOLLOWER_LOOK: Duration = Duration::from_millis(500);
 /// Pause after a call that failed. Short beside the time within which a change must be in force.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -35,7 +39,11 @@
                 note_answer(&gateway);
                 let version = listing.version;
                 take_all(&gateway, followed, &listing);
-                watch(&gateway, followed, kind, version).await;
+                if gateway.state().holder.is_steward() {
+                    watch(&gateway, followed, kind, version).await;
+                } else {
+                    rest(&gateway).await;
+                }
             }
             Err(error) => note_failure(&gateway, &error),
         }
@@ -43,6 +51,15 @@
     }
 }
 
+/// Waits, as an instance of a large fleet that hears of changes from peers. It still lists now and
+/// then, in case that it hears of nobody.
+async fn rest(gateway: &Gateway) {
+    let until = gateway.now() + FOLLOWER_INTERVAL;
+    while gateway.now() < until && !gateway.state().holder.is_steward() {
+        tokio::time::sleep(FOLLOWER_LOOK).await;
+    }
+}
+
 /// Watches until a call fails; then the list is read anew.
 async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
     loop {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -71,6 +71,7 @@
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
     tokio::spawn(Arc::clone(&peers).tell());
     tokio::spawn(Arc::clone(&peers).beg());
+    tokio::spawn(Arc::clone(&peers).provide());
     tokio::spawn(Arc::clone(&peers).tell_changes(changes));
     tokio::spawn(peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -13,6 +13,8 @@
     pub incarnation: Incarnation,
     /// Its address.
     pub address: SocketAddr,
+    /// Whether it takes tokens from the ledger.
+    pub is_steward: bool,
     /// When the digest came.
     pub heard_at: Duration,
     /// Tokens that it could reserve at once.
@@ -36,6 +38,7 @@
         Self {
             incarnation,
             address,
+            is_steward: digest.is_steward,
             heard_at: now,
             free_tokens,
         }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -40,6 +40,8 @@
 const PULL_DELAY: Duration = Duration::from_millis(80);
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
+/// Time between two looks at what will be lacking.
+const PROVIDE_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -85,6 +87,10 @@
             for (address, ask) in self.asks() {
                 self.send(address, DatagramBody::Ask(ask)).await;
             }
+            for (address, gift) in self.returns() {
+                self.note_gift(EventCode::TokensGiven, "steward", &gift);
+                self.send(address, DatagramBody::Give(gift)).await;
+            }
         }
     }
 
@@ -98,7 +104,7 @@
                 continue;
             }
             let bytes = Bytes::from(bytes);
-            for address in self.addresses() {
+            for address in self.writers() {
                 self.send(address, DatagramBody::Change(bytes.clone()))
                     .await;
             }
@@ -158,29 +164,67 @@
             .await;
     }
 
+    /// Returns the addresses of the peers that a digest goes to: all of a small fleet. In a large
+    /// one it goes to some by chance, and from those that hand out tokens also to all of their
+    /// data centre, which must know what there is.
     fn addresses(&self) -> Vec<SocketAddr> {
-        let own = self.gateway.options.peers_address;
-        let mut state = self.gateway.state();
-        let mut known: BTreeSet<SocketAddr> = state
-            .holder
-            .ledger()
-            .holders
-            .values()
-            .filter_map(|holder| holder.address.parse().ok())
-            .collect();
-        known.extend(state.members.values().map(|member| member.address));
-        if known.len() <= 1 {
-            known.extend(&self.gateway.options.seeds);
+        let gateway = &self.gateway;
+        let mut state = gateway.state();
+        let holders = &state.holder.ledger().holders;
+        let of = |is_near: bool| -> BTreeSet<SocketAddr> {
+            let own = &gateway.options.identity.data_centre;
+            holders
+                .values()
+                .filter(|holder| (&holder.data_centre == own) == is_near)
+                .filter_map(|holder| holder.address.parse().ok())
+                .collect()
+        };
+        let (mut near, mut far) = (of(true), of(false));
+        far.extend(state.members.values().map(|member| member.address));
+        if near.len() + far.len() <= 1 {
+            far.extend(&gateway.options.seeds);
+        }
+        let is_all = near.len() + far.len() <= DIGEST_FANOUT || state.holder.is_steward();
+        if !is_all {
+            far.append(&mut near);
         }
-        known.remove(&own);
-        let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
+        let mut addresses: Vec<SocketAddr> = far.difference(&near).copied().collect();
         while addresses.len() > DIGEST_FANOUT {
             let index = state.random.index(addresses.len());
             addresses.swap_remove(index);
         }
+        addresses.extend(near);
+        addresses.retain(|address| *address != gateway.options.peers_address);
         addresses
     }
 
+    /// Returns the addresses of the other instances that write to the ledger.
+    fn writers(&self) -> Vec<SocketAddr> {
+        let own = self.gateway.options.peers_address;
+        let addresses = self.gateway.state().holder.steward_addresses();
+        addresses
+            .iter()
+            .filter_map(|address| address.parse().ok())
+            .filter(|address| *address != own)
+            .collect()
+    }
+
+    /// Has tokens fetched before calls lack them, where this instance has its tokens from others.
+    pub async fn provide(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PROVIDE_INTERVAL).await;
+            let now = self.gateway.now();
+            let mut state = self.gateway.state();
+            let lacking = state.holder.lacking_tokens(now);
+            let is_any = !lacking.is_empty();
+            state.wanted_tokens.extend(lacking);
+            drop(state);
+            if is_any {
+                self.gateway.tokens_wanted.notify_one();
+            }
+        }
+    }
+
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
         let state = self.gateway.state();
@@ -202,6 +246,7 @@
             vanished: state.book.left_targets(now, false),
             free,
             is_stopping: state.is_stopping,
+            is_steward: state.holder.is_steward(),
         }
     }
 
@@ -214,12 +259,38 @@
         wanted
             .into_iter()
             .filter_map(|(account, tokens)| {
-                let address = state.richest_member(now, &account, tokens)?;
+                let address = state.provider(now, &account, tokens)?;
                 Some((address, AskTokens { account, tokens }))
             })
             .collect()
     }
 
+    /// Makes the gifts that hand back at a stop what came as gifts.
+    fn returns(&self) -> Vec<(SocketAddr, GiveTokens)> {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        if !state.is_stopping {
+            return Vec::new();
+        }
+        let spare = state.holder.take_back_gifts();
+        let mut gifts = Vec::new();
+        for (account, tokens) in spare {
+            if let Some(address) = state.provider(now, &account, 0) {
+                state.gifts_made += 1;
+                let gift = state.gifts_made;
+                gifts.push((
+                    address,
+                    GiveTokens {
+                        account,
+                        tokens,
+                        gift,
+                    },
+                ));
+            }
+        }
+        gifts
+    }
+
     async fn take(&self, datagram: Datagram, from: SocketAddr) {
         let Some(body) = datagram.body else {
             return;
@@ -250,7 +321,12 @@
             }
         }
         // In touch with the store, the own list is newer than what peers say of it.
-        for target in digest.vanished.iter().filter(|_| is_store_lost) {
+        let is_follower = !state.holder.is_steward();
+        for target in digest
+            .vanished
+            .iter()
+            .filter(|_| is_store_lost || is_follower)
+        {
             if state.book.vanish(now, target) {
                 left.push(target.clone());
             }
@@ -273,7 +349,7 @@
             );
         }
         if lacks_catalogue {
-            let delay = if is_store_lost {
+            let delay = if is_store_lost || is_follower {
                 Duration::ZERO
             } else {
                 PULL_DELAY
@@ -301,10 +377,13 @@
         let now = self.gateway.now();
         let (tokens, gift) = {
             let mut state = self.gateway.state();
-            let tokens = state.holder.give(now, &ask.account, ask.tokens);
+            let tokens = state.holder.answer_ask(now, &ask.account, ask.tokens);
             state.gifts_made += u64::from(tokens > 0);
             (tokens, state.gifts_made)
         };
+        if tokens < ask.tokens {
+            self.gateway.round_wanted.notify_one();
+        }
         if tokens == 0 {
             return;
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -35,6 +35,9 @@
     /// Tokens that the sender could reserve at once.
     #[prost(message, repeated, tag = "6")]
     pub free: Vec<AccountTokens>,
+    /// Whether the sender takes tokens from the ledger.
+    #[prost(bool, tag = "9")]
+    pub is_steward: bool,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -164,6 +164,20 @@
             .map(|(_, address)| address)
     }
 
+    /// Returns the address of a peer to ask for tokens: the one that said it has most, or else one
+    /// that takes tokens from the ledger and can have them fetched.
+    #[must_use]
+    pub fn provider(&self, now: Duration, account: &str, tokens: u64) -> Option<SocketAddr> {
+        let richest = self.richest_member(now, account, tokens);
+        richest.or_else(|| {
+            self.members
+                .values()
+                .filter(|member| member.is_steward && !self.holder.is_steward())
+                .max_by_key(|member| member.heard_at)
+                .map(|member| member.address)
+        })
+    }
+
     /// Takes one retry from the instance's part of the fleet's budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -49,6 +49,8 @@
 }
 
 async fn hand_back(gateway: &Gateway, until: Duration) {
+    // What peers handed over goes back to them, the rest to the store.
+    gateway.tokens_wanted.notify_one();
     while gateway.now() < until {
         if gateway.state().holder.is_handed_back() {
             gateway.log(EventCode::StopDone, &[]);
