--- a/crates/damaskstile-escrow/src/holder/gifts.rs
+++ b/crates/damaskstile-escrow/src/holder/gifts.rs
@@ -34,9 +34,7 @@
 
     /// Answers a peer's question for tokens; returns how many are handed over.
     pub fn answer_ask(&mut self, now: Duration, account: &str, wanted_tokens: u64) -> u64 {
-        let small_fleet = usize::try_from(self.options.small_fleet).unwrap_or(usize::MAX);
-        let is_large = self.ledger.holders.len() > small_fleet;
-        if is_large && self.is_steward() {
+        if self.is_large_fleet() && self.is_steward() {
             self.hand_out(now, account, wanted_tokens)
         } else {
             self.give(now, account, wanted_tokens)
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -139,12 +139,25 @@
     /// Tells whether the host should read the ledger before it asks for a write.
     #[must_use]
     pub fn needs_read(&self, now: Duration) -> bool {
-        let is_old = self
-            .ledger_age(now)
-            .is_none_or(|age| age >= self.options.round_interval * self.scale());
+        let read_interval = if self.is_steward() {
+            self.options.round_interval * self.scale()
+        } else {
+            self.options.follower_read_interval
+        };
+        let is_old = self.ledger_age(now).is_none_or(|age| age >= read_interval);
         self.seen_at.is_none() || self.is_in_doubt || (self.is_short && is_old)
     }
 
+    /// Returns the time between two rounds while tokens are short. Stewards of a large fleet are
+    /// short for others, who ask ahead of their need.
+    fn urgent_interval(&self) -> Duration {
+        if self.is_large_fleet() {
+            self.options.large_urgent_interval
+        } else {
+            self.options.urgent_interval
+        }
+    }
+
     /// Returns how much slower rounds are than in a small fleet. All instances write to one
     /// ledger, so with many each writes less often, and holds tokens for longer.
     pub(super) fn scale(&self) -> u32 {
@@ -181,7 +194,7 @@
             return None;
         }
         let interval = if self.is_short || self.is_stopping {
-            self.options.urgent_interval
+            self.urgent_interval()
         } else {
             self.options.round_interval * self.scale()
         };
--- a/crates/damaskstile-escrow/src/holder/stewards.rs
+++ b/crates/damaskstile-escrow/src/holder/stewards.rs
@@ -17,6 +17,12 @@
         self.is_steward_of(own, &self.identity.data_centre)
     }
 
+    /// Tells whether only some instances take tokens from the ledger.
+    pub(super) fn is_large_fleet(&self) -> bool {
+        let small_fleet = usize::try_from(self.options.small_fleet).unwrap_or(usize::MAX);
+        self.ledger.holders.len() > small_fleet
+    }
+
     /// Returns the addresses of the instances that take tokens from the ledger.
     #[must_use]
     pub fn steward_addresses(&self) -> Vec<String> {
@@ -29,8 +35,7 @@
     }
 
     fn is_steward_of(&self, instance: &str, data_centre: &str) -> bool {
-        let small_fleet = usize::try_from(self.options.small_fleet).unwrap_or(usize::MAX);
-        if self.ledger.holders.len() <= small_fleet {
+        if !self.is_large_fleet() {
             return true;
         }
         let rank_of = |instance: &str| stable_hash(&["steward", instance]);
@@ -53,9 +58,8 @@
             .values()
             .map(|entry| &entry.data_centre)
             .collect();
-        let small_fleet = usize::try_from(self.options.small_fleet).unwrap_or(usize::MAX);
-        if self.ledger.holders.len() <= small_fleet {
-            return small_fleet;
+        if !self.is_large_fleet() {
+            return usize::MAX;
         }
         data_centres.len().max(1) * self.options.stewards_per_data_centre
     }
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -12,6 +12,10 @@
     pub small_fleet: u32,
     /// Instances of each data centre that write to the ledger in a larger fleet.
     pub stewards_per_data_centre: usize,
+    /// Time between two rounds while tokens are short in a large fleet.
+    pub large_urgent_interval: Duration,
+    /// Time between two reads of an instance that has its tokens from a steward and is short.
+    pub follower_read_interval: Duration,
     /// Demand that an instance holds that has its tokens from a steward, as a time.
     pub gift_horizon: Duration,
     /// Time between two rounds while tokens are short here. Longer than a call to the store
@@ -61,6 +65,8 @@
             round_interval: Duration::from_secs(1),
             small_fleet: 16,
             stewards_per_data_centre: 3,
+            large_urgent_interval: Duration::from_millis(120),
+            follower_read_interval: Duration::from_secs(10),
             gift_horizon: Duration::from_secs(8),
             urgent_interval: Duration::from_millis(20),
             horizon: Duration::from_secs(12),
