--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -11,9 +11,12 @@
 /// fell silent is found by its keep-alive long before.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time between two lists of an instance that hears of changes from peers.
-const FOLLOWER_INTERVAL: Duration = Duration::from_secs(8);
+const FOLLOWER_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two looks at whether it must watch itself.
 const FOLLOWER_LOOK: Duration = Duration::from_millis(500);
+/// Pause after changes, so that a burst of them comes with one call. Small beside the two seconds
+/// within which a change must be in force.
+const BURST_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a call that failed. Short beside the time within which a change must be in force.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -60,19 +63,27 @@
     }
 }
 
-/// Watches until a call fails; then the list is read anew.
+/// Watches until a call fails, then the list is read anew, or until this instance hears of changes
+/// from peers.
 async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
     loop {
         match gateway.store.watch(kind, version, WATCH_WAIT).await {
             Ok((changes, next)) => {
                 note_answer(gateway);
                 version = next;
+                let is_burst = !changes.is_empty();
                 for change in changes {
                     take_change(gateway, followed, change);
                 }
                 if followed == Followed::Targets {
                     gateway.state().targets_version = version;
                 }
+                if !gateway.state().holder.is_steward() {
+                    return;
+                }
+                if is_burst {
+                    tokio::time::sleep(BURST_PAUSE).await;
+                }
             }
             Err(error) => {
                 note_failure(gateway, &error);
