--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -13,7 +13,7 @@
 /// Time between two lists of an instance that hears of changes from peers.
 const FOLLOWER_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two looks at whether it must watch itself.
-const FOLLOWER_LOOK: Duration = Duration::from_millis(500);
+const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
 /// Pause after changes, so that a burst of them comes with one call. Small beside the two seconds
 /// within which a change must be in force.
 const BURST_PAUSE: Duration = Duration::from_millis(100);
@@ -42,7 +42,7 @@
                 note_answer(&gateway);
                 let version = listing.version;
                 take_all(&gateway, followed, &listing);
-                if gateway.state().holder.is_steward() {
+                if must_watch(&gateway) {
                     watch(&gateway, followed, kind, version).await;
                 } else {
                     rest(&gateway).await;
@@ -58,11 +58,16 @@
 /// then, in case that it hears of nobody.
 async fn rest(gateway: &Gateway) {
     let until = gateway.now() + FOLLOWER_INTERVAL;
-    while gateway.now() < until && !gateway.state().holder.is_steward() {
+    while gateway.now() < until && !must_watch(gateway) {
         tokio::time::sleep(FOLLOWER_LOOK).await;
     }
 }
 
+fn must_watch(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    gateway.state().must_watch(now)
+}
+
 /// Watches until a call fails, then the list is read anew, or until this instance hears of changes
 /// from peers.
 async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
@@ -78,7 +83,7 @@
                 if followed == Followed::Targets {
                     gateway.state().targets_version = version;
                 }
-                if !gateway.state().holder.is_steward() {
+                if !must_watch(gateway) {
                     return;
                 }
                 if is_burst {
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Whether it takes tokens from the ledger.
     pub is_steward: bool,
+    /// Age of the store's last word to it.
+    pub store_age: Duration,
     /// When the digest came.
     pub heard_at: Duration,
     /// Tokens that it could reserve at once.
@@ -39,6 +41,7 @@
             incarnation,
             address,
             is_steward: digest.is_steward,
+            store_age: Duration::from_millis(digest.store_age_ms),
             heard_at: now,
             free_tokens,
         }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -21,7 +21,7 @@
 
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
-pub use pull::serve as serve_pulls;
+pub use pull::{Pulled, serve as serve_pulls};
 pub use tokens::{AskTokens, GiveTokens};
 
 use crate::gateway::Gateway;
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -18,11 +18,20 @@
 
 /// Largest frame: a stored object with room for its name.
 const FRAME_BYTES_MAX: usize = 2 * 1024 * 1024;
-/// Time that a pull may take.
-const PULL_LIMIT: Duration = Duration::from_millis(800);
+/// Time that a pull may take: 100 KB for each of ten peers at once over 10 Mbit/s, with room.
+const PULL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// `Pulled` is what can be pulled from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pulled {
+    /// The catalogue.
+    Catalogue,
+    /// The list of targets.
+    Targets,
+}
+
 /// `Wanted` is what an instance lacks, with the version that the peer has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Wanted {
@@ -71,7 +80,21 @@
 
 /// Pulls from a peer, unless the store was faster.
 pub(super) async fn pull(gateway: Arc<Gateway>, peer: SocketAddr, wanted: Wanted, delay: Duration) {
+    let pulled = match wanted {
+        Wanted::Catalogue(_) => Pulled::Catalogue,
+        Wanted::Targets(_) => Pulled::Targets,
+    };
+    // One at a time: many digests tell of the same version, and pulls beside each other would
+    // only share the peers' links until all of them take too long.
+    if !gateway.state().pulling.insert(pulled) {
+        return;
+    }
     tokio::time::sleep(delay).await;
+    pull_once(&gateway, peer, wanted).await;
+    gateway.state().pulling.remove(&pulled);
+}
+
+async fn pull_once(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) {
     let lacks = {
         let state = gateway.state();
         match wanted {
@@ -90,14 +113,14 @@
     };
     let source = peer.to_string();
     if is_targets {
-        take_targets(&gateway, answer, &source);
+        take_targets(gateway, answer, &source);
     } else {
         let object = StoredObject {
             name: answer.name,
             version: answer.version,
             content: answer.content,
         };
-        take_catalogue(&gateway, &object, &source);
+        take_catalogue(gateway, &object, &source);
     }
 }
 
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
+use crate::peers::Pulled;
 
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
@@ -23,6 +24,10 @@
 /// Age past which a peer's digest says nothing of what it has.
 const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Age past which what a peer says of the store is no longer taken for news: three digests and a
+/// call to the store.
+const TOLD_AGE_MAX: Duration = Duration::from_millis(1_800);
+
 /// `Terms` are what the catalogue in force says of a call.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -59,6 +64,8 @@
     pub members: BTreeMap<InstanceId, Member>,
     /// The fleet's time.
     pub fleet_clock: FleetClock,
+    /// Whether a catalogue, or a list of targets, is being pulled from a peer.
+    pub pulling: BTreeSet<Pulled>,
     /// Tokens that calls here lack, by account.
     pub wanted_tokens: BTreeMap<AccountId, u64>,
     /// Gifts of tokens that were made.
@@ -90,6 +97,7 @@
             targets_version: 0,
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
+            pulling: BTreeSet::new(),
             wanted_tokens: BTreeMap::new(),
             gifts_made: 0,
             gifts_taken: BTreeMap::new(),
@@ -178,6 +186,17 @@
         })
     }
 
+    /// Tells whether this instance must watch the store itself: it takes tokens from the ledger, or
+    /// it has not heard lately from a peer that does and that the store answers.
+    #[must_use]
+    pub fn must_watch(&self, now: Duration) -> bool {
+        let is_told = self.members.values().any(|member| {
+            member.is_steward
+                && now.saturating_sub(member.heard_at) + member.store_age < TOLD_AGE_MAX
+        });
+        self.holder.is_steward() || !is_told
+    }
+
     /// Takes one retry from the instance's part of the fleet's budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
