--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -45,7 +45,7 @@
                 if must_watch(&gateway) {
                     watch(&gateway, followed, kind, version).await;
                 } else {
-                    rest(&gateway).await;
+                    rest(&gateway, followed).await;
                 }
             }
             Err(error) => note_failure(&gateway, &error),
@@ -56,10 +56,18 @@
 
 /// Waits, as an instance of a large fleet that hears of changes from peers. It still lists now and
 /// then, in case that it hears of nobody.
-async fn rest(gateway: &Gateway) {
+async fn rest(gateway: &Gateway, followed: Followed) {
     let until = gateway.now() + FOLLOWER_INTERVAL;
     while gateway.now() < until && !must_watch(gateway) {
-        tokio::time::sleep(FOLLOWER_LOOK).await;
+        let look = tokio::time::sleep(FOLLOWER_LOOK);
+        if followed == Followed::Targets {
+            look.await;
+            continue;
+        }
+        tokio::select! {
+            () = look => {}
+            () = gateway.catalogue_wanted.notified() => return,
+        }
     }
 }
 
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -47,6 +47,8 @@
     pub round_done: Notify,
     /// Own writes to the ledger, for the duty that tells peers.
     pub changes: mpsc::Sender<LedgerChange>,
+    /// Wakes the duty that reads the catalogue, where a peer has a newer one.
+    pub catalogue_wanted: Notify,
     /// Wakes the duty that tells peers.
     pub news: Notify,
     /// Wakes the duty that asks peers for tokens.
@@ -85,6 +87,7 @@
             log,
             round_wanted: Notify::new(),
             round_done: Notify::new(),
+            catalogue_wanted: Notify::new(),
             news: Notify::new(),
             tokens_wanted: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -348,7 +348,10 @@
                 &[("target", &target), ("source", from)],
             );
         }
-        if lacks_catalogue {
+        if lacks_catalogue && is_follower && !is_store_lost {
+            // A large catalogue is read faster from the store than from a peer with a narrow link.
+            gateway.catalogue_wanted.notify_one();
+        } else if lacks_catalogue {
             let delay = if is_store_lost || is_follower {
                 Duration::ZERO
             } else {
