--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -68,6 +68,7 @@
     RoundWritten = 211, "info", "The ledger took a round of this instance.";
     RoundInDoubt = 212, "warn", "A round got no clear answer; what it may have given up stays unused.";
     RoundRefused = 213, "info", "A round was not taken, since the ledger had changed or the store refused.";
+    EstateSettled = 214, "info", "Tokens of an ended incarnation were written off or came back.";
     ClaimRepeated = 301, "info", "A non-idempotent request was repeated and not run again.";
     ClaimInvalid = 302, "error", "A stored claim table could not be read.";
     PeerFrameInvalid = 401, "warn", "A frame from a peer could not be decoded.";
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -15,6 +15,7 @@
 use crate::purse::{Purse, Rank};
 use crate::shortage::Shortage;
 use crate::stamp::Stamp;
+use crate::standing::Standing;
 
 use round::Pending;
 pub use round::Round;
@@ -161,6 +162,16 @@
         self.prepaid_tokens.keys()
     }
 
+    /// Returns how an account stood in the ledger as last seen.
+    #[must_use]
+    pub fn standing(&self, account: &str) -> Standing {
+        Standing {
+            bought_tokens: self.prepaid_tokens.get(account).copied().unwrap_or(0),
+            settled_tokens: self.ledger.settled(account),
+            granted_tokens: self.ledger.granted(account),
+        }
+    }
+
     /// Returns the ledger as last seen.
     #[must_use]
     pub fn ledger(&self) -> &Ledger {
--- a/crates/damaskstile-escrow/src/holder/estates.rs
+++ b/crates/damaskstile-escrow/src/holder/estates.rs
@@ -7,6 +7,7 @@
 use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::pace::Unlocked;
+use crate::settlement::Settlement;
 use crate::stamp::Stamp;
 
 impl Holder {
@@ -31,7 +32,7 @@
 
     /// Settles the parts of this instance's earlier incarnations as far as is known when they
     /// ended: each had ended when this one started.
-    pub(super) fn settle_estates(&self, now: Duration, ledger: &mut Ledger) {
+    pub(super) fn settle_estates(&self, now: Duration, ledger: &mut Ledger) -> Vec<Settlement> {
         let own = format!("{}/", self.identity.instance);
         let names: Vec<String> = ledger
             .estates
@@ -39,23 +40,41 @@
             .filter(|name| name.starts_with(&own))
             .cloned()
             .collect();
+        let mut settlements = Vec::new();
         for name in names {
-            if let Some(unlocked) = self.estate_unlocked(now, &ledger.estates[&name]) {
+            let estate = &ledger.estates[&name];
+            if let Some((lived, unlocked)) = self.estate_unlocked(now, estate) {
+                let accounts = estate.grants_tokens.iter().map(|(account, granted)| {
+                    let spent = estate.spent_bound(account, unlocked);
+                    (account.clone(), (*granted, spent))
+                });
+                settlements.push(Settlement {
+                    estate: name.clone(),
+                    lived,
+                    accounts: accounts.collect(),
+                });
                 ledger.settle_estate(&name, unlocked);
             }
         }
+        settlements
     }
 
-    /// Returns what an ended incarnation can have unlocked; `None` while that may become known.
-    fn estate_unlocked(&self, now: Duration, estate: &HolderEntry) -> Option<Unlocked> {
+    /// Returns how long an ended incarnation can have lived after its write, if that is known, and
+    /// what it can have unlocked by then; `None` while that may become known.
+    fn estate_unlocked(
+        &self,
+        now: Duration,
+        estate: &HolderEntry,
+    ) -> Option<(Option<Duration>, Unlocked)> {
         let start = self.start.as_ref()?;
         if let Some(passed) = estate.stamp.until(start) {
-            return Some(estate.pace.unlocked(passed + self.options.clock_margin));
+            let lived = passed + self.options.clock_margin;
+            return Some((Some(lived), estate.pace.unlocked(lived)));
         }
         let waited = now.saturating_sub(self.started_at.unwrap_or(now));
         let is_hopeless =
             waited >= self.options.estate_patience || estate.stamp.fleet_early_ms.is_none();
-        is_hopeless.then_some(Unlocked::ALL)
+        is_hopeless.then_some((None, Unlocked::ALL))
     }
 
     pub(super) fn has_estate_to_settle(&self, now: Duration) -> bool {
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -6,7 +6,7 @@
 use crate::purse::Purse;
 
 /// Divisor of percentages.
-const PERCENT: u64 = 100;
+pub(super) const PERCENT: u64 = 100;
 
 impl Holder {
     /// Returns the free tokens that this instance should hold of an account.
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -3,23 +3,19 @@
 use damaskstile_core::prelude::*;
 
 use super::Holder;
-use super::plan::mul_div;
+use super::plan::{PERCENT, mul_div};
 use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::ledger_change::LedgerChange;
 use crate::pace::Pace;
 use crate::purse::Purse;
+use crate::settlement::Settlement;
 use crate::stamp::Stamp;
 
 /// Change of a grant that is worth a write, in parts of the grant. Smaller ones would have every
 /// instance write in every round.
 const WORTH_PART: u64 = 8;
 
-/// Part of what is left of a budget that may be lost with all instances, as a divisor.
-const LEFT_PART: u64 = 10;
-/// Part of the free tokens that is below the ceiling without any demand, as a divisor, so that
-/// the first calls of an account need no round.
-const FIRST_CALL_PART: u64 = 4;
 
 /// `Round` is one conditional write to the ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,6 +26,8 @@
     pub expected_version: Version,
     /// The ledger to write.
     pub ledger: Ledger,
+    /// What it writes off of ended incarnations.
+    pub settlements: Vec<Settlement>,
 }
 
 /// `Pending` is a write whose outcome is not known.
@@ -271,7 +269,7 @@
         if is_other_life {
             ledger.close(own);
         }
-        self.settle_estates(now, &mut ledger);
+        let settlements = self.settle_estates(now, &mut ledger);
         let mut entry = HolderEntry {
             incarnation: self.identity.incarnation,
             round: self.last_round,
@@ -323,6 +321,7 @@
             number: self.last_round,
             expected_version: self.ledger_version,
             ledger,
+            settlements,
         }
     }
 
@@ -368,12 +367,16 @@
             + self
                 .ledger
                 .demand_of_others(account, &self.identity.instance);
-        let of_left = mul_div(self.left_tokens(account) / LEFT_PART, own, all);
+        let of_left = mul_div(
+            self.left_tokens(account) * self.options.ceiling_left_percent / PERCENT,
+            own,
+            all,
+        );
         let calls = purse.call_tokens * self.options.ceiling_call_percent / 100;
         let ahead = until_next.saturating_add(calls).max(of_left);
         let target = self.target_tokens(now, account);
         ahead
-            .max(target / FIRST_CALL_PART)
+            .max(target * self.options.ceiling_grant_percent / PERCENT)
             .max(purse.wanted_tokens)
             .min(target)
     }
--- a/crates/damaskstile-escrow/src/lib.rs
+++ b/crates/damaskstile-escrow/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod options;
 pub mod pace;
 pub mod purse;
+pub mod settlement;
 pub mod shortage;
 pub mod stamp;
+pub mod standing;
 
 pub use entry::HolderEntry;
 pub use holder::{Holder, Round};
@@ -23,5 +25,7 @@
 pub use options::EscrowOptions;
 pub use pace::Pace;
 pub use purse::Rank;
+pub use settlement::Settlement;
 pub use shortage::Shortage;
 pub use stamp::Stamp;
+pub use standing::Standing;
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -42,6 +42,11 @@
     /// Average calls that it may spend beyond that, in percent of one, so that a large call
     /// seldom needs a round of its own.
     pub ceiling_call_percent: u64,
+    /// Part of what is left that may be lost with all instances.
+    pub ceiling_left_percent: u64,
+    /// Part of the free tokens that is below the ceiling without any demand, so that the first
+    /// calls of an account need no round.
+    pub ceiling_grant_percent: u64,
     /// Time since the last write that took effect after which an instance goes beyond its
     /// ceiling: a little more than the time between two writes, so that nothing is unlocked in
     /// touch, and less than the ceiling lasts.
@@ -78,6 +83,8 @@
             even_percent: 10,
             ceiling: Duration::from_millis(1_500),
             ceiling_call_percent: 100,
+            ceiling_left_percent: 10,
+            ceiling_grant_percent: 25,
             unlock_after: Duration::from_millis(1_200),
             unlock_span: Duration::from_millis(7_500),
             urgent_horizon: Duration::from_secs(8),
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -151,6 +151,7 @@
         self.is_over = true;
         self.reservation.finished(self.events);
         self.record.add("events", self.events);
+        self.record.add("used", self.reservation.used_tokens());
         self.record.end(EventCode::CallAnswered, "answered");
         if let Some(run) = self.run.take() {
             run.running.note(true);
@@ -164,6 +165,7 @@
         self.is_over = true;
         self.run = None;
         self.record.add("events", self.events);
+        self.record.add("used", self.reservation.used_tokens());
         self.record.add("cause", cause);
         self.record.end(EventCode::CallFailed, "broken_off");
         std::io::Error::other(cause)
--- a/crates/damaskstile-gateway/src/reservation.rs
+++ b/crates/damaskstile-gateway/src/reservation.rs
@@ -140,7 +140,9 @@
             .min(self.output_tokens_max)
     }
 
-    fn used_tokens(&self) -> u64 {
+    /// Returns the tokens that the call counts for, as far as it went.
+    #[must_use]
+    pub fn used_tokens(&self) -> u64 {
         let output_tokens = match self.used {
             Use::Nothing if self.earlier_tokens == 0 => return 0,
             Use::Nothing => 0,
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{Ledger, LedgerChange, Round};
+use damaskstile_escrow::{Ledger, LedgerChange, Round, Settlement};
 
 use crate::clock::{BootTime, own_unix_ms};
 use crate::follow::{note_answer, note_failure};
@@ -122,6 +122,9 @@
                 // Peers that miss it read the ledger instead.
                 let _ = gateway.changes.try_send(change);
             }
+            for settlement in &round.settlements {
+                note_settlement(gateway, settlement);
+            }
             let now = gateway.now();
             gateway.state().holder.written(now, version, round);
             gateway.log(EventCode::RoundWritten, &fields);
@@ -151,3 +154,15 @@
         }
     }
 }
+
+fn note_settlement(gateway: &Gateway, settlement: &Settlement) {
+    let lived = settlement.lived;
+    let lived_ms = lived.map_or_else(|| "unknown".to_owned(), |time| time.as_millis().to_string());
+    let spent_of_granted = settlement.to_string();
+    let fields = [
+        ("estate", settlement.estate.as_str()),
+        ("lived_ms", lived_ms.as_str()),
+        ("spent_of_granted", spent_of_granted.as_str()),
+    ];
+    gateway.log(EventCode::EstateSettled, &fields);
+}
