--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -69,6 +69,8 @@
     RoundInDoubt = 212, "warn", "A round got no clear answer; what it may have given up stays unused.";
     RoundRefused = 213, "info", "A round was not taken, since the ledger had changed or the store refused.";
     EstateSettled = 214, "info", "Tokens of an ended incarnation were written off or came back.";
+    ReportEntered = 215, "info", "What this instance reported stands in the ledger.";
+    WriterChanged = 216, "info", "Another instance writes to the ledger for this one.";
     ClaimRepeated = 301, "info", "A non-idempotent request was repeated and not run again.";
     ClaimInvalid = 302, "error", "A stored claim table could not be read.";
     PeerFrameInvalid = 401, "warn", "A frame from a peer could not be decoded.";
--- a/crates/damaskstile-escrow/src/entry.rs
+++ b/crates/damaskstile-escrow/src/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::pace::{Pace, Unlocked};
 use crate::stamp::Stamp;
+use crate::sums::Sums;
 
 /// `HolderEntry` is one instance's part of the ledger.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +28,8 @@
     pub pace: Pace,
     /// Part of each grant that it may spend before it counts as isolated.
     pub ceilings_tokens: BTreeMap<AccountId, u64>,
+    /// Tokens of the incarnation that count as spent.
+    pub settled_tokens: BTreeMap<AccountId, u64>,
     /// Tokens asked for in a second.
     pub demand_tokens_per_s: BTreeMap<AccountId, u64>,
     /// Part of that for the account's most urgent calls.
@@ -34,6 +37,18 @@
 }
 
 impl HolderEntry {
+    /// Returns what the incarnation may spend of an account, since its start.
+    #[must_use]
+    pub fn sums(&self, account: &str) -> Sums {
+        let of = |sums: &BTreeMap<AccountId, u64>| sums.get(account).copied().unwrap_or(0);
+        let settled_tokens = of(&self.settled_tokens);
+        Sums {
+            allowed_tokens: settled_tokens + of(&self.grants_tokens),
+            ceiling_tokens: settled_tokens + of(&self.ceilings_tokens),
+            settled_tokens,
+        }
+    }
+
     /// Returns what the incarnation can have spent of a grant, so long after the write.
     #[must_use]
     pub fn spent_bound(&self, account: &str, unlocked: Unlocked) -> u64 {
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -2,21 +2,27 @@
 
 mod estates;
 mod gifts;
+mod merge;
 mod plan;
+mod reports;
 mod round;
-mod stewards;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
 
 use crate::ledger::Ledger;
 use crate::options::EscrowOptions;
+use crate::overview::Overview;
 use crate::pace::Pace;
 use crate::purse::{Purse, Rank};
+use crate::report::Report;
 use crate::shortage::Shortage;
 use crate::stamp::Stamp;
 use crate::standing::Standing;
+use crate::sums::Sums;
 
+pub use reports::Role;
+use reports::Outstanding;
 use round::Pending;
 pub use round::Round;
 
@@ -35,6 +41,21 @@
     purses: BTreeMap<AccountId, Purse>,
     ledger: Ledger,
     ledger_version: Version,
+    /// What is known of all accounts.
+    overview: Overview,
+    role: Role,
+    /// Whether a writer is known to a member.
+    has_writer: bool,
+    /// Peers' reports to enter with the next write, with when they came.
+    inbox: BTreeMap<InstanceId, (Duration, Report)>,
+    /// The own report that has no answer yet.
+    outstanding: Option<Outstanding>,
+    /// Newest version of the ledger that a receipt or the ledger itself told of.
+    receipt_version: Version,
+    /// Incarnation that the ledger lists for this instance, where it is not this one.
+    follows: Incarnation,
+    /// Number of the write or report that stands.
+    committed_number: u64,
     seen_at: Option<Duration>,
     /// When the store itself last showed the ledger.
     touched_at: Option<Duration>,
@@ -68,6 +89,14 @@
             purses: BTreeMap::new(),
             ledger: Ledger::default(),
             ledger_version: 0,
+            overview: Overview::default(),
+            role: Role::default(),
+            has_writer: false,
+            inbox: BTreeMap::new(),
+            outstanding: None,
+            receipt_version: 0,
+            follows: 0,
+            committed_number: 0,
             seen_at: None,
             touched_at: None,
             committed_at: Duration::ZERO,
@@ -127,8 +156,13 @@
         }
         purse.wanted_tokens = purse.wanted_tokens.max(tokens);
         let shortage = self.shortage(now, account, tokens);
-        // Where no instance has the tokens, neither a read nor a write brings any.
-        self.is_short |= shortage != Shortage::Exhausted;
+        // Where no instance has the tokens, neither a read nor a write brings any. Where others
+        // have them, a member's report brings none either.
+        let may_bring = match self.role {
+            Role::Writer => shortage != Shortage::Exhausted,
+            Role::Member => shortage == Shortage::InStore,
+        };
+        self.is_short |= may_bring;
         Err(shortage)
     }
 
@@ -167,8 +201,8 @@
     pub fn standing(&self, account: &str) -> Standing {
         Standing {
             bought_tokens: self.prepaid_tokens.get(account).copied().unwrap_or(0),
-            settled_tokens: self.ledger.settled(account),
-            granted_tokens: self.ledger.granted(account),
+            settled_tokens: self.overview.account(account).settled_tokens,
+            granted_tokens: self.overview.account(account).granted_tokens,
         }
     }
 
@@ -178,6 +212,12 @@
         &self.ledger
     }
 
+    /// Returns the number of instances that the ledger lists.
+    #[must_use]
+    pub fn instances(&self) -> u64 {
+        self.overview.instances
+    }
+
     /// Returns the version of the ledger as last seen; 0 where none was.
     #[must_use]
     pub fn ledger_version(&self) -> Version {
@@ -190,6 +230,44 @@
         self.seen_at.map(|at| now.saturating_sub(at))
     }
 
+    fn was_touched_lately(&self, now: Duration) -> bool {
+        let round_interval = self.options.round_interval * self.scale();
+        self.touched_at
+            .is_some_and(|at| now.saturating_sub(at) <= round_interval * 3 / 2)
+    }
+
+    /// Sets whether a writer is known that this instance can send its reports to.
+    pub fn set_has_writer(&mut self, has_writer: bool) {
+        self.has_writer = has_writer;
+    }
+
+    /// Returns what is left of a budget, as far as is known here.
+    fn left_tokens(&self, account: &str) -> u64 {
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let unsettled = self.purses.get(account).map_or(0, Purse::unsettled);
+        prepaid
+            .saturating_sub(self.overview.account(account).settled_tokens)
+            .saturating_sub(unsettled)
+    }
+
+    /// Returns the least that any possible outcome of the writes under way leaves of an account,
+    /// without what time unlocks.
+    fn least_sums(&self, account: &str) -> Sums {
+        let committed = self.purses.get(account).map_or_else(Sums::default, |purse| Sums {
+            allowed_tokens: purse.allowed_tokens,
+            ceiling_tokens: purse.ceiling_tokens,
+            settled_tokens: purse.settled_tokens,
+        });
+        self.pending.iter().fold(committed, |least, pending| {
+            let sums = pending.sums.get(account).copied().unwrap_or_default();
+            Sums {
+                allowed_tokens: least.allowed_tokens.min(sums.allowed_tokens),
+                ceiling_tokens: least.ceiling_tokens.min(sums.ceiling_tokens),
+                settled_tokens: least.settled_tokens,
+            }
+        })
+    }
+
     /// Returns the smallest allowance that any possible outcome of the writes under way leaves.
     ///
     /// In touch with the store an instance stays below its ceiling, so that a death costs little.
@@ -223,9 +301,8 @@
         if purse.is_urgent(rank) {
             return false;
         }
-        let own = &self.identity.instance;
         let urgent = purse.urgent_demand.tokens_per_s(now)
-            + self.ledger.urgent_demand_of_others(account, own);
+            + self.overview.account(account).others_urgent_tokens_per_s;
         let kept = urgent.saturating_mul(self.options.urgent_horizon.as_secs());
         self.left_tokens(account) < kept.saturating_add(tokens)
     }
@@ -234,8 +311,14 @@
         let is_recent = self
             .ledger_age(now)
             .is_some_and(|age| age <= self.options.evidence_age);
+        let can_ask = self.role == Role::Member && self.has_writer && !self.is_in_doubt;
         if !is_recent {
-            return Shortage::Elsewhere;
+            // The answer to a report tells how the account stands.
+            return if can_ask {
+                Shortage::InStore
+            } else {
+                Shortage::Elsewhere
+            };
         }
         let purse = self.purses.get(account);
         let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
@@ -243,14 +326,14 @@
             return Shortage::Exhausted;
         }
         // A write without an answer, or none for longer than a round, tells of an isolation.
-        let is_in_touch = !self.is_in_doubt
-            && self.touched_at.is_some_and(|at| {
-                let round_interval = self.options.round_interval * self.scale();
-                now.saturating_sub(at) <= round_interval * 3 / 2
-            });
+        let is_in_touch = match self.role {
+            Role::Member => can_ask,
+            Role::Writer => !self.is_in_doubt && self.was_touched_lately(now),
+        };
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
         let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
-        if is_in_touch && tokens <= held + self.ledger.pool(account, prepaid) {
+        let pool = self.overview.account(account).pool(prepaid);
+        if is_in_touch && tokens <= held + pool {
             return Shortage::InStore;
         }
         Shortage::Elsewhere
--- a/crates/damaskstile-escrow/src/holder/estates.rs
+++ b/crates/damaskstile-escrow/src/holder/estates.rs
@@ -1,4 +1,4 @@
-//! `estates` settles the parts of this instance's earlier incarnations.
+//! `estates` settles the parts of ended incarnations.
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
@@ -7,6 +7,7 @@
 use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::pace::Unlocked;
+use crate::report::Report;
 use crate::settlement::Settlement;
 use crate::stamp::Stamp;
 
@@ -30,20 +31,25 @@
         });
     }
 
-    /// Settles the parts of this instance's earlier incarnations as far as is known when they
-    /// ended: each had ended when this one started.
-    pub(super) fn settle_estates(&self, now: Duration, ledger: &mut Ledger) -> Vec<Settlement> {
-        let own = format!("{}/", self.identity.instance);
-        let names: Vec<String> = ledger
-            .estates
-            .keys()
-            .filter(|name| name.starts_with(&own))
-            .cloned()
+    /// Tells whether this incarnation no longer waits for the fleet's time to settle what earlier
+    /// ones left.
+    pub(super) fn is_out_of_patience(&self, now: Duration) -> bool {
+        let waited = now.saturating_sub(self.started_at.unwrap_or(now));
+        waited >= self.options.estate_patience
+    }
+
+    /// Settles the parts of the earlier incarnations of an instance, as far as is known when they
+    /// ended: each had ended when the one that reports started.
+    pub(super) fn settle_estates(&self, ledger: &mut Ledger, report: &Report) -> Vec<Settlement> {
+        let names: Vec<String> = estates_of(ledger, &report.instance)
+            .map(|(name, _)| name.clone())
             .collect();
         let mut settlements = Vec::new();
         for name in names {
             let estate = &ledger.estates[&name];
-            if let Some((lived, unlocked)) = self.estate_unlocked(now, estate) {
+            let start = Some(&report.start);
+            let settled = self.estate_unlocked(start, report.is_out_of_patience, estate);
+            if let Some((lived, unlocked)) = settled {
                 let accounts = estate.grants_tokens.iter().map(|(account, granted)| {
                     let spent = estate.spent_bound(account, unlocked);
                     (account.clone(), (*granted, spent))
@@ -63,24 +69,35 @@
     /// what it can have unlocked by then; `None` while that may become known.
     fn estate_unlocked(
         &self,
-        now: Duration,
+        start: Option<&Stamp>,
+        is_out_of_patience: bool,
         estate: &HolderEntry,
     ) -> Option<(Option<Duration>, Unlocked)> {
-        let start = self.start.as_ref()?;
+        let start = start?;
         if let Some(passed) = estate.stamp.until(start) {
             let lived = passed + self.options.clock_margin;
             return Some((Some(lived), estate.pace.unlocked(lived)));
         }
-        let waited = now.saturating_sub(self.started_at.unwrap_or(now));
-        let is_hopeless =
-            waited >= self.options.estate_patience || estate.stamp.fleet_early_ms.is_none();
+        let is_hopeless = is_out_of_patience || estate.stamp.fleet_early_ms.is_none();
         is_hopeless.then_some((None, Unlocked::ALL))
     }
 
     pub(super) fn has_estate_to_settle(&self, now: Duration) -> bool {
-        let own = format!("{}/", self.identity.instance);
-        self.ledger.estates.iter().any(|(name, estate)| {
-            name.starts_with(&own) && self.estate_unlocked(now, estate).is_some()
+        let is_out_of_patience = self.is_out_of_patience(now);
+        estates_of(&self.ledger, &self.identity.instance).any(|(_, estate)| {
+            self.estate_unlocked(self.start.as_ref(), is_out_of_patience, estate)
+                .is_some()
         })
     }
 }
+
+fn estates_of<'a>(
+    ledger: &'a Ledger,
+    instance: &str,
+) -> impl Iterator<Item = (&'a String, &'a HolderEntry)> {
+    let own = format!("{instance}/");
+    ledger
+        .estates
+        .iter()
+        .filter(move |(name, _)| name.starts_with(&own))
+}
--- a/crates/damaskstile-escrow/src/holder/gifts.rs
+++ b/crates/damaskstile-escrow/src/holder/gifts.rs
@@ -3,7 +3,6 @@
 use damaskstile_core::prelude::*;
 
 use super::Holder;
-use crate::purse::Rank;
 
 /// Part of the free tokens that is handed over at most at once, as a divisor: the giver's own
 /// callers come first, and a peer that needs more asks again.
@@ -32,33 +31,23 @@
         wanted_tokens
     }
 
-    /// Answers a peer's question for tokens; returns how many are handed over.
-    pub fn answer_ask(&mut self, now: Duration, account: &str, wanted_tokens: u64) -> u64 {
-        if self.is_large_fleet() && self.is_steward() {
-            self.hand_out(now, account, wanted_tokens)
-        } else {
-            self.give(now, account, wanted_tokens)
-        }
-    }
-
-    /// Hands over as much as is wanted and can be spared to an instance that has its tokens from
-    /// this one, and has the rest fetched.
-    fn hand_out(&mut self, now: Duration, account: &str, wanted_tokens: u64) -> u64 {
-        self.note_demand(now, account, wanted_tokens, Rank::MAX);
-        let given = self.free_tokens(now, account).min(wanted_tokens);
-        if let Some(purse) = self.purses.get_mut(account) {
-            purse.add_used(given);
-            if given < wanted_tokens {
-                purse.wanted_tokens = purse.wanted_tokens.max(wanted_tokens - given);
-                self.is_short = true;
-            }
-        }
-        given
-    }
-
     /// Takes tokens that a peer handed over. The host makes sure that none is taken twice.
     pub fn take(&mut self, account: &str, tokens: u64) {
         let purse = self.purses.entry(account.to_owned()).or_default();
         purse.gift_tokens += tokens;
     }
+
+    /// Returns all that peers handed over and that is not needed here, to hand it back at a stop,
+    /// and counts it as used.
+    pub fn take_back_gifts(&mut self) -> BTreeMap<AccountId, u64> {
+        let mut gifts = BTreeMap::new();
+        for (account, purse) in &mut self.purses {
+            let spare = purse.gift_tokens.saturating_sub(purse.reserved_tokens);
+            if spare > 0 {
+                purse.gift_tokens -= spare;
+                gifts.insert(account.clone(), spare);
+            }
+        }
+        gifts
+    }
 }
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder/merge.rs
@@ -0,0 +1,193 @@
+//! `merge` enters reports into a ledger.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use super::plan::Need;
+use crate::claim::Claim;
+use crate::entry::HolderEntry;
+use crate::ledger::Ledger;
+use crate::overview::Overview;
+use crate::report::Report;
+use crate::settlement::Settlement;
+
+impl Holder {
+    /// Enters a report into a ledger, unless it is outdated: the instance's incarnations follow on
+    /// each other, and within one the numbers rise. `totals` are the ledger's, and kept up to date.
+    pub(super) fn merge(
+        &self,
+        ledger: &mut Ledger,
+        totals: &mut Overview,
+        report: &Report,
+    ) -> Vec<Settlement> {
+        let listed = ledger.holders.get(&report.instance);
+        let listed_incarnation = listed.map_or(0, |entry| entry.incarnation);
+        if listed_incarnation == report.incarnation {
+            if listed.is_some_and(|entry| entry.round >= report.number) {
+                return Vec::new();
+            }
+        } else if listed_incarnation == report.follows {
+            ledger.close(&report.instance);
+        } else {
+            return Vec::new();
+        }
+        let settlements = self.settle_estates(ledger, report);
+        if !settlements.is_empty() {
+            *totals = Overview::of_ledger(ledger, "");
+        }
+        let before = ledger.holders.remove(&report.instance).unwrap_or_default();
+        totals.instances = u64::try_from(ledger.holders.len() + 1).unwrap_or(u64::MAX);
+        let mut entry = HolderEntry {
+            incarnation: report.incarnation,
+            round: report.number,
+            stamp: report.stamp.clone(),
+            pace: report.pace,
+            address: report.address.clone(),
+            data_centre: report.data_centre.clone(),
+            ..HolderEntry::default()
+        };
+        for (account, prepaid) in &self.prepaid_tokens {
+            self.enter_account(
+                (ledger, totals),
+                (&before, &mut entry),
+                report,
+                account,
+                *prepaid,
+            );
+        }
+        ledger.holders.insert(report.instance.clone(), entry);
+        settlements
+    }
+
+    fn enter_account(
+        &self,
+        (ledger, totals): (&mut Ledger, &mut Overview),
+        (before, entry): (&HolderEntry, &mut HolderEntry),
+        report: &Report,
+        account: &AccountId,
+        prepaid: u64,
+    ) {
+        let of = |sums: &BTreeMap<AccountId, u64>| sums.get(account).copied().unwrap_or(0);
+        let claim = report.claims.get(account).copied().unwrap_or_default();
+        let settled_before = of(&before.settled_tokens);
+        let used = claim.used_tokens.max(settled_before);
+        ledger.settle(account, used - settled_before);
+
+        // What the others hold and ask for: the totals without the part of this instance.
+        let view = totals.accounts.entry(account.clone()).or_default();
+        view.settled_tokens = ledger.settled(account);
+        view.granted_tokens = view.granted_tokens.saturating_sub(of(&before.grants_tokens));
+        view.others_tokens_per_s = view
+            .others_tokens_per_s
+            .saturating_sub(of(&before.demand_tokens_per_s));
+        view.others_urgent_tokens_per_s = view
+            .others_urgent_tokens_per_s
+            .saturating_sub(of(&before.urgent_tokens_per_s));
+
+        let need = Need::new(*view, prepaid, 0, claim).among(totals.instances);
+        let target = if report.is_stopping {
+            0
+        } else {
+            self.target_tokens(&need)
+        };
+        let needed = claim.needed_tokens.max(used);
+        // What the sender may spend already stays covered, also where the sums were lowered.
+        let allowed = (needed + target)
+            .min(used + view.pool(prepaid))
+            .max(claim.kept_tokens)
+            .max(used);
+        let ahead = self.ahead_tokens(&need, target);
+        let ceiling = (needed + ahead)
+            .max(claim.ceiling_tokens)
+            .min(allowed)
+            .max(used);
+
+        let put = |sums: &mut BTreeMap<AccountId, u64>, value: u64| {
+            if value > 0 {
+                sums.insert(account.clone(), value);
+            }
+        };
+        put(&mut entry.settled_tokens, used);
+        put(&mut entry.grants_tokens, allowed - used);
+        put(&mut entry.ceilings_tokens, ceiling - used);
+        put(&mut entry.demand_tokens_per_s, claim.demand_tokens_per_s);
+        put(&mut entry.urgent_tokens_per_s, claim.urgent_tokens_per_s);
+        view.granted_tokens += allowed - used;
+        view.others_tokens_per_s += claim.demand_tokens_per_s;
+        view.others_urgent_tokens_per_s += claim.urgent_tokens_per_s;
+    }
+
+    /// Makes this instance's report, and with it the sums that the instance keeps to until it
+    /// hears what became of the report.
+    pub(super) fn make_report(&mut self, now: Duration, stamp: &crate::stamp::Stamp) -> Report {
+        self.last_round += 1;
+        let claims = self
+            .prepaid_tokens
+            .keys()
+            .map(|account| (account.clone(), self.claim(now, account)))
+            .filter(|(_, claim)| *claim != Claim::default())
+            .collect();
+        for purse in self.purses.values_mut() {
+            purse.wanted_tokens = 0;
+        }
+        Report {
+            instance: self.identity.instance.clone(),
+            incarnation: self.identity.incarnation,
+            follows: self.follows,
+            number: self.last_round,
+            stamp: stamp.clone(),
+            start: self.start.clone().unwrap_or_default(),
+            is_out_of_patience: self.is_out_of_patience(now),
+            pace: self.pace(),
+            address: self.address.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            is_stopping: self.is_stopping,
+            claims,
+        }
+    }
+
+    /// Returns what this instance says of an account. It gives up what it holds beyond its target
+    /// and keeps what covers the calls under way.
+    pub(super) fn claim(&self, now: Duration, account: &str) -> Claim {
+        let Some(purse) = self.purses.get(account) else {
+            return Claim::default();
+        };
+        let demand = purse.demand.tokens_per_s(now);
+        let mut claim = Claim {
+            used_tokens: purse.used_tokens,
+            needed_tokens: purse.used_tokens + purse.reserved_tokens,
+            demand_tokens_per_s: demand,
+            urgent_tokens_per_s: purse.urgent_demand.tokens_per_s(now).min(demand),
+            call_tokens: purse.call_tokens,
+            wanted_tokens: purse.wanted_tokens,
+            ..Claim::default()
+        };
+        let need = self.need(account, claim);
+        let target = if self.is_stopping {
+            0
+        } else {
+            self.target_tokens(&need)
+        };
+        let ahead = self.ahead_tokens(&need, target);
+        let standing = self.least_sums(account);
+        let needed = claim.needed_tokens;
+        let covered = needed.min(standing.allowed_tokens);
+        claim.kept_tokens = standing.allowed_tokens.min(needed + target);
+        claim.ceiling_tokens = standing
+            .ceiling_tokens
+            .min(needed + ahead)
+            .max(covered)
+            .min(claim.kept_tokens);
+        claim
+    }
+
+    /// Returns what the plan goes by for this instance.
+    pub(super) fn need(&self, account: &str, claim: Claim) -> Need {
+        let view = self.overview.account(account);
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let unsettled = self.purses.get(account).map_or(0, |one| one.unsettled());
+        let is_listed = self.is_listed();
+        Need::new(view, prepaid, unsettled, claim)
+            .among(self.overview.instances + u64::from(!is_listed))
+    }
+}
--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -3,35 +3,71 @@
 use damaskstile_core::prelude::*;
 
 use super::Holder;
-use crate::purse::Purse;
+use crate::claim::Claim;
+use crate::overview::AccountView;
 
 /// Divisor of percentages.
-pub(super) const PERCENT: u64 = 100;
+const PERCENT: u64 = 100;
+
+/// `Need` is what the plan goes by: how an account stands, and what one instance asks of it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need {
+    /// Tokens that are neither spent nor used anywhere, as far as is known.
+    pub left_tokens: u64,
+    /// Tokens asked for in a second at other instances.
+    pub others_tokens_per_s: u64,
+    /// Instances that share the account.
+    pub instances: u64,
+    /// What the instance says.
+    pub claim: Claim,
+}
+
+impl Need {
+    pub(super) fn new(view: AccountView, prepaid: u64, unsettled: u64, claim: Claim) -> Self {
+        Self {
+            left_tokens: prepaid
+                .saturating_sub(view.settled_tokens)
+                .saturating_sub(unsettled),
+            others_tokens_per_s: view.others_tokens_per_s,
+            instances: 1,
+            claim,
+        }
+    }
+
+    pub(super) fn among(self, instances: u64) -> Self {
+        Self {
+            instances: instances.max(1),
+            ..self
+        }
+    }
+
+    fn demand_of_all(&self) -> u64 {
+        self.claim.demand_tokens_per_s + self.others_tokens_per_s
+    }
+}
 
 impl Holder {
-    /// Returns the free tokens that this instance should hold of an account.
+    /// Returns the free tokens that an instance should hold of an account.
     ///
     /// Tokens stand where they are asked for, because an instance that is cut off from the store
     /// and all peers can spend only what it holds. A part is divided evenly for accounts that
     /// move, and a part stays in the store for instances that come back with nothing.
-    pub(super) fn target_tokens(&self, now: Duration, account: &str) -> u64 {
-        if self.is_stopping || !self.is_steward() {
-            return 0;
+    pub(super) fn target_tokens(&self, need: &Need) -> u64 {
+        let Claim {
+            demand_tokens_per_s: own,
+            call_tokens: call,
+            wanted_tokens: wanted,
+            ..
+        } = need.claim;
+        let all = need.demand_of_all();
+        let reserve_percent = self.reserve_percent(need.left_tokens, all);
+        let spendable = need.left_tokens * (PERCENT - reserve_percent) / PERCENT;
+        let instances = need.instances;
+        if own == 0 && self.is_large_fleet() {
+            // An even part for each of many instances is too small for a call, and a line in the
+            // ledger for each.
+            return wanted;
         }
-        let purse = self.purses.get(account);
-        let own = purse.map_or(0, |purse| purse.demand.tokens_per_s(now));
-        let all = own
-            + self
-                .ledger
-                .demand_of_others(account, &self.identity.instance);
-        let left = self.left_tokens(account);
-        let spendable = left * (PERCENT - self.reserve_percent(left, all)) / PERCENT;
-        let is_listed = self.ledger.holders.contains_key(&self.identity.instance);
-        let instances = self.ledger.holders.len() + usize::from(!is_listed);
-        let instances = instances.min(self.stewards_max());
-        let instances = u64::try_from(instances).unwrap_or(u64::MAX).max(1);
-
-        let wanted = purse.map_or(0, |purse| purse.wanted_tokens);
         if all == 0 {
             // Nothing is known of the demand yet: half is divided evenly.
             return (spendable / 2 / instances).max(wanted);
@@ -42,7 +78,6 @@
         let of_horizon = own.saturating_mul(self.options.horizon.as_secs());
         let share = even + by_demand.min(of_horizon);
 
-        let call = purse.map_or(0, |purse| purse.call_tokens);
         let floor = call.saturating_mul(self.options.floor_calls);
         let is_plenty = floor.saturating_mul(instances) <= spendable;
         if is_plenty {
@@ -56,9 +91,27 @@
         }
         share.max(wanted)
     }
-}
 
-impl Holder {
+    /// Returns the free tokens that an instance may spend ahead of its next write: what is asked
+    /// for until then, or its share of a part of what is left, whichever is more. Where much is
+    /// left, losing a part of it with all instances refuses nobody.
+    pub(super) fn ahead_tokens(&self, need: &Need, target: u64) -> u64 {
+        let options = &self.options;
+        let own = need.claim.demand_tokens_per_s;
+        let ceiling = options.ceiling * self.scale();
+        let until_next = u128::from(own) * ceiling.as_millis() / 1000;
+        let until_next = u64::try_from(until_next).unwrap_or(u64::MAX);
+        let of_left = need.left_tokens * options.ceiling_left_percent / PERCENT;
+        let of_left = mul_div(of_left, own, need.demand_of_all());
+        let calls = need.claim.call_tokens * options.ceiling_call_percent / PERCENT;
+        until_next
+            .saturating_add(calls)
+            .max(of_left)
+            .max(target * options.ceiling_grant_percent / PERCENT)
+            .max(need.claim.wanted_tokens)
+            .min(target)
+    }
+
     /// Returns the part of what is left that stays in the store: more of it the sooner the budget
     /// ends. Close to the end nothing is gained by holding tokens, since an isolation only delays
     /// the calls that they pay for, while whatever is held is lost with its holder.
@@ -76,19 +129,10 @@
             .saturating_sub(options.reserve_percent);
         options.reserve_percent + more * part / PERCENT
     }
-
-    /// Returns what is left of a budget, as far as is known here.
-    pub(super) fn left_tokens(&self, account: &str) -> u64 {
-        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
-        let unsettled = self.purses.get(account).map_or(0, Purse::unsettled);
-        prepaid
-            .saturating_sub(self.ledger.settled(account))
-            .saturating_sub(unsettled)
-    }
 }
 
 /// Returns `value * part / whole` without overflow.
-pub(super) fn mul_div(value: u64, part: u64, whole: u64) -> u64 {
+fn mul_div(value: u64, part: u64, whole: u64) -> u64 {
     let product = u128::from(value) * u128::from(part);
     let quotient = product / u128::from(whole.max(1));
     u64::try_from(quotient).unwrap_or(u64::MAX)
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder/reports.rs
@@ -0,0 +1,222 @@
+//! `reports` has one instance of a large fleet write to the ledger for all.
+//!
+//! One object that all instances write to grows with the fleet, and beyond some tens of instances
+//! nearly every write meets another. So the others send their reports to one writer, which enters
+//! many of them with one write and answers each with a receipt.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use super::round::Pending;
+use crate::ledger::Ledger;
+use crate::overview::Overview;
+use crate::receipt::{AccountReceipt, Receipt};
+use crate::report::Report;
+use crate::stamp::Stamp;
+use crate::sums::Sums;
+
+/// Time without an answer after which a report is in doubt: two rounds of the writer and a call
+/// to the store.
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_400);
+/// The same for a report that calls wait for, which the writer enters at once.
+const URGENT_ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Time after which a report is sent again while it has no answer. Datagrams get lost, and the
+/// writer may be another by then.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// `Role` says how what an instance has to write reaches the ledger.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Role {
+    /// It writes to the ledger itself.
+    #[default]
+    Writer,
+    /// A peer writes for it.
+    Member,
+}
+
+/// `Outstanding` is a report that has no answer yet.
+#[derive(Debug, Clone)]
+pub(super) struct Outstanding {
+    report: Report,
+    made_at: Duration,
+    sent_at: Duration,
+}
+
+impl Holder {
+    /// Sets how what there is to write reaches the ledger from now on.
+    pub fn set_role(&mut self, role: Role) {
+        if self.role != role {
+            self.role = role;
+            // The ledger as a writer needs it may be older than what receipts told.
+            self.is_in_doubt |= role == Role::Writer;
+        }
+    }
+
+    /// Returns how what there is to write reaches the ledger.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns the report to send to the writer, if one is due: a new one, or the last one again
+    /// while it has no answer.
+    ///
+    /// After a while without answers no new ones are made: while an instance is isolated each
+    /// would only begin its unlocking anew.
+    pub fn next_report(&mut self, now: Duration, stamp: &Stamp) -> Option<Report> {
+        self.note_stamp(now, stamp);
+        self.seen_at?;
+        if let Some(outstanding) = &mut self.outstanding {
+            let age = now.saturating_sub(outstanding.made_at);
+            let is_urgent = outstanding.report.is_urgent();
+            let limit = if is_urgent {
+                URGENT_ANSWER_LIMIT
+            } else {
+                ANSWER_LIMIT
+            };
+            self.is_in_doubt |= age >= limit;
+            // Calls do not wait for the answer to a report that knew nothing of them. One such
+            // report is enough: each begins the unlocking anew.
+            let is_pressing = self.is_short && !is_urgent && !self.is_in_doubt;
+            if !is_pressing {
+                let is_due = now >= outstanding.sent_at + RESEND_INTERVAL;
+                if is_due {
+                    outstanding.sent_at = now;
+                }
+                return is_due.then(|| outstanding.report.clone());
+            }
+        }
+        if !self.is_round_due(now) || !(self.is_short || self.is_worth_a_round(now)) {
+            return None;
+        }
+        self.round_at = Some(now);
+        self.is_short = false;
+        let report = self.make_report(now, stamp);
+        let sums = report.claims.iter().map(|(account, claim)| {
+            let sums = Sums {
+                allowed_tokens: claim.kept_tokens,
+                ceiling_tokens: claim.ceiling_tokens,
+                settled_tokens: claim.used_tokens,
+            };
+            (account.clone(), sums)
+        });
+        self.pending.push(Pending {
+            number: report.number,
+            expected_version: None,
+            made_at: now,
+            pace: report.pace,
+            sums: sums.collect(),
+        });
+        self.outstanding = Some(Outstanding {
+            report: report.clone(),
+            made_at: now,
+            sent_at: now,
+        });
+        Some(report)
+    }
+
+    /// Takes in a peer's report, to be entered with the next write. Returns its receipt where the
+    /// ledger has it already.
+    pub fn take_report(&mut self, now: Duration, report: Report) -> Option<Receipt> {
+        let listed = self.ledger.holders.get(&report.instance);
+        let is_entered = listed.is_some_and(|entry| {
+            entry.incarnation == report.incarnation && entry.round >= report.number
+        });
+        if is_entered {
+            let totals = Overview::of_ledger(&self.ledger, "");
+            return Some(self.receipt(&totals, &report.instance));
+        }
+        let is_newer = self.inbox.get(&report.instance).is_none_or(|(_, before)| {
+            before.incarnation != report.incarnation || before.number < report.number
+        });
+        if is_newer {
+            self.is_short |= report.is_urgent();
+            self.inbox.insert(report.instance.clone(), (now, report));
+        }
+        None
+    }
+
+    /// Returns the receipts of the instances whose reports a write entered, with their addresses.
+    #[must_use]
+    pub fn receipts(&self, reported: &BTreeMap<InstanceId, String>) -> Vec<(String, Receipt)> {
+        let totals = Overview::of_ledger(&self.ledger, "");
+        reported
+            .iter()
+            .map(|(instance, address)| (address.clone(), self.receipt(&totals, instance)))
+            .collect()
+    }
+
+    fn receipt(&self, totals: &Overview, instance: &str) -> Receipt {
+        let entry = self.ledger.holders.get(instance);
+        let accounts = self.prepaid_tokens.keys().map(|account| {
+            let of = |sums: &BTreeMap<AccountId, u64>| sums.get(account).copied().unwrap_or(0);
+            let view = totals.account(account);
+            let own_demand = entry.map_or(0, |entry| of(&entry.demand_tokens_per_s));
+            let own_urgent = entry.map_or(0, |entry| of(&entry.urgent_tokens_per_s));
+            let receipt = AccountReceipt {
+                own: entry
+                    .map(|entry| entry.sums(account))
+                    .filter(|sums| *sums != Sums::default()),
+                settled_tokens: view.settled_tokens,
+                granted_tokens: view.granted_tokens,
+                others_tokens_per_s: view.others_tokens_per_s.saturating_sub(own_demand),
+                others_urgent_tokens_per_s: view
+                    .others_urgent_tokens_per_s
+                    .saturating_sub(own_urgent),
+            };
+            (account.clone(), receipt)
+        });
+        Receipt {
+            incarnation: entry.map_or(0, |entry| entry.incarnation),
+            number: entry.map_or(0, |entry| entry.round),
+            version: self.ledger_version,
+            instances: totals.instances,
+            accounts: accounts.collect(),
+        }
+    }
+
+    /// Takes in the answer to a report; returns whether it was news.
+    pub fn take_receipt(&mut self, now: Duration, receipt: &Receipt) -> bool {
+        if receipt.version < self.receipt_version {
+            return false;
+        }
+        self.receipt_version = receipt.version;
+        self.overview = Overview::of_receipt(receipt);
+        self.seen_at = Some(now);
+        self.touched_at = Some(now);
+        if receipt.incarnation != self.identity.incarnation {
+            // The report named another predecessor than is listed; the next one names this.
+            self.follows = receipt.incarnation;
+            self.outstanding = None;
+            self.is_in_doubt = false;
+            return true;
+        }
+        let is_answered = |number: u64| number <= receipt.number;
+        if self
+            .outstanding
+            .as_ref()
+            .is_some_and(|outstanding| is_answered(outstanding.report.number))
+        {
+            self.outstanding = None;
+            self.is_in_doubt = false;
+        }
+        let sums = receipt
+            .accounts
+            .iter()
+            .map(|(account, receipt)| (account.clone(), receipt.own.unwrap_or_default()));
+        self.commit(now, receipt.number, sums.collect());
+        true
+    }
+
+    /// Removes the reports that a ledger has or will never take.
+    pub(super) fn clear_inbox(&mut self, ledger: &Ledger) {
+        self.inbox.retain(|instance, (_, report)| {
+            let listed = ledger.holders.get(instance);
+            let incarnation = listed.map_or(0, |entry| entry.incarnation);
+            if incarnation == report.incarnation {
+                return listed.is_some_and(|entry| entry.round < report.number);
+            }
+            incarnation == report.follows
+        });
+    }
+}
--- a/crates/damaskstile-escrow/src/ledger.rs
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -56,26 +56,6 @@
             .saturating_sub(self.granted(account))
     }
 
-    /// Returns the demand of all instances but one.
-    #[must_use]
-    pub fn demand_of_others(&self, account: &str, own: &str) -> u64 {
-        self.holders
-            .iter()
-            .filter(|(name, _)| name.as_str() != own)
-            .filter_map(|(_, holder)| holder.demand_tokens_per_s.get(account))
-            .sum()
-    }
-
-    /// Returns the demand of the most urgent calls at all instances but one.
-    #[must_use]
-    pub fn urgent_demand_of_others(&self, account: &str, own: &str) -> u64 {
-        self.holders
-            .iter()
-            .filter(|(name, _)| name.as_str() != own)
-            .filter_map(|(_, holder)| holder.urgent_tokens_per_s.get(account))
-            .sum()
-    }
-
     pub(crate) fn settle(&mut self, account: &str, tokens: u64) {
         if tokens > 0 {
             *self.settled_tokens.entry(account.to_owned()).or_default() += tokens;
--- a/crates/damaskstile-escrow/src/ledger_change.rs
+++ b/crates/damaskstile-escrow/src/ledger_change.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::HolderEntry;
+use crate::holder::Round;
 use crate::ledger::Ledger;
 
 /// `LedgerChange` is what one write changed in the ledger.
@@ -27,21 +28,22 @@
 }
 
 impl LedgerChange {
-    /// Makes the change that an instance's write made; `None` where the ledger has no part of it.
+    /// Makes the change that an instance's write made, with the version that came of it; `None`
+    /// where the write changed parts of other instances too. Told as a change of the writer alone,
+    /// it would leave peers with a ledger that was never stored.
     ///
     /// ```
-    /// use damaskstile_escrow::{Ledger, LedgerChange};
-    /// assert!(LedgerChange::try_new(&Ledger::default(), "one", 1, 2).is_none());
+    /// use damaskstile_escrow::{LedgerChange, Round};
+    /// assert!(LedgerChange::try_new(&Round::default(), "one", 2).is_none());
     /// ```
     #[must_use]
-    pub fn try_new(
-        ledger: &Ledger,
-        instance: &str,
-        follows: Version,
-        version: Version,
-    ) -> Option<Self> {
+    pub fn try_new(round: &Round, instance: &str, version: Version) -> Option<Self> {
+        if !round.reported.is_empty() {
+            return None;
+        }
+        let ledger = &round.ledger;
         Some(Self {
-            follows,
+            follows: round.expected_version,
             version,
             catalogue_version: ledger.catalogue_version,
             instance: instance.to_owned(),
--- a/crates/damaskstile-escrow/src/lib.rs
+++ b/crates/damaskstile-escrow/src/lib.rs
@@ -5,27 +5,37 @@
 //! [`Holder`] is one instance's part: it reserves the worst case of each call before the call is
 //! sent, and writes to the ledger under the condition that nobody else has written meanwhile.
 
+pub mod claim;
 pub mod demand;
 pub mod entry;
 pub mod holder;
 pub mod ledger;
 pub mod ledger_change;
 pub mod options;
+pub mod overview;
 pub mod pace;
 pub mod purse;
+pub mod receipt;
+pub mod report;
 pub mod settlement;
 pub mod shortage;
 pub mod stamp;
 pub mod standing;
+pub mod sums;
 
+pub use claim::Claim;
 pub use entry::HolderEntry;
-pub use holder::{Holder, Round};
+pub use holder::{Holder, Role, Round};
 pub use ledger::Ledger;
 pub use ledger_change::LedgerChange;
 pub use options::EscrowOptions;
+pub use overview::{AccountView, Overview};
 pub use pace::Pace;
 pub use purse::Rank;
+pub use receipt::{AccountReceipt, Receipt};
+pub use report::Report;
 pub use settlement::Settlement;
 pub use shortage::Shortage;
 pub use stamp::Stamp;
 pub use standing::Standing;
+pub use sums::Sums;
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -7,17 +7,14 @@
 pub struct EscrowOptions {
     /// Time between two rounds of an instance that has something to write.
     pub round_interval: Duration,
-    /// Instances up to which rounds come at that interval. So many writes a second meet a write of
-    /// another instance, 8 ms long, about once in ten times.
+    /// Instances up to which each writes to the ledger itself. So many writes a second meet a
+    /// write of another instance, 8 ms long, about once in ten times.
     pub small_fleet: u32,
-    /// Instances of each data centre that write to the ledger in a larger fleet.
-    pub stewards_per_data_centre: usize,
-    /// Time between two rounds while tokens are short in a large fleet.
+    /// How much slower rounds are in a larger fleet, in which one instance writes for all.
+    pub large_scale: u32,
+    /// Time between two rounds while tokens are short in a large fleet. The ledger of 80 instances
+    /// is about 50 KB, so ten writes a second take 4 Mbit/s.
     pub large_urgent_interval: Duration,
-    /// Time between two reads of an instance that has its tokens from a steward and is short.
-    pub follower_read_interval: Duration,
-    /// Demand that an instance holds that has its tokens from a steward, as a time.
-    pub gift_horizon: Duration,
     /// Time between two rounds while tokens are short here. Longer than a call to the store
     /// takes, so that a burst of refusals does not become a burst of calls.
     pub urgent_interval: Duration,
@@ -69,10 +66,8 @@
         Self {
             round_interval: Duration::from_secs(1),
             small_fleet: 16,
-            stewards_per_data_centre: 3,
-            large_urgent_interval: Duration::from_millis(120),
-            follower_read_interval: Duration::from_secs(10),
-            gift_horizon: Duration::from_secs(8),
+            large_scale: 1,
+            large_urgent_interval: Duration::from_millis(80),
             urgent_interval: Duration::from_millis(20),
             horizon: Duration::from_secs(12),
             reserve_percent: 15,
--- a/crates/damaskstile-escrow/src/pace.rs
+++ b/crates/damaskstile-escrow/src/pace.rs
@@ -4,12 +4,14 @@
 use serde::{Deserialize, Serialize};
 
 /// `Pace` says how fast an isolated holder comes to its whole grant.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Pace {
     /// Time after the write that gave the grant from which on it is unlocked.
+    #[prost(uint64, tag = "1")]
     pub after_ms: u64,
     /// Time in which it is unlocked.
+    #[prost(uint64, tag = "2")]
     pub span_ms: u64,
 }
 
--- a/crates/damaskstile-escrow/src/stamp.rs
+++ b/crates/damaskstile-escrow/src/stamp.rs
@@ -12,18 +12,23 @@
 /// The boot clock counts on across the death of a process, also while the machine is suspended,
 /// and begins anew when the machine loses power. The fleet's time is the middle of many
 /// instances' times of day.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, prost::Message, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Stamp {
     /// Name of the machine's run, if the system gives one.
+    #[prost(string, tag = "1")]
     pub boot_name: String,
     /// Boot clock.
+    #[prost(uint64, tag = "2")]
     pub boot_ms: u64,
     /// Own time of day.
+    #[prost(uint64, tag = "3")]
     pub unix_ms: u64,
     /// Fleet's time, not later than it truly was; `None` where too few peers were heard.
+    #[prost(uint64, optional, tag = "4")]
     pub fleet_early_ms: Option<u64>,
     /// Fleet's time, not earlier than it truly was.
+    #[prost(uint64, optional, tag = "5")]
     pub fleet_late_ms: Option<u64>,
 }
 
--- a/crates/damaskstile-escrow/tests/together.rs
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{EscrowOptions, Holder, Ledger, LedgerChange, Round, Stamp};
+use damaskstile_escrow::{
+    EscrowOptions, Holder, Ledger, LedgerChange, Receipt, Report, Role, Round, Stamp,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -27,6 +29,10 @@
     Finish(usize, u64),
     /// An instance writes, and the store and the network do as `Fate` says.
     Write(usize, Fate),
+    /// An instance sends what it has to write to another, as `Fate` says of the message.
+    Report(usize, usize, Fate),
+    /// A message between instances arrives that was held up.
+    Mail(usize),
     /// An instance reads the ledger.
     Read(usize),
     /// A write that is still under way reaches the store.
@@ -53,6 +59,15 @@
     Refused,
 }
 
+/// `Message` is under way between two instances.
+#[derive(Debug)]
+enum Message {
+    /// To the instance that writes.
+    Report(usize, Report),
+    /// To the instance that asked.
+    Receipt(usize, Receipt),
+}
+
 #[derive(Debug, Default)]
 struct Store {
     version: Version,
@@ -77,6 +92,7 @@
     store: Store,
     holders: Vec<Holder>,
     incarnation: u64,
+    mail: Vec<Message>,
     calls: Vec<VecDeque<(usize, u64)>>,
     prepaid: BTreeMap<AccountId, u64>,
     catalogue_version: Version,
@@ -95,6 +111,7 @@
             store: Store::default(),
             holders: Vec::new(),
             incarnation: 0,
+            mail: Vec::new(),
             calls: vec![VecDeque::new(); INSTANCES],
             prepaid: BTreeMap::from(prepaid),
             catalogue_version: 1,
@@ -114,9 +131,10 @@
         let identity = Identity::new(&format!("i{index}"), self.incarnation, "north");
         let options = EscrowOptions {
             small_fleet: SMALL_FLEET,
+            large_scale: 2,
             ..EscrowOptions::default()
         };
-        let mut holder = Holder::new(identity, "", options);
+        let mut holder = Holder::new(identity, &index.to_string(), options);
         holder.set_prepaid(self.catalogue_version, self.prepaid.clone());
         holder
     }
@@ -127,6 +145,13 @@
             Step::Reserve(index, account, tokens) => self.reserve(index, account, tokens),
             Step::Finish(index, part) => self.finish(index, part),
             Step::Write(index, fate) => self.write(index, fate),
+            Step::Report(from, to, fate) => self.report(from, to, fate),
+            Step::Mail(index) => {
+                if !self.mail.is_empty() {
+                    let message = self.mail.remove(index % self.mail.len());
+                    self.deliver(message);
+                }
+            }
             Step::Read(index) => self.read(index),
             Step::Deliver(index) => {
                 if !self.store.held.is_empty() {
@@ -188,7 +213,58 @@
         self.holders[index].observe(self.now, self.store.version, ledger);
     }
 
+    fn report(&mut self, from: usize, to: usize, fate: Fate) {
+        if from == to {
+            return;
+        }
+        let stamp = self.stamp(from);
+        let holder = &mut self.holders[from];
+        holder.set_role(Role::Member);
+        holder.set_has_writer(true);
+        if holder.needs_read(self.now) {
+            self.read(from);
+        }
+        if let Some(report) = self.holders[from].next_report(self.now, &stamp) {
+            self.send(Message::Report(to, report), fate);
+        }
+    }
+
+    fn send(&mut self, message: Message, fate: Fate) {
+        match fate {
+            Fate::Answered => self.deliver(message),
+            Fate::Held => self.mail.push(message),
+            Fate::AnswerLost | Fate::Refused => {}
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Report(to, report) => {
+                let from: usize = report.instance[1..].parse().unwrap();
+                if let Some(receipt) = self.holders[to].take_report(self.now, report) {
+                    self.deliver(Message::Receipt(from, receipt));
+                }
+            }
+            Message::Receipt(to, receipt) => {
+                self.holders[to].take_receipt(self.now, &receipt);
+            }
+        }
+    }
+
+    /// Sends the receipts of a write; some get lost and some are held up.
+    fn send_receipts(&mut self, index: usize, reported: &BTreeMap<InstanceId, String>) {
+        let fates = [Fate::Answered, Fate::Answered, Fate::Held, Fate::AnswerLost];
+        let count = fates.len();
+        let receipts = self.holders[index].receipts(reported);
+        for (number, (address, receipt)) in receipts.into_iter().enumerate() {
+            let to: usize = address.parse().unwrap();
+            let fate = fates[(number + usize::try_from(self.store.version).unwrap()) % count];
+            self.send(Message::Receipt(to, receipt), fate);
+        }
+    }
+
     fn write(&mut self, index: usize, fate: Fate) {
+        self.holders[index].set_role(Role::Writer);
         if self.holders[index].needs_read(self.now) {
             self.read(index);
         }
@@ -200,7 +276,9 @@
             Fate::Answered => {
                 if self.store.write(&round) {
                     self.spread(index, &round);
+                    let reported = round.reported.clone();
                     self.holders[index].written(self.now, self.store.version, round);
+                    self.send_receipts(index, &reported);
                 } else {
                     self.holders[index].not_written(round.number);
                     self.read(index);
@@ -222,9 +300,9 @@
     fn spread(&mut self, index: usize, round: &Round) {
         let version = self.store.version;
         let instance = format!("i{index}");
-        let change =
-            LedgerChange::try_new(&round.ledger, &instance, round.expected_version, version);
-        let change = change.unwrap();
+        let Some(change) = LedgerChange::try_new(round, &instance, version) else {
+            return;
+        };
         let peers = if version.is_multiple_of(2) { 1 } else { 2 };
         for step in 1..=peers {
             let peer = (index + step) % INSTANCES;
@@ -277,7 +355,11 @@
         6 => (0..INSTANCES, 0..2_usize, 1..1_500_u64)
             .prop_map(|(index, account, tokens)| Step::Reserve(index, account, tokens)),
         4 => (0..INSTANCES, 0..=100_u64).prop_map(|(index, part)| Step::Finish(index, part)),
-        6 => (0..INSTANCES, fate).prop_map(|(index, fate)| Step::Write(index, fate)),
+        6 => (0..INSTANCES, fate.clone())
+            .prop_map(|(index, fate)| Step::Write(index, fate)),
+        5 => (0..INSTANCES, 0..INSTANCES, fate)
+            .prop_map(|(from, to, fate)| Step::Report(from, to, fate)),
+        2 => (0..16_usize).prop_map(Step::Mail),
         1 => (0..INSTANCES).prop_map(Step::Read),
         1 => (0..8_usize).prop_map(Step::Deliver),
         2 => (0..INSTANCES, any::<bool>())
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::LedgerChange;
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -16,12 +15,13 @@
 use crate::objects::ObjectStore;
 use crate::open_call::OpenCall;
 use crate::options::GatewayOptions;
+use crate::outgoing::Outgoing;
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::state::State;
 
-/// Own writes to the ledger that may wait to be told to peers.
-const CHANGES_RING: usize = 16;
+/// Messages that may wait to be sent to peers: a receipt for each of the largest fleet in view.
+const OUTBOX_RING: usize = 512;
 
 /// `Gateway` is what all duties of an instance share.
 pub struct Gateway {
@@ -45,8 +45,8 @@
     pub round_wanted: Notify,
     /// Wakes calls that wait for tokens.
     pub round_done: Notify,
-    /// Own writes to the ledger, for the duty that tells peers.
-    pub changes: mpsc::Sender<LedgerChange>,
+    /// Messages for the duty that sends to peers.
+    pub outbox: mpsc::Sender<Outgoing>,
     /// Wakes the duty that reads the catalogue, where a peer has a newer one.
     pub catalogue_wanted: Notify,
     /// Wakes the duty that tells peers.
@@ -66,7 +66,7 @@
 }
 
 impl Gateway {
-    /// Makes a gateway that has not begun to serve, with the ring of its writes to the ledger.
+    /// Makes a gateway that has not begun to serve, with the ring of its messages to peers.
     #[must_use]
     pub fn new(
         options: GatewayOptions,
@@ -74,8 +74,8 @@
         directory: Box<dyn Directory>,
         store: Arc<dyn ObjectStore>,
         log: Logger,
-    ) -> (Arc<Self>, mpsc::Receiver<LedgerChange>) {
-        let (changes, changes_out) = mpsc::channel(CHANGES_RING);
+    ) -> (Arc<Self>, mpsc::Receiver<Outgoing>) {
+        let (outbox, outbox_out) = mpsc::channel(OUTBOX_RING);
         let state = Mutex::new(State::new(&options));
         let gateway = Arc::new(Self {
             clock: Clock::start(),
@@ -94,9 +94,9 @@
             open_calls: AtomicUsize::new(0),
             state,
             options,
-            changes,
+            outbox,
         });
-        (gateway, changes_out)
+        (gateway, outbox_out)
     }
 
     /// Returns the state to decide by. It is held for a decision, never across a wait.
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operators;
 pub mod options;
 pub mod peers;
+pub mod outgoing;
 pub mod phase;
 pub mod pool;
 pub mod record;
@@ -40,11 +41,11 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::LedgerChange;
 use tokio::sync::mpsc::Receiver;
 
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
+use crate::outgoing::Outgoing;
 use crate::peers::{Peers, serve_pulls};
 
 /// Time between two looks at the kept connections.
@@ -55,7 +56,7 @@
 /// # Errors
 ///
 /// Returns an error where an address cannot be used.
-pub async fn serve(gateway: Arc<Gateway>, changes: Receiver<LedgerChange>) -> anyhow::Result<()> {
+pub async fn serve(gateway: Arc<Gateway>, outbox: Receiver<Outgoing>) -> anyhow::Result<()> {
     let options = &gateway.options;
     let callers = front::listen(options.callers_address)?;
     let readiness = operators::start_readiness(&gateway, options.readiness_address)?;
@@ -71,8 +72,7 @@
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
     tokio::spawn(Arc::clone(&peers).tell());
     tokio::spawn(Arc::clone(&peers).beg());
-    tokio::spawn(Arc::clone(&peers).provide());
-    tokio::spawn(Arc::clone(&peers).tell_changes(changes));
+    tokio::spawn(Arc::clone(&peers).send_out(outbox));
     tokio::spawn(peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
     tokio::spawn(front::accept(Arc::clone(&gateway), callers));
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -13,8 +13,12 @@
     pub incarnation: Incarnation,
     /// Its address.
     pub address: SocketAddr,
-    /// Whether it takes tokens from the ledger.
+    /// Whether it watches the store for others and may write to the ledger for them.
     pub is_steward: bool,
+    /// Whether it is being stopped.
+    pub is_stopping: bool,
+    /// Part of a core that it has, in percent.
+    pub capacity_percent: u64,
     /// Age of the store's last word to it.
     pub store_age: Duration,
     /// When the digest came.
@@ -41,6 +45,8 @@
             incarnation,
             address,
             is_steward: digest.is_steward,
+            is_stopping: digest.is_stopping,
+            capacity_percent: digest.capacity_percent,
             store_age: Duration::from_millis(digest.store_age_ms),
             heard_at: now,
             free_tokens,
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -11,6 +11,9 @@
 pub struct GatewayOptions {
     /// Who this is.
     pub identity: Identity,
+    /// Part of a core that this instance has, in percent. Of a large fleet the best equipped
+    /// instances write and watch for the others.
+    pub capacity_percent: u64,
     /// Address for callers.
     pub callers_address: SocketAddr,
     /// Address for the balancer's question whether to send work.
--- /dev/null
+++ b/crates/damaskstile-gateway/src/outgoing.rs
@@ -0,0 +1,16 @@
+//! `outgoing` is a message that a duty has sent to peers.
+
+use std::net::SocketAddr;
+
+use damaskstile_escrow::{LedgerChange, Receipt, Report};
+
+/// `Outgoing` is a message that a duty has sent to peers.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// An own write to the ledger, for all that write to it.
+    Change(LedgerChange),
+    /// What this instance asks to have written.
+    Report(SocketAddr, Report),
+    /// What became of a peer's report.
+    Receipt(SocketAddr, Receipt),
+}
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
-use damaskstile_escrow::LedgerChange;
+use damaskstile_escrow::{LedgerChange, Receipt, Report};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
@@ -27,6 +27,7 @@
 
 use crate::gateway::Gateway;
 use crate::member::Member;
+use crate::outgoing::Outgoing;
 use pull::Wanted;
 
 /// Time between two digests.
@@ -39,8 +40,6 @@
 const PULL_DELAY: Duration = Duration::from_millis(80);
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
-/// Time between two looks at what will be lacking.
-const PROVIDE_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -93,23 +92,73 @@
         }
     }
 
-    /// Tells peers of the own writes to the ledger.
-    pub async fn tell_changes(self: Arc<Self>, mut changes: Receiver<LedgerChange>) {
-        while let Some(change) = changes.recv().await {
-            let Ok(bytes) = serde_json::to_vec(&change) else {
-                continue;
-            };
-            if bytes.len() > CHANGE_BYTES_MAX {
-                continue;
-            }
-            let bytes = Bytes::from(bytes);
-            for address in self.writers() {
-                self.send(address, DatagramBody::Change(bytes.clone()))
-                    .await;
+    /// Sends what other duties have for peers, until the process ends.
+    pub async fn send_out(self: Arc<Self>, mut outbox: Receiver<Outgoing>) {
+        while let Some(outgoing) = outbox.recv().await {
+            match outgoing {
+                Outgoing::Change(change) => self.tell_change(&change).await,
+                Outgoing::Report(address, report) => {
+                    self.send(address, DatagramBody::Report(report)).await;
+                }
+                Outgoing::Receipt(address, receipt) => {
+                    self.send(address, DatagramBody::Receipt(receipt)).await;
+                }
             }
         }
     }
 
+    /// Tells all that write to the ledger of an own write to it.
+    async fn tell_change(&self, change: &LedgerChange) {
+        let Ok(bytes) = serde_json::to_vec(change) else {
+            return;
+        };
+        if bytes.len() > CHANGE_BYTES_MAX {
+            return;
+        }
+        let bytes = Bytes::from(bytes);
+        for address in self.writers() {
+            self.send(address, DatagramBody::Change(bytes.clone()))
+                .await;
+        }
+    }
+
+    /// Takes in a peer's report, to be written with the next round.
+    fn take_report(&self, report: Report, from: SocketAddr) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let is_urgent = report.is_urgent();
+        let receipt = {
+            let mut state = gateway.state();
+            state
+                .fleet_clock
+                .hear(now, &report.instance, report.stamp.unix_ms);
+            state.holder.take_report(now, report)
+        };
+        if let Some(receipt) = receipt {
+            // A receipt that finds no room is asked for again by its instance.
+            let _ = gateway.outbox.try_send(Outgoing::Receipt(from, receipt));
+        } else if is_urgent {
+            gateway.round_wanted.notify_one();
+        }
+    }
+
+    /// Takes in what became of the own report.
+    fn take_receipt(&self, from: &str, receipt: &Receipt) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        if !gateway.state().holder.take_receipt(now, receipt) {
+            return;
+        }
+        gateway.round_done.notify_waiters();
+        let (number, version) = (receipt.number.to_string(), receipt.version.to_string());
+        let fields = [
+            ("round", number.as_str()),
+            ("version", version.as_str()),
+            ("writer", from),
+        ];
+        gateway.log(EventCode::ReportEntered, &fields);
+    }
+
     fn take_change(&self, bytes: &[u8]) {
         match serde_json::from_slice::<LedgerChange>(bytes) {
             Ok(change) => {
@@ -163,22 +212,6 @@
             .await;
     }
 
-    /// Has tokens fetched before calls lack them, where this instance has its tokens from others.
-    pub async fn provide(self: Arc<Self>) {
-        loop {
-            tokio::time::sleep(PROVIDE_INTERVAL).await;
-            let now = self.gateway.now();
-            let mut state = self.gateway.state();
-            let lacking = state.holder.lacking_tokens(now);
-            let is_any = !lacking.is_empty();
-            state.wanted_tokens.extend(lacking);
-            drop(state);
-            if is_any {
-                self.gateway.tokens_wanted.notify_one();
-            }
-        }
-    }
-
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
         let state = self.gateway.state();
@@ -200,7 +233,8 @@
             vanished: state.book.left_targets(now, false),
             free,
             is_stopping: state.is_stopping,
-            is_steward: state.holder.is_steward(),
+            is_steward: state.is_steward(now),
+            capacity_percent: self.gateway.options.capacity_percent,
         }
     }
 
@@ -213,7 +247,7 @@
         wanted
             .into_iter()
             .filter_map(|(account, tokens)| {
-                let address = state.provider(now, &account, tokens)?;
+                let address = state.richest_member(now, &account, tokens)?;
                 Some((address, AskTokens { account, tokens }))
             })
             .collect()
@@ -229,7 +263,7 @@
         let spare = state.holder.take_back_gifts();
         let mut gifts = Vec::new();
         for (account, tokens) in spare {
-            if let Some(address) = state.provider(now, &account, 0) {
+            if let Some(address) = state.richest_member(now, &account, 0) {
                 state.gifts_made += 1;
                 let gift = state.gifts_made;
                 gifts.push((
@@ -256,6 +290,8 @@
             DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
             DatagramBody::Change(bytes) => self.take_change(&bytes),
             DatagramBody::Give(gift) => self.take_gift(&datagram.from, datagram.incarnation, &gift),
+            DatagramBody::Report(report) => self.take_report(report, from),
+            DatagramBody::Receipt(receipt) => self.take_receipt(&datagram.from, &receipt),
         }
     }
 
@@ -275,7 +311,7 @@
             }
         }
         // In touch with the store, the own list is newer than what peers say of it.
-        let is_follower = !state.holder.is_steward();
+        let is_follower = !state.is_steward(now);
         for target in digest
             .vanished
             .iter()
@@ -334,7 +370,7 @@
         let now = self.gateway.now();
         let (tokens, gift) = {
             let mut state = self.gateway.state();
-            let tokens = state.holder.answer_ask(now, &ask.account, ask.tokens);
+            let tokens = state.holder.give(now, &ask.account, ask.tokens);
             state.gifts_made += u64::from(tokens > 0);
             (tokens, state.gifts_made)
         };
--- a/crates/damaskstile-gateway/src/peers/addresses.rs
+++ b/crates/damaskstile-gateway/src/peers/addresses.rs
@@ -5,53 +5,50 @@
 use damaskstile_core::prelude::*;
 
 use super::Peers;
+use crate::state::State;
 
 /// Peers that a digest goes to. With more instances it goes to so many of them by chance.
 const DIGEST_FANOUT: usize = 10;
 
 impl Peers {
     /// Returns the addresses of the peers that a digest goes to: all of a small fleet. In a large
-    /// one it goes to some by chance, and from those that hand out tokens also to all of their
-    /// data centre, which must know what there is.
+    /// one it goes to some by chance, and from those that watch and write for the others to all.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let gateway = &self.gateway;
+        let now = gateway.now();
         let mut state = gateway.state();
-        let holders = &state.holder.ledger().holders;
-        let of = |is_near: bool| -> BTreeSet<SocketAddr> {
-            let own = &gateway.options.identity.data_centre;
-            holders
-                .values()
-                .filter(|holder| (&holder.data_centre == own) == is_near)
-                .filter_map(|holder| holder.address.parse().ok())
-                .collect()
-        };
-        let (mut near, mut far) = (of(true), of(false));
-        far.extend(state.members.values().map(|member| member.address));
-        if near.len() + far.len() <= 1 {
-            far.extend(&gateway.options.seeds);
+        let mut known = listed_addresses(&state);
+        known.extend(state.members.values().map(|member| member.address));
+        known.remove(&gateway.options.peers_address);
+        if known.is_empty() {
+            known.extend(&gateway.options.seeds);
+            known.remove(&gateway.options.peers_address);
         }
-        let is_all = near.len() + far.len() <= DIGEST_FANOUT || state.holder.is_steward();
-        if !is_all {
-            far.append(&mut near);
-        }
-        let mut addresses: Vec<SocketAddr> = far.difference(&near).copied().collect();
-        while addresses.len() > DIGEST_FANOUT {
+        let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
+        let is_to_all = state.is_steward(now);
+        while !is_to_all && addresses.len() > DIGEST_FANOUT {
             let index = state.random.index(addresses.len());
             addresses.swap_remove(index);
         }
-        addresses.extend(near);
-        addresses.retain(|address| *address != gateway.options.peers_address);
         addresses
     }
 
-    /// Returns the addresses of the other instances that write to the ledger.
-    pub(super) fn writers(&self) -> Vec<SocketAddr> {
-        let own = self.gateway.options.peers_address;
-        let addresses = self.gateway.state().holder.steward_addresses();
-        addresses
-            .iter()
-            .filter_map(|address| address.parse().ok())
-            .filter(|address| *address != own)
-            .collect()
+    /// Returns the addresses of the other instances that write to the ledger: all of a small
+    /// fleet. In a large one a writer's changes are not told.
+    pub(super) fn writers(&self) -> BTreeSet<SocketAddr> {
+        let state = self.gateway.state();
+        if state.is_large_fleet() {
+            return BTreeSet::new();
+        }
+        let mut writers = listed_addresses(&state);
+        writers.remove(&self.gateway.options.peers_address);
+        writers
     }
 }
+
+fn listed_addresses(state: &State) -> BTreeSet<SocketAddr> {
+    let holders = state.holder.ledger().holders.values();
+    holders
+        .filter_map(|holder| holder.address.parse().ok())
+        .collect()
+}
--- a/crates/damaskstile-gateway/src/peers/datagram.rs
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -1,6 +1,7 @@
 //! `datagram` is one message between instances.
 
 use bytes::Bytes;
+use damaskstile_escrow::{Receipt, Report};
 
 use super::{AskTokens, Digest, GiveTokens};
 
@@ -19,6 +20,12 @@
     /// A change of the ledger, in the form that the ledger is stored in.
     #[prost(bytes = "bytes", tag = "6")]
     Change(Bytes),
+    /// What the sender asks to have written to the ledger.
+    #[prost(message, tag = "7")]
+    Report(Report),
+    /// What became of it.
+    #[prost(message, tag = "8")]
+    Receipt(Receipt),
 }
 
 /// `Datagram` is one message with its sender.
@@ -31,6 +38,6 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6, 7, 8")]
     pub body: Option<DatagramBody>,
 }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -35,9 +35,12 @@
     /// Tokens that the sender could reserve at once.
     #[prost(message, repeated, tag = "6")]
     pub free: Vec<AccountTokens>,
-    /// Whether the sender takes tokens from the ledger.
+    /// Whether the sender watches the store for others and may write to the ledger for them.
     #[prost(bool, tag = "9")]
     pub is_steward: bool,
+    /// Part of a core that the sender has, in percent.
+    #[prost(uint64, tag = "10")]
+    pub capacity_percent: u64,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -1,15 +1,18 @@
 //! `rounds` carries this instance's writes to the ledger.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{Ledger, LedgerChange, Round, Settlement};
+use damaskstile_core::random::stable_hash;
+use damaskstile_escrow::{Ledger, LedgerChange, Role, Round, Settlement};
 
 use crate::clock::{BootTime, own_unix_ms};
 use crate::follow::{note_answer, note_failure};
 use crate::gateway::Gateway;
 use crate::objects::{StoreError, StoredObject};
+use crate::outgoing::Outgoing;
 
 /// Kind under which ledgers are stored.
 const LEDGER_KIND: &str = "damaskstile-ledgers";
@@ -20,6 +23,12 @@
 /// Shortest time between two calls, so that refusals do not become a stream of calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time after a start in which the instances of a large fleet hear of each other: a digest's
+/// interval, with room for a slow start.
+const START_WAIT: Duration = Duration::from_millis(500);
+/// Longest time beyond that, so that not all write at once where nobody was heard.
+const START_JITTER_MS: u64 = 600;
+
 /// Longest pause after a conflict: two calls to the store.
 const CONFLICT_JITTER_MS: u64 = 12;
 
@@ -27,7 +36,10 @@
 pub async fn keep(gateway: Arc<Gateway>) {
     loop {
         // Either a call that lacks tokens or the passing of time brings the next look.
-        let _ = tokio::time::timeout(LOOK_INTERVAL, gateway.round_wanted.notified()).await;
+        let now = gateway.now();
+        let urgent_wait = gateway.state().holder.urgent_wait(now);
+        let wait = urgent_wait.map_or(LOOK_INTERVAL, |wait| wait.min(LOOK_INTERVAL));
+        let _ = tokio::time::timeout(wait, gateway.round_wanted.notified()).await;
         look(&gateway).await;
         tokio::time::sleep(CALL_INTERVAL).await;
     }
@@ -40,10 +52,18 @@
     if !has_catalogue {
         return;
     }
+    let writer = choose_writer(gateway);
     let needs_read = gateway.state().holder.needs_read(now);
     if needs_read {
         read(gateway).await;
     }
+    if let Some(address) = writer {
+        report(gateway, address);
+        return;
+    }
+    if must_wait_for_peers(gateway) {
+        return;
+    }
     // A conflict shows the ledger as it is, so the second try is made on that.
     for _ in 0..3 {
         let round = next_round(gateway);
@@ -64,6 +84,57 @@
     gateway.round_done.notify_waiters();
 }
 
+/// Finds out whether a peer writes for this instance, and says so where that changed.
+fn choose_writer(gateway: &Gateway) -> Option<SocketAddr> {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let writer = state
+        .writer(now)
+        .map(|(name, address)| (name.clone(), address));
+    let role = match writer {
+        Some(_) => Role::Member,
+        None => Role::Writer,
+    };
+    state.holder.set_role(role);
+    state.holder.set_has_writer(writer.is_some());
+    let (name, address) = writer.unzip();
+    let is_new = state.writer_known != name;
+    state.writer_known.clone_from(&name);
+    drop(state);
+    if is_new {
+        let name = name.unwrap_or_else(|| "-".to_owned());
+        gateway.log(EventCode::WriterChanged, &[("writer", &name)]);
+    }
+    address
+}
+
+/// Tells whether a better writer may turn up in a moment: shortly after a start nobody was heard
+/// yet, and all instances of a large fleet would write at once.
+fn must_wait_for_peers(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.state();
+    let is_listed_alone = state.holder.instances() == 0;
+    let name = &gateway.options.identity.instance;
+    let jitter_ms = stable_hash(&["start", name]) % START_JITTER_MS;
+    let wait = START_WAIT + Duration::from_millis(jitter_ms);
+    (state.is_large_fleet() || is_listed_alone) && now < wait
+}
+
+/// Sends what there is to write to the instance that writes for this one.
+fn report(gateway: &Gateway, address: SocketAddr) {
+    let now = gateway.now();
+    let (boot, own_unix_ms) = (BootTime::now(), own_unix_ms());
+    let report = {
+        let mut state = gateway.state();
+        let stamp = state.stamp(now, boot, own_unix_ms);
+        state.holder.next_report(now, &stamp)
+    };
+    if let Some(report) = report {
+        // A report that finds no room is sent again for want of an answer.
+        let _ = gateway.outbox.try_send(Outgoing::Report(address, report));
+    }
+}
+
 fn next_round(gateway: &Gateway) -> Option<Round> {
     let now = gateway.now();
     let (boot, own_unix_ms) = (BootTime::now(), own_unix_ms());
@@ -116,17 +187,7 @@
     match written {
         Ok(version) => {
             note_answer(gateway);
-            let instance = &gateway.options.identity.instance;
-            let follows = round.expected_version;
-            if let Some(change) = LedgerChange::try_new(&round.ledger, instance, follows, version) {
-                // Peers that miss it read the ledger instead.
-                let _ = gateway.changes.try_send(change);
-            }
-            for settlement in &round.settlements {
-                note_settlement(gateway, settlement);
-            }
-            let now = gateway.now();
-            gateway.state().holder.written(now, version, round);
+            tell(gateway, version, round);
             gateway.log(EventCode::RoundWritten, &fields);
             true
         }
@@ -155,6 +216,33 @@
     }
 }
 
+/// Takes in a round that took effect and tells the peers that it concerns.
+fn tell(gateway: &Gateway, version: Version, round: Round) {
+    for settlement in &round.settlements {
+        note_settlement(gateway, settlement);
+    }
+    let instance = &gateway.options.identity.instance;
+    let change = LedgerChange::try_new(&round, instance, version);
+    let reported = round.reported.clone();
+    let now = gateway.now();
+    let receipts = {
+        let mut state = gateway.state();
+        state.holder.written(now, version, round);
+        state.holder.receipts(&reported)
+    };
+    // Peers that miss a change read the ledger instead; those that miss a receipt ask again.
+    if let Some(change) = change {
+        let _ = gateway.outbox.try_send(Outgoing::Change(change));
+    }
+    for (address, receipt) in receipts {
+        if let Ok(address) = address.parse() {
+            let _ = gateway
+                .outbox
+                .try_send(Outgoing::Receipt(address, receipt));
+        }
+    }
+}
+
 fn note_settlement(gateway: &Gateway, settlement: &Settlement) {
     let lived = settlement.lived;
     let lived_ms = lived.map_or_else(|| "unknown".to_owned(), |time| time.as_millis().to_string());
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -1,9 +1,11 @@
 //! `state` holds all that one instance decides by.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
 use damaskstile_escrow::{Holder, Stamp};
 use damaskstile_fleet::FleetClock;
 use damaskstile_requests::RetryBudget;
@@ -24,6 +26,10 @@
 /// Age past which a peer's digest says nothing of what it has.
 const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Instances of a large fleet that watch the store and tell all others: one writes, and two more
+/// are there should it fail.
+const STEWARDS_MAX: usize = 3;
+
 /// Age past which what a peer says of the store is no longer taken for news: three digests and a
 /// call to the store.
 const TOLD_AGE_MAX: Duration = Duration::from_millis(1_800);
@@ -72,10 +78,15 @@
     pub gifts_made: u64,
     /// Gifts of tokens that were taken, by giver and its incarnation.
     pub gifts_taken: BTreeMap<(InstanceId, Incarnation), BTreeSet<u64>>,
+    /// The peer that writes for this instance, as last found.
+    pub writer_known: Option<InstanceId>,
     /// Source of choices.
     pub random: Random,
     /// Whether a stop has begun.
     pub is_stopping: bool,
+    instance: InstanceId,
+    capacity_percent: u64,
+    small_fleet: usize,
     retries: BTreeMap<ServiceId, RetryBudget>,
     retry_percent: u64,
     extra_retries: u64,
@@ -91,6 +102,9 @@
             catalogue: CatalogueInForce::default(),
             book: Book::new(&identity.data_centre, options.book.clone()),
             random: Random::new(identity.incarnation),
+            instance: identity.instance.clone(),
+            capacity_percent: options.capacity_percent,
+            small_fleet: usize::try_from(options.escrow.small_fleet).unwrap_or(usize::MAX),
             holder: Holder::new(identity, &address, options.escrow.clone()),
             contact: Contact::default(),
             stored_catalogue: None,
@@ -101,6 +115,7 @@
             wanted_tokens: BTreeMap::new(),
             gifts_made: 0,
             gifts_taken: BTreeMap::new(),
+            writer_known: None,
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
@@ -148,7 +163,7 @@
     /// Makes a stamp for what is written to the store.
     #[must_use]
     pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
-        let instances = self.holder.ledger().holders.len();
+        let instances = usize::try_from(self.holder.instances()).unwrap_or(usize::MAX);
         let middle = self.fleet_clock.middle(now, own_unix_ms, instances);
         Stamp {
             boot_name: boot.name,
@@ -172,29 +187,56 @@
             .map(|(_, address)| address)
     }
 
-    /// Returns the address of a peer to ask for tokens: the one that said it has most, or else one
-    /// that takes tokens from the ledger and can have them fetched.
+    /// Tells whether the fleet is so large that some instances watch and write for the others.
+    #[must_use]
+    pub fn is_large_fleet(&self) -> bool {
+        self.holder.is_large_fleet() || self.members.len() >= self.small_fleet
+    }
+
+    /// Tells whether this instance watches the store for others: all of a small fleet do, and of
+    /// a large one those to which few better ones are in touch with the store.
     #[must_use]
-    pub fn provider(&self, now: Duration, account: &str, tokens: u64) -> Option<SocketAddr> {
-        let richest = self.richest_member(now, account, tokens);
-        richest.or_else(|| {
-            self.members
-                .values()
-                .filter(|member| member.is_steward && !self.holder.is_steward())
-                .max_by_key(|member| member.heard_at)
-                .map(|member| member.address)
-        })
+    pub fn is_steward(&self, now: Duration) -> bool {
+        !self.is_large_fleet() || self.better_members(now).count() < STEWARDS_MAX
     }
 
-    /// Tells whether this instance must watch the store itself: it takes tokens from the ledger, or
-    /// it has not heard lately from a peer that does and that the store answers.
+    /// Returns the peer that writes to the ledger for this instance; `None` where it writes
+    /// itself.
+    #[must_use]
+    pub fn writer(&self, now: Duration) -> Option<(&InstanceId, SocketAddr)> {
+        if !self.is_large_fleet() {
+            return None;
+        }
+        self.better_members(now)
+            .min_by_key(|(name, member)| rank(name, member.capacity_percent))
+            .map(|(name, member)| (name, member.address))
+    }
+
+    /// Returns the peers that are in touch with the store and better suited to write than this
+    /// instance.
+    fn better_members(&self, now: Duration) -> impl Iterator<Item = (&InstanceId, &Member)> {
+        let own_rank = rank(&self.instance, self.capacity_percent);
+        let is_own_lost = self.contact.age(now).is_none_or(|age| age > TOLD_AGE_MAX);
+        self.members
+            .iter()
+            .filter(move |(_, member)| {
+                let age = now.saturating_sub(member.heard_at) + member.store_age;
+                age < TOLD_AGE_MAX && !member.is_stopping
+            })
+            .filter(move |(name, member)| {
+                is_own_lost || self.is_stopping || rank(name, member.capacity_percent) < own_rank
+            })
+    }
+
+    /// Tells whether this instance must watch the store itself: it does so for others, or it has
+    /// not heard lately from a peer that does and that the store answers.
     #[must_use]
     pub fn must_watch(&self, now: Duration) -> bool {
         let is_told = self.members.values().any(|member| {
             member.is_steward
                 && now.saturating_sub(member.heard_at) + member.store_age < TOLD_AGE_MAX
         });
-        self.holder.is_steward() || !is_told
+        !is_told || self.is_steward(now)
     }
 
     /// Takes one retry from the instance's part of the fleet's budget.
@@ -203,7 +245,7 @@
     }
 
     fn retry_budget(&mut self, now: Duration, service: &str) -> &mut RetryBudget {
-        let instances = u64::try_from(self.holder.ledger().holders.len()).unwrap_or(u64::MAX);
+        let instances = self.holder.instances();
         let (percent, extra) = (self.retry_percent, self.extra_retries);
         self.retries
             .entry(service.to_owned())
@@ -211,6 +253,12 @@
     }
 }
 
+/// Returns the rank of an instance among those that may write for others; the least is the best.
+/// Instances with more processor time come first, since one of them carries the writes of all.
+fn rank(instance: &str, capacity_percent: u64) -> (Reverse<u64>, u64) {
+    (Reverse(capacity_percent), stable_hash(&["writer", instance]))
+}
+
 fn account_of<'a>(
     catalogue: &'a Catalogue,
     route: &Route,
