--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -52,6 +52,12 @@
                 .is_some_and(|at| now.saturating_sub(at) < AFTER_OUTAGE)
     }
 
+    /// Returns the time since the store answered again after an outage.
+    #[must_use]
+    pub fn since_regained(&self, now: Duration) -> Option<Duration> {
+        self.regained_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Returns the time since the last answer.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -85,11 +85,14 @@
                 note_answer(gateway);
                 version = next;
                 let is_burst = !changes.is_empty();
+                let mut is_news = false;
                 for change in changes {
-                    take_change(gateway, followed, change);
+                    is_news |= take_change(gateway, followed, change);
                 }
-                if followed == Followed::Targets {
+                // Peers read the list anew for each version, so what tells them nothing makes none.
+                if followed == Followed::Targets && is_news {
                     gateway.state().targets_version = version;
+                    gateway.news.notify_one();
                 }
                 if !must_watch(gateway) {
                     return;
@@ -110,6 +113,8 @@
 pub(crate) fn note_answer(gateway: &Gateway) {
     let now = gateway.now();
     if gateway.state().contact.answered(now) {
+        // Peers that cannot reach the store should turn to this instance at once.
+        gateway.news.notify_one();
         gateway.log(EventCode::StoreRegained, &[]);
     }
 }
@@ -158,12 +163,17 @@
     }
 }
 
-fn take_change(gateway: &Gateway, followed: Followed, change: Change) {
+/// Takes in a change; returns whether it is news of a target.
+fn take_change(gateway: &Gateway, followed: Followed, change: Change) -> bool {
     match (followed, change) {
-        (Followed::Catalogue, Change::Put(object)) => take_catalogue(gateway, &object, "store"),
+        (Followed::Catalogue, Change::Put(object)) => {
+            take_catalogue(gateway, &object, "store");
+            false
+        }
         // Routes that are gone as a whole were never accepted; the last good state stays.
         (Followed::Catalogue, Change::Gone(name)) => {
             gateway.log(EventCode::EntryRefused, &[("gone", &name)]);
+            false
         }
         (Followed::Targets, Change::Put(object)) => take_target(gateway, &object),
         (Followed::Targets, Change::Gone(name)) => {
@@ -179,6 +189,7 @@
                 EventCode::TargetUnlisted,
                 &[("target", &name), ("around_outage", &around)],
             );
+            true
         }
     }
 }
@@ -211,7 +222,8 @@
     }
 }
 
-fn take_target(gateway: &Gateway, object: &StoredObject) {
+/// Takes in an entry of the list; returns whether it is news.
+fn take_target(gateway: &Gateway, object: &StoredObject) -> bool {
     match gateway.directory.target(object) {
         Ok(listed) => {
             let target = listed.target.clone();
@@ -219,7 +231,6 @@
             let now = gateway.now();
             let is_news = gateway.state().book.list(now, listed);
             if is_news {
-                gateway.news.notify_one();
                 let version = object.version.to_string();
                 gateway.log(
                     EventCode::TargetListed,
@@ -230,8 +241,12 @@
                     ],
                 );
             }
+            is_news
+        }
+        Err(error) => {
+            note_refused(gateway, object, &error);
+            false
         }
-        Err(error) => note_refused(gateway, object, &error),
     }
 }
 
--- a/crates/damaskstile-gateway/src/objects.rs
+++ b/crates/damaskstile-gateway/src/objects.rs
@@ -25,6 +25,9 @@
         wait: Duration,
     ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>>;
 
+    /// Asks for a sign of life, by the cheapest call that there is.
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>>;
+
     /// Reads an object.
     fn read<'a>(
         &'a self,
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -38,6 +38,9 @@
 const CHANGE_BYTES_MAX: usize = 8 * 1024;
 /// Time that the own watch is given before a newer catalogue is pulled from a peer.
 const PULL_DELAY: Duration = Duration::from_millis(80);
+/// Longest pause before a list of targets is pulled, so that not all instances of a large fleet
+/// do so at once, and one pull serves several changes.
+const PULL_JITTER_MS: u64 = 250;
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
 /// Pause after a failure to receive.
@@ -321,8 +324,10 @@
                 left.push(target.clone());
             }
         }
-        let lacks_targets =
-            is_store_lost && is_peer_in_touch && digest.targets_version > state.targets_version;
+        let lacks_targets = (is_store_lost || is_follower)
+            && is_peer_in_touch
+            && digest.targets_version > state.targets_version;
+        let pull_jitter = Duration::from_millis(state.random.below(PULL_JITTER_MS));
         let is_new = state.members.insert(
             from.to_owned(),
             Member::new(incarnation, address, now, digest),
@@ -361,7 +366,7 @@
                 Arc::clone(gateway),
                 address,
                 wanted,
-                Duration::ZERO,
+                pull_jitter,
             ));
         }
     }
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -29,6 +29,10 @@
 /// Longest time beyond that, so that not all write at once where nobody was heard.
 const START_JITTER_MS: u64 = 600;
 
+/// Silence of the store after which an instance that peers go by asks for a sign of life: twice
+/// within the time for which they believe it.
+const PROOF_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Longest pause after a conflict: two calls to the store.
 const CONFLICT_JITTER_MS: u64 = 12;
 
@@ -52,7 +56,12 @@
     if !has_catalogue {
         return;
     }
+    prove_contact(gateway).await;
     let writer = choose_writer(gateway);
+    let is_first = gateway.state().holder.ledger_age(now).is_none();
+    if writer.is_none() && !is_first && must_wait_for_peers(gateway) {
+        return;
+    }
     let needs_read = gateway.state().holder.needs_read(now);
     if needs_read {
         read(gateway).await;
@@ -108,16 +117,36 @@
     address
 }
 
-/// Tells whether a better writer may turn up in a moment: shortly after a start nobody was heard
-/// yet, and all instances of a large fleet would write at once.
+/// Tells whether a better writer may turn up in a moment: shortly after a start, or when an
+/// isolation ends, nobody was heard yet, and all instances of a large fleet would write at once.
 fn must_wait_for_peers(gateway: &Gateway) -> bool {
     let now = gateway.now();
     let state = gateway.state();
-    let is_listed_alone = state.holder.instances() == 0;
+    let is_first_start = state.holder.instances() == 0;
+    let alone_for = state.contact.since_regained(now).unwrap_or(now).min(now);
     let name = &gateway.options.identity.instance;
     let jitter_ms = stable_hash(&["start", name]) % START_JITTER_MS;
     let wait = START_WAIT + Duration::from_millis(jitter_ms);
-    (state.is_large_fleet() || is_listed_alone) && now < wait
+    (state.is_large_fleet() || is_first_start) && alone_for < wait
+}
+
+/// Asks the store for a sign of life where nothing else does, if peers go by this instance's word.
+/// Without it all of a large fleet would take its few watchers for cut off whenever nothing
+/// changes, and watch and write themselves.
+async fn prove_contact(gateway: &Gateway) {
+    let now = gateway.now();
+    let is_due = {
+        let state = gateway.state();
+        let is_silent = state.contact.age(now).is_none_or(|age| age >= PROOF_INTERVAL);
+        state.is_large_fleet() && state.is_steward(now) && is_silent
+    };
+    if !is_due {
+        return;
+    }
+    match gateway.store.probe().await {
+        Ok(()) => note_answer(gateway),
+        Err(error) => note_failure(gateway, &error),
+    }
 }
 
 /// Sends what there is to write to the instance that writes for this one.
