--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -27,6 +27,8 @@
 /// Shortest time that a target is given before a repeatable call goes to another one. Below it a
 /// long prompt ahead in the batch would be taken for silence.
 const PATIENCE_MIN: Duration = Duration::from_secs(1);
+/// Bytes of a call's head, with those of the packets that carry it.
+const HEAD_BYTES: usize = 1_000;
 /// Largest answer that is kept to be sent again from another target, in bytes.
 const WHOLE_BYTES_MAX: usize = 8 * 1024 * 1024;
 
@@ -78,7 +80,9 @@
         }
         Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
     };
-    if *gateway.phase.borrow() != Phase::Serving {
+    let now = gateway.now();
+    let is_moving = gateway.state().pressure.should_move_callers(now);
+    if is_moving || *gateway.phase.borrow() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -149,7 +153,12 @@
 impl Exchange {
     async fn go(mut self, body: Incoming) -> Response<ReplyBody> {
         match self.read_body(body).await {
-            Ok(body) => self.call.body = body,
+            Ok(body) => {
+                let now = self.gateway.now();
+                let bytes = body.len() + HEAD_BYTES;
+                self.gateway.state().pressure.add(now, bytes);
+                self.call.body = body;
+            }
             Err(refusal) => return self.refuse(&refusal),
         }
         let reservation = match self.reserve().await {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod outgoing;
 pub mod phase;
 pub mod pool;
+pub mod pressure;
 pub mod record;
 pub mod relay;
 pub mod reply;
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -66,8 +66,12 @@
 async fn get_readiness(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
     let gateway = rqctx.context();
     let is_serving = *gateway.phase.borrow() == Phase::Serving;
-    let has_catalogue = gateway.state().catalogue.get().is_some();
-    let status = if is_serving && has_catalogue {
+    let now = gateway.now();
+    let state = gateway.state();
+    let has_catalogue = state.catalogue.get().is_some();
+    let is_overloaded = state.pressure.is_high(now);
+    drop(state);
+    let status = if is_serving && has_catalogue && !is_overloaded {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -14,6 +14,8 @@
     /// Part of a core that this instance has, in percent. Of a large fleet the best equipped
     /// instances write and watch for the others.
     pub capacity_percent: u64,
+    /// Bytes a second that this instance's link carries each way.
+    pub link_bytes_per_s: u64,
     /// Address for callers.
     pub callers_address: SocketAddr,
     /// Address for the balancer's question whether to send work.
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -132,6 +132,8 @@
     fn take_event(&mut self, event: WholeEvent) -> Option<Bytes> {
         self.record.first_byte();
         self.events += 1;
+        let now = self.gateway.now();
+        self.gateway.state().pressure.add(now, event.bytes.len());
         self.reservation.received(self.events);
         if let Some(run) = &mut self.run {
             run.running.prefilled();
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
 use crate::peers::Pulled;
+use crate::pressure::Pressure;
 
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
@@ -80,6 +81,8 @@
     pub gifts_taken: BTreeMap<(InstanceId, Incarnation), BTreeSet<u64>>,
     /// The peer that writes for this instance, as last found.
     pub writer_known: Option<InstanceId>,
+    /// How full the link is.
+    pub pressure: Pressure,
     /// Source of choices.
     pub random: Random,
     /// Whether a stop has begun.
@@ -116,6 +119,7 @@
             gifts_made: 0,
             gifts_taken: BTreeMap::new(),
             writer_known: None,
+            pressure: Pressure::new(options.link_bytes_per_s),
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
