--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -21,8 +21,8 @@
 use crate::standing::Standing;
 use crate::sums::Sums;
 
-pub use reports::Role;
 use reports::Outstanding;
+pub use reports::Role;
 use round::Pending;
 pub use round::Round;
 
@@ -253,11 +253,14 @@
     /// Returns the least that any possible outcome of the writes under way leaves of an account,
     /// without what time unlocks.
     fn least_sums(&self, account: &str) -> Sums {
-        let committed = self.purses.get(account).map_or_else(Sums::default, |purse| Sums {
-            allowed_tokens: purse.allowed_tokens,
-            ceiling_tokens: purse.ceiling_tokens,
-            settled_tokens: purse.settled_tokens,
-        });
+        let committed = self
+            .purses
+            .get(account)
+            .map_or_else(Sums::default, |purse| Sums {
+                allowed_tokens: purse.allowed_tokens,
+                ceiling_tokens: purse.ceiling_tokens,
+                settled_tokens: purse.settled_tokens,
+            });
         self.pending.iter().fold(committed, |least, pending| {
             let sums = pending.sums.get(account).copied().unwrap_or_default();
             Sums {
--- a/crates/damaskstile-escrow/src/holder/merge.rs
+++ b/crates/damaskstile-escrow/src/holder/merge.rs
@@ -76,7 +76,9 @@
         // What the others hold and ask for: the totals without the part of this instance.
         let view = totals.accounts.entry(account.clone()).or_default();
         view.settled_tokens = ledger.settled(account);
-        view.granted_tokens = view.granted_tokens.saturating_sub(of(&before.grants_tokens));
+        view.granted_tokens = view
+            .granted_tokens
+            .saturating_sub(of(&before.grants_tokens));
         view.others_tokens_per_s = view
             .others_tokens_per_s
             .saturating_sub(of(&before.demand_tokens_per_s));
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -227,12 +227,7 @@
     }
 
     /// Takes in what stands in the ledger for this incarnation.
-    pub(super) fn commit(
-        &mut self,
-        now: Duration,
-        number: u64,
-        sums: BTreeMap<AccountId, Sums>,
-    ) {
+    pub(super) fn commit(&mut self, now: Duration, number: u64, sums: BTreeMap<AccountId, Sums>) {
         if number <= self.committed_number {
             return;
         }
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -137,7 +137,10 @@
     let now = gateway.now();
     let is_due = {
         let state = gateway.state();
-        let is_silent = state.contact.age(now).is_none_or(|age| age >= PROOF_INTERVAL);
+        let is_silent = state
+            .contact
+            .age(now)
+            .is_none_or(|age| age >= PROOF_INTERVAL);
         state.is_large_fleet() && state.is_steward(now) && is_silent
     };
     if !is_due {
@@ -265,9 +268,7 @@
     }
     for (address, receipt) in receipts {
         if let Ok(address) = address.parse() {
-            let _ = gateway
-                .outbox
-                .try_send(Outgoing::Receipt(address, receipt));
+            let _ = gateway.outbox.try_send(Outgoing::Receipt(address, receipt));
         }
     }
 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -260,7 +260,10 @@
 /// Returns the rank of an instance among those that may write for others; the least is the best.
 /// Instances with more processor time come first, since one of them carries the writes of all.
 fn rank(instance: &str, capacity_percent: u64) -> (Reverse<u64>, u64) {
-    (Reverse(capacity_percent), stable_hash(&["writer", instance]))
+    (
+        Reverse(capacity_percent),
+        stable_hash(&["writer", instance]),
+    )
 }
 
 fn account_of<'a>(
