--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -156,18 +156,7 @@
             Ok(body) => {
                 let now = self.gateway.now();
                 let bytes = body.len() + HEAD_BYTES;
-                let mut state = self.gateway.state();
-                state.pressure.receive(now, bytes);
-                let can_send = state.pressure.can_send(now);
-                if can_send {
-                    state.pressure.send(now, bytes);
-                }
-                drop(state);
-                if !can_send {
-                    self.record.add("cause", "link_full");
-                    let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(RETRY_SOON));
-                    return self.refuse(&refusal);
-                }
+                self.gateway.state().pressure.add(now, bytes);
                 self.call.body = body;
             }
             Err(refusal) => return self.refuse(&refusal),
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod lease;
 pub mod logs;
 pub mod member;
-pub mod meter;
 pub mod metrics;
 pub mod objects;
 pub mod open_call;
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -133,7 +133,7 @@
         self.record.first_byte();
         self.events += 1;
         let now = self.gateway.now();
-        self.gateway.state().pressure.send(now, event.bytes.len());
+        self.gateway.state().pressure.add(now, event.bytes.len());
         self.reservation.received(self.events);
         if let Some(run) = &mut self.run {
             run.running.prefilled();
