--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Whether it watches the store for others and may write to the ledger for them.
     pub is_steward: bool,
+    /// Instances that it knows of.
+    pub known_instances: u64,
     /// Whether it is being stopped.
     pub is_stopping: bool,
     /// Part of a core that it has, in percent.
@@ -45,6 +47,7 @@
             incarnation,
             address,
             is_steward: digest.is_steward,
+            known_instances: digest.known_instances,
             is_stopping: digest.is_stopping,
             capacity_percent: digest.capacity_percent,
             store_age: Duration::from_millis(digest.store_age_ms),
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -236,6 +236,7 @@
             vanished: state.book.left_targets(now, false),
             free,
             is_stopping: state.is_stopping,
+            known_instances: state.known_instances(),
             is_steward: state.is_steward(now),
             capacity_percent: self.gateway.options.capacity_percent,
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -38,6 +38,9 @@
     /// Whether the sender watches the store for others and may write to the ledger for them.
     #[prost(bool, tag = "9")]
     pub is_steward: bool,
+    /// Instances that the sender knows of, itself among them.
+    #[prost(uint64, tag = "11")]
+    pub known_instances: u64,
     /// Part of a core that the sender has, in percent.
     #[prost(uint64, tag = "10")]
     pub capacity_percent: u64,
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -89,7 +89,7 @@
     pub is_stopping: bool,
     instance: InstanceId,
     capacity_percent: u64,
-    small_fleet: usize,
+    small_fleet: u64,
     retries: BTreeMap<ServiceId, RetryBudget>,
     retry_percent: u64,
     extra_retries: u64,
@@ -107,7 +107,7 @@
             random: Random::new(identity.incarnation),
             instance: identity.instance.clone(),
             capacity_percent: options.capacity_percent,
-            small_fleet: usize::try_from(options.escrow.small_fleet).unwrap_or(usize::MAX),
+            small_fleet: u64::from(options.escrow.small_fleet),
             holder: Holder::new(identity, &address, options.escrow.clone()),
             contact: Contact::default(),
             stored_catalogue: None,
@@ -194,7 +194,17 @@
     /// Tells whether the fleet is so large that some instances watch and write for the others.
     #[must_use]
     pub fn is_large_fleet(&self) -> bool {
-        self.holder.is_large_fleet() || self.members.len() >= self.small_fleet
+        // At the first start an instance knows only some peers, and those know the others.
+        let told = self.members.values().map(|member| member.known_instances);
+        let known = told.chain([self.known_instances()]).max();
+        known.is_some_and(|known| known > self.small_fleet)
+    }
+
+    /// Returns the number of instances that this one knows of, itself among them.
+    #[must_use]
+    pub fn known_instances(&self) -> u64 {
+        let heard = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
+        heard.saturating_add(1).max(self.holder.instances())
     }
 
     /// Tells whether this instance watches the store for others: all of a small fleet do, and of
