Members know who there is; instances wait for peers before they write at a start

Ruled out: conflicts, late settling (all within 2.5 s). Also mended: the wait for peers compared the time since 1970 with a second, so it never waited.

--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -50,6 +50,8 @@
     inbox: BTreeMap<InstanceId, (Duration, Report)>,
     /// The own report that has no answer yet.
     outstanding: Option<Outstanding>,
+    /// When the ledger was last read or told of.
+    directory_at: Option<Duration>,
     /// Newest version of the ledger that a receipt or the ledger itself told of.
     receipt_version: Version,
     /// Incarnation that the ledger lists for this instance, where it is not this one.
@@ -94,6 +96,7 @@
             has_writer: false,
             inbox: BTreeMap::new(),
             outstanding: None,
+            directory_at: None,
             receipt_version: 0,
             follows: 0,
             committed_number: 0,
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -20,6 +20,9 @@
 /// instance write in every round.
 const WORTH_PART: u64 = 8;
 
+/// Time between two looks of a member at who there is, while it knows too few.
+const DIRECTORY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// `Round` is one conditional write to the ledger.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Round {
@@ -77,6 +80,7 @@
     }
 
     fn take_ledger(&mut self, now: Duration, version: Version, ledger: Ledger) {
+        self.directory_at = Some(now);
         if version < self.ledger_version {
             return;
         }
@@ -142,13 +146,23 @@
     #[must_use]
     pub fn needs_read(&self, now: Duration) -> bool {
         if self.role == Role::Member {
-            return self.seen_at.is_none();
+            return self.seen_at.is_none() || self.lacks_directory(now);
         }
         let read_interval = self.options.round_interval * self.scale();
         let is_old = self.ledger_age(now).is_none_or(|age| age >= read_interval);
         self.seen_at.is_none() || self.is_in_doubt || (self.is_short && is_old)
     }
 
+    /// Tells whether a member knows too few of the instances that receipts speak of. Digests reach
+    /// only whom their senders know, and without them the fleet's time stays unknown.
+    fn lacks_directory(&self, now: Duration) -> bool {
+        let listed = u64::try_from(self.ledger.holders.len()).unwrap_or(u64::MAX);
+        let is_due = self
+            .directory_at
+            .is_none_or(|at| now.saturating_sub(at) >= DIRECTORY_INTERVAL);
+        is_due && listed < self.overview.instances * 3 / 4
+    }
+
     /// Tells whether the fleet is so large that one instance writes for all.
     #[must_use]
     pub fn is_large_fleet(&self) -> bool {
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -29,6 +29,8 @@
     pub options: GatewayOptions,
     /// Time of the decisions.
     pub clock: Clock,
+    /// When this instance started.
+    pub started_at: Duration,
     /// Headers of callers and targets.
     pub dialect: Box<dyn Dialect>,
     /// Stored objects.
@@ -77,8 +79,10 @@
     ) -> (Arc<Self>, mpsc::Receiver<Outgoing>) {
         let (outbox, outbox_out) = mpsc::channel(OUTBOX_RING);
         let state = Mutex::new(State::new(&options));
+        let clock = Clock::start();
         let gateway = Arc::new(Self {
-            clock: Clock::start(),
+            started_at: clock.now(),
+            clock,
             dialect,
             directory,
             store,
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -123,7 +123,9 @@
     let now = gateway.now();
     let state = gateway.state();
     let is_first_start = state.holder.instances() == 0;
-    let alone_for = state.contact.since_regained(now).unwrap_or(now).min(now);
+    let since_start = now.saturating_sub(gateway.started_at);
+    let since_regained = state.contact.since_regained(now);
+    let alone_for = since_regained.map_or(since_start, |since| since.min(since_start));
     let name = &gateway.options.identity.instance;
     let jitter_ms = stable_hash(&["start", name]) % START_JITTER_MS;
     let wait = START_WAIT + Duration::from_millis(jitter_ms);
