--- /dev/null
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -0,0 +1,299 @@
+//! In a large fleet one instance writes to the ledger, and the others report to it.
+
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Report, Role, Shortage, Stamp};
+
+/// Instances of a grown deployment of today.
+const INSTANCES: usize = 73;
+const ACCOUNT: &str = "a";
+const PREPAID_TOKENS: u64 = 10_000_000;
+/// Worst case of a long call.
+const CALL_TOKENS: u64 = 9_200;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn holder(instance: &str, incarnation: u64) -> Holder {
+    let identity = Identity::new(instance, incarnation, "north");
+    let mut holder = Holder::new(identity, instance, EscrowOptions::default());
+    holder.set_prepaid(1, BTreeMap::from([(ACCOUNT.to_owned(), PREPAID_TOKENS)]));
+    holder
+}
+
+/// Makes the stamp of a machine that hears its peers.
+fn stamp(ms: u64) -> Stamp {
+    Stamp {
+        boot_name: String::new(),
+        boot_ms: ms,
+        unix_ms: 1_000_000 + ms,
+        fleet_early_ms: Some(1_000_000 + ms),
+        fleet_late_ms: Some(1_000_000 + ms),
+    }
+}
+
+/// Makes the stamp of a machine that lost power and hears too few peers to know the fleet's time.
+fn stamp_of_a_fresh_machine(ms: u64) -> Stamp {
+    Stamp {
+        boot_ms: 5,
+        fleet_early_ms: None,
+        fleet_late_ms: None,
+        ..stamp(ms)
+    }
+}
+
+/// `Fleet` is a writer and members whose messages all arrive.
+struct Fleet {
+    writer: Holder,
+    members: BTreeMap<InstanceId, Holder>,
+    version: Version,
+    writes: usize,
+}
+
+impl Fleet {
+    fn new(members: usize) -> Self {
+        let mut writer = holder("writer", 1);
+        writer.observe(at(0), 0, Ledger::default());
+        let members = (0..members).map(|index| {
+            let name = format!("m{index:02}");
+            let mut member = holder(&name, 1);
+            member.observe(at(0), 0, Ledger::default());
+            (name, member)
+        });
+        let mut fleet = Self {
+            writer,
+            members: members.collect(),
+            version: 0,
+            writes: 0,
+        };
+        for member in fleet.members.values_mut() {
+            as_member(member);
+        }
+        fleet
+    }
+
+    /// Has all members report, and the writer enter the reports.
+    fn round(&mut self, ms: u64) {
+        for member in self.members.values_mut() {
+            if let Some(report) = member.next_report(at(ms), &stamp(ms)) {
+                assert!(self.writer.take_report(at(ms), report).is_none());
+            }
+        }
+        self.write(ms);
+    }
+
+    fn write(&mut self, ms: u64) {
+        let Some(round) = self.writer.next_round(at(ms), &stamp(ms)) else {
+            return;
+        };
+        self.version += 1;
+        self.writes += 1;
+        let reported = round.reported.clone();
+        self.writer.written(at(ms), self.version, round);
+        for (address, receipt) in self.writer.receipts(&reported) {
+            let member = self.members.get_mut(&address).unwrap();
+            member.take_receipt(at(ms), &receipt);
+        }
+    }
+
+    fn member(&mut self, index: usize) -> &mut Holder {
+        self.members.values_mut().nth(index).unwrap()
+    }
+}
+
+fn as_member(holder: &mut Holder) {
+    holder.set_role(Role::Member);
+    holder.set_has_writer(true);
+}
+
+fn ask(holder: &mut Holder, ms: u64) -> Result<(), Shortage> {
+    holder.note_demand(at(ms), ACCOUNT, CALL_TOKENS, 0);
+    holder.try_reserve(at(ms), ACCOUNT, CALL_TOKENS, 0)
+}
+
+#[test]
+fn one_write_serves_all_instances() {
+    // Symptom: 20,000 calls to the store on a day of 81 instances, and nearly every write is
+    // refused, since another came first. Cause: all instances write to one object.
+
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    fleet.round(0);
+
+    fleet.round(1_100);
+    fleet.round(2_200);
+
+    // Act: every instance gets its first call, and lacks the tokens for it.
+    for member in fleet.members.values_mut() {
+        assert_eq!(ask(member, 3_200), Err(Shortage::InStore));
+    }
+    let writes = fleet.writes;
+    fleet.round(3_300);
+
+    // Assert
+    assert_eq!(fleet.writes, writes + 1);
+    for member in fleet.members.values_mut() {
+        assert_eq!(ask(member, 3_310), Ok(()));
+    }
+    assert!(fleet.writer.ledger().granted(ACCOUNT) <= PREPAID_TOKENS);
+}
+
+#[test]
+fn an_isolated_member_comes_to_its_whole_grant_and_reports_nothing_new() {
+    // Symptom: members that are isolated spend no more than what lies below their ceilings.
+    // Cause: each new report begins the unlocking anew.
+
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    fleet.round(0);
+    let member = fleet.member(3);
+    (0..20).for_each(|_| member.note_demand(at(500), ACCOUNT, CALL_TOKENS, 0));
+    fleet.round(1_100);
+    let writer_grant = fleet.writer.ledger().holders["m03"].grants_tokens[ACCOUNT];
+
+    // Act: nothing arrives any more, while calls go on.
+    let member = fleet.member(3);
+    let mut reports = BTreeSet::new();
+    for ms in (1_200..20_000).step_by(100) {
+        let _ = member.try_reserve(at(ms), ACCOUNT, PREPAID_TOKENS, 0);
+        let report = member.next_report(at(ms), &stamp(ms));
+        reports.extend(report.map(|report| report.number));
+    }
+
+    // Assert
+    assert!(reports.len() <= 2, "{reports:?}");
+    let free = member.free_tokens(at(20_000), ACCOUNT);
+    assert!(free > writer_grant * 9 / 10, "{free} of {writer_grant}");
+}
+
+#[test]
+fn a_report_of_an_ended_incarnation_that_arrives_late_changes_nothing() {
+    // Symptom: an account gets more than it bought. Sequence: a process dies, its successor is
+    // listed, and then its last report arrives. Cause: the report replaced the successor's part
+    // of the ledger, which it goes on spending.
+
+    // Arrange
+    let mut fleet = Fleet::new(20);
+    fleet.round(0);
+    let _ = ask(fleet.member(0), 900);
+    let late = fleet.member(0).next_report(at(1_100), &stamp(1_100));
+    let mut successor = holder("m00", 2);
+    successor.observe(at(1_200), fleet.version, fleet.writer.ledger().clone());
+    as_member(&mut successor);
+    fleet.members.insert("m00".to_owned(), successor);
+    fleet.round(1_300);
+    fleet.round(2_400);
+    let listed = fleet.writer.ledger().holders["m00"].clone();
+
+    // Act
+    let _ = fleet.writer.take_report(at(2_500), late.unwrap());
+    fleet.write(3_500);
+
+    // Assert
+    assert_eq!(listed.incarnation, 2);
+    let now = &fleet.writer.ledger().holders["m00"];
+    assert_eq!((now.incarnation, now.round), (2, listed.round));
+}
+
+#[test]
+fn what_members_held_comes_back_after_all_lost_power() {
+    // Symptom: after all lost power, a quarter of the calls is served. Sequence: most instances
+    // have their tokens as gifts of a few; a gift counts as spent by its giver, so all that was
+    // handed out is lost. Cause: the ledger knew nothing of what members held.
+
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    fleet.round(0);
+    for member in fleet.members.values_mut() {
+        (0..4).for_each(|_| member.note_demand(at(900), ACCOUNT, CALL_TOKENS, 0));
+    }
+    fleet.round(1_100);
+    let before = fleet.writer.ledger().clone();
+    let granted = before.granted(ACCOUNT);
+
+    // Act: all start again; only the writer hears enough peers to know the fleet's time.
+    let mut writer = holder("writer", 2);
+    writer.observe(at(2_600), fleet.version, before.clone());
+    for index in 0..INSTANCES - 1 {
+        let mut member = holder(&format!("m{index:02}"), 2);
+        member.observe(at(2_600), fleet.version, before.clone());
+        as_member(&mut member);
+        let report = member.next_report(at(2_700), &stamp_of_a_fresh_machine(2_700));
+        assert!(writer.take_report(at(2_710), report.unwrap()).is_none());
+    }
+    let fresh = Stamp {
+        boot_ms: 5,
+        ..stamp(2_800)
+    };
+    let round = writer.next_round(at(2_800), &fresh).unwrap();
+
+    // Assert
+    let lost = round.ledger.settled(ACCOUNT);
+    assert!(round.ledger.estates.is_empty());
+    assert_eq!(round.settlements.len(), INSTANCES);
+    assert!(lost > 0 && lost < granted / 2, "{lost} of {granted}");
+}
+
+#[test]
+fn a_member_that_knows_too_few_instances_reads_who_there_is() {
+    // Symptom: after all lost power, all that was granted counts as spent, and 402 is answered
+    // although half of it was not. Sequence: members read the ledger at the first start, before
+    // anybody was listed, and hear of their own reports only; they send digests to three peers,
+    // nobody hears enough clocks, and the fleet's time stays unknown. Cause: a member never read
+    // again who there is.
+
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+
+    // Act
+    fleet.round(0);
+
+    // Assert
+    let ledger = fleet.writer.ledger().clone();
+    let version = fleet.version;
+    let member = fleet.member(0);
+    assert!(member.needs_read(at(2_100)));
+    member.observe(at(2_100), version, ledger);
+    assert!(!member.needs_read(at(9_000)));
+    assert_eq!(member.ledger().holders.len(), INSTANCES);
+}
+
+#[test]
+fn a_shortage_of_a_member_is_final_only_by_a_recent_receipt() {
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    fleet.round(0);
+
+    // Act
+    let member = fleet.member(0);
+    let recent = member.try_reserve(at(500), ACCOUNT, PREPAID_TOKENS + 1, 0);
+    let old = member.try_reserve(at(9_000), ACCOUNT, PREPAID_TOKENS + 1, 0);
+    member.set_has_writer(false);
+    let alone = member.try_reserve(at(9_000), ACCOUNT, PREPAID_TOKENS + 1, 0);
+
+    // Assert
+    assert_eq!(recent, Err(Shortage::Exhausted));
+    assert_eq!(old, Err(Shortage::InStore));
+    assert_eq!(alone, Err(Shortage::Elsewhere));
+}
+
+#[test]
+fn a_report_without_an_answer_is_sent_again_as_it_was() {
+    // Arrange
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    let member = fleet.member(0);
+    let send =
+        |member: &mut Holder, ms| -> Option<Report> { member.next_report(at(ms), &stamp(ms)) };
+
+    // Act
+    let first = send(member, 100);
+    let soon = send(member, 200);
+    let again = send(member, 700);
+
+    // Assert
+    assert!(first.is_some());
+    assert_eq!(soon, None);
+    assert_eq!(again, first);
+}
