--- a/crates/damaskstile-escrow/src/holder/merge.rs
+++ b/crates/damaskstile-escrow/src/holder/merge.rs
@@ -144,6 +144,7 @@
             address: self.address.clone(),
             data_centre: self.identity.data_centre.clone(),
             is_stopping: self.is_stopping,
+            hops: 0,
             claims,
         }
     }
--- a/crates/damaskstile-escrow/src/holder/reports.rs
+++ b/crates/damaskstile-escrow/src/holder/reports.rs
@@ -49,6 +49,8 @@
             self.role = role;
             // The ledger as a writer needs it may be older than what receipts told.
             self.is_in_doubt |= role == Role::Writer;
+            // Whoever has no answer sends its report again, to another.
+            self.inbox.clear();
         }
     }
 
--- a/crates/damaskstile-escrow/src/report.rs
+++ b/crates/damaskstile-escrow/src/report.rs
@@ -47,6 +47,9 @@
     /// Whether the sender is being stopped and holds nothing beyond its calls under way.
     #[prost(bool, tag = "11")]
     pub is_stopping: bool,
+    /// Peers that have passed it on.
+    #[prost(uint32, tag = "13")]
+    pub hops: u32,
     /// What it says of each account that it has to do with.
     #[prost(btree_map = "string, message", tag = "12")]
     pub claims: BTreeMap<AccountId, Claim>,
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -41,6 +41,9 @@
 /// Longest pause before a list of targets is pulled, so that not all instances of a large fleet
 /// do so at once, and one pull serves several changes.
 const PULL_JITTER_MS: u64 = 250;
+/// Peers that may pass a report on: enough for one that knows only a seed, and an end where two
+/// take each other for the writer.
+const HOPS_MAX: u32 = 2;
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
 /// Pause after a failure to receive.
@@ -126,20 +129,30 @@
     }
 
     /// Takes in a peer's report, to be written with the next round.
-    fn take_report(&self, report: Report, from: SocketAddr) {
+    fn take_report(&self, mut report: Report) {
         let gateway = &self.gateway;
         let now = gateway.now();
         let is_urgent = report.is_urgent();
-        let receipt = {
-            let mut state = gateway.state();
-            state
-                .fleet_clock
-                .hear(now, &report.instance, report.stamp.unix_ms);
-            state.holder.take_report(now, report)
-        };
-        if let Some(receipt) = receipt {
+        let sender = report.address.parse();
+        let mut state = gateway.state();
+        let writer = state.writer(now).map(|(_, address)| address);
+        if let Some(writer) = writer {
+            // The sender does not know the best writer yet, nor does that one know the sender.
+            drop(state);
+            report.hops += 1;
+            if report.hops <= HOPS_MAX {
+                let _ = gateway.outbox.try_send(Outgoing::Report(writer, report));
+            }
+            return;
+        }
+        state
+            .fleet_clock
+            .hear(now, &report.instance, report.stamp.unix_ms);
+        let receipt = state.holder.take_report(now, report);
+        drop(state);
+        if let (Some(receipt), Ok(sender)) = (receipt, sender) {
             // A receipt that finds no room is asked for again by its instance.
-            let _ = gateway.outbox.try_send(Outgoing::Receipt(from, receipt));
+            let _ = gateway.outbox.try_send(Outgoing::Receipt(sender, receipt));
         } else if is_urgent {
             gateway.round_wanted.notify_one();
         }
@@ -294,7 +307,7 @@
             DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
             DatagramBody::Change(bytes) => self.take_change(&bytes),
             DatagramBody::Give(gift) => self.take_gift(&datagram.from, datagram.incarnation, &gift),
-            DatagramBody::Report(report) => self.take_report(report, from),
+            DatagramBody::Report(report) => self.take_report(report),
             DatagramBody::Receipt(receipt) => self.take_receipt(&datagram.from, &receipt),
         }
     }
