--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -63,7 +63,7 @@
         let reserve_percent = self.reserve_percent(need.left_tokens, all);
         let spendable = need.left_tokens * (PERCENT - reserve_percent) / PERCENT;
         let instances = need.instances;
-        if own == 0 && self.is_large_fleet() && instances > 32 {
+        if own == 0 && self.is_large_fleet() {
             // An even part for each of many instances is too small for a call, and a line in the
             // ledger for each.
             return wanted;
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -65,7 +65,7 @@
     fn default() -> Self {
         Self {
             round_interval: Duration::from_secs(1),
-            small_fleet: 4,
+            small_fleet: 16,
             large_scale: 1,
             large_urgent_interval: Duration::from_millis(80),
             urgent_interval: Duration::from_millis(20),
