--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -12,6 +12,7 @@
 pub struct Contact {
     answered_at: Option<Duration>,
     lost_at: Option<Duration>,
+    failed_at: Option<Duration>,
     regained_at: Option<Duration>,
 }
 
@@ -19,6 +20,7 @@
     /// Notes an answer; returns true where the store was lost before.
     pub fn answered(&mut self, now: Duration) -> bool {
         self.answered_at = Some(now);
+        self.failed_at = None;
         let was_lost = self.lost_at.take().is_some();
         if was_lost {
             self.regained_at = Some(now);
@@ -28,6 +30,7 @@
 
     /// Notes a call without an answer; returns true where the store was not lost before.
     pub fn failed(&mut self, now: Duration) -> bool {
+        self.failed_at = Some(now);
         let is_new = self.lost_at.is_none();
         self.lost_at.get_or_insert(now);
         is_new
@@ -52,6 +55,13 @@
                 .is_some_and(|at| now.saturating_sub(at) < AFTER_OUTAGE)
     }
 
+    /// Tells whether the last call failed so lately that another one would most likely fail too.
+    #[must_use]
+    pub fn is_backing_off(&self, now: Duration, pause: Duration) -> bool {
+        self.failed_at
+            .is_some_and(|at| now.saturating_sub(at) < pause)
+    }
+
     /// Returns the time since the store answered again after an outage.
     #[must_use]
     pub fn since_regained(&self, now: Duration) -> Option<Duration> {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::objects::{Change, Listing, StoreError, StoredObject};
+use crate::state::State;
 
 /// Longest time that one watch waits. Each further one is a call to the store; a connection that
 /// fell silent is found by its keep-alive long before.
@@ -20,6 +21,18 @@
 /// Pause after a call that failed. Short beside the time within which a change must be in force.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
+/// The same in a large fleet, whose instances together would make thousands of calls in vain.
+const LARGE_FAILURE_PAUSE: Duration = Duration::from_millis(600);
+
+/// Returns the pause after a call that failed.
+pub(crate) fn failure_pause(state: &State) -> Duration {
+    if state.is_large_fleet() {
+        LARGE_FAILURE_PAUSE
+    } else {
+        FAILURE_PAUSE
+    }
+}
+
 /// What is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Followed {
@@ -46,11 +59,13 @@
                     watch(&gateway, followed, kind, version).await;
                 } else {
                     rest(&gateway, followed).await;
+                    continue;
                 }
             }
             Err(error) => note_failure(&gateway, &error),
         }
-        tokio::time::sleep(FAILURE_PAUSE).await;
+        let pause = failure_pause(&gateway.state());
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -196,7 +196,7 @@
 fn make_answer(gateway: &Gateway, is_targets: bool) -> PullAnswer {
     let state = gateway.state();
     if is_targets {
-        let targets = state.book.listed().map(|listed| PulledTarget {
+        let targets = state.book.present().map(|listed| PulledTarget {
             target: listed.target.clone(),
             service: listed.service.clone(),
             address: listed.address.to_string(),
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -9,7 +9,7 @@
 use damaskstile_escrow::{Ledger, LedgerChange, Role, Round, Settlement};
 
 use crate::clock::{BootTime, own_unix_ms};
-use crate::follow::{note_answer, note_failure};
+use crate::follow::{failure_pause, note_answer, note_failure};
 use crate::gateway::Gateway;
 use crate::objects::{StoreError, StoredObject};
 use crate::outgoing::Outgoing;
@@ -56,6 +56,9 @@
     if !has_catalogue {
         return;
     }
+    if is_backing_off(gateway) {
+        return;
+    }
     prove_contact(gateway).await;
     let writer = choose_writer(gateway);
     let is_first = gateway.state().holder.ledger_age(now).is_none();
@@ -93,6 +96,16 @@
     gateway.round_done.notify_waiters();
 }
 
+/// Tells whether to leave the store alone for a moment. Without a pause each call that lacks tokens
+/// would bring a read, and all instances together thousands a second, while the store refuses.
+fn is_backing_off(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.state();
+    // Where a peer writes for this instance, it needs no store.
+    let pause = failure_pause(&state);
+    state.writer(now).is_none() && state.contact.is_backing_off(now, pause)
+}
+
 /// Finds out whether a peer writes for this instance, and says so where that changed.
 fn choose_writer(gateway: &Gateway) -> Option<SocketAddr> {
     let now = gateway.now();
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -148,16 +148,42 @@
         true
     }
 
-    /// Returns the targets that lately began to drain or, where `is_final` is not set, vanished
-    /// from the list, to tell peers.
+    /// Returns the targets that lately began to drain, to tell peers.
     #[must_use]
-    pub fn left_targets(&self, now: Duration, is_final: bool) -> Vec<TargetId> {
+    pub fn draining(&self, now: Duration) -> Vec<TargetId> {
+        self.left(now, true).cloned().collect()
+    }
+
+    /// Returns the targets that lately vanished from the list, to tell peers: those that lapsed
+    /// around an outage too, once they are no longer waited for.
+    #[must_use]
+    pub fn vanished(&self, now: Duration) -> Vec<TargetId> {
+        let lapsed = self.targets.iter().filter(|(_, known)| {
+            known.missing_since.is_some_and(|since| {
+                let age = now.saturating_sub(since);
+                age >= self.options.lapse_grace && age < LEAVING_NEWS
+            })
+        });
+        let lapsed = lapsed.map(|(target, _)| target);
+        self.left(now, false).chain(lapsed).cloned().collect()
+    }
+
+    fn left(&self, now: Duration, is_final: bool) -> impl Iterator<Item = &TargetId> {
         self.leaving
             .iter()
-            .filter(|(_, left)| left.is_final == is_final)
-            .filter(|(_, left)| now.saturating_sub(left.at) < LEAVING_NEWS)
-            .map(|(target, _)| target.clone())
-            .collect()
+            .filter(move |(_, left)| left.is_final == is_final)
+            .filter(move |(_, left)| now.saturating_sub(left.at) < LEAVING_NEWS)
+            .map(|(target, _)| target)
+    }
+
+    /// Returns what the list says of the targets that are there, to hand it on. One that the list
+    /// does not show now is left out: whoever takes it over could not tell that it is waited for.
+    pub fn present(&self) -> impl Iterator<Item = &Listed> {
+        self.targets
+            .values()
+            .filter(|known| known.missing_since.is_none())
+            .map(|known| &known.listed)
+            .filter(|listed| !self.leaving.contains_key(&listed.target))
     }
 
     /// Returns the targets of the list with what it says of them.
--- a/crates/damaskstile-targets/tests/book.rs
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -138,7 +138,7 @@
 
     // Assert
     assert_eq!(book.choose(at(30), SERVICE, &Work::default(), &[]), None);
-    assert_eq!(book.left_targets(at(30), true), ["t0"]);
+    assert_eq!(book.draining(at(30)), ["t0"]);
 }
 
 #[test]
@@ -169,5 +169,46 @@
     let mut book = book(1);
     book.unlist(at(1_000), "t0", false);
     assert_eq!(book.choose(at(1_000), SERVICE, &Work::default(), &[]), None);
-    assert_eq!(book.left_targets(at(1_000), false), ["t0"]);
+    assert_eq!(book.vanished(at(1_000)), ["t0"]);
+}
+
+#[test]
+fn a_list_that_is_handed_on_names_only_targets_that_are_there() {
+    // Symptom: a target gets calls four seconds after it left. Sequence: its entry vanishes shortly
+    // after an outage; one instance keeps it in use for a grace, another knows already that it is
+    // gone. The other then takes the first one's list over, and finds it there. Cause: the list
+    // that was handed on held what the first instance only waited for.
+
+    // Arrange
+    let mut waiting = book(2);
+    let mut other = book(2);
+    waiting.unlist(at(0), "t0", true);
+    other.vanish(at(20), "t0");
+
+    // Act
+    let all = waiting.present().cloned().collect();
+    other.list_all(at(300), all, false);
+
+    // Assert
+    let chosen = |book: &Book| book.choose(at(400), SERVICE, &Work::default(), &["t1".to_owned()]);
+    assert!(chosen(&waiting).is_some());
+    assert!(chosen(&other).is_none());
+}
+
+#[test]
+fn a_target_that_did_not_come_back_after_an_outage_is_told_as_gone() {
+    // Symptom: instances that have their list from others call targets that ended during an outage
+    // of the list. Cause: those others stopped using them and told nobody.
+
+    // Arrange
+    let mut book = book(2);
+
+    // Act
+    book.unlist(at(0), "t0", true);
+
+    // Assert
+    assert!(book.vanished(at(1_000)).is_empty());
+    assert_eq!(book.vanished(at(2_000)), ["t0"]);
+    book.list(at(2_100), listed("t0", true));
+    assert!(book.vanished(at(2_200)).is_empty());
 }
