--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -79,10 +79,11 @@
         let share = even + by_demand.min(of_horizon);
 
         let floor = call.saturating_mul(self.options.floor_calls);
-        let is_plenty = floor.saturating_mul(instances) <= spendable;
-        if is_plenty {
+        let even_share = spendable / instances;
+        if floor <= even_share {
             // A share smaller than a few calls would refuse the first large one.
-            return share.max(floor).max(wanted);
+            let plenty = call.saturating_mul(self.options.plenty_calls);
+            return share.max(floor).max(plenty.min(even_share)).max(wanted);
         }
         if share < floor {
             // So little everywhere that no instance could serve a call: the store keeps it whole
--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -31,6 +31,8 @@
     pub scarce_from: Duration,
     /// Average calls that an instance holds tokens for, or else none at all.
     pub floor_calls: u64,
+    /// Average calls that an instance holds tokens for where all instances can hold as much.
+    pub plenty_calls: u64,
     /// Part of what is out that is divided evenly, for accounts that turn up elsewhere.
     pub even_percent: u64,
     /// Demand that an instance in touch with the store may spend ahead of its last write, as a
@@ -75,6 +77,7 @@
             plenty_from: Duration::from_secs(10),
             scarce_from: Duration::from_secs(3),
             floor_calls: 2,
+            plenty_calls: 2,
             even_percent: 10,
             ceiling: Duration::from_millis(1_500),
             ceiling_call_percent: 100,
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -0,0 +1,141 @@
+//! Which instance of a large fleet writes to the ledger and watches the store for the others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::member::Member;
+use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::peers::Digest;
+use damaskstile_gateway::state::State;
+use damaskstile_targets::BookOptions;
+
+/// Instances of a grown deployment of today, and how many of them have more than a small part of
+/// a core.
+const INSTANCES: usize = 73;
+const LARGE: usize = 6;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(index: usize) -> SocketAddr {
+    format!("10.0.0.{}:7200", index + 1).parse().unwrap()
+}
+
+fn name(index: usize) -> String {
+    format!("i{index:02}")
+}
+
+fn capacity_percent(index: usize) -> u64 {
+    if index < LARGE { 50 } else { 12 }
+}
+
+/// Makes the state of an instance that the store answered at the start of time.
+fn state(index: usize) -> State {
+    let options = GatewayOptions {
+        identity: Identity::new(&name(index), 1, "north"),
+        capacity_percent: capacity_percent(index),
+        link_bytes_per_s: 1_250_000,
+        callers_address: address(index),
+        readiness_address: address(index),
+        metrics_address: address(index),
+        peers_address: address(index),
+        seeds: Vec::new(),
+        stop_limit: Duration::from_secs(8),
+        retry_percent: 20,
+        extra_retries_per_s: 5,
+        escrow: EscrowOptions::default(),
+        book: BookOptions::default(),
+    };
+    let mut state = State::new(&options);
+    state.contact.answered(at(0));
+    state
+}
+
+/// Has an instance hear a peer, to which the store answered so long ago.
+fn hear(state: &mut State, ms: u64, index: usize, store_age_ms: u64, known_instances: u64) {
+    let digest = Digest {
+        store_age_ms,
+        known_instances,
+        capacity_percent: capacity_percent(index),
+        ..Digest::default()
+    };
+    let member = Member::new(1, address(index), at(ms), &digest);
+    state.members.insert(name(index), member);
+}
+
+fn hear_all(state: &mut State, own: usize, ms: u64) {
+    for index in (0..INSTANCES).filter(|index| *index != own) {
+        hear(state, ms, index, 100, 1);
+    }
+}
+
+fn writer_of(state: &State, ms: u64) -> Option<String> {
+    state.writer(at(ms)).map(|(name, _)| name.clone())
+}
+
+#[test]
+fn all_instances_agree_on_one_writer_with_enough_processor_time() {
+    // Symptom: writes of a large ledger take tens of milliseconds, and calls wait for tokens.
+    // Cause: the instance that writes for 72 others has an eighth of a core and a narrow link.
+
+    // Arrange
+    let mut states: Vec<State> = (0..INSTANCES).map(state).collect();
+    for (index, state) in states.iter_mut().enumerate() {
+        hear_all(state, index, 400);
+    }
+
+    // Act
+    let writers: BTreeSet<String> = states
+        .iter()
+        .enumerate()
+        .map(|(index, state)| writer_of(state, 500).unwrap_or_else(|| name(index)))
+        .collect();
+    let stewards = states.iter().filter(|state| state.is_steward(at(500)));
+
+    // Assert
+    assert_eq!(writers.len(), 1);
+    assert!((0..LARGE).any(|index| writers.contains(&name(index))));
+    assert_eq!(stewards.count(), 3);
+}
+
+#[test]
+fn another_takes_over_where_the_writer_lost_the_store() {
+    // Arrange
+    let mut state = state(INSTANCES - 1);
+    hear_all(&mut state, INSTANCES - 1, 400);
+    let first = writer_of(&state, 500).unwrap();
+    let first_index: usize = first[1..].parse().unwrap();
+
+    // Act: it still talks to its peers, but the store does not answer it.
+    hear(&mut state, 2_000, first_index, 2_000, 1);
+    for index in (0..INSTANCES - 1).filter(|index| *index != first_index) {
+        hear(&mut state, 2_000, index, 100, 1);
+    }
+
+    // Assert
+    let second = writer_of(&state, 2_100).unwrap();
+    assert_ne!(second, first);
+    assert_eq!(writer_of(&state, 9_000), None);
+}
+
+#[test]
+fn an_instance_that_knows_only_a_seed_learns_from_it_that_the_fleet_is_large() {
+    // Symptom: 546 writes to the ledger are refused in the first two seconds. Sequence: all
+    // instances start at once and know three seeds each, so each takes the fleet for a small one,
+    // in which everybody writes. Cause: nobody told how many there are.
+
+    // Arrange
+    let mut state = state(INSTANCES - 1);
+
+    // Act
+    hear(&mut state, 400, 0, 100, 1);
+    let before = writer_of(&state, 500);
+    hear(&mut state, 800, 0, 100, 40);
+
+    // Assert
+    assert_eq!(before, None);
+    assert_eq!(writer_of(&state, 900), Some(name(0)));
+}
