--- a/crates/damaskstile-escrow/tests/reports.rs
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -297,3 +297,97 @@
     assert_eq!(soon, None);
     assert_eq!(again, first);
 }
+
+/// Makes a fleet in which the first member holds most of the account's tokens, for a demand that
+/// ends then.
+fn fleet_with_a_rich_member() -> Fleet {
+    let mut fleet = Fleet::new(20);
+    fleet.round(0);
+    let member = fleet.member(0);
+    (0..400).for_each(|_| member.note_demand(at(900), ACCOUNT, CALL_TOKENS, 0));
+    fleet.round(1_100);
+    fleet
+}
+
+/// Has another member take what is there of the account's tokens.
+fn another_member_takes_the_rest(fleet: &mut Fleet, ms: u64) {
+    let member = fleet.member(1);
+    (0..220).for_each(|_| member.note_demand(at(ms), ACCOUNT, CALL_TOKENS, 0));
+    let report = member.next_report(at(ms), &stamp(ms)).unwrap();
+    assert!(fleet.writer.take_report(at(ms), report).is_none());
+    fleet.write(ms + 1_100);
+}
+
+/// Has the first member lack tokens, so that it reports although it has no answer yet.
+fn report_of_a_lack(fleet: &mut Fleet, ms: u64) -> Report {
+    let member = fleet.member(0);
+    let tokens = member.free_tokens(at(ms), ACCOUNT) + 1_000;
+    assert_eq!(
+        member.try_reserve(at(ms), ACCOUNT, tokens, 0),
+        Err(Shortage::InStore)
+    );
+    member.next_report(at(ms), &stamp(ms)).unwrap()
+}
+
+fn is_within_what_was_bought(fleet: &Fleet) -> bool {
+    let ledger = fleet.writer.ledger();
+    ledger.settled(ACCOUNT) + ledger.granted(ACCOUNT) <= PREPAID_TOKENS
+}
+
+#[test]
+fn a_report_that_a_later_one_overtook_changes_nothing() {
+    // Symptom: an account gets more than it bought. Sequence: a report is held up, the next one
+    // gives tokens up, another instance takes them, and then the first report arrives, in which
+    // they were kept. Cause: reports were entered in the order in which they came.
+
+    // Arrange
+    let mut fleet = fleet_with_a_rich_member();
+    let held_up = fleet
+        .member(0)
+        .next_report(at(2_200), &stamp(2_200))
+        .unwrap();
+    let later = report_of_a_lack(&mut fleet, 4_400);
+    assert!(later.claims[ACCOUNT].kept_tokens < held_up.claims[ACCOUNT].kept_tokens);
+    let number = later.number;
+    assert!(fleet.writer.take_report(at(4_410), later).is_none());
+    fleet.write(4_410);
+    another_member_takes_the_rest(&mut fleet, 4_500);
+
+    // Act
+    let _ = fleet.writer.take_report(at(6_000), held_up);
+    fleet.write(7_000);
+
+    // Assert
+    assert_eq!(fleet.writer.ledger().holders["m00"].round, number);
+    assert!(is_within_what_was_bought(&fleet));
+}
+
+#[test]
+fn a_report_keeps_no_more_than_one_before_it_that_has_no_answer() {
+    // Symptom: an account gets more than it bought. Sequence: a report gives tokens up and is
+    // entered, its receipt gets lost, another instance takes the tokens, and the next report
+    // keeps them. Cause: a member went by the last receipt alone.
+
+    // Arrange
+    let mut fleet = fleet_with_a_rich_member();
+    let first = fleet
+        .member(0)
+        .next_report(at(8_000), &stamp(8_000))
+        .unwrap();
+    assert!(fleet.writer.take_report(at(8_010), first).is_none());
+    let round = fleet.writer.next_round(at(8_010), &stamp(8_010)).unwrap();
+    fleet.version += 1;
+    let version = fleet.version;
+    fleet.writer.written(at(8_020), version, round);
+    another_member_takes_the_rest(&mut fleet, 8_100);
+
+    // Act
+    let member = fleet.member(0);
+    (0..400).for_each(|_| member.note_demand(at(9_300), ACCOUNT, CALL_TOKENS, 0));
+    let second = report_of_a_lack(&mut fleet, 9_400);
+    assert!(fleet.writer.take_report(at(9_410), second).is_none());
+    fleet.write(10_300);
+
+    // Assert
+    assert!(is_within_what_was_bought(&fleet));
+}
