--- a/crates/damaskstile-escrow/src/options.rs
+++ b/crates/damaskstile-escrow/src/options.rs
@@ -77,7 +77,7 @@
             plenty_from: Duration::from_secs(10),
             scarce_from: Duration::from_secs(3),
             floor_calls: 2,
-            plenty_calls: 2,
+            plenty_calls: 4,
             even_percent: 10,
             ceiling: Duration::from_millis(1_500),
             ceiling_call_percent: 100,
