--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -18,12 +18,22 @@
 /// Pause after changes, so that a burst of them comes with one call. Small beside the two seconds
 /// within which a change must be in force.
 const BURST_PAUSE: Duration = Duration::from_millis(100);
+/// The same in a large fleet, where targets come and go all the time, and the bounds leave more.
+const LARGE_BURST_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a call that failed. Short beside the time within which a change must be in force.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
 /// The same in a large fleet, whose instances together would make thousands of calls in vain.
 const LARGE_FAILURE_PAUSE: Duration = Duration::from_millis(600);
 
+fn burst_pause(state: &State) -> Duration {
+    if state.is_large_fleet() {
+        LARGE_BURST_PAUSE
+    } else {
+        BURST_PAUSE
+    }
+}
+
 /// Returns the pause after a call that failed.
 pub(crate) fn failure_pause(state: &State) -> Duration {
     if state.is_large_fleet() {
@@ -113,7 +123,8 @@
                     return;
                 }
                 if is_burst {
-                    tokio::time::sleep(BURST_PAUSE).await;
+                    let pause = burst_pause(&gateway.state());
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(error) => {
