--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -44,8 +44,6 @@
     /// What is known of all accounts.
     overview: Overview,
     role: Role,
-    /// Whether a writer is known to a member.
-    has_writer: bool,
     /// Peers' reports to enter with the next write, with when they came.
     inbox: BTreeMap<InstanceId, (Duration, Report)>,
     /// The own report that has no answer yet.
@@ -93,7 +91,6 @@
             ledger_version: 0,
             overview: Overview::default(),
             role: Role::default(),
-            has_writer: false,
             inbox: BTreeMap::new(),
             outstanding: None,
             directory_at: None,
@@ -239,11 +236,6 @@
             .is_some_and(|at| now.saturating_sub(at) <= round_interval * 3 / 2)
     }
 
-    /// Sets whether a writer is known that this instance can send its reports to.
-    pub fn set_has_writer(&mut self, has_writer: bool) {
-        self.has_writer = has_writer;
-    }
-
     /// Returns what is left of a budget, as far as is known here.
     fn left_tokens(&self, account: &str) -> u64 {
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
@@ -317,7 +309,7 @@
         let is_recent = self
             .ledger_age(now)
             .is_some_and(|age| age <= self.options.evidence_age);
-        let can_ask = self.role == Role::Member && self.has_writer && !self.is_in_doubt;
+        let can_ask = self.role == Role::Member && !self.is_in_doubt;
         if !is_recent {
             // The answer to a report tells how the account stands.
             return if can_ask {
--- a/crates/damaskstile-escrow/src/holder/merge.rs
+++ b/crates/damaskstile-escrow/src/holder/merge.rs
@@ -8,8 +8,10 @@
 use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::overview::Overview;
+use crate::purse::Purse;
 use crate::report::Report;
 use crate::settlement::Settlement;
+use crate::stamp::Stamp;
 
 impl Holder {
     /// Enters a report into a ledger, unless it is outdated: the instance's incarnations follow on
@@ -121,7 +123,7 @@
 
     /// Makes this instance's report, and with it the sums that the instance keeps to until it
     /// hears what became of the report.
-    pub(super) fn make_report(&mut self, now: Duration, stamp: &crate::stamp::Stamp) -> Report {
+    pub(super) fn make_report(&mut self, now: Duration, stamp: &Stamp) -> Report {
         self.last_round += 1;
         let claims = self
             .prepaid_tokens
@@ -188,7 +190,7 @@
     pub(super) fn need(&self, account: &str, claim: Claim) -> Need {
         let view = self.overview.account(account);
         let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
-        let unsettled = self.purses.get(account).map_or(0, |one| one.unsettled());
+        let unsettled = self.purses.get(account).map_or(0, Purse::unsettled);
         let is_listed = self.is_listed();
         Need::new(view, prepaid, unsettled, claim)
             .among(self.overview.instances + u64::from(!is_listed))
--- a/crates/damaskstile-escrow/tests/reports.rs
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -105,7 +105,6 @@
 
 fn as_member(holder: &mut Holder) {
     holder.set_role(Role::Member);
-    holder.set_has_writer(true);
 }
 
 fn ask(holder: &mut Holder, ms: u64) -> Result<(), Shortage> {
@@ -270,7 +269,7 @@
     let member = fleet.member(0);
     let recent = member.try_reserve(at(500), ACCOUNT, PREPAID_TOKENS + 1, 0);
     let old = member.try_reserve(at(9_000), ACCOUNT, PREPAID_TOKENS + 1, 0);
-    member.set_has_writer(false);
+    member.set_role(Role::Writer);
     let alone = member.try_reserve(at(9_000), ACCOUNT, PREPAID_TOKENS + 1, 0);
 
     // Assert
--- a/crates/damaskstile-escrow/tests/together.rs
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 enum Message {
     /// To the instance that writes.
-    Report(usize, Report),
+    Report(usize, Box<Report>),
     /// To the instance that asked.
     Receipt(usize, Receipt),
 }
@@ -220,12 +220,11 @@
         let stamp = self.stamp(from);
         let holder = &mut self.holders[from];
         holder.set_role(Role::Member);
-        holder.set_has_writer(true);
         if holder.needs_read(self.now) {
             self.read(from);
         }
         if let Some(report) = self.holders[from].next_report(self.now, &stamp) {
-            self.send(Message::Report(to, report), fate);
+            self.send(Message::Report(to, Box::new(report)), fate);
         }
     }
 
@@ -241,7 +240,7 @@
         match message {
             Message::Report(to, report) => {
                 let from: usize = report.instance[1..].parse().unwrap();
-                if let Some(receipt) = self.holders[to].take_report(self.now, report) {
+                if let Some(receipt) = self.holders[to].take_report(self.now, *report) {
                     self.deliver(Message::Receipt(from, receipt));
                 }
             }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod digest;
 mod pull;
+mod reports;
 mod tokens;
 
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
-use damaskstile_escrow::{LedgerChange, Receipt, Report};
+use damaskstile_escrow::LedgerChange;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
@@ -41,9 +42,6 @@
 /// Longest pause before a list of targets is pulled, so that not all instances of a large fleet
 /// do so at once, and one pull serves several changes.
 const PULL_JITTER_MS: u64 = 250;
-/// Peers that may pass a report on: enough for one that knows only a seed, and an end where two
-/// take each other for the writer.
-const HOPS_MAX: u32 = 2;
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
 /// Pause after a failure to receive.
@@ -128,53 +126,6 @@
         }
     }
 
-    /// Takes in a peer's report, to be written with the next round.
-    fn take_report(&self, mut report: Report) {
-        let gateway = &self.gateway;
-        let now = gateway.now();
-        let is_urgent = report.is_urgent();
-        let sender = report.address.parse();
-        let mut state = gateway.state();
-        let writer = state.writer(now).map(|(_, address)| address);
-        if let Some(writer) = writer {
-            // The sender does not know the best writer yet, nor does that one know the sender.
-            drop(state);
-            report.hops += 1;
-            if report.hops <= HOPS_MAX {
-                let _ = gateway.outbox.try_send(Outgoing::Report(writer, report));
-            }
-            return;
-        }
-        state
-            .fleet_clock
-            .hear(now, &report.instance, report.stamp.unix_ms);
-        let receipt = state.holder.take_report(now, report);
-        drop(state);
-        if let (Some(receipt), Ok(sender)) = (receipt, sender) {
-            // A receipt that finds no room is asked for again by its instance.
-            let _ = gateway.outbox.try_send(Outgoing::Receipt(sender, receipt));
-        } else if is_urgent {
-            gateway.round_wanted.notify_one();
-        }
-    }
-
-    /// Takes in what became of the own report.
-    fn take_receipt(&self, from: &str, receipt: &Receipt) {
-        let gateway = &self.gateway;
-        let now = gateway.now();
-        if !gateway.state().holder.take_receipt(now, receipt) {
-            return;
-        }
-        gateway.round_done.notify_waiters();
-        let (number, version) = (receipt.number.to_string(), receipt.version.to_string());
-        let fields = [
-            ("round", number.as_str()),
-            ("version", version.as_str()),
-            ("writer", from),
-        ];
-        gateway.log(EventCode::ReportEntered, &fields);
-    }
-
     fn take_change(&self, bytes: &[u8]) {
         match serde_json::from_slice::<LedgerChange>(bytes) {
             Ok(change) => {
--- /dev/null
+++ b/crates/damaskstile-gateway/src/peers/reports.rs
@@ -0,0 +1,60 @@
+//! `reports` takes in what peers ask to have written to the ledger, and what became of the own
+//! reports.
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::{Receipt, Report};
+
+use super::Peers;
+use crate::outgoing::Outgoing;
+
+/// Peers that may pass a report on: enough for one that knows only a seed, and an end where two
+/// take each other for the writer.
+const HOPS_MAX: u32 = 2;
+impl Peers {
+    /// Takes in a peer's report, to be written with the next round.
+    pub(super) fn take_report(&self, mut report: Report) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let is_urgent = report.is_urgent();
+        let sender = report.address.parse();
+        let mut state = gateway.state();
+        let writer = state.writer(now).map(|(_, address)| address);
+        if let Some(writer) = writer {
+            // The sender does not know the best writer yet, nor does that one know the sender.
+            drop(state);
+            report.hops += 1;
+            if report.hops <= HOPS_MAX {
+                let _ = gateway.outbox.try_send(Outgoing::Report(writer, report));
+            }
+            return;
+        }
+        state
+            .fleet_clock
+            .hear(now, &report.instance, report.stamp.unix_ms);
+        let receipt = state.holder.take_report(now, report);
+        drop(state);
+        if let (Some(receipt), Ok(sender)) = (receipt, sender) {
+            // A receipt that finds no room is asked for again by its instance.
+            let _ = gateway.outbox.try_send(Outgoing::Receipt(sender, receipt));
+        } else if is_urgent {
+            gateway.round_wanted.notify_one();
+        }
+    }
+
+    /// Takes in what became of the own report.
+    pub(super) fn take_receipt(&self, from: &str, receipt: &Receipt) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        if !gateway.state().holder.take_receipt(now, receipt) {
+            return;
+        }
+        gateway.round_done.notify_waiters();
+        let (number, version) = (receipt.number.to_string(), receipt.version.to_string());
+        let fields = [
+            ("round", number.as_str()),
+            ("version", version.as_str()),
+            ("writer", from),
+        ];
+        gateway.log(EventCode::ReportEntered, &fields);
+    }
+}
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -118,7 +118,6 @@
         None => Role::Writer,
     };
     state.holder.set_role(role);
-    state.holder.set_has_writer(writer.is_some());
     let (name, address) = writer.unzip();
     let is_new = state.writer_known != name;
     state.writer_known.clone_from(&name);
