Not ready before the ledger lists the incarnation, for up to 2 s

Four end-to-end tests were red: an instance said that it is ready while its first write still waited for peers, and refused calls for want of tokens.

--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -259,7 +259,9 @@
         self.pending.retain(|pending| pending.number > number);
     }
 
-    pub(super) fn is_listed(&self) -> bool {
+    /// Tells whether the ledger lists this incarnation, so that it can hold tokens.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
         match self.role {
             Role::Member => self.committed_number > 0,
             Role::Writer => self
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dropshot::{
     ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, HttpServerStarter, RequestContext,
@@ -13,6 +14,11 @@
 use crate::gateway::Gateway;
 use crate::phase::Phase;
 
+/// Time after a start in which an instance that holds no tokens yet is not ready: its first write
+/// waits for peers that may write for it. After that it may be the store that is away, and what
+/// needs no tokens is served without it.
+const TOKENS_PATIENCE: Duration = Duration::from_secs(2);
+
 type Server = HttpServer<Arc<Gateway>>;
 type Answer = Result<Response<Body>, HttpError>;
 
@@ -70,8 +76,11 @@
     let state = gateway.state();
     let has_catalogue = state.catalogue.get().is_some();
     let is_overloaded = state.pressure.is_high(now);
+    let is_waiting_for_tokens =
+        !state.holder.is_listed() && now.saturating_sub(gateway.started_at) < TOKENS_PATIENCE;
     drop(state);
-    let status = if is_serving && has_catalogue && !is_overloaded {
+    let is_ready = has_catalogue && !is_waiting_for_tokens && !is_overloaded;
+    let status = if is_serving && is_ready {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
