Tell of watches that end unanswered, and give the age of each watch among the metrics

Sight for the late configuration: event 508 (WatchUnanswered) with the watch's age and how long ago the store answered another call; metric watch_age_ms. They tell a watch that hangs from a list that brings nothing new. No change of behaviour.

--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -44,7 +44,7 @@
 }
 
 /// What is followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Followed {
     /// Routes, services and client accounts.
     Catalogue,
@@ -52,6 +52,22 @@
     Targets,
 }
 
+impl Followed {
+    /// Returns its name in logs and metrics.
+    ///
+    /// ```
+    /// use damaskstile_gateway::follow::Followed;
+    /// assert_eq!(Followed::Catalogue.name(), "catalogue");
+    /// ```
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Catalogue => "catalogue",
+            Self::Targets => "targets",
+        }
+    }
+}
+
 /// Follows a kind of objects until the process ends.
 pub async fn follow(gateway: Arc<Gateway>, followed: Followed) {
     let kind = match followed {
@@ -62,7 +78,7 @@
         let listing = gateway.store.list(kind).await;
         match listing {
             Ok(listing) => {
-                note_answer(&gateway);
+                note_followed(&gateway, followed);
                 let version = listing.version;
                 take_all(&gateway, followed, &listing);
                 if must_watch(&gateway) {
@@ -105,9 +121,10 @@
 /// from peers.
 async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
     loop {
+        let began_at = gateway.now();
         match gateway.store.watch(kind, version, WATCH_WAIT).await {
             Ok((changes, next)) => {
-                note_answer(gateway);
+                note_followed(gateway, followed);
                 version = next;
                 let is_burst = !changes.is_empty();
                 let mut is_news = false;
@@ -128,6 +145,7 @@
                 }
             }
             Err(error) => {
+                note_unanswered(gateway, followed, began_at, &error.to_string());
                 note_failure(gateway, &error);
                 return;
             }
@@ -135,6 +153,32 @@
     }
 }
 
+/// Notes that the store answered a list or a watch.
+fn note_followed(gateway: &Gateway, followed: Followed) {
+    note_answer(gateway);
+    let now = gateway.now();
+    gateway.state().followed_at.insert(followed, now);
+}
+
+/// Tells that a watch ended without news: calls that are answered beside it say nothing of it.
+fn note_unanswered(gateway: &Gateway, followed: Followed, began_at: Duration, cause: &str) {
+    let now = gateway.now();
+    let waited_ms = now.saturating_sub(began_at).as_millis().to_string();
+    let answered_ms = {
+        let age = gateway.state().contact.age(now);
+        age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string())
+    };
+    gateway.log(
+        EventCode::WatchUnanswered,
+        &[
+            ("watch", followed.name()),
+            ("waited_ms", &waited_ms),
+            ("store_answered_ms_ago", &answered_ms),
+            ("cause", cause),
+        ],
+    );
+}
+
 /// Notes that the store answered.
 pub(crate) fn note_answer(gateway: &Gateway) {
     let now = gateway.now();
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -23,6 +23,12 @@
     target: String,
 }
 
+/// Labels of what is measured for a watch of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WatchLabels {
+    watch: &'static str,
+}
+
 /// Labels of how calls ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
@@ -39,6 +45,7 @@
     target_first_byte: Family<TargetLabels, Histogram>,
     free_tokens: Family<AccountLabels, Gauge>,
     store_age_ms: Gauge,
+    watch_age_ms: Family<WatchLabels, Gauge>,
     catalogue_version: Gauge,
 }
 
@@ -57,6 +64,7 @@
         let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let free_tokens = Family::default();
         let store_age_ms = Gauge::default();
+        let watch_age_ms = Family::default();
         let catalogue_version = Gauge::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
@@ -67,6 +75,8 @@
         registry.register("free_tokens", help, free_tokens.clone());
         let help = "Milliseconds since the store last answered";
         registry.register("store_age_ms", help, store_age_ms.clone());
+        let help = "Milliseconds since a list or a watch of the store was last answered";
+        registry.register("watch_age_ms", help, watch_age_ms.clone());
         let help = "Version of the catalogue in force";
         registry.register("catalogue_version", help, catalogue_version.clone());
         Self {
@@ -76,6 +86,7 @@
             target_first_byte,
             free_tokens,
             store_age_ms,
+            watch_age_ms,
             catalogue_version,
         }
     }
@@ -133,6 +144,14 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Notes how long ago a list or a watch of the store was last answered.
+    pub fn sample_watch(&self, watch: &'static str, age: Duration) {
+        let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.watch_age_ms
+            .get_or_create(&WatchLabels { watch })
+            .set(age_ms);
+    }
+
     /// Gives all metrics in the customary text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/objects/error.rs
+++ b/crates/damaskstile-gateway/src/objects/error.rs
@@ -1,5 +1,7 @@
 //! `error` tells what became of a call to the store that brought no result.
 
+use std::fmt;
+
 use super::StoredObject;
 
 /// `StoreError` tells what became of a call that brought no result.
@@ -15,5 +17,16 @@
     Conflict(Option<StoredObject>),
 }
 
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotDone(cause) => write!(f, "not done: {cause}"),
+            Self::Lost(cause) => write!(f, "no clear answer: {cause}"),
+            Self::Outdated => f.write_str("the history is gone"),
+            Self::Conflict(_) => f.write_str("the object has another version"),
+        }
+    }
+}
+
 /// `StoreResult` has the store's error.
 pub type StoreResult<T> = Result<T, StoreError>;
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -107,7 +107,12 @@
         })
         .collect();
     let (age, version) = (state.contact.age(now), state.catalogue.version());
+    let followed_at = state.followed_at.clone();
     drop(state);
+    for (followed, at) in followed_at {
+        let age = now.saturating_sub(at);
+        gateway.metrics.sample_watch(followed.name(), age);
+    }
     gateway.metrics.sample(&free, age, version);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     finish(StatusCode::OK, content_type, gateway.metrics.encode())
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use crate::call::CallHead;
 use crate::clock::BootTime;
 use crate::contact::Contact;
+use crate::follow::Followed;
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
@@ -63,6 +64,8 @@
     pub holder: Holder,
     /// When the store last answered, by duty.
     pub contact: Contact,
+    /// When a list or a watch of each kind was last answered.
+    pub followed_at: BTreeMap<Followed, Duration>,
     /// The catalogue in force as stored, for peers.
     pub stored_catalogue: Option<StoredObject>,
     /// Version of the list of targets.
@@ -110,6 +113,7 @@
             small_fleet: u64::from(options.escrow.small_fleet),
             holder: Holder::new(identity, &address, options.escrow.clone()),
             contact: Contact::default(),
+            followed_at: BTreeMap::new(),
             stored_catalogue: None,
             targets_version: 0,
             members: BTreeMap::new(),
