Give up all idle connections to the store once a call on one got no answer

Cause: connections that fall silent together were found one by one, each for the limit of a call (1.2 s, up to four in a row). Found while the cause of the watches was looked for elsewhere.

--- a/crates/damaskstile-http/src/kept.rs
+++ b/crates/damaskstile-http/src/kept.rs
@@ -52,9 +52,12 @@
     ///
     /// `NotConnected` where no byte was sent, `Broken` where some may have been.
     pub async fn call(&self, call: &Call, limit: Duration) -> Result<Reply> {
-        tokio::time::timeout(limit, self.exchange(call))
-            .await
-            .unwrap_or_else(|_| Err(Error::Broken("no answer in time".to_owned())))
+        if let Ok(reply) = tokio::time::timeout(limit, self.exchange(call)).await {
+            return reply;
+        }
+        // The idle connections may have fallen silent with this one, and each would cost a limit.
+        self.drop_idle();
+        Err(Error::Broken("no answer in time".to_owned()))
     }
 
     async fn exchange(&self, call: &Call) -> Result<Reply> {
@@ -89,6 +92,11 @@
         Ok(sender)
     }
 
+    fn drop_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     fn take(&self) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         std::iter::from_fn(|| idle.pop()).find(|sender| !sender.is_closed())
--- /dev/null
+++ b/crates/damaskstile-http/tests/kept.rs
@@ -0,0 +1,69 @@
+//! Calls over kept connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use damaskstile_http::{Call, KeptClient};
+use http::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time that a call may take here.
+const LIMIT: Duration = Duration::from_millis(500);
+/// Connections that the server lets fall silent after their first call.
+const SILENT: usize = 3;
+
+/// Serves HTTP; the first connections answer one call and nothing after it.
+async fn server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let opened = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = opened.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(answer(stream, number < SILENT));
+        }
+    });
+    address
+}
+
+async fn answer(mut stream: TcpStream, is_once: bool) {
+    let mut buffer = [0; 1024];
+    let mut answered = 0;
+    while let Ok(1..) = stream.read(&mut buffer).await {
+        if is_once && answered > 0 {
+            continue;
+        }
+        // The calls overlap, so that each opens a connection of its own.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.unwrap();
+        answered += 1;
+    }
+}
+
+#[tokio::test]
+async fn a_call_without_an_answer_leaves_no_idle_connection_of_its_time() {
+    // Symptom: after an outage several calls in a row get no answer, although new connections work.
+    // Sequence: some connections are kept; all fall silent at once, without a reset. Cause: only
+    // the connection of the call that failed was given up, and the next call took the next one.
+
+    // Arrange
+    let address = server().await;
+    let client = KeptClient::new(&address.to_string());
+    let call = Call::new("store", Method::GET, "/a");
+    let first = (0..SILENT).map(|_| client.call(&call, LIMIT));
+    for reply in futures_util::future::join_all(first).await {
+        reply.unwrap();
+    }
+
+    // Act
+    let unanswered = client.call(&call, LIMIT).await;
+    let next = client.call(&call, LIMIT).await;
+
+    // Assert
+    assert!(unanswered.is_err());
+    assert_eq!(next.unwrap().text(), "ok");
+}
