--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -1,5 +1,7 @@
 //! `follow` keeps what the store holds of routes and targets up to date.
 
+mod watching;
+
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
@@ -8,9 +10,8 @@
 use crate::objects::{Change, Listing, StoreError, StoredObject};
 use crate::state::State;
 
-/// Longest time that one watch waits. Each further one is a call to the store; a connection that
-/// fell silent is found by its keep-alive long before.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+use self::watching::{Watched, watch_once};
+
 /// Time between two lists of an instance that hears of changes from peers.
 const FOLLOWER_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two looks at whether it must watch itself.
@@ -122,34 +123,67 @@
 async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
     loop {
         let began_at = gateway.now();
-        match gateway.store.watch(kind, version, WATCH_WAIT).await {
-            Ok((changes, next)) => {
-                note_followed(gateway, followed);
+        match watch_once(gateway, kind, version).await {
+            Watched::Changes(changes, next) => {
                 version = next;
-                let is_burst = !changes.is_empty();
-                let mut is_news = false;
-                for change in changes {
-                    is_news |= take_change(gateway, followed, change);
-                }
-                // Peers read the list anew for each version, so what tells them nothing makes none.
-                if followed == Followed::Targets && is_news {
-                    gateway.state().targets_version = version;
-                    gateway.news.notify_one();
-                }
-                if !must_watch(gateway) {
-                    return;
-                }
-                if is_burst {
-                    let pause = burst_pause(&gateway.state());
-                    tokio::time::sleep(pause).await;
-                }
+                take_changes(gateway, followed, changes, version).await;
             }
-            Err(error) => {
+            // What changed meanwhile comes with the next watch, which begins at the same version.
+            Watched::Swallowed => {
+                note_unanswered(
+                    gateway,
+                    followed,
+                    began_at,
+                    "an outage of the store is over",
+                );
+            }
+            Watched::Failed(error) => {
                 note_unanswered(gateway, followed, began_at, &error.to_string());
-                note_failure(gateway, &error);
+                note_failed_watch(gateway, began_at, &error);
                 return;
             }
         }
+        if !must_watch(gateway) {
+            return;
+        }
+    }
+}
+
+async fn take_changes(
+    gateway: &Gateway,
+    followed: Followed,
+    changes: Vec<Change>,
+    version: Version,
+) {
+    note_followed(gateway, followed);
+    let is_burst = !changes.is_empty();
+    let mut is_news = false;
+    for change in changes {
+        is_news |= take_change(gateway, followed, change);
+    }
+    // Peers read the list anew for each version, so what tells them nothing makes none.
+    if followed == Followed::Targets && is_news {
+        gateway.state().targets_version = version;
+        gateway.news.notify_one();
+    }
+    if is_burst && must_watch(gateway) {
+        let pause = burst_pause(&gateway.state());
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Takes in that a watch failed. Where another call was answered since it was sent, the store is
+/// there and only the watch was lost: taken for an outage, it would keep targets in use that have
+/// vanished from the list.
+fn note_failed_watch(gateway: &Gateway, began_at: Duration, error: &StoreError) {
+    let now = gateway.now();
+    let waited = now.saturating_sub(began_at);
+    let is_answered_since = {
+        let age = gateway.state().contact.age(now);
+        age.is_some_and(|age| age < waited)
+    };
+    if !is_answered_since {
+        note_failure(gateway, error);
     }
 }
 
@@ -183,6 +217,7 @@
 pub(crate) fn note_answer(gateway: &Gateway) {
     let now = gateway.now();
     if gateway.state().contact.answered(now) {
+        gateway.outages_over.send_modify(|count| *count += 1);
         // Peers that cannot reach the store should turn to this instance at once.
         gateway.news.notify_one();
         gateway.log(EventCode::StoreRegained, &[]);
--- /dev/null
+++ b/crates/damaskstile-gateway/src/follow/watching.rs
@@ -0,0 +1,56 @@
+//! `watching` waits for one answer of a watch, and gives up a watch that an outage has swallowed.
+//!
+//! A store that falls silent may lose the watches that it was sent and answer all later calls. Such
+//! a watch ends only at its own limit, which is longer than a change may take to come into force.
+//! One notices it by event 508 with a recent answer to other calls. So each watch is tied to the
+//! answers of other calls: one is made right beside it, more follow while the store says nothing,
+//! and once an outage that one of them met is over, the watch is sent anew.
+
+use std::time::Duration;
+
+use damaskstile_core::ids::Version;
+
+use crate::gateway::Gateway;
+use crate::objects::{Change, StoreError};
+use crate::proof;
+
+/// Longest time that one watch waits. Each further one is a call to the store; a connection that
+/// fell silent is found by its keep-alive long before.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time after a watch was sent until another call is made beside it: long enough for the watch to
+/// be on its way first, so that an outage which swallows the watch meets the call too.
+const BESIDE_DELAY: Duration = Duration::from_millis(50);
+
+/// `Watched` is how one watch ended.
+#[derive(Debug)]
+pub(super) enum Watched {
+    /// With an answer: the changes, and the version to watch on from.
+    Changes(Vec<Change>, Version),
+    /// The store answers again after an outage in which this watch may have been lost.
+    Swallowed,
+    /// With an error.
+    Failed(StoreError),
+}
+
+/// Waits for changes after a version.
+pub(super) async fn watch_once(gateway: &Gateway, kind: &str, after: Version) -> Watched {
+    // Subscribed before the watch is sent: an outage that ended earlier cannot have met it.
+    let mut outages = gateway.outages_over.subscribe();
+    let watching = gateway.store.watch(kind, after, WATCH_WAIT);
+    let outage_over = async {
+        tokio::time::sleep(BESIDE_DELAY).await;
+        proof::prove_after(gateway, BESIDE_DELAY).await;
+        if outages.changed().await.is_err() {
+            // The gateway has ended, and this duty ends with it.
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        biased;
+        answer = watching => match answer {
+            Ok((changes, next)) => Watched::Changes(changes, next),
+            Err(error) => Watched::Failed(error),
+        },
+        () = outage_over => Watched::Swallowed,
+    }
+}
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -55,6 +55,9 @@
     pub news: Notify,
     /// Wakes the duty that asks peers for tokens.
     pub tokens_wanted: Notify,
+    /// Counts the outages of the store that are over, and wakes the watches that may have been lost
+    /// in one.
+    pub outages_over: watch::Sender<u64>,
     /// Tells all duties how far a stop has come.
     pub phase: watch::Sender<Phase>,
     open_calls: AtomicUsize,
@@ -94,6 +97,7 @@
             catalogue_wanted: Notify::new(),
             news: Notify::new(),
             tokens_wanted: Notify::new(),
+            outages_over: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Serving),
             open_calls: AtomicUsize::new(0),
             state,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod phase;
 pub mod pool;
 pub mod pressure;
+pub mod proof;
 pub mod record;
 pub mod relay;
 pub mod reply;
@@ -69,6 +70,7 @@
 
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
+    tokio::spawn(proof::keep(Arc::clone(&gateway)));
     tokio::spawn(rounds::keep(Arc::clone(&gateway)));
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
     tokio::spawn(Arc::clone(&peers).tell());
--- /dev/null
+++ b/crates/damaskstile-gateway/src/proof.rs
@@ -0,0 +1,55 @@
+//! `proof` asks the store for a sign of life where nothing else does.
+//!
+//! Watches may stay open for long and say nothing, so their silence does not tell whether the store
+//! is there. Two duties need to know: peers go by the word of the few watchers of a large fleet,
+//! and a watch that an outage has swallowed must be noticed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::follow::{note_answer, note_failure};
+use crate::gateway::Gateway;
+
+/// Silence of the store after which an instance that watches it asks for a sign of life: twice
+/// within the time for which peers believe it, and, with the limit of a call, early enough to find
+/// a swallowed watch within the time that a change may take. Such a call costs a tenth of another.
+const PROOF_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Asks for signs of life until the process ends.
+pub async fn keep(gateway: Arc<Gateway>) {
+    loop {
+        let silence = silence(&gateway);
+        let is_watcher = {
+            let now = gateway.now();
+            gateway.state().is_steward(now)
+        };
+        if is_watcher && silence >= PROOF_INTERVAL {
+            prove(&gateway).await;
+            // A store that refuses at once is not asked more often than one that is silent.
+            tokio::time::sleep(PROOF_INTERVAL).await;
+        } else {
+            let left = PROOF_INTERVAL.saturating_sub(silence);
+            tokio::time::sleep(left.max(PROOF_INTERVAL / 4)).await;
+        }
+    }
+}
+
+/// Asks for a sign of life, unless the store has answered within this time.
+pub(crate) async fn prove_after(gateway: &Gateway, silence_min: Duration) {
+    if silence(gateway) >= silence_min {
+        prove(gateway).await;
+    }
+}
+
+async fn prove(gateway: &Gateway) {
+    match gateway.store.probe().await {
+        Ok(()) => note_answer(gateway),
+        Err(error) => note_failure(gateway, &error),
+    }
+}
+
+/// Returns the time since the store last answered.
+fn silence(gateway: &Gateway) -> Duration {
+    let now = gateway.now();
+    gateway.state().contact.age(now).unwrap_or(Duration::MAX)
+}
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -29,10 +29,6 @@
 /// Longest time beyond that, so that not all write at once where nobody was heard.
 const START_JITTER_MS: u64 = 600;
 
-/// Silence of the store after which an instance that peers go by asks for a sign of life: twice
-/// within the time for which they believe it.
-const PROOF_INTERVAL: Duration = Duration::from_millis(700);
-
 /// Longest pause after a conflict: two calls to the store.
 const CONFLICT_JITTER_MS: u64 = 12;
 
@@ -59,7 +55,6 @@
     if is_backing_off(gateway) {
         return;
     }
-    prove_contact(gateway).await;
     let writer = choose_writer(gateway);
     let is_first = gateway.state().holder.ledger_age(now).is_none();
     if writer.is_none() && !is_first && must_wait_for_peers(gateway) {
@@ -144,28 +139,6 @@
     (state.is_large_fleet() || is_first_start) && alone_for < wait
 }
 
-/// Asks the store for a sign of life where nothing else does, if peers go by this instance's word.
-/// Without it all of a large fleet would take its few watchers for cut off whenever nothing
-/// changes, and watch and write themselves.
-async fn prove_contact(gateway: &Gateway) {
-    let now = gateway.now();
-    let is_due = {
-        let state = gateway.state();
-        let is_silent = state
-            .contact
-            .age(now)
-            .is_none_or(|age| age >= PROOF_INTERVAL);
-        state.is_large_fleet() && state.is_steward(now) && is_silent
-    };
-    if !is_due {
-        return;
-    }
-    match gateway.store.probe().await {
-        Ok(()) => note_answer(gateway),
-        Err(error) => note_failure(gateway, &error),
-    }
-}
-
 /// Sends what there is to write to the instance that writes for this one.
 fn report(gateway: &Gateway, address: SocketAddr) {
     let now = gateway.now();
