--- a/crates/damaskstile-standins/src/platform.rs
+++ b/crates/damaskstile-standins/src/platform.rs
@@ -29,6 +29,8 @@
     pub list_lag_ms: u64,
     /// Delay of watches, in milliseconds.
     pub watch_lag_ms: u64,
+    /// Watches from now on that get no answer.
+    pub lose_watches: u64,
 }
 
 /// `Counts` counts calls since the start.
@@ -82,6 +84,15 @@
         }
         Ok(())
     }
+
+    /// Counts a watch; returns whether it is lost.
+    fn take_watch(&self) -> bool {
+        let mut state = self.state();
+        state.counts.watches += 1;
+        let is_lost = state.faults.lose_watches > 0;
+        state.faults.lose_watches = state.faults.lose_watches.saturating_sub(1);
+        is_lost
+    }
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
@@ -185,7 +196,9 @@
     let key = path.into_inner().key.join("/");
     let query = query.into_inner();
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
-    platform.state().counts.watches += 1;
+    if platform.take_watch() {
+        std::future::pending::<()>().await;
+    }
     loop {
         let changed = platform.changed.notified();
         let (newer, lag_ms) = {
--- a/crates/damaskstiled/src/store.rs
+++ b/crates/damaskstiled/src/store.rs
@@ -51,12 +51,14 @@
 
 async fn run(platform: Platform, front: Arc<Front>, mut calls: Receiver<ToStore>) {
     let (watching, watched) = watch::channel((false, 0));
+    let (outages, outages_over) = watch::channel(0);
     tokio::spawn(watch_settings(
         platform.clone(),
         Arc::clone(&front),
         watched,
+        outages_over,
     ));
-    tokio::spawn(list_targets(platform.clone(), Arc::clone(&front)));
+    tokio::spawn(list_targets(platform.clone(), Arc::clone(&front), outages));
     while let Some(message) = calls.recv().await {
         match message {
             ToStore::Call { call, request } => {
@@ -77,10 +79,13 @@
     }
 }
 
+/// Watches the settings. An outage may swallow a watch without an answer, which shows only at the
+/// watch's own limit; so it is sent anew once lists of targets are answered again.
 async fn watch_settings(
     platform: Platform,
     front: Arc<Front>,
     mut watched: watch::Receiver<(bool, Version)>,
+    mut outages_over: watch::Receiver<u64>,
 ) {
     let mut seen_version = 0;
     loop {
@@ -92,10 +97,12 @@
             continue;
         }
         seen_version = seen_version.max(have_version);
+        outages_over.mark_unchanged();
         let waiting = platform.watch(SETTINGS_KEY, seen_version, WATCH_WAIT);
         let object = tokio::select! {
             object = waiting => object,
             _ = watched.changed() => continue,
+            Ok(()) = outages_over.changed() => continue,
         };
         match object {
             Ok(Some(object)) => {
@@ -109,10 +116,17 @@
     }
 }
 
-async fn list_targets(platform: Platform, front: Arc<Front>) {
+/// Lists the targets over and over, and counts the outages that are over.
+async fn list_targets(platform: Platform, front: Arc<Front>, outages: watch::Sender<u64>) {
     let mut last = Vec::new();
+    let mut is_lost = false;
     loop {
-        if let Ok(targets) = platform.targets().await
+        let listed = platform.targets().await;
+        if listed.is_ok() && is_lost {
+            outages.send_modify(|count| *count += 1);
+        }
+        is_lost = listed.is_err();
+        if let Ok(targets) = listed
             && targets != last
         {
             last.clone_from(&targets);
--- a/crates/damaskstiled/tests/fleet.rs
+++ b/crates/damaskstiled/tests/fleet.rs
@@ -241,3 +241,36 @@
     // Assert: it has the settings from its peers.
     assert_eq!(fleet.status("three").await["settings_version"], version);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_watch_that_an_outage_swallowed_does_not_hold_back_settings() {
+    // Symptom: an accepted version of the settings comes into force many seconds late. Sequence: a
+    // change ends the watch; the platform fails and loses the next watch; it comes back and answers
+    // all other calls. Cause: the watch was ended by nothing but its own limit of 20 s and more.
+
+    // Arrange
+    let fleet = Fleet::start("swallowed", &["one"], 10_000).await;
+
+    // Act
+    fleet
+        .set_platform_faults(&serde_json::json!({"lose_watches": 1}))
+        .await;
+    fleet.put_settings("").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet
+        .set_platform_faults(&serde_json::json!({"is_out": true}))
+        .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.set_platform_faults(&serde_json::json!({})).await;
+    let version = fleet.put_settings("").await;
+    let accepted_at = std::time::Instant::now();
+    let limit = Duration::from_secs(10);
+    while fleet.status("one").await["settings_version"] != version && accepted_at.elapsed() < limit
+    {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    // Assert
+    let took = accepted_at.elapsed();
+    assert!(took < Duration::from_secs(5), "{took:?}");
+}
