--- a/crates/damaskstile-escrow/src/holder/reports.rs
+++ b/crates/damaskstile-escrow/src/holder/reports.rs
@@ -54,12 +54,6 @@
         }
     }
 
-    /// Returns how what there is to write reaches the ledger.
-    #[must_use]
-    pub fn role(&self) -> Role {
-        self.role
-    }
-
     /// Returns the report to send to the writer, if one is due: a new one, or the last one again
     /// while it has no answer.
     ///
--- a/crates/damaskstile-escrow/tests/holder.rs
+++ b/crates/damaskstile-escrow/tests/holder.rs
@@ -1,9 +1,10 @@
 //! Where tokens stand, what a shortage is called, and what becomes of writes in doubt.
 
-use std::time::Duration;
+mod support;
 
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Round, Shortage, Stamp};
+use support::{at, stamp};
 
 const ACCOUNT: &str = "a";
 const PREPAID_TOKENS: u64 = 1_000_000;
@@ -17,21 +18,6 @@
     holder
 }
 
-fn at(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-/// Makes the stamp of a machine that stays up and hears its peers.
-fn stamp(ms: u64) -> Stamp {
-    Stamp {
-        boot_name: String::new(),
-        boot_ms: ms,
-        unix_ms: 1_000_000 + ms,
-        fleet_early_ms: Some(1_000_000 + ms),
-        fleet_late_ms: Some(1_000_000 + ms),
-    }
-}
-
 /// Makes the stamp of a machine that lost power and started again.
 fn stamp_after_power_loss(ms: u64) -> Stamp {
     Stamp {
--- a/crates/damaskstile-escrow/tests/reports.rs
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -1,9 +1,10 @@
 //! In a large fleet one instance writes to the ledger, and the others report to it.
 
-use std::time::Duration;
+mod support;
 
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Report, Role, Shortage, Stamp};
+use support::{at, stamp};
 
 /// Instances of a grown deployment of today.
 const INSTANCES: usize = 73;
@@ -12,10 +13,6 @@
 /// Worst case of a long call.
 const CALL_TOKENS: u64 = 9_200;
 
-fn at(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 fn holder(instance: &str, incarnation: u64) -> Holder {
     let identity = Identity::new(instance, incarnation, "north");
     let mut holder = Holder::new(identity, instance, EscrowOptions::default());
@@ -23,17 +20,6 @@
     holder
 }
 
-/// Makes the stamp of a machine that hears its peers.
-fn stamp(ms: u64) -> Stamp {
-    Stamp {
-        boot_name: String::new(),
-        boot_ms: ms,
-        unix_ms: 1_000_000 + ms,
-        fleet_early_ms: Some(1_000_000 + ms),
-        fleet_late_ms: Some(1_000_000 + ms),
-    }
-}
-
 /// Makes the stamp of a machine that lost power and hears too few peers to know the fleet's time.
 fn stamp_of_a_fresh_machine(ms: u64) -> Stamp {
     Stamp {
--- /dev/null
+++ b/crates/damaskstile-escrow/tests/support/mod.rs
@@ -0,0 +1,21 @@
+//! Times and stamps of the tests.
+
+use std::time::Duration;
+
+use damaskstile_escrow::Stamp;
+
+/// Returns a time of the decisions.
+pub fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Makes the stamp of a machine that stays up and hears its peers.
+pub fn stamp(ms: u64) -> Stamp {
+    Stamp {
+        boot_name: String::new(),
+        boot_ms: ms,
+        unix_ms: 1_000_000 + ms,
+        fleet_early_ms: Some(1_000_000 + ms),
+        fleet_late_ms: Some(1_000_000 + ms),
+    }
+}
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -68,6 +68,7 @@
         report(gateway, address);
         return;
     }
+    // Asked once more: the ledger that was just read tells how many instances there are.
     if must_wait_for_peers(gateway) {
         return;
     }
