Go by a target's incarnation, and take refused entries out of use

Cause: what is final, what is cached, running, reported and failed was kept by a target's name alone. A target that starts again under its name stayed drained for ever, or was credited with what only its predecessor held. An entry that could not be read left what was listed before in use, and an unknown state counted as a drain, so that a stray writer could take out a sound target for good.

Now the adapter decodes the start; the book, digests, pulled lists and kept connections go by name and start. A newer incarnation begins afresh, words on an older one change nothing. Digests name incarnations in fields of their own, and targets without a start as before, so that old and new instances hear each other. A refused entry takes its name out of use until the next sound one, without finality, logged and counted once for each fault.

Ruled out: remembering every incarnation that ever drained; the newest one of a name is enough, since words on older ones are ignored anyway.

--- a/crates/damaskstile-core/src/ids.rs
+++ b/crates/damaskstile-core/src/ids.rs
@@ -12,6 +12,9 @@
 pub type ServiceId = String;
 /// Names a target, a model engine's replica or a plain service's.
 pub type TargetId = String;
+/// Tells one run of a target from the next: its start, in milliseconds since the Unix epoch, so
+/// that the greater one is the newer.
+pub type TargetIncarnation = u64;
 /// The caller's key of a request (`Idempotency-Key`), unique within a client account.
 pub type RequestKey = String;
 /// The host's handle of one open call.
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod request;
 pub mod store;
 pub mod target;
+pub mod target_identity;
 pub mod time;
 
 pub mod prelude {
@@ -35,7 +36,7 @@
     pub use crate::identity::Identity;
     pub use crate::ids::{
         AccountId, BudgetId, CallId, GrantId, Incarnation, InstanceId, RequestHandle, RequestKey,
-        RunId, ServiceId, TargetId, Version,
+        RunId, ServiceId, TargetId, TargetIncarnation, Version,
     };
     pub use crate::log::{EventCode, LogEvent};
     pub use crate::outcome::{Outcome, Receipt};
@@ -45,4 +46,5 @@
     pub use crate::request::{NewRequest, Priority};
     pub use crate::store::{Object, StoreAnswer, StoreCall};
     pub use crate::target::{TargetInfo, TargetStatus};
+    pub use crate::target_identity::TargetIdentity;
 }
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -80,7 +80,7 @@
     SettingsApplied = 501, "info", "A newer version of the settings is in force.";
     SettingsRefused = 502, "error", "A stored version of the settings is invalid; the version in force stays.";
     CatalogueApplied = 503, "info", "A newer catalogue of routes and accounts is in force.";
-    EntryRefused = 504, "error", "A stored object could not be read; the last good state stays in force.";
+    EntryRefused = 504, "error", "A stored object cannot be used: an entry names no target until it is sound again, and of a catalogue the last good version stays in force.";
     OwnSettingsRead = 505, "info", "The instance's own settings were read again.";
     StoreLost = 506, "warn", "The store does not answer; what is known stays in force.";
     StoreRegained = 507, "info", "The store answers again.";
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -4,9 +4,12 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::fault::fault;
 use crate::gateway::Gateway;
+use crate::metrics::Stored;
 use crate::objects::{Change, Listing, StoreError, StoredObject};
 use crate::state::State;
+use crate::target_list;
 
 /// Longest time that one watch waits. Each further one is a call to the store; a connection that
 /// fell silent is found by its keep-alive long before.
@@ -165,27 +168,7 @@
                 take_catalogue(gateway, object, "store");
             }
         }
-        Followed::Targets => {
-            let mut all = Vec::new();
-            for object in &listing.objects {
-                match gateway.directory.target(object) {
-                    Ok(listed) => all.push(listed),
-                    Err(error) => note_refused(gateway, object, &error),
-                }
-            }
-            let count = all.len().to_string();
-            let now = gateway.now();
-            let mut state = gateway.state();
-            let is_around_outage = state.contact.is_around_outage(now);
-            state.book.list_all(now, all, is_around_outage);
-            state.targets_version = listing.version;
-            drop(state);
-            let version = listing.version.to_string();
-            gateway.log(
-                EventCode::TargetListed,
-                &[("targets", &count), ("version", &version)],
-            );
-        }
+        Followed::Targets => target_list::take_all(gateway, listing),
     }
 }
 
@@ -201,20 +184,9 @@
             gateway.log(EventCode::EntryRefused, &[("gone", &name)]);
             false
         }
-        (Followed::Targets, Change::Put(object)) => take_target(gateway, &object),
+        (Followed::Targets, Change::Put(object)) => target_list::take(gateway, &object),
         (Followed::Targets, Change::Gone(name)) => {
-            let now = gateway.now();
-            let mut state = gateway.state();
-            let is_around_outage = state.contact.is_around_outage(now);
-            state.book.unlist(now, &name, is_around_outage);
-            drop(state);
-            gateway.news.notify_one();
-            gateway.metrics.forget_target(&name);
-            let around = is_around_outage.to_string();
-            gateway.log(
-                EventCode::TargetUnlisted,
-                &[("target", &name), ("around_outage", &around)],
-            );
+            target_list::take_gone(gateway, &name);
             true
         }
     }
@@ -224,6 +196,7 @@
 pub(crate) fn take_catalogue(gateway: &Gateway, object: &StoredObject, source: &str) {
     match gateway.directory.catalogue(object) {
         Ok(Some(catalogue)) => {
+            gateway.state().catalogue_fault = None;
             let version = catalogue.version();
             let prepaid = catalogue.prepaid_tokens();
             let now = gateway.now();
@@ -248,42 +221,13 @@
     }
 }
 
-/// Takes in an entry of the list; returns whether it is news.
-fn take_target(gateway: &Gateway, object: &StoredObject) -> bool {
-    match gateway.directory.target(object) {
-        Ok(listed) => {
-            let target = listed.target.clone();
-            let is_ready = listed.is_ready.to_string();
-            let now = gateway.now();
-            let is_news = gateway.state().book.list(now, listed);
-            if is_news {
-                let version = object.version.to_string();
-                gateway.log(
-                    EventCode::TargetListed,
-                    &[
-                        ("target", &target),
-                        ("ready", &is_ready),
-                        ("version", &version),
-                    ],
-                );
-            }
-            is_news
-        }
-        Err(error) => {
-            note_refused(gateway, object, &error);
-            false
-        }
-    }
-}
-
+/// Notes that a catalogue cannot be used, once for each fault: a writer that repeats it must not
+/// fill the logs.
 fn note_refused(gateway: &Gateway, object: &StoredObject, error: &str) {
-    let version = object.version.to_string();
-    gateway.log(
-        EventCode::EntryRefused,
-        &[
-            ("name", &object.name),
-            ("version", &version),
-            ("error", error),
-        ],
-    );
+    let fault = fault(error);
+    let before = gateway.state().catalogue_fault.replace(fault.clone());
+    if before.as_ref() != Some(&fault) {
+        gateway.metrics.refused(Stored::Catalogue);
+        target_list::log_refused(gateway, &object.name, object.version, &fault);
+    }
 }
--- a/crates/damaskstile-gateway/src/lease.rs
+++ b/crates/damaskstile-gateway/src/lease.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub struct Lease {
     pool: Arc<Pool>,
-    target: TargetId,
+    target: TargetIdentity,
     sender: Option<Sender>,
     /// Whether calls were sent on it before.
     pub is_reused: bool,
@@ -42,14 +42,14 @@
 impl Lease {
     pub(crate) fn new(
         pool: &Arc<Pool>,
-        target: &str,
+        target: &TargetIdentity,
         sender: Sender,
         task: AbortHandle,
         is_reused: bool,
     ) -> Self {
         Self {
             pool: Arc::clone(pool),
-            target: target.to_owned(),
+            target: target.clone(),
             sender: Some(sender),
             is_reused,
             task,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod fault;
 pub mod follow;
 pub mod front;
 pub mod gateway;
@@ -38,10 +39,12 @@
 pub mod sendable;
 pub mod state;
 pub mod stop;
+pub mod target_list;
 
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_targets::Listed;
 use tokio::sync::mpsc::Receiver;
 
 use crate::follow::{Followed, follow};
@@ -85,11 +88,11 @@
 async fn prune(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
-        let listed: BTreeSet<TargetId> = gateway
+        let listed: BTreeSet<TargetIdentity> = gateway
             .state()
             .book
             .listed()
-            .map(|listed| listed.target.clone())
+            .map(Listed::identity)
             .collect();
         gateway.pool.prune(|target| listed.contains(target));
     }
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -3,8 +3,9 @@
 use std::sync::{Mutex, PoisonError};
 
 use damaskstile_core::prelude::*;
-use prometheus_client::encoding::EncodeLabelSet;
+use damaskstile_targets::TargetCounts;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -30,6 +31,29 @@
     outcome: &'static str,
 }
 
+/// `Stored` is a kind of stored object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Stored {
+    /// The catalogue.
+    Catalogue,
+    /// The entry of a target.
+    Target,
+    /// The ledger.
+    Ledger,
+}
+
+/// Labels of refused objects.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoredLabels {
+    stored: Stored,
+}
+
+/// Labels of the numbers of targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabels {
+    state: &'static str,
+}
+
 /// `Metrics` counts calls and measures their times.
 #[derive(Debug)]
 pub struct Metrics {
@@ -40,6 +64,8 @@
     free_tokens: Family<AccountLabels, Gauge>,
     store_age_ms: Gauge,
     catalogue_version: Gauge,
+    targets: Family<StateLabels, Gauge>,
+    refused_entries: Family<StoredLabels, Counter>,
 }
 
 fn histogram() -> Histogram {
@@ -58,6 +84,8 @@
         let free_tokens = Family::default();
         let store_age_ms = Gauge::default();
         let catalogue_version = Gauge::default();
+        let targets = Family::default();
+        let refused_entries = Family::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -69,6 +97,10 @@
         registry.register("store_age_ms", help, store_age_ms.clone());
         let help = "Version of the catalogue in force";
         registry.register("catalogue_version", help, catalogue_version.clone());
+        let help = "Targets of the list, by what keeps them in or out of use";
+        registry.register("targets", help, targets.clone());
+        let help = "Stored objects that could not be used, counted once for each fault";
+        registry.register("refused_entries", help, refused_entries.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -77,6 +109,8 @@
             free_tokens,
             store_age_ms,
             catalogue_version,
+            targets,
+            refused_entries,
         }
     }
 
@@ -113,6 +147,27 @@
         self.target_first_byte.remove(&labels);
     }
 
+    /// Counts a stored object that cannot be used.
+    pub fn refused(&self, stored: Stored) {
+        let labels = StoredLabels { stored };
+        self.refused_entries.get_or_create(&labels).inc();
+    }
+
+    /// Notes how many targets are in use, and how many are out of it for what.
+    pub fn count_targets(&self, counts: &TargetCounts) {
+        let all = [
+            ("ready", counts.ready),
+            ("leaving", counts.leaving),
+            ("lapsed", counts.lapsed),
+            ("refused", counts.refused),
+        ];
+        for (state, count) in all {
+            let labels = StateLabels { state };
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.targets.get_or_create(&labels).set(count);
+        }
+    }
+
     /// Notes what is measured whenever it is asked for.
     pub fn sample(
         &self,
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -107,7 +107,9 @@
         })
         .collect();
     let (age, version) = (state.contact.age(now), state.catalogue.version());
+    let counts = state.book.counts();
     drop(state);
+    gateway.metrics.count_targets(&counts);
     gateway.metrics.sample(&free, age, version);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     finish(StatusCode::OK, content_type, gateway.metrics.encode())
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -9,6 +9,7 @@
 mod pull;
 mod reports;
 mod tokens;
+mod told_target;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 pub use digest::{AccountTokens, Digest};
 pub use pull::{Pulled, serve as serve_pulls};
 pub use tokens::{AskTokens, GiveTokens};
+pub use told_target::ToldTarget;
 
 use crate::gateway::Gateway;
 use crate::member::Member;
@@ -191,19 +193,19 @@
             })
             .filter(|free| free.tokens > 0)
             .collect();
-        Digest {
+        let digest = Digest {
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
             targets_version: state.targets_version,
             store_age_ms: state.contact.age(now).map_or(u64::MAX, unix_ms),
-            leaving: state.book.draining(now),
-            vanished: state.book.vanished(now),
             free,
             is_stopping: state.is_stopping,
             known_instances: state.known_instances(),
             is_steward: state.is_steward(now),
             capacity_percent: self.gateway.options.capacity_percent,
-        }
+            ..Digest::default()
+        };
+        digest.with_departures(&state.book.draining(now), &state.book.vanished(now))
     }
 
     /// Makes one question for each account that calls here lack tokens of, to the peer that said
@@ -273,20 +275,17 @@
         let is_store_lost = state.contact.is_lost() && is_store_old;
         let is_peer_in_touch = Duration::from_millis(digest.store_age_ms) < STORE_AGE_MAX;
         let mut left = Vec::new();
-        for target in &digest.leaving {
-            if state.book.leave(now, target) {
-                left.push(target.clone());
+        for target in digest.all_leaving() {
+            if state.book.leave(now, &target) {
+                left.push(target);
             }
         }
         // In touch with the store, the own list is newer than what peers say of it.
         let is_follower = !state.is_steward(now);
-        for target in digest
-            .vanished
-            .iter()
-            .filter(|_| is_store_lost || is_follower)
-        {
-            if state.book.vanish(now, target) {
-                left.push(target.clone());
+        let is_list_told = is_store_lost || is_follower;
+        for target in digest.all_vanished().into_iter().filter(|_| is_list_told) {
+            if state.book.vanish(now, &target) {
+                left.push(target);
             }
         }
         let lacks_targets = (is_store_lost || is_follower)
@@ -303,10 +302,8 @@
             gateway.log(EventCode::MemberJoined, &[("peer", from)]);
         }
         for target in left {
-            gateway.log(
-                EventCode::TargetLeaving,
-                &[("target", &target), ("source", from)],
-            );
+            let fields = [("target", target.target.as_str()), ("source", from)];
+            gateway.log(EventCode::TargetLeaving, &fields);
         }
         if lacks_catalogue && is_follower && !is_store_lost {
             // A large catalogue is read faster from the store than from a peer with a narrow link.
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -1,5 +1,9 @@
 //! `digest` tells what an instance knows, in a few hundred bytes.
 
+use damaskstile_core::prelude::*;
+
+use super::ToldTarget;
+
 /// `AccountTokens` are tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
 pub struct AccountTokens {
@@ -26,12 +30,18 @@
     /// Milliseconds since the store last answered the sender.
     #[prost(uint64, tag = "4")]
     pub store_age_ms: u64,
-    /// Targets that drain or have ended.
+    /// Targets that drain or have ended, and do not state their starts.
     #[prost(string, repeated, tag = "5")]
     pub leaving: Vec<String>,
-    /// Targets that vanished from the list.
+    /// Targets that vanished from the list, and do not state their starts.
     #[prost(string, repeated, tag = "8")]
     pub vanished: Vec<String>,
+    /// Incarnations that drain or have ended.
+    #[prost(message, repeated, tag = "12")]
+    pub leaving_incarnations: Vec<ToldTarget>,
+    /// Incarnations that vanished from the list.
+    #[prost(message, repeated, tag = "13")]
+    pub vanished_incarnations: Vec<ToldTarget>,
     /// Tokens that the sender could reserve at once.
     #[prost(message, repeated, tag = "6")]
     pub free: Vec<AccountTokens>,
@@ -48,3 +58,46 @@
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
 }
+
+impl Digest {
+    /// Tells which targets are leaving and which vanished from the list.
+    #[must_use]
+    pub fn with_departures(
+        mut self,
+        leaving: &[TargetIdentity],
+        vanished: &[TargetIdentity],
+    ) -> Self {
+        (self.leaving, self.leaving_incarnations) = split(leaving);
+        (self.vanished, self.vanished_incarnations) = split(vanished);
+        self
+    }
+
+    /// Returns the targets that drain or have ended.
+    #[must_use]
+    pub fn all_leaving(&self) -> Vec<TargetIdentity> {
+        join(&self.leaving, &self.leaving_incarnations)
+    }
+
+    /// Returns the targets that vanished from the list.
+    #[must_use]
+    pub fn all_vanished(&self) -> Vec<TargetIdentity> {
+        join(&self.vanished, &self.vanished_incarnations)
+    }
+}
+
+fn split(identities: &[TargetIdentity]) -> (Vec<String>, Vec<ToldTarget>) {
+    let is_unstated = |identity: &&TargetIdentity| identity.incarnation.is_none();
+    let unstated = identities.iter().filter(is_unstated);
+    let unstated = unstated.map(|identity| identity.target.clone()).collect();
+    let stated = identities.iter().filter_map(ToldTarget::of).collect();
+    (unstated, stated)
+}
+
+fn join(unstated: &[String], stated: &[ToldTarget]) -> Vec<TargetIdentity> {
+    let unstated = unstated
+        .iter()
+        .map(|target| TargetIdentity::new(target, None));
+    unstated
+        .chain(stated.iter().map(ToldTarget::identity))
+        .collect()
+}
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -76,6 +76,8 @@
     slots_requests: u64,
     #[prost(bool, tag = "6")]
     is_ready: bool,
+    #[prost(uint64, optional, tag = "7")]
+    started_at_unix_ms: Option<u64>,
 }
 
 /// Pulls from a peer, unless the store was faster.
@@ -140,14 +142,15 @@
         .targets
         .into_iter()
         .filter_map(|pulled| {
-            Some(Listed {
+            Some(Ok(Listed {
                 target: pulled.target,
+                incarnation: pulled.started_at_unix_ms,
                 service: pulled.service,
                 address: pulled.address.parse().ok()?,
                 data_centre: pulled.data_centre,
                 slots_requests: pulled.slots_requests,
                 is_ready: pulled.is_ready,
-            })
+            }))
         })
         .collect();
     let now = gateway.now();
@@ -198,6 +201,7 @@
     if is_targets {
         let targets = state.book.present().map(|listed| PulledTarget {
             target: listed.target.clone(),
+            started_at_unix_ms: listed.incarnation,
             service: listed.service.clone(),
             address: listed.address.to_string(),
             data_centre: listed.data_centre.clone(),
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -25,10 +25,11 @@
     usable_until: std::time::Instant,
 }
 
-/// `Pool` keeps connections to targets for the next call.
+/// `Pool` keeps connections to targets for the next call, by incarnation: a connection that was
+/// made to one leads to it as long as its process lives, also when the next serves already.
 #[derive(Debug, Default)]
 pub struct Pool {
-    kept: Mutex<BTreeMap<TargetId, Vec<Kept>>>,
+    kept: Mutex<BTreeMap<TargetIdentity, Vec<Kept>>>,
 }
 
 impl Pool {
@@ -45,7 +46,7 @@
     /// Returns why no connection was made; nothing has been sent then.
     pub async fn lease(
         self: &Arc<Self>,
-        target: &str,
+        target: &TargetIdentity,
         address: SocketAddr,
     ) -> std::io::Result<Lease> {
         if let Some(kept) = self.take(target) {
@@ -62,8 +63,8 @@
         Ok(Lease::new(self, target, sender, task.abort_handle(), false))
     }
 
-    /// Closes the connections that are no longer usable, and all to targets not in the list.
-    pub fn prune(&self, is_listed: impl Fn(&str) -> bool) {
+    /// Closes the connections that are no longer usable, and all to incarnations not in the list.
+    pub fn prune(&self, is_listed: impl Fn(&TargetIdentity) -> bool) {
         let now = std::time::Instant::now();
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         kept.retain(|target, connections| {
@@ -82,13 +83,13 @@
     /// Keeps a connection; returns false where there are enough.
     pub(crate) fn keep(
         &self,
-        target: &str,
+        target: &TargetIdentity,
         sender: Sender,
         task: AbortHandle,
         usable_until: std::time::Instant,
     ) -> bool {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_target = kept.entry(target.to_owned()).or_default();
+        let of_target = kept.entry(target.clone()).or_default();
         let has_room = of_target.len() < KEPT_MAX;
         if has_room {
             of_target.push(Kept {
@@ -100,7 +101,7 @@
         has_room
     }
 
-    fn take(&self, target: &str) -> Option<Kept> {
+    fn take(&self, target: &TargetIdentity) -> Option<Kept> {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         let of_target = kept.get_mut(target)?;
         while let Some(one) = of_target.pop() {
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -64,7 +64,7 @@
 ) -> Result<Run, NoRun> {
     let running = Running::new(gateway, choice, &call.work);
     let choice = &running.choice;
-    let Ok(mut lease) = gateway.pool.lease(&choice.target, choice.address).await else {
+    let Ok(mut lease) = gateway.pool.lease(&choice.identity(), choice.address).await else {
         running.silent();
         return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
     };
@@ -115,11 +115,11 @@
 
 /// Decides whether an answer is the one to this call and tells of a run.
 fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
-    let target = &run.running.choice.target;
+    let choice = &run.running.choice;
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
-        state.book.report(now, target, load.running, load.waiting);
+        state.book.report(now, choice, load.running, load.waiting);
     }
     // An answer to an earlier call may arrive late, where the next one is expected. Passed on,
     // it would give this caller another's answer. The connection is closed with the run.
@@ -128,7 +128,8 @@
         return Err(NoRun::new(SendEnd::Unknown, "foreign_answer"));
     }
     if run.head.is_misdirected {
-        gateway.state().book.leave(gateway.now(), target);
+        let now = gateway.now();
+        gateway.state().book.leave(now, &choice.identity());
         return Err(NoRun::new(SendEnd::NotRun, "misdirected"));
     }
     if run.head.is_not_run {
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -38,22 +38,22 @@
         let now = self.gateway.now();
         let book = &mut self.gateway.state().book;
         if is_success {
-            book.succeeded(now, &self.choice.target);
+            book.succeeded(now, &self.choice);
         } else {
-            book.failed(now, &self.choice.target);
+            book.failed(now, &self.choice);
         }
     }
 
     /// Notes that the target did not answer at all.
     pub(crate) fn silent(&self) {
         let now = self.gateway.now();
-        self.gateway.state().book.silent(now, &self.choice.target);
+        self.gateway.state().book.silent(now, &self.choice);
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         self.prefilled();
-        self.gateway.state().book.ended(&self.choice.target);
+        self.gateway.state().book.ended(&self.choice);
     }
 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -65,6 +65,10 @@
     pub contact: Contact,
     /// The catalogue in force as stored, for peers.
     pub stored_catalogue: Option<StoredObject>,
+    /// What is wrong with the catalogue that was refused last, until a sound one comes.
+    pub catalogue_fault: Option<String>,
+    /// What is wrong with the ledger as stored, while it cannot be used.
+    pub ledger_fault: Option<String>,
     /// Version of the list of targets.
     pub targets_version: Version,
     /// The other instances, from their digests.
@@ -111,6 +115,8 @@
             holder: Holder::new(identity, &address, options.escrow.clone()),
             contact: Contact::default(),
             stored_catalogue: None,
+            catalogue_fault: None,
+            ledger_fault: None,
             targets_version: 0,
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
--- /dev/null
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -0,0 +1,101 @@
+//! `target_list` takes in what the store lists of targets.
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Listed, Refused};
+
+use crate::fault::fault;
+use crate::gateway::Gateway;
+use crate::metrics::Stored;
+use crate::objects::{Listing, StoredObject};
+
+fn decode(gateway: &Gateway, object: &StoredObject) -> Result<Listed, Refused> {
+    gateway.directory.target(object).map_err(|error| Refused {
+        target: object.name.clone(),
+        fault: fault(&error),
+    })
+}
+
+/// Takes in the whole list.
+pub(crate) fn take_all(gateway: &Gateway, listing: &Listing) {
+    let objects = listing.objects.iter();
+    let all: Vec<_> = objects.map(|object| decode(gateway, object)).collect();
+    let count = all.iter().flatten().count().to_string();
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let is_around_outage = state.contact.is_around_outage(now);
+    let refused = state.book.list_all(now, all, is_around_outage);
+    state.targets_version = listing.version;
+    drop(state);
+    for entry in refused {
+        note_refused(gateway, &entry, listing.version);
+    }
+    let version = listing.version.to_string();
+    gateway.log(
+        EventCode::TargetListed,
+        &[("targets", &count), ("version", &version)],
+    );
+}
+
+/// Takes in an entry of the list; returns whether it is news.
+pub(crate) fn take(gateway: &Gateway, object: &StoredObject) -> bool {
+    let now = gateway.now();
+    let entry = decode(gateway, object);
+    let is_ready = matches!(&entry, Ok(listed) if listed.is_ready);
+    let mut state = gateway.state();
+    let is_news = match entry {
+        Ok(listed) => state.book.list(now, listed),
+        Err(refused) => state.book.refuse(&refused),
+    };
+    // A sound entry may be refused too, for what others under its name said.
+    let fault = state.book.fault(&object.name).map(str::to_owned);
+    drop(state);
+    if !is_news {
+        return false;
+    }
+    if let Some(fault) = fault {
+        let target = object.name.clone();
+        note_refused(gateway, &Refused { target, fault }, object.version);
+        return true;
+    }
+    let is_ready = is_ready.to_string();
+    let version = object.version.to_string();
+    gateway.log(
+        EventCode::TargetListed,
+        &[
+            ("target", &object.name),
+            ("ready", &is_ready),
+            ("version", &version),
+        ],
+    );
+    true
+}
+
+/// Takes in that the list no longer holds a name.
+pub(crate) fn take_gone(gateway: &Gateway, name: &str) {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let is_around_outage = state.contact.is_around_outage(now);
+    state.book.unlist(now, name, is_around_outage);
+    drop(state);
+    gateway.news.notify_one();
+    gateway.metrics.forget_target(name);
+    let around = is_around_outage.to_string();
+    gateway.log(
+        EventCode::TargetUnlisted,
+        &[("target", name), ("around_outage", &around)],
+    );
+}
+
+fn note_refused(gateway: &Gateway, entry: &Refused, version: Version) {
+    gateway.metrics.refused(Stored::Target);
+    log_refused(gateway, &entry.target, version, &entry.fault);
+}
+
+/// Logs that a stored object cannot be used.
+pub(crate) fn log_refused(gateway: &Gateway, name: &str, version: Version, fault: &str) {
+    let version = version.to_string();
+    gateway.log(
+        EventCode::EntryRefused,
+        &[("name", name), ("version", &version), ("error", fault)],
+    );
+}
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -1,40 +1,16 @@
 //! `book` knows the listed targets and chooses one for a call.
 
-use std::net::SocketAddr;
+mod list;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
 
 use crate::book_options::BookOptions;
+use crate::choice::Choice;
+use crate::departures::Departures;
 use crate::known::Known;
-use crate::listed::Listed;
 use crate::work::Work;
 
-/// Time for which peers are told that a target is leaving: longer than an isolation lasts.
-const LEAVING_NEWS: Duration = Duration::from_secs(15);
-
-/// `Choice` is the target chosen for a call.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Choice {
-    /// The target.
-    pub target: TargetId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Expected wait for the first token, by which it was chosen.
-    pub cost_ms: f64,
-    /// Tokens of the prompt that are not expected to be cached there.
-    pub uncached_tokens: u64,
-}
-
-/// How it was learnt that a target is leaving.
-#[derive(Debug, Clone, Copy)]
-struct Left {
-    at: Duration,
-    /// Whether the target is known to drain. It never takes work again then; one that only
-    /// vanished from the list may come back to it.
-    is_final: bool,
-}
-
 /// `Book` knows the listed targets and chooses one for a call.
 ///
 /// The choice weighs three things in one unit, the time to the first token: prompt tokens that
@@ -46,8 +22,11 @@
     options: BookOptions,
     data_centre: String,
     targets: BTreeMap<TargetId, Known>,
-    /// Targets that are leaving or gone, by any source, with when that was learnt.
-    leaving: BTreeMap<TargetId, Left>,
+    departures: Departures,
+    /// Entries that name no target to use, with what is wrong with them.
+    refused: BTreeMap<TargetId, String>,
+    /// Whether targets state their starts. An entry that does not is another writer's then.
+    is_start_stated: bool,
 }
 
 impl Book {
@@ -58,137 +37,10 @@
             options,
             data_centre: data_centre.to_owned(),
             targets: BTreeMap::new(),
-            leaving: BTreeMap::new(),
-        }
-    }
-
-    /// Takes in one entry of the list; returns whether its readiness changed.
-    pub fn list(&mut self, now: Duration, listed: Listed) -> bool {
-        if !listed.is_ready {
-            self.leave(now, &listed.target);
-        } else if self
-            .leaving
-            .get(&listed.target)
-            .is_some_and(|left| !left.is_final)
-        {
-            self.leaving.remove(&listed.target);
-        }
-        if let Some(known) = self.targets.get_mut(&listed.target) {
-            let was_ready = known.listed.is_ready && known.missing_since.is_none();
-            let is_ready = listed.is_ready;
-            known.missing_since = None;
-            known.listed = listed;
-            return was_ready != is_ready;
-        }
-        let target = listed.target.clone();
-        self.targets.insert(target, Known::new(listed));
-        true
-    }
-
-    /// Takes in that the list no longer holds a target.
-    ///
-    /// Around an outage of the list entries lapse although their targets live, and come back
-    /// soon; such a target stays in use for a short grace. At other times it is leaving.
-    pub fn unlist(&mut self, now: Duration, target: &str, is_around_outage: bool) {
-        if !is_around_outage {
-            self.targets.remove(target);
-            self.vanish(now, target);
-            return;
-        }
-        if let Some(known) = self.targets.get_mut(target) {
-            known.missing_since.get_or_insert(now);
-        }
-    }
-
-    /// Takes in the whole list: targets that it does not name are unlisted.
-    pub fn list_all(&mut self, now: Duration, all: Vec<Listed>, is_around_outage: bool) {
-        let named: BTreeSet<TargetId> = all.iter().map(|one| one.target.clone()).collect();
-        let gone: Vec<TargetId> = self
-            .targets
-            .keys()
-            .filter(|target| !named.contains(*target))
-            .cloned()
-            .collect();
-        for target in gone {
-            self.unlist(now, &target, is_around_outage);
-        }
-        for listed in all {
-            self.list(now, listed);
-        }
-    }
-
-    /// Takes in that a target drains or has ended; returns whether that is news.
-    pub fn leave(&mut self, now: Duration, target: &str) -> bool {
-        let left = Left {
-            at: now,
-            is_final: true,
-        };
-        let before = self.leaving.insert(target.to_owned(), left);
-        if let Some(before) = before {
-            // The news is as old as it was at first.
-            let left = Left {
-                at: before.at,
-                is_final: true,
-            };
-            self.leaving.insert(target.to_owned(), left);
+            departures: Departures::default(),
+            refused: BTreeMap::new(),
+            is_start_stated: false,
         }
-        before.is_none()
-    }
-
-    /// Takes in that a target vanished from the list; returns whether that is news.
-    pub fn vanish(&mut self, now: Duration, target: &str) -> bool {
-        if self.leaving.contains_key(target) {
-            return false;
-        }
-        let left = Left {
-            at: now,
-            is_final: false,
-        };
-        self.leaving.insert(target.to_owned(), left);
-        true
-    }
-
-    /// Returns the targets that lately began to drain, to tell peers.
-    #[must_use]
-    pub fn draining(&self, now: Duration) -> Vec<TargetId> {
-        self.left(now, true).cloned().collect()
-    }
-
-    /// Returns the targets that lately vanished from the list, to tell peers: those that lapsed
-    /// around an outage too, once they are no longer waited for.
-    #[must_use]
-    pub fn vanished(&self, now: Duration) -> Vec<TargetId> {
-        let lapsed = self.targets.iter().filter(|(_, known)| {
-            known.missing_since.is_some_and(|since| {
-                let age = now.saturating_sub(since);
-                age >= self.options.lapse_grace && age < LEAVING_NEWS
-            })
-        });
-        let lapsed = lapsed.map(|(target, _)| target);
-        self.left(now, false).chain(lapsed).cloned().collect()
-    }
-
-    fn left(&self, now: Duration, is_final: bool) -> impl Iterator<Item = &TargetId> {
-        self.leaving
-            .iter()
-            .filter(move |(_, left)| left.is_final == is_final)
-            .filter(move |(_, left)| now.saturating_sub(left.at) < LEAVING_NEWS)
-            .map(|(target, _)| target)
-    }
-
-    /// Returns what the list says of the targets that are there, to hand it on. One that the list
-    /// does not show now is left out: whoever takes it over could not tell that it is waited for.
-    pub fn present(&self) -> impl Iterator<Item = &Listed> {
-        self.targets
-            .values()
-            .filter(|known| known.missing_since.is_none())
-            .map(|known| &known.listed)
-            .filter(|listed| !self.leaving.contains_key(&listed.target))
-    }
-
-    /// Returns the targets of the list with what it says of them.
-    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
-        self.targets.values().map(|known| &known.listed)
     }
 
     /// Returns the number of targets of a service that may get work.
@@ -220,51 +72,59 @@
             .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
+    /// Returns what is known of the incarnation that a call was sent to; `None` where another has
+    /// taken its place, of which the call says nothing.
+    fn chosen(&mut self, choice: &Choice) -> Option<&mut Known> {
+        self.targets
+            .get_mut(&choice.target)
+            .filter(|known| known.listed.incarnation == choice.incarnation)
+    }
+
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
-        if let Some(known) = self.targets.get_mut(&choice.target) {
+        if let Some(known) = self.chosen(choice) {
             known.sent(now, work, choice.uncached_tokens);
         }
     }
 
     /// Notes that the first token came, or that the call ended before it.
     pub fn prefilled(&mut self, choice: &Choice) {
-        if let Some(known) = self.targets.get_mut(&choice.target) {
+        if let Some(known) = self.chosen(choice) {
             known.prefilled(choice.uncached_tokens);
         }
     }
 
     /// Notes that a call ended, in whatever way.
-    pub fn ended(&mut self, target: &str) {
-        if let Some(known) = self.targets.get_mut(target) {
+    pub fn ended(&mut self, choice: &Choice) {
+        if let Some(known) = self.chosen(choice) {
             known.ended();
         }
     }
 
-    /// Takes in a target's report of its load.
-    pub fn report(&mut self, now: Duration, target: &str, running: u64, waiting: u64) {
-        if let Some(known) = self.targets.get_mut(target) {
+    /// Takes in a target's report of its load, which came with the answer to a call.
+    pub fn report(&mut self, now: Duration, choice: &Choice, running: u64, waiting: u64) {
+        if let Some(known) = self.chosen(choice) {
             known.report(now, running, waiting);
         }
     }
 
-    /// Notes that a call succeeded at a target.
-    pub fn succeeded(&mut self, now: Duration, target: &str) {
-        if let Some(known) = self.targets.get_mut(target) {
+    /// Notes that a call succeeded at its target.
+    pub fn succeeded(&mut self, now: Duration, choice: &Choice) {
+        if let Some(known) = self.chosen(choice) {
             known.succeeded(now);
         }
     }
 
     /// Notes that a target failed a call.
-    pub fn failed(&mut self, now: Duration, target: &str) {
-        if let Some(known) = self.targets.get_mut(target) {
+    pub fn failed(&mut self, now: Duration, choice: &Choice) {
+        if let Some(known) = self.chosen(choice) {
             known.failed(now);
         }
     }
 
     /// Notes that a target did not answer at all.
-    pub fn silent(&mut self, now: Duration, target: &str) {
-        if let Some(known) = self.targets.get_mut(target) {
+    pub fn silent(&mut self, now: Duration, choice: &Choice) {
+        if let Some(known) = self.chosen(choice) {
             known.silent(now);
         }
     }
@@ -277,10 +137,17 @@
             known.listed.service == service
                 && known.listed.is_ready
                 && is_listed
-                && !self.leaving.contains_key(&known.listed.target)
+                && self.is_sound(known)
+                && !self
+                    .departures
+                    .covers(&known.listed.target, known.listed.incarnation)
         })
     }
 
+    fn is_sound(&self, known: &Known) -> bool {
+        !self.refused.contains_key(&known.listed.target) && !self.is_start_missing(known)
+    }
+
     /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
     /// all send the subject where its parts are cached.
     fn home(&self, now: Duration, service: &str, work: &Work) -> Option<TargetId> {
@@ -310,6 +177,7 @@
         let uncached_tokens = uncached as u64;
         Choice {
             target: known.listed.target.clone(),
+            incarnation: known.listed.incarnation,
             address: known.listed.address,
             cost_ms,
             uncached_tokens,
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -0,0 +1,227 @@
+//! `list` keeps a book up to date with the list of targets and with what peers tell of it.
+
+use damaskstile_core::prelude::*;
+
+use super::Book;
+use crate::departures::LEAVING_NEWS;
+use crate::known::Known;
+use crate::listed::Listed;
+use crate::refused::Refused;
+use crate::target_counts::TargetCounts;
+
+/// Fault of an entry that does not state its target's start where others do.
+const FAULT_NO_START: &str = "the start is not stated";
+
+impl Book {
+    /// Takes in one entry of the list; returns whether its readiness changed.
+    ///
+    /// An entry of an incarnation older than the newest one known came late and is ignored. One
+    /// that does not state the start of a target whose start is known is refused.
+    pub fn list(&mut self, now: Duration, listed: Listed) -> bool {
+        let is_news = self.take(now, listed);
+        self.look_at_starts();
+        is_news
+    }
+
+    fn take(&mut self, now: Duration, listed: Listed) -> bool {
+        if listed.incarnation < self.newest(&listed.target) {
+            return listed.incarnation.is_none()
+                && self.mark_refused(&listed.target, FAULT_NO_START);
+        }
+        let was_refused = self.refused.remove(&listed.target).is_some();
+        let identity = listed.identity();
+        if listed.is_ready {
+            self.departures.listed_ready(&identity);
+        } else {
+            self.departures.leave(now, &identity);
+        }
+        match self.targets.get_mut(&listed.target) {
+            Some(known) if known.listed.incarnation == listed.incarnation => {
+                let was_ready = known.listed.is_ready && known.missing_since.is_none();
+                let is_news = was_refused || was_ready != listed.is_ready;
+                known.missing_since = None;
+                known.listed = listed;
+                is_news
+            }
+            _ => {
+                // A new incarnation holds nothing of what the one before it held.
+                self.targets.insert(identity.target, Known::new(listed));
+                true
+            }
+        }
+    }
+
+    /// Takes in an entry that names no target to use; returns whether that is news.
+    ///
+    /// What was listed under its name is out of use until the next sound entry. That is no drain:
+    /// another writer's entry must not take out a sound target for good.
+    pub fn refuse(&mut self, entry: &Refused) -> bool {
+        self.mark_refused(&entry.target, &entry.fault)
+    }
+
+    fn mark_refused(&mut self, target: &str, fault: &str) -> bool {
+        if let Some(known) = self.targets.get_mut(target) {
+            known.missing_since = None;
+        }
+        let before = self.refused.insert(target.to_owned(), fault.to_owned());
+        before.as_deref() != Some(fault)
+    }
+
+    /// Returns what is wrong with the entry of a name, if it names no target to use.
+    #[must_use]
+    pub fn fault(&self, target: &str) -> Option<&str> {
+        let refused = self.refused.get(target).map(String::as_str);
+        refused.or_else(|| {
+            let known = self.targets.get(target)?;
+            self.is_start_missing(known).then_some(FAULT_NO_START)
+        })
+    }
+
+    /// Takes in that the list no longer holds a target.
+    ///
+    /// Around an outage of the list entries lapse although their targets live, and come back
+    /// soon; such a target stays in use for a short grace. At other times it is leaving.
+    pub fn unlist(&mut self, now: Duration, target: &str, is_around_outage: bool) {
+        self.refused.remove(target);
+        if !is_around_outage {
+            let known = self.targets.remove(target);
+            let identity = known.map_or_else(
+                || TargetIdentity::new(target, None),
+                |known| known.listed.identity(),
+            );
+            self.departures.vanish(now, &identity);
+        } else if let Some(known) = self.targets.get_mut(target) {
+            known.missing_since.get_or_insert(now);
+        }
+        self.look_at_starts();
+    }
+
+    /// Takes in the whole list: targets that it does not name are unlisted. Returns the refused
+    /// entries that are news.
+    pub fn list_all(
+        &mut self,
+        now: Duration,
+        all: Vec<Result<Listed, Refused>>,
+        is_around_outage: bool,
+    ) -> Vec<Refused> {
+        let named: BTreeSet<TargetId> = all
+            .iter()
+            .map(|entry| match entry {
+                Ok(listed) => listed.target.clone(),
+                Err(refused) => refused.target.clone(),
+            })
+            .collect();
+        let known: BTreeSet<&TargetId> = self.targets.keys().chain(self.refused.keys()).collect();
+        let gone: Vec<TargetId> = known
+            .into_iter()
+            .filter(|target| !named.contains(*target))
+            .cloned()
+            .collect();
+        for target in gone {
+            self.unlist(now, &target, is_around_outage);
+        }
+        let mut news = Vec::new();
+        for entry in all {
+            match entry {
+                Ok(listed) => {
+                    self.take(now, listed);
+                }
+                Err(refused) if self.refuse(&refused) => news.push(refused),
+                Err(_) => {}
+            }
+        }
+        self.look_at_starts();
+        news
+    }
+
+    /// Takes in that an incarnation drains or has ended; returns whether that is news.
+    pub fn leave(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
+        !self.is_outdated(identity) && self.departures.leave(now, identity)
+    }
+
+    /// Takes in that an incarnation vanished from the list; returns whether that is news.
+    pub fn vanish(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
+        !self.is_outdated(identity) && self.departures.vanish(now, identity)
+    }
+
+    /// Returns the newest incarnation of a name, from the list or from whoever told that it left.
+    fn newest(&self, target: &str) -> Option<TargetIncarnation> {
+        let known = self.targets.get(target);
+        let listed = known.and_then(|known| known.listed.incarnation);
+        listed.max(self.departures.newest(target))
+    }
+
+    fn is_outdated(&self, identity: &TargetIdentity) -> bool {
+        identity.incarnation < self.newest(&identity.target)
+    }
+
+    /// Finds out whether targets state their starts: at least as many as do not. One stray entry
+    /// must not decide that for all others.
+    fn look_at_starts(&mut self) {
+        let has_start = |known: &&Known| known.listed.incarnation.is_some();
+        let stated = self.targets.values().filter(has_start).count();
+        self.is_start_stated = stated > 0 && stated * 2 >= self.targets.len();
+    }
+
+    pub(super) fn is_start_missing(&self, known: &Known) -> bool {
+        self.is_start_stated && known.listed.incarnation.is_none()
+    }
+
+    /// Returns the incarnations that lately began to drain, to tell peers.
+    #[must_use]
+    pub fn draining(&self, now: Duration) -> Vec<TargetIdentity> {
+        self.departures.told(now, true).collect()
+    }
+
+    /// Returns the incarnations that lately vanished from the list, to tell peers: those that
+    /// lapsed around an outage too, once they are no longer waited for.
+    #[must_use]
+    pub fn vanished(&self, now: Duration) -> Vec<TargetIdentity> {
+        let lapsed = self.targets.values().filter(|known| {
+            known.missing_since.is_some_and(|since| {
+                let age = now.saturating_sub(since);
+                age >= self.options.lapse_grace && age < LEAVING_NEWS
+            })
+        });
+        let lapsed = lapsed.map(|known| known.listed.identity());
+        self.departures.told(now, false).chain(lapsed).collect()
+    }
+
+    /// Counts the targets by what keeps them in or out of use.
+    #[must_use]
+    pub fn counts(&self) -> TargetCounts {
+        let mut counts = TargetCounts::default();
+        for (target, known) in &self.targets {
+            let incarnation = known.listed.incarnation;
+            let count = if self.fault(target).is_some() {
+                continue;
+            } else if !known.listed.is_ready || self.departures.covers(target, incarnation) {
+                &mut counts.leaving
+            } else if known.missing_since.is_some() {
+                &mut counts.lapsed
+            } else {
+                &mut counts.ready
+            };
+            *count += 1;
+        }
+        let names: BTreeSet<&TargetId> = self.targets.keys().chain(self.refused.keys()).collect();
+        let refused = names.iter().filter(|name| self.fault(name).is_some());
+        counts.refused = u64::try_from(refused.count()).unwrap_or(u64::MAX);
+        counts
+    }
+
+    /// Returns what the list says of the targets that are there, to hand it on. One that the list
+    /// does not show now is left out: whoever takes it over could not tell that it is waited for.
+    pub fn present(&self) -> impl Iterator<Item = &Listed> {
+        self.targets
+            .values()
+            .filter(|known| known.missing_since.is_none() && self.is_sound(known))
+            .map(|known| &known.listed)
+            .filter(|listed| !self.departures.covers(&listed.target, listed.incarnation))
+    }
+
+    /// Returns the targets of the list with what it says of them.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.targets.values().map(|known| &known.listed)
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -0,0 +1,100 @@
+//! `departures` remembers which incarnations of targets are leaving or gone.
+
+use damaskstile_core::prelude::*;
+
+/// Time for which peers are told that a target is leaving: longer than an isolation lasts.
+pub(crate) const LEAVING_NEWS: Duration = Duration::from_secs(15);
+
+/// How it was learnt that an incarnation is leaving.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    incarnation: Option<TargetIncarnation>,
+    at: Duration,
+    /// Whether the incarnation is known to drain. It never takes work again then; one that only
+    /// vanished from the list may come back to it.
+    is_final: bool,
+}
+
+/// `Departures` remembers which incarnations of targets are leaving or gone, by any source.
+///
+/// Only the newest incarnation of each name is kept: words on an older one come late and say
+/// nothing of it. Without the incarnation a target that starts again under its name would stay
+/// out of use for ever, and a late word on the one before it would take it out.
+#[derive(Debug, Default)]
+pub struct Departures {
+    left: BTreeMap<TargetId, Departure>,
+}
+
+impl Departures {
+    /// Takes in that an incarnation drains or has ended; returns whether that is news.
+    pub(crate) fn leave(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
+        match self.left.get_mut(&identity.target) {
+            Some(known) if known.incarnation > identity.incarnation => false,
+            Some(known) if known.incarnation == identity.incarnation => {
+                // The news is as old as it was at first.
+                known.is_final = true;
+                false
+            }
+            _ => {
+                self.insert(now, identity, true);
+                true
+            }
+        }
+    }
+
+    /// Takes in that an incarnation vanished from the list; returns whether that is news.
+    pub(crate) fn vanish(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
+        let known = self.left.get(&identity.target);
+        if known.is_some_and(|known| known.incarnation >= identity.incarnation) {
+            return false;
+        }
+        self.insert(now, identity, false);
+        true
+    }
+
+    fn insert(&mut self, now: Duration, identity: &TargetIdentity, is_final: bool) {
+        let departure = Departure {
+            incarnation: identity.incarnation,
+            at: now,
+            is_final,
+        };
+        self.left.insert(identity.target.clone(), departure);
+    }
+
+    /// Takes in that the list shows an incarnation as ready, which ends any departure but a drain
+    /// of this or a newer one.
+    pub(crate) fn listed_ready(&mut self, identity: &TargetIdentity) {
+        let ends = self.left.get(&identity.target).is_some_and(|known| {
+            let is_same = known.incarnation == identity.incarnation;
+            known.incarnation < identity.incarnation || (is_same && !known.is_final)
+        });
+        if ends {
+            self.left.remove(&identity.target);
+        }
+    }
+
+    /// Tells whether an incarnation is leaving or gone, or one that followed on it.
+    pub(crate) fn covers(&self, target: &str, incarnation: Option<TargetIncarnation>) -> bool {
+        self.left
+            .get(target)
+            .is_some_and(|known| known.incarnation >= incarnation)
+    }
+
+    /// Returns the newest incarnation of a name that left.
+    pub(crate) fn newest(&self, target: &str) -> Option<TargetIncarnation> {
+        self.left.get(target)?.incarnation
+    }
+
+    /// Returns the incarnations that lately began to drain, or that lately vanished.
+    pub(crate) fn told(
+        &self,
+        now: Duration,
+        is_final: bool,
+    ) -> impl Iterator<Item = TargetIdentity> {
+        self.left
+            .iter()
+            .filter(move |(_, known)| known.is_final == is_final)
+            .filter(move |(_, known)| now.saturating_sub(known.at) < LEAVING_NEWS)
+            .map(|(target, known)| TargetIdentity::new(target, known.incarnation))
+    }
+}
--- a/crates/damaskstile-targets/src/listed.rs
+++ b/crates/damaskstile-targets/src/listed.rs
@@ -7,8 +7,10 @@
 /// `Listed` is a target as the platform's list has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listed {
-    /// Name of the target's incarnation.
+    /// Name of the target.
     pub target: TargetId,
+    /// Its incarnation; `None` where the entry does not state the start.
+    pub incarnation: Option<TargetIncarnation>,
     /// Service that it works for.
     pub service: ServiceId,
     /// Address that takes calls.
@@ -20,3 +22,11 @@
     /// Whether it takes new work.
     pub is_ready: bool,
 }
+
+impl Listed {
+    /// Returns which run of which target the entry is about.
+    #[must_use]
+    pub fn identity(&self) -> TargetIdentity {
+        TargetIdentity::new(&self.target, self.incarnation)
+    }
+}
--- a/crates/damaskstile-targets/tests/book.rs
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -1,8 +1,6 @@
 //! Which target a call gets: by what is cached, by what waits there, by who fails and who leaves.
 
-use std::time::Duration;
-
-use damaskstile_core::random::Random;
+use damaskstile_core::prelude::*;
 use damaskstile_targets::{Book, BookOptions, Listed, Part, Work};
 
 const SERVICE: &str = "model";
@@ -18,6 +16,7 @@
 fn listed(name: &str, is_ready: bool) -> Listed {
     Listed {
         target: name.to_owned(),
+        incarnation: None,
         service: SERVICE.to_owned(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "north".to_owned(),
@@ -26,6 +25,11 @@
     }
 }
 
+/// Names a target that does not state its start.
+fn unstated(name: &str) -> TargetIdentity {
+    TargetIdentity::new(name, None)
+}
+
 fn book(targets: u64) -> Book {
     let mut book = Book::new("north", BookOptions::default());
     for index in 0..targets {
@@ -71,7 +75,7 @@
         let choice = book.choose(now, SERVICE, &work, &[]).unwrap();
         book.sent(now, &choice, &work);
         book.prefilled(&choice);
-        book.ended(&choice.target);
+        book.ended(&choice);
         homes.entry(subject).or_default().insert(choice.target);
     }
 
@@ -107,8 +111,10 @@
     // Arrange
     let mut book = book(2);
     let work = Work::default();
+    let others = ["t1".to_owned()];
+    let choice = book.choose(at(1_000), SERVICE, &work, &others).unwrap();
     for _ in 0..3 {
-        book.silent(at(1_000), "t0");
+        book.silent(at(1_000), &choice);
     }
 
     // Act
@@ -131,14 +137,14 @@
 
     // Arrange
     let mut book = book(1);
-    book.leave(at(10), "t0");
+    book.leave(at(10), &unstated("t0"));
 
     // Act
     book.list(at(20), listed("t0", true));
 
     // Assert
     assert_eq!(book.choose(at(30), SERVICE, &Work::default(), &[]), None);
-    assert_eq!(book.draining(at(30)), ["t0"]);
+    assert_eq!(book.draining(at(30)), [unstated("t0")]);
 }
 
 #[test]
@@ -169,7 +175,7 @@
     let mut book = book(1);
     book.unlist(at(1_000), "t0", false);
     assert_eq!(book.choose(at(1_000), SERVICE, &Work::default(), &[]), None);
-    assert_eq!(book.vanished(at(1_000)), ["t0"]);
+    assert_eq!(book.vanished(at(1_000)), [unstated("t0")]);
 }
 
 #[test]
@@ -183,10 +189,10 @@
     let mut waiting = book(2);
     let mut other = book(2);
     waiting.unlist(at(0), "t0", true);
-    other.vanish(at(20), "t0");
+    other.vanish(at(20), &unstated("t0"));
 
     // Act
-    let all = waiting.present().cloned().collect();
+    let all = waiting.present().cloned().map(Ok).collect();
     other.list_all(at(300), all, false);
 
     // Assert
@@ -208,7 +214,7 @@
 
     // Assert
     assert!(book.vanished(at(1_000)).is_empty());
-    assert_eq!(book.vanished(at(2_000)), ["t0"]);
+    assert_eq!(book.vanished(at(2_000)), [unstated("t0")]);
     book.list(at(2_100), listed("t0", true));
     assert!(book.vanished(at(2_200)).is_empty());
 }
