Test restarts of targets against a plain model, in virtual time

Cause: what is said of targets comes by the watch, by lists pulled from peers, by digests and by calls, each late, twice or never; that no order of them mixes two incarnations up can't be seen from single cases.

One instance watches the list, another has it from the first. After each step both must use just those incarnations that a plain model of what they heard allows, and one of which nothing was learnt must cost nothing. In the end all targets that live and do not drain must be in use.

An entry that was refused and then vanishes around an outage is no longer waited for: what stood there last named no target.

--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -82,8 +82,9 @@
     /// Around an outage of the list entries lapse although their targets live, and come back
     /// soon; such a target stays in use for a short grace. At other times it is leaving.
     pub fn unlist(&mut self, now: Duration, target: &str, is_around_outage: bool) {
-        self.refused.remove(target);
-        if !is_around_outage {
+        // What stood there last named no target, so there is none to wait for.
+        let was_refused = self.refused.remove(target).is_some();
+        if !is_around_outage || was_refused {
             let known = self.targets.remove(target);
             let identity = known.map_or_else(
                 || TargetIdentity::new(target, None),
--- /dev/null
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -0,0 +1,462 @@
+//! Targets that start again under their names: no word on one incarnation is taken for another's.
+
+mod support;
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, Choice, Listed, Part, Refused, TargetCounts, Work};
+
+use support::{Model, SERVICE, listed, refused};
+
+/// Cases of the property, each with its own seed; each takes less than a millisecond.
+const CASES: u64 = 3_000;
+/// Steps of a case.
+const STEPS: u64 = 120;
+/// Names that targets start again under.
+const NAMES: [&str; 3] = ["t0", "t1", "t2"];
+/// Longest delay of a message.
+const DELAY_MS_MAX: u64 = 1_500;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn book() -> Book {
+    Book::new("north", BookOptions::default())
+}
+
+/// Chooses among one name only.
+fn choose(book: &Book, now: Duration, name: &str, work: &Work) -> Option<Choice> {
+    let others = NAMES.iter().filter(|other| **other != name);
+    let others: Vec<TargetId> = others.map(|other| (*other).to_owned()).collect();
+    book.choose(now, SERVICE, work, &others)
+}
+
+#[test]
+fn a_late_word_on_the_incarnation_before_takes_nothing_out() {
+    // Symptom: a target that started again gets no work. Sequence: its predecessor drains, it
+    // starts again and is listed; then a digest that tells of the drain arrives late. Cause: the
+    // digest named the target and not its incarnation.
+
+    // Arrange
+    let mut book = book();
+    book.list(at(0), listed("t0", Some(5), false));
+    book.list(at(10), listed("t0", Some(9), true));
+    let before = TargetIdentity::new("t0", Some(5));
+
+    // Act
+    let is_news = book.leave(at(20), &before) || book.vanish(at(30), &before);
+    book.list(at(40), listed("t0", Some(5), false));
+
+    // Assert
+    let choice = choose(&book, at(50), "t0", &Work::default()).unwrap();
+    assert!(!is_news);
+    assert_eq!(choice.incarnation, Some(9));
+}
+
+#[test]
+fn a_new_incarnation_is_taken_to_hold_nothing() {
+    // Symptom: after a target has started again, sessions go to it for parts that it no longer
+    // caches, and it is charged with calls that ended with its predecessor. Cause: what was known
+    // of the predecessor was kept under the name.
+
+    // Arrange
+    let mut book = book();
+    book.list(at(0), listed("t0", Some(5), true));
+    let part = Part {
+        name: 7,
+        tokens: 4_000,
+    };
+    let work = Work {
+        prompt_tokens: 4_000,
+        parts: vec![part],
+        ..Work::default()
+    };
+    let old = choose(&book, at(0), "t0", &work).unwrap();
+    let fresh_cost_ms = old.cost_ms;
+    book.sent(at(0), &old, &work);
+    book.failed(at(10), &old);
+    book.report(at(10), &old, 40, 40);
+
+    // Act
+    book.list(at(20), listed("t0", Some(9), true));
+    let new = choose(&book, at(20), "t0", &work).unwrap();
+    book.sent(at(20), &new, &work);
+    let own_cost_ms = choose(&book, at(30), "t0", &work).unwrap().cost_ms;
+    book.prefilled(&old);
+    book.ended(&old);
+    book.silent(at(30), &old);
+    book.report(at(30), &old, 40, 40);
+
+    // Assert
+    let after = choose(&book, at(30), "t0", &work).unwrap();
+    assert!((new.cost_ms - fresh_cost_ms).abs() < f64::EPSILON);
+    assert!((after.cost_ms - own_cost_ms).abs() < f64::EPSILON);
+}
+
+#[test]
+fn a_refused_entry_is_no_drain() {
+    // Symptom: calls go to a target whose entry names none, or a sound target never gets work
+    // again. Sequence: another writer overwrites the entry; the target's next heartbeat puts it
+    // right. Cause: the entry was skipped, or taken for a drain.
+
+    // Arrange
+    let mut book = book();
+    book.list(at(0), listed("t0", Some(5), true));
+
+    // Act
+    let news = [book.refuse(&refused("t0")), book.refuse(&refused("t0"))];
+    let meanwhile = choose(&book, at(10), "t0", &Work::default());
+    let counts = book.counts();
+    book.list(at(20), listed("t0", Some(5), true));
+
+    // Assert
+    assert_eq!(news, [true, false]);
+    assert_eq!(meanwhile, None);
+    let expected = TargetCounts {
+        refused: 1,
+        ..TargetCounts::default()
+    };
+    assert_eq!(counts, expected);
+    assert!(choose(&book, at(30), "t0", &Work::default()).is_some());
+}
+
+#[test]
+fn an_entry_without_a_start_names_no_target_where_others_state_theirs() {
+    // Arrange
+    let mut stated = book();
+    let mut unstated = book();
+
+    // Act
+    let all = |starts: [Option<u64>; 3]| {
+        let entries = NAMES.iter().zip(starts);
+        entries
+            .map(|(name, start)| Ok(listed(name, start, true)))
+            .collect()
+    };
+    stated.list_all(at(0), all([Some(5), Some(6), None]), false);
+    unstated.list_all(at(0), all([None, None, Some(5)]), false);
+
+    // Assert
+    assert_eq!(stated.usable_targets(at(10), SERVICE), 2);
+    assert_eq!(stated.fault("t2"), Some("the start is not stated"));
+    assert_eq!(unstated.usable_targets(at(10), SERVICE), 3);
+}
+
+/// An entry of the list, or none.
+type Entry = Option<Result<Listed, Refused>>;
+
+/// What is on its way to an instance.
+#[derive(Debug, Clone)]
+enum Message {
+    /// The watch shows an entry, or that it is gone, perhaps around an outage.
+    Change(TargetId, Entry, bool),
+    /// A list that was pulled from a peer, with its version.
+    Pulled(u64, Vec<Result<Listed, Refused>>),
+    /// A digest: what drains and what vanished.
+    Digest(Vec<TargetIdentity>, Vec<TargetIdentity>),
+}
+
+/// An instance, beside the plain model of what it must know.
+#[derive(Debug)]
+struct Instance {
+    book: Book,
+    model: Model,
+    version: u64,
+    calls: Vec<Choice>,
+    /// Incarnations that were charged with something.
+    charged: BTreeSet<TargetIdentity>,
+}
+
+impl Instance {
+    fn new() -> Self {
+        Self {
+            book: book(),
+            model: Model::default(),
+            version: 0,
+            calls: Vec::new(),
+            charged: BTreeSet::new(),
+        }
+    }
+
+    fn take(&mut self, now: Duration, message: Message, is_list_told: bool) {
+        match message {
+            Message::Change(_, Some(entry), _) => {
+                self.model.show(&entry);
+                match entry {
+                    Ok(listed) => self.book.list(now, listed),
+                    Err(refused) => self.book.refuse(&refused),
+                };
+            }
+            Message::Change(name, None, is_around_outage) => {
+                self.model.hide(now, &name, is_around_outage);
+                self.book.unlist(now, &name, is_around_outage);
+            }
+            Message::Pulled(version, all) if version > self.version => {
+                self.version = version;
+                self.model.show_all(now, &all);
+                self.book.list_all(now, all, false);
+            }
+            Message::Pulled(..) => {}
+            Message::Digest(draining, vanished) => {
+                for identity in draining {
+                    self.model.leave(&identity);
+                    self.book.leave(now, &identity);
+                }
+                for identity in vanished.iter().filter(|_| is_list_told) {
+                    self.model.vanish(identity);
+                    self.book.vanish(now, identity);
+                }
+            }
+        }
+    }
+
+    /// Checks that a name is in use just where the model says so, and that an incarnation of which
+    /// nothing was learnt costs nothing.
+    fn check(&self, now: Duration) -> Result<(), String> {
+        for name in NAMES {
+            let choice = choose(&self.book, now, name, &Work::default());
+            let chosen = choice.as_ref().map(Choice::identity);
+            let expected = self.model.usable(now, name);
+            if chosen != expected {
+                return Err(format!("{now:?}: {chosen:?} in use, not {expected:?}"));
+            }
+            if let Some(choice) = choice
+                && !self.charged.contains(&choice.identity())
+                && choice.cost_ms > 0.0
+            {
+                return Err(format!("{now:?}: charged without a cause: {choice:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a call, or has one end that may have been sent long ago.
+    fn call(&mut self, now: Duration, random: &mut Random) {
+        let work = Work::default();
+        let name = NAMES[random.index(NAMES.len())];
+        if random.below(2) == 0 {
+            if let Some(choice) = choose(&self.book, now, name, &work) {
+                self.book.sent(now, &choice, &work);
+                self.charged.insert(choice.identity());
+                self.calls.push(choice);
+            }
+        } else if !self.calls.is_empty() {
+            let choice = self.calls.swap_remove(random.index(self.calls.len()));
+            match random.below(4) {
+                0 => self.book.failed(now, &choice),
+                1 => self.book.silent(now, &choice),
+                2 => self.book.report(now, &choice, 9, 9),
+                _ => self.book.succeeded(now, &choice),
+            }
+            self.book.ended(&choice);
+        }
+    }
+}
+
+/// Targets, their list, an instance that watches it and one that has it from the first.
+#[derive(Debug)]
+struct World {
+    random: Random,
+    now: Duration,
+    /// The newest incarnation of each name and whether it drains; `None` before the first.
+    alive: BTreeMap<TargetId, (u64, bool)>,
+    /// All incarnations that there were.
+    all: Vec<TargetIdentity>,
+    watcher: Instance,
+    follower: Instance,
+    version: u64,
+    /// Changes arrive in order, all else as it comes.
+    changes: VecDeque<(Duration, Message)>,
+    messages: Vec<(Duration, bool, Message)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: Random::new(seed),
+            now: Duration::ZERO,
+            alive: BTreeMap::new(),
+            all: Vec::new(),
+            watcher: Instance::new(),
+            follower: Instance::new(),
+            version: 0,
+            changes: VecDeque::new(),
+            messages: Vec::new(),
+        }
+    }
+
+    fn due(&mut self) -> Duration {
+        self.now + at(self.random.below(DELAY_MS_MAX))
+    }
+
+    fn store(&mut self, name: &str, entry: Entry) {
+        let last = self.changes.back().map_or(Duration::ZERO, |(due, _)| *due);
+        let due = self.due().max(last);
+        let is_around_outage = self.random.below(3) == 0;
+        let change = Message::Change(name.to_owned(), entry, is_around_outage);
+        self.changes.push_back((due, change));
+    }
+
+    fn restart(&mut self, name: &str) {
+        let incarnation = u64::try_from(self.now.as_millis()).unwrap() + 1;
+        self.alive.insert(name.to_owned(), (incarnation, false));
+        self.all.push(TargetIdentity::new(name, Some(incarnation)));
+        self.store(name, Some(Ok(listed(name, Some(incarnation), true))));
+    }
+
+    fn heartbeat(&mut self, name: &str) {
+        if let Some((incarnation, is_draining)) = self.alive.get(name).copied() {
+            let entry = listed(name, Some(incarnation), !is_draining);
+            self.store(name, Some(Ok(entry)));
+        }
+    }
+
+    /// A write of any incarnation that there was takes effect late.
+    fn late_write(&mut self) {
+        if self.all.is_empty() {
+            return;
+        }
+        let identity = self.all[self.random.index(self.all.len())].clone();
+        let is_ready = self.random.below(2) == 0;
+        let entry = listed(&identity.target, identity.incarnation, is_ready);
+        self.store(&identity.target, Some(Ok(entry)));
+    }
+
+    fn stray(&mut self, name: &str) {
+        let is_ready = self.random.below(2) == 0;
+        let entry = match self.random.below(2) {
+            0 => Err(refused(name)),
+            // Where all others state their starts.
+            _ if self.all.iter().any(|one| one.target == name) => Ok(listed(name, None, is_ready)),
+            _ => return,
+        };
+        self.store(name, Some(entry));
+    }
+
+    /// Sends a digest of one instance to the other, perhaps twice, perhaps never.
+    fn digest(&mut self, is_to_follower: bool) {
+        let from = if is_to_follower {
+            &self.watcher
+        } else {
+            &self.follower
+        };
+        let (draining, vanished) = (from.book.draining(self.now), from.book.vanished(self.now));
+        for _ in 0..self.random.below(3) {
+            let message = Message::Digest(draining.clone(), vanished.clone());
+            let due = self.due();
+            self.messages.push((due, is_to_follower, message));
+        }
+    }
+
+    fn pull(&mut self) {
+        self.version += 1;
+        let all = self.watcher.book.present().cloned().map(Ok).collect();
+        let due = self.due();
+        let message = Message::Pulled(self.version, all);
+        self.messages.push((due, true, message));
+    }
+
+    fn step(&mut self) {
+        let name = NAMES[self.random.index(NAMES.len())];
+        match self.random.below(12) {
+            0 | 1 => self.restart(name),
+            2 => {
+                if let Some((_, is_draining)) = self.alive.get_mut(name) {
+                    *is_draining = true;
+                }
+                self.heartbeat(name);
+            }
+            3 => self.store(name, None),
+            4 => self.stray(name),
+            5 => self.late_write(),
+            6 | 7 => self.heartbeat(name),
+            8 => self.pull(),
+            9 => self.digest(true),
+            10 => self.digest(false),
+            _ => {
+                self.watcher.call(self.now, &mut self.random);
+                self.follower.call(self.now, &mut self.random);
+            }
+        }
+    }
+
+    /// Lets time pass and delivers what is due.
+    fn pass(&mut self, ms: u64) {
+        self.now += at(ms);
+        while let Some((due, change)) = self.changes.pop_front() {
+            if due > self.now {
+                self.changes.push_front((due, change));
+                break;
+            }
+            self.watcher.take(self.now, change, false);
+        }
+        let now = self.now;
+        let is_due = |message: &mut (Duration, bool, Message)| message.0 <= now;
+        let due: Vec<_> = self.messages.extract_if(.., is_due).collect();
+        for (_, is_to_follower, message) in due {
+            if is_to_follower {
+                self.follower.take(now, message, true);
+            } else {
+                self.watcher.take(now, message, false);
+            }
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.watcher
+            .check(self.now)
+            .and_then(|()| self.follower.check(self.now))
+    }
+
+    /// Lets all heartbeats, lists and messages arrive, and checks that each target that lives and
+    /// does not drain is in use at both instances.
+    fn check_recovery(&mut self) -> Result<(), String> {
+        for name in NAMES {
+            self.heartbeat(name);
+        }
+        self.pass(DELAY_MS_MAX);
+        self.pass(DELAY_MS_MAX);
+        self.pull();
+        self.pass(DELAY_MS_MAX);
+        for (name, (incarnation, is_draining)) in &self.alive {
+            let expected = (!is_draining).then_some(Some(*incarnation));
+            for book in [&self.watcher.book, &self.follower.book] {
+                let choice = choose(book, self.now, name, &Work::default());
+                let chosen = choice.map(|choice| choice.incarnation);
+                if chosen != expected && !self.was_reported_draining(name, *incarnation) {
+                    return Err(format!("{name}: {chosen:?} in the end, not {expected:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells whether a late write said of a live incarnation that it drains, which is final.
+    fn was_reported_draining(&self, name: &str, incarnation: u64) -> bool {
+        let identity = TargetIdentity::new(name, Some(incarnation));
+        self.watcher.model.has_drained(&identity) || self.follower.model.has_drained(&identity)
+    }
+}
+
+fn run(seed: u64) -> Result<(), String> {
+    let mut world = World::new(seed);
+    for _ in 0..STEPS {
+        world.step();
+        let ms = world.random.below(300);
+        world.pass(ms);
+        world.check()?;
+    }
+    world.check_recovery()
+}
+
+#[test]
+fn only_sound_incarnations_are_used_and_all_of_them_are() {
+    // Symptom: calls go to a target that drains, or a sound one is left out for good. Sequence:
+    // restarts, drains, late writes, digests, lists and entries of other writers in any order.
+    // Cause: what was said of one incarnation is taken for true of another.
+    for seed in 0..CASES {
+        if let Err(error) = run(seed) {
+            panic!("seed {seed}: {error}");
+        }
+    }
+}
