Refuse a ledger that another writer made unusable, and write nothing to it

Cause: a ledger that can't be read was kept apart from an absent one, but went on being written at; one that lacks a holder's grants, that goes back in what counts as spent, or whose sums overflow was taken for good.

Ruled out: mending the ledger out of memory; no instance knows that it holds the newest, and tokens that another one was granted would be handed out again.

Now all fields of an entry must be there, what counts as spent and the version of the catalogue must not fall against what an instance knows, and sums are bounded. While there is a fault nothing is written, the ledger is read once a second, and instances serve from what they hold; it is logged and counted once for each fault.

A ledger that was mended must not lie behind what the running instances know, else they must be restarted.

--- a/crates/damaskstile-escrow/src/entry.rs
+++ b/crates/damaskstile-escrow/src/entry.rs
@@ -8,8 +8,11 @@
 use crate::sums::Sums;
 
 /// `HolderEntry` is one instance's part of the ledger.
+///
+/// All fields must be there when it is read: grants that are missing would count as none, and
+/// their tokens would be handed out again.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(deny_unknown_fields)]
 pub struct HolderEntry {
     /// Incarnation that holds the grants; its successors hold none of them.
     pub incarnation: Incarnation,
@@ -37,6 +40,17 @@
 }
 
 impl HolderEntry {
+    /// Returns all maps with numbers of tokens.
+    pub(crate) fn token_sums(&self) -> [&BTreeMap<AccountId, u64>; 5] {
+        [
+            &self.grants_tokens,
+            &self.ceilings_tokens,
+            &self.settled_tokens,
+            &self.demand_tokens_per_s,
+            &self.urgent_tokens_per_s,
+        ]
+    }
+
     /// Returns what the incarnation may spend of an account, since its start.
     #[must_use]
     pub fn sums(&self, account: &str) -> Sums {
--- a/crates/damaskstile-escrow/src/ledger.rs
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -7,6 +7,10 @@
 use crate::entry::HolderEntry;
 use crate::pace::Unlocked;
 
+/// Most that all numbers of tokens in a ledger may add up to. Far above all that is sold, and so
+/// far below the largest number that no sum of a few ledgers' numbers can overflow.
+const SUM_TOKENS_MAX: u64 = 1 << 56;
+
 /// `Ledger` says what is spent for good and what each instance may still spend.
 ///
 /// At every version, for every account, settled and granted tokens together are at most what the
@@ -22,7 +26,6 @@
     /// The instances with their grants.
     pub holders: BTreeMap<InstanceId, HolderEntry>,
     /// Parts of incarnations that ended, until it is known what they can have spent.
-    #[serde(default)]
     pub estates: BTreeMap<String, HolderEntry>,
 }
 
@@ -56,6 +59,42 @@
             .saturating_sub(self.granted(account))
     }
 
+    /// Returns what is wrong with a ledger that was stored after another, if anything is.
+    ///
+    /// Instances only add to what counts as spent and only go on to newer catalogues. A ledger
+    /// that goes back, or has sums that cannot be added up, is another writer's, and tokens that
+    /// are spent would be handed out again on it.
+    ///
+    /// ```
+    /// use damaskstile_escrow::Ledger;
+    /// let before = Ledger { catalogue_version: 2, ..Ledger::default() };
+    /// assert_eq!(before.fault_after(&before), None);
+    /// assert!(Ledger::default().fault_after(&before).is_some());
+    /// ```
+    #[must_use]
+    pub fn fault_after(&self, before: &Self) -> Option<&'static str> {
+        let has_fallen = |(account, settled): (&AccountId, &u64)| self.settled(account) < *settled;
+        if self.catalogue_version < before.catalogue_version {
+            Some("the catalogue's version fell")
+        } else if before.settled_tokens.iter().any(has_fallen) {
+            Some("tokens that counted as spent do not any more")
+        } else if self.sum_tokens().is_none_or(|sum| sum > SUM_TOKENS_MAX) {
+            Some("the sums are absurd")
+        } else {
+            None
+        }
+    }
+
+    /// Adds all numbers of tokens up; `None` where there is no such sum.
+    fn sum_tokens(&self) -> Option<u64> {
+        let entries = self.holders.values().chain(self.estates.values());
+        entries
+            .flat_map(HolderEntry::token_sums)
+            .chain([&self.settled_tokens])
+            .flat_map(BTreeMap::values)
+            .try_fold(0_u64, |sum, tokens| sum.checked_add(*tokens))
+    }
+
     pub(crate) fn settle(&mut self, account: &str, tokens: u64) {
         if tokens > 0 {
             *self.settled_tokens.entry(account.to_owned()).or_default() += tokens;
--- a/crates/damaskstile-escrow/src/pace.rs
+++ b/crates/damaskstile-escrow/src/pace.rs
@@ -5,7 +5,7 @@
 
 /// `Pace` says how fast an isolated holder comes to its whole grant.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(deny_unknown_fields)]
 pub struct Pace {
     /// Time after the write that gave the grant from which on it is unlocked.
     #[prost(uint64, tag = "1")]
--- a/crates/damaskstile-escrow/src/stamp.rs
+++ b/crates/damaskstile-escrow/src/stamp.rs
@@ -13,7 +13,7 @@
 /// and begins anew when the machine loses power. The fleet's time is the middle of many
 /// instances' times of day.
 #[derive(Clone, PartialEq, Eq, prost::Message, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(deny_unknown_fields)]
 pub struct Stamp {
     /// Name of the machine's run, if the system gives one.
     #[prost(string, tag = "1")]
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod gateway;
 pub mod lease;
+pub mod ledger_fault;
 pub mod logs;
 pub mod member;
 pub mod metrics;
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_targets::TargetCounts;
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -32,7 +32,7 @@
 }
 
 /// `Stored` is a kind of stored object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stored {
     /// The catalogue.
     Catalogue,
@@ -45,7 +45,7 @@
 /// Labels of refused objects.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoredLabels {
-    stored: Stored,
+    stored: &'static str,
 }
 
 /// Labels of the numbers of targets.
@@ -149,6 +149,11 @@
 
     /// Counts a stored object that cannot be used.
     pub fn refused(&self, stored: Stored) {
+        let stored = match stored {
+            Stored::Catalogue => "catalogue",
+            Stored::Target => "target",
+            Stored::Ledger => "ledger",
+        };
         let labels = StoredLabels { stored };
         self.refused_entries.get_or_create(&labels).inc();
     }
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -9,8 +9,11 @@
 use damaskstile_escrow::{Ledger, LedgerChange, Role, Round, Settlement};
 
 use crate::clock::{BootTime, own_unix_ms};
+use crate::fault::fault;
 use crate::follow::{failure_pause, note_answer, note_failure};
 use crate::gateway::Gateway;
+use crate::ledger_fault::LedgerFault;
+use crate::metrics::Stored;
 use crate::objects::{StoreError, StoredObject};
 use crate::outgoing::Outgoing;
 
@@ -65,15 +68,14 @@
     if writer.is_none() && !is_first && must_wait_for_peers(gateway) {
         return;
     }
-    let needs_read = gateway.state().holder.needs_read(now);
-    if needs_read {
+    if must_read(gateway) {
         read(gateway).await;
     }
     if let Some(address) = writer {
         report(gateway, address);
         return;
     }
-    if must_wait_for_peers(gateway) {
+    if must_wait_for_peers(gateway) || has_fault(gateway) {
         return;
     }
     // A conflict shows the ledger as it is, so the second try is made on that.
@@ -82,7 +84,7 @@
         let Some(round) = round else {
             break;
         };
-        if write(gateway, round).await {
+        if write(gateway, round).await || has_fault(gateway) {
             break;
         }
         // Instances that collided would collide again if all came back at once.
@@ -96,6 +98,22 @@
     gateway.round_done.notify_waiters();
 }
 
+/// Tells whether to read the ledger: where the decisions need it, and to notice that one that could
+/// not be used was mended.
+fn must_read(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.state();
+    match &state.ledger_fault {
+        Some(fault) => fault.is_read_due(now),
+        None => state.holder.needs_read(now),
+    }
+}
+
+/// Tells whether the ledger as stored cannot be used, so that nothing may be written to it.
+fn has_fault(gateway: &Gateway) -> bool {
+    gateway.state().ledger_fault.is_some()
+}
+
 /// Tells whether to leave the store alone for a moment. Without a pause each call that lacks tokens
 /// would bring a read, and all instances together thousands a second, while the store refuses.
 fn is_backing_off(gateway: &Gateway) -> bool {
@@ -206,13 +224,35 @@
         gateway.state().holder.observe(now, 0, Ledger::default());
         return;
     };
-    match serde_json::from_slice::<Ledger>(&object.content) {
-        Ok(ledger) => gateway.state().holder.observe(now, object.version, ledger),
-        Err(error) => {
-            let error = error.to_string();
-            gateway.log(EventCode::LedgerInvalid, &[("error", &error)]);
+    let decoded = serde_json::from_slice::<Ledger>(&object.content);
+    let ledger = decoded.map_err(|error| fault(&error.to_string()));
+    let mut state = gateway.state();
+    let checked = ledger.and_then(|ledger| match ledger.fault_after(state.holder.ledger()) {
+        Some(fault) if object.version > state.holder.ledger_version() => Err(fault.to_owned()),
+        _ => Ok(ledger),
+    });
+    match checked {
+        Ok(ledger) => {
+            state.ledger_fault = None;
+            state.holder.observe(now, object.version, ledger);
         }
+        Err(text) => {
+            drop(state);
+            note_fault(gateway, object, &LedgerFault::new(now, text));
+        }
+    }
+}
+
+/// Notes that the ledger as stored cannot be used, once for each fault.
+fn note_fault(gateway: &Gateway, object: &StoredObject, fault: &LedgerFault) {
+    let before = gateway.state().ledger_fault.replace(fault.clone());
+    if before.is_some_and(|before| before.is_same(fault)) {
+        return;
     }
+    gateway.metrics.refused(Stored::Ledger);
+    let version = object.version.to_string();
+    let fields = [("error", fault.text()), ("version", version.as_str())];
+    gateway.log(EventCode::LedgerInvalid, &fields);
 }
 
 /// Writes a round; returns whether another try makes no sense now.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use crate::call::CallHead;
 use crate::clock::BootTime;
 use crate::contact::Contact;
+use crate::ledger_fault::LedgerFault;
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
@@ -68,7 +69,7 @@
     /// What is wrong with the catalogue that was refused last, until a sound one comes.
     pub catalogue_fault: Option<String>,
     /// What is wrong with the ledger as stored, while it cannot be used.
-    pub ledger_fault: Option<String>,
+    pub ledger_fault: Option<LedgerFault>,
     /// Version of the list of targets.
     pub targets_version: Version,
     /// The other instances, from their digests.
