--- a/crates/damaskstile-gateway/tests/messages.rs
+++ b/crates/damaskstile-gateway/tests/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between instances: any bytes are read or refused, and none is read as another.
 
+use damaskstile_core::prelude::TargetIdentity;
 use damaskstile_gateway::peers::{AccountTokens, Datagram, DatagramBody, Digest, GiveTokens};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -51,3 +52,23 @@
         assert_eq!(Datagram::decode(bytes.as_slice()).unwrap(), datagram);
     }
 }
+
+#[test]
+fn a_digest_names_incarnations_and_targets_without_a_start_as_before() {
+    // Symptom: during an upgrade of the fleet instances call targets that their peers know to
+    // drain. Cause: a digest's fields changed their meaning, and the other version cannot read it.
+
+    // Arrange
+    let identity = TargetIdentity::new;
+    let leaving = [identity("old", None), identity("new", Some(7))];
+    let vanished = [identity("gone", Some(9))];
+
+    // Act
+    let digest = Digest::default().with_departures(&leaving, &vanished);
+    let read = Digest::decode(digest.encode_to_vec().as_slice()).unwrap();
+
+    // Assert
+    assert_eq!(read.leaving, ["old"]);
+    assert_eq!(read.all_leaving(), leaving);
+    assert_eq!(read.all_vanished(), vanished);
+}
