--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -31,6 +31,7 @@
 use crate::gateway::Gateway;
 use crate::member::Member;
 use crate::outgoing::Outgoing;
+use crate::target_list::incarnation_text;
 use pull::Wanted;
 
 /// Time between two digests.
@@ -302,7 +303,12 @@
             gateway.log(EventCode::MemberJoined, &[("peer", from)]);
         }
         for target in left {
-            let fields = [("target", target.target.as_str()), ("source", from)];
+            let incarnation = incarnation_text(target.incarnation);
+            let fields = [
+                ("target", target.target.as_str()),
+                ("incarnation", incarnation.as_str()),
+                ("source", from),
+            ];
             gateway.log(EventCode::TargetLeaving, &fields);
         }
         if lacks_catalogue && is_follower && !is_store_lost {
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -41,6 +41,7 @@
     let now = gateway.now();
     let entry = decode(gateway, object);
     let is_ready = matches!(&entry, Ok(listed) if listed.is_ready);
+    let incarnation = entry.as_ref().map_or(None, |listed| listed.incarnation);
     let mut state = gateway.state();
     let is_news = match entry {
         Ok(listed) => state.book.list(now, listed),
@@ -59,10 +60,12 @@
     }
     let is_ready = is_ready.to_string();
     let version = object.version.to_string();
+    let incarnation = incarnation_text(incarnation);
     gateway.log(
         EventCode::TargetListed,
         &[
             ("target", &object.name),
+            ("incarnation", &incarnation),
             ("ready", &is_ready),
             ("version", &version),
         ],
@@ -86,6 +89,11 @@
     );
 }
 
+/// Returns how the logs name an incarnation.
+pub(crate) fn incarnation_text(incarnation: Option<TargetIncarnation>) -> String {
+    incarnation.map_or_else(|| "-".to_owned(), |start| start.to_string())
+}
+
 fn note_refused(gateway: &Gateway, entry: &Refused, version: Version) {
     gateway.metrics.refused(Stored::Target);
     log_refused(gateway, &entry.target, version, &entry.fault);
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/target_words.rs
@@ -0,0 +1,71 @@
+//! What is kept of targets beside the book: connections, and counts for operators.
+
+use std::time::Duration;
+
+use damaskstile_core::prelude::TargetIdentity;
+use damaskstile_gateway::metrics::{Metrics, Stored};
+use damaskstile_gateway::pool::Pool;
+use damaskstile_targets::TargetCounts;
+use tokio::net::TcpListener;
+
+/// Time for which a target keeps an idle connection.
+const REUSE: Duration = Duration::from_secs(10);
+
+#[tokio::test]
+async fn a_connection_to_one_incarnation_is_not_used_for_the_next() {
+    // Symptom: a call that was meant for a target that started again runs at its predecessor and
+    // is cut off when that ends. Sequence: the predecessor drains and still serves; the new
+    // incarnation is listed under the same name. Cause: connections were kept by name.
+
+    // Arrange
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = Pool::new();
+    let before = TargetIdentity::new("t0", Some(5));
+    let next = TargetIdentity::new("t0", Some(9));
+    let lease = pool.lease(&before, address).await.unwrap();
+    lease.give_back(Some(REUSE)).await;
+
+    // Act
+    let for_next = pool.lease(&next, address).await.unwrap();
+    let for_before = pool.lease(&before, address).await.unwrap();
+    let is_kept = for_before.is_reused;
+    for_before.give_back(Some(REUSE)).await;
+    pool.prune(|identity| *identity == next);
+    let after_prune = pool.lease(&before, address).await.unwrap();
+
+    // Assert
+    assert!(is_kept);
+    assert!(!for_next.is_reused);
+    assert!(!after_prune.is_reused);
+}
+
+#[test]
+fn operators_see_targets_by_state_and_refused_objects() {
+    // Arrange
+    let metrics = Metrics::new();
+    let counts = TargetCounts {
+        ready: 4,
+        leaving: 3,
+        lapsed: 2,
+        refused: 1,
+    };
+
+    // Act
+    metrics.count_targets(&counts);
+    metrics.refused(Stored::Target);
+    metrics.refused(Stored::Ledger);
+    let text = metrics.encode();
+
+    // Assert
+    for line in [
+        "damaskstile_targets{state=\"ready\"} 4",
+        "damaskstile_targets{state=\"leaving\"} 3",
+        "damaskstile_targets{state=\"lapsed\"} 2",
+        "damaskstile_targets{state=\"refused\"} 1",
+        "damaskstile_refused_entries_total{stored=\"target\"} 1",
+        "damaskstile_refused_entries_total{stored=\"ledger\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+}
