--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootTime;
 use crate::contact::Contact;
 use crate::follow::Followed;
+use crate::ledger_fault::LedgerFault;
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
@@ -68,6 +69,10 @@
     pub followed_at: BTreeMap<Followed, Duration>,
     /// The catalogue in force as stored, for peers.
     pub stored_catalogue: Option<StoredObject>,
+    /// What is wrong with the catalogue that was refused last, until a sound one comes.
+    pub catalogue_fault: Option<String>,
+    /// What is wrong with the ledger as stored, while it cannot be used.
+    pub ledger_fault: Option<LedgerFault>,
     /// Version of the list of targets.
     pub targets_version: Version,
     /// The other instances, from their digests.
@@ -115,6 +120,8 @@
             contact: Contact::default(),
             followed_at: BTreeMap::new(),
             stored_catalogue: None,
+            catalogue_fault: None,
+            ledger_fault: None,
             targets_version: 0,
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
