--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use crate::call::CallHead;
 use crate::clock::BootTime;
 use crate::contact::Contact;
+use crate::ledger_fault::LedgerFault;
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
@@ -65,6 +66,10 @@
     pub contact: Contact,
     /// The catalogue in force as stored, for peers.
     pub stored_catalogue: Option<StoredObject>,
+    /// What is wrong with the catalogue that was refused last, until a sound one comes.
+    pub catalogue_fault: Option<String>,
+    /// What is wrong with the ledger as stored, while it cannot be used.
+    pub ledger_fault: Option<LedgerFault>,
     /// Version of the list of targets.
     pub targets_version: Version,
     /// The other instances, from their digests.
@@ -111,6 +116,8 @@
             holder: Holder::new(identity, &address, options.escrow.clone()),
             contact: Contact::default(),
             stored_catalogue: None,
+            catalogue_fault: None,
+            ledger_fault: None,
             targets_version: 0,
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
