--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -84,7 +84,7 @@
     OwnSettingsRead = 505, "info", "The instance's own settings were read again.";
     StoreLost = 506, "warn", "The store does not answer; what is known stays in force.";
     StoreRegained = 507, "info", "The store answers again.";
-    WatchUnanswered = 508, "warn", "A watch of the store ended without an answer; the list is read anew.";
+    WatchUnanswered = 508, "warn", "A watch of the store ended without an answer, or was sent anew after an outage.";
     TargetLeaving = 601, "info", "A target is leaving and gets no new work.";
     TargetReturned = 602, "info", "A target takes work again.";
     TargetListed = 603, "info", "The list shows a new target, or one whose state changed.";
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -175,9 +175,9 @@
     }
 }
 
-/// Takes in that a watch failed. Where another call was answered since it was sent, the store is
-/// there and only the watch was lost: taken for an outage, it would keep targets in use that have
-/// vanished from the list.
+/// Takes in that a watch failed. Where another call was answered since it was sent, the watch alone
+/// is no sign of an outage: taken for one, each watch that the store cuts would keep targets in use
+/// that have vanished from the list. An outage that goes on is met by the list that is read next.
 fn note_failed_watch(gateway: &Gateway, began_at: Duration, error: &StoreError) {
     let now = gateway.now();
     let waited = now.saturating_sub(began_at);
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -159,7 +159,9 @@
         return;
     }
     state.targets_version = answer.version;
-    state.book.list_all(now, all, false);
+    // Entries that lapsed in an outage are waited for here as where the list was read.
+    let is_around_outage = state.contact.is_around_outage(now);
+    state.book.list_all(now, all, is_around_outage);
     drop(state);
     let version = answer.version.to_string();
     gateway.log(
--- a/crates/damaskstile-gateway/src/proof.rs
+++ b/crates/damaskstile-gateway/src/proof.rs
@@ -34,14 +34,8 @@
     }
 }
 
-/// Asks for a sign of life, unless the store has answered within this time.
-pub(crate) async fn prove_after(gateway: &Gateway, silence_min: Duration) {
-    if silence(gateway) >= silence_min {
-        prove(gateway).await;
-    }
-}
-
-async fn prove(gateway: &Gateway) {
+/// Asks for a sign of life.
+pub(crate) async fn prove(gateway: &Gateway) {
     match gateway.store.probe().await {
         Ok(()) => note_answer(gateway),
         Err(error) => note_failure(gateway, &error),
