Leave an open watch once peers watch for the instance

Test first: no list within 2 s; now within the bound. After a watch that is not needed any more the instance rests at once, without a pause and a list.

--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -18,7 +18,7 @@
 /// Time between two lists of an instance that hears of changes from peers.
 const FOLLOWER_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two looks at whether it must watch itself.
-const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
+pub(crate) const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
 /// Pause after changes, so that a burst of them comes with one call. Small beside the two seconds
 /// within which a change must be in force.
 const BURST_PAUSE: Duration = Duration::from_millis(100);
@@ -87,7 +87,8 @@
                 take_all(&gateway, followed, &listing);
                 if must_watch(&gateway) {
                     watch(&gateway, followed, kind, version).await;
-                } else {
+                }
+                if !must_watch(&gateway) {
                     rest(&gateway, followed).await;
                     continue;
                 }
@@ -116,7 +117,7 @@
     }
 }
 
-fn must_watch(gateway: &Gateway) -> bool {
+pub(crate) fn must_watch(gateway: &Gateway) -> bool {
     let now = gateway.now();
     gateway.state().must_watch(now)
 }
@@ -140,6 +141,7 @@
                     "an outage of the store is over",
                 );
             }
+            Watched::NotNeeded => {}
             Watched::Failed(error) => {
                 note_unanswered(gateway, followed, began_at, &error.to_string());
                 note_failed_watch(gateway, began_at, &error);
--- a/crates/damaskstile-gateway/src/follow/watching.rs
+++ b/crates/damaskstile-gateway/src/follow/watching.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::Instant;
 
+use crate::follow::{FOLLOWER_LOOK, must_watch};
 use crate::gateway::Gateway;
 use crate::objects::{Change, StoreError};
 use crate::proof;
@@ -26,6 +27,9 @@
 /// answers others, each pair of them looks like an outage; without this an instance that lacks
 /// tokens sends 16 watches a second, with it 3 (real processes, six callers).
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two looks at whether a fleet that seemed small has turned out large. Instances of a
+/// small fleet are never relieved and should wake up seldom.
+const SMALL_FLEET_LOOK: Duration = Duration::from_secs(1);
 
 /// `Watched` is how one watch ended.
 #[derive(Debug)]
@@ -34,6 +38,8 @@
     Changes(Vec<Change>, Version),
     /// The store answers again after an outage in which this watch may have been lost.
     Swallowed,
+    /// Peers watch for this instance again, so their word counts and not this watch.
+    NotNeeded,
     /// With an error.
     Failed(StoreError),
 }
@@ -50,6 +56,21 @@
             Err(error) => Watched::Failed(error),
         },
         () = outage_over(gateway, outages_over) => Watched::Swallowed,
+        () = not_needed(gateway) => Watched::NotNeeded,
+    }
+}
+
+/// Returns once peers watch for this instance. In a watch it would not hear what they tell it to
+/// read, and nobody makes up for it where the store has lost the watch.
+async fn not_needed(gateway: &Gateway) {
+    while must_watch(gateway) {
+        let is_large = gateway.state().is_large_fleet();
+        let look = if is_large {
+            FOLLOWER_LOOK
+        } else {
+            SMALL_FLEET_LOOK
+        };
+        tokio::time::sleep(look).await;
     }
 }
 
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/step_down.rs
@@ -0,0 +1,182 @@
+//! An instance of a large fleet that no longer watches the store for others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::answer::AnswerHead;
+use damaskstile_gateway::call::{CallHead, SendHead};
+use damaskstile_gateway::dialect::Dialect;
+use damaskstile_gateway::directory::Directory;
+use damaskstile_gateway::follow::{Followed, follow};
+use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::member::Member;
+use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
+use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::peers::Digest;
+use damaskstile_routes::Catalogue;
+use damaskstile_targets::{BookOptions, Listed};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, request, response};
+
+/// Peers of the instance, all better suited to watch than it is.
+const PEERS: u8 = 30;
+/// Time within which the instance must read a catalogue that a peer has. Its watch waits for 10 s.
+const BOUND: Duration = Duration::from_secs(2);
+
+/// A store whose watches never end, and that counts what is listed.
+#[derive(Debug, Default)]
+struct MuteStore {
+    lists: AtomicUsize,
+}
+
+impl ObjectStore for MuteStore {
+    fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        async { Ok(Listing::default()) }.boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _kind: &'a str,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
+        std::future::pending().boxed()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
+        async { Ok(()) }.boxed()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
+        async { Ok(None) }.boxed()
+    }
+
+    fn write<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+        _expected_version: Version,
+        _content: Bytes,
+    ) -> BoxFuture<'a, StoreResult<Version>> {
+        async { Ok(1) }.boxed()
+    }
+}
+
+/// A directory and a dialect without entries and calls.
+#[derive(Debug)]
+struct Nothing;
+
+impl Directory for Nothing {
+    fn catalogue_kind(&self) -> &'static str {
+        "catalogues"
+    }
+
+    fn targets_kind(&self) -> &'static str {
+        "targets"
+    }
+
+    fn catalogue(&self, _object: &StoredObject) -> Result<Option<Catalogue>, String> {
+        Ok(None)
+    }
+
+    fn target(&self, _object: &StoredObject) -> Result<Listed, String> {
+        Err("none".to_owned())
+    }
+}
+
+impl Dialect for Nothing {
+    fn read_call(&self, _head: &request::Parts) -> CallHead {
+        CallHead::default()
+    }
+
+    fn dress_send(&self, _headers: &mut HeaderMap, _send: &SendHead<'_>) {}
+
+    fn read_answer(&self, _head: &response::Parts) -> AnswerHead {
+        AnswerHead::default()
+    }
+
+    fn dress_answer(&self, _headers: &mut HeaderMap) {}
+
+    fn own_answer(&self, _id: Option<&str>) -> HeaderMap {
+        HeaderMap::new()
+    }
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, last], 7200))
+}
+
+fn gateway(store: Arc<MuteStore>) -> Arc<Gateway> {
+    let options = GatewayOptions {
+        identity: Identity::new("small", 1, "north"),
+        capacity_percent: 12,
+        link_bytes_per_s: 1_250_000,
+        callers_address: address(1),
+        readiness_address: address(1),
+        metrics_address: address(1),
+        peers_address: address(1),
+        seeds: Vec::new(),
+        stop_limit: Duration::from_secs(8),
+        retry_percent: 20,
+        extra_retries_per_s: 5,
+        escrow: EscrowOptions::default(),
+        book: BookOptions::default(),
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Gateway::new(options, Box::new(Nothing), Box::new(Nothing), store, log).0
+}
+
+/// Has the instance hear its peers, to which the store answers.
+fn hear_peers(gateway: &Gateway) {
+    let now = gateway.now();
+    for index in 2..=PEERS {
+        let digest = Digest {
+            store_age_ms: 100,
+            capacity_percent: 50,
+            known_instances: u64::from(PEERS),
+            is_steward: true,
+            ..Digest::default()
+        };
+        let member = Member::new(1, address(index), now, &digest);
+        let name = format!("large-{index}");
+        gateway.state().members.insert(name, member);
+    }
+}
+
+#[tokio::test]
+async fn an_instance_that_need_not_watch_any_more_leaves_its_open_watch() {
+    // Symptom: after an outage an instance of a large fleet has a new catalogue ten seconds late.
+    // Sequence: while it heard of nobody it watched itself; its peers are back and tell of a newer
+    // catalogue; the store has lost its watch. Cause: it stayed in the watch that it no longer
+    // needed, where it does not hear that it should read the catalogue.
+
+    // Arrange
+    let store = Arc::new(MuteStore::default());
+    let gateway = gateway(Arc::clone(&store));
+    tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let lists = store.lists.load(Ordering::Relaxed);
+
+    // Act
+    let until = gateway.now() + BOUND;
+    while gateway.now() < until && store.lists.load(Ordering::Relaxed) == lists {
+        hear_peers(&gateway);
+        gateway.catalogue_wanted.notify_one();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    // Assert
+    assert_eq!(lists, 1);
+    assert!(store.lists.load(Ordering::Relaxed) > lists);
+}
