Look at a target again when its call is about to be sent

Cause: a target was chosen, then its connection was made, and the call was sent whatever had been heard of the target meanwhile (class: a decision acted on after what it rests on has changed). `Book::may_send` tells whether a target may still get a call, by the very check of the choice; a call that is withheld was not sent and goes to another target, also where it runs at most once. Ruled out as the same gap: kept connections (no wait), the resumption of streams (the same function sends), the requests of the project's own interface (the registry has looked again before each send all along).

--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -68,6 +68,13 @@
         running.silent();
         return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
     };
+    // Making a connection takes up to a few hundred milliseconds over a full link, and what is heard
+    // meanwhile may take the target out of use. It would get the call although this instance knows
+    // better; nothing of the call was sent yet, so any other target may have it.
+    let now = gateway.now();
+    if !gateway.state().book.may_send(now, &choice.target) {
+        return Err(NoRun::new(SendEnd::NotSent, "leaving"));
+    }
     let send = SendHead {
         target: &choice.target,
         account: terms.account.as_deref(),
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -18,7 +18,7 @@
 use damaskstile_gateway::run::{self, NoRun};
 use damaskstile_gateway::sendable::Sendable;
 use damaskstile_gateway::state::Terms;
-use damaskstile_requests::SendEnd;
+use damaskstile_requests::{Attempts, Next, SendEnd};
 use damaskstile_routes::{Catalogue, Route, RouteKind};
 use damaskstile_targets::{BookOptions, Choice, Listed, Work};
 use futures_util::future::BoxFuture;
@@ -250,9 +250,12 @@
     })
     .await;
 
-    // Assert: nothing was sent, so the call may go to any other target.
+    // Assert: nothing was sent, so even a call that runs at most once may go to another target.
     assert_eq!(String::from_utf8_lossy(&read), "");
     assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::NotSent));
+    let mut attempts = Attempts::default();
+    attempts.note(SendEnd::NotSent);
+    assert_eq!(attempts.next(false, 1, || false), Next::Again);
 }
 
 #[tokio::test]
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -220,6 +220,22 @@
             .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
+    /// Tells whether a target may still get the call that was chosen for it: nothing that came since
+    /// shows that it leaves or is gone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// let book = Book::new("north", BookOptions::default());
+    /// assert!(!book.may_send(Duration::ZERO, "unknown"));
+    /// ```
+    #[must_use]
+    pub fn may_send(&self, now: Duration, target: &str) -> bool {
+        self.targets
+            .get(target)
+            .is_some_and(|known| self.is_usable(now, known))
+    }
+
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
         if let Some(known) = self.targets.get_mut(&choice.target) {
@@ -270,15 +286,16 @@
     }
 
     fn usable<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
-        self.targets.values().filter(move |known| {
-            let is_listed = known
-                .missing_since
-                .is_none_or(|since| now.saturating_sub(since) < self.options.lapse_grace);
-            known.listed.service == service
-                && known.listed.is_ready
-                && is_listed
-                && !self.leaving.contains_key(&known.listed.target)
-        })
+        self.targets
+            .values()
+            .filter(move |known| known.listed.service == service && self.is_usable(now, known))
+    }
+
+    fn is_usable(&self, now: Duration, known: &Known) -> bool {
+        let is_listed = known
+            .missing_since
+            .is_none_or(|since| now.saturating_sub(since) < self.options.lapse_grace);
+        known.listed.is_ready && is_listed && !self.leaving.contains_key(&known.listed.target)
     }
 
     /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
