--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -1,83 +1,33 @@
 //! What a call that was given to a target does where the target begins to leave before it is sent.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::EscrowOptions;
-use damaskstile_gateway::answer::AnswerHead;
-use damaskstile_gateway::call::{CallHead, SendHead};
-use damaskstile_gateway::dialect::Dialect;
-use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
-use damaskstile_gateway::objects::StoredObject;
-use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreError, StoreResult};
-use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
 use damaskstile_gateway::run::{self, NoRun};
 use damaskstile_gateway::sendable::Sendable;
 use damaskstile_gateway::state::Terms;
 use damaskstile_requests::{Attempts, Next, SendEnd};
 use damaskstile_routes::{Catalogue, Route, RouteKind};
-use damaskstile_targets::{BookOptions, Choice, Listed, Work};
+use damaskstile_targets::Work;
 use futures_util::future::BoxFuture;
-use futures_util::{FutureExt, poll};
-use http::{HeaderMap, Method, Uri, request, response};
-use slog::{Discard, Logger, o};
+use futures_util::poll;
+use http::{HeaderMap, Method, Uri};
+use support::{SERVICE, choose, gateway, listed, no_answer, unused_address};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
-const SERVICE: &str = "model";
 /// Time that a call may take here: far more than a connection on one machine needs.
 const LIMIT: Duration = Duration::from_secs(2);
 
-/// Headers of callers and targets that say nothing.
-struct PlainDialect;
-
-impl Dialect for PlainDialect {
-    fn read_call(&self, _head: &request::Parts) -> CallHead {
-        CallHead::default()
-    }
-
-    fn dress_send(&self, _headers: &mut HeaderMap, _send: &SendHead<'_>) {}
-
-    fn read_answer(&self, _head: &response::Parts) -> AnswerHead {
-        AnswerHead::default()
-    }
-
-    fn dress_answer(&self, _headers: &mut HeaderMap) {}
-
-    fn own_answer(&self, _id: Option<&str>) -> HeaderMap {
-        HeaderMap::new()
-    }
-}
-
-/// A directory and store that hold nothing.
+/// A store that is away.
 struct Nothing;
 
-impl Directory for Nothing {
-    fn catalogue_kind(&self) -> &'static str {
-        "catalogues"
-    }
-
-    fn targets_kind(&self) -> &'static str {
-        "targets"
-    }
-
-    fn catalogue(&self, _object: &StoredObject) -> Result<Option<Catalogue>, String> {
-        Ok(None)
-    }
-
-    fn target(&self, _object: &StoredObject) -> Result<Listed, String> {
-        Err("no target".to_owned())
-    }
-}
-
-fn no_answer<T: Send + 'static>() -> BoxFuture<'static, StoreResult<T>> {
-    async { Err(StoreError::NotDone("no store".to_owned())) }.boxed()
-}
-
 impl ObjectStore for Nothing {
     fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
         no_answer()
@@ -115,49 +65,6 @@
     }
 }
 
-fn unused_address() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
-fn gateway() -> Arc<Gateway> {
-    let options = GatewayOptions {
-        identity: Identity::new("i0", 1, "north"),
-        capacity_percent: 12,
-        link_bytes_per_s: 1_250_000,
-        callers_address: unused_address(),
-        readiness_address: unused_address(),
-        metrics_address: unused_address(),
-        peers_address: unused_address(),
-        seeds: Vec::new(),
-        stop_limit: Duration::from_secs(8),
-        retry_percent: 20,
-        extra_retries_per_s: 5,
-        escrow: EscrowOptions::default(),
-        book: BookOptions::default(),
-    };
-    let log = Logger::root(Discard, o!());
-    let store = Arc::new(Nothing);
-    Gateway::new(
-        options,
-        Box::new(PlainDialect),
-        Box::new(Nothing),
-        store,
-        log,
-    )
-    .0
-}
-
-fn listed(address: SocketAddr) -> Listed {
-    Listed {
-        target: "t0".to_owned(),
-        service: SERVICE.to_owned(),
-        address,
-        data_centre: "north".to_owned(),
-        slots_requests: 64,
-        is_ready: true,
-    }
-}
-
 fn sendable() -> Sendable {
     Sendable {
         method: Method::POST,
@@ -192,15 +99,6 @@
     }
 }
 
-fn choose(gateway: &Gateway) -> Choice {
-    let now = gateway.now();
-    let choice = gateway
-        .state()
-        .book
-        .choose(now, SERVICE, &Work::default(), &[]);
-    choice.unwrap()
-}
-
 /// Takes one connection and reads all that is sent on it.
 async fn read_all(listener: TcpListener) -> Vec<u8> {
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -214,11 +112,11 @@
 async fn send_with(meanwhile: impl FnOnce(&Gateway)) -> (Option<NoRun>, Vec<u8>) {
     let listener = TcpListener::bind(unused_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    let gateway = gateway();
+    let gateway = gateway(unused_address(), Arc::new(Nothing));
     let now = gateway.now();
-    gateway.state().book.list(now, listed(address));
+    gateway.state().book.list(now, listed("t0", address));
     let (call, terms) = (sendable(), terms());
-    let choice = choose(&gateway);
+    let choice = choose(&gateway, &[]).unwrap();
     let deadline = now + LIMIT;
     let reading = tokio::spawn(read_all(listener));
     let mut sending = Box::pin(run::start(
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -0,0 +1,120 @@
+//! Fixtures of the tests of a whole gateway: headers that say nothing, a store, targets by name.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::answer::AnswerHead;
+use damaskstile_gateway::call::{CallHead, SendHead};
+use damaskstile_gateway::dialect::Dialect;
+use damaskstile_gateway::directory::Directory;
+use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::objects::{ObjectStore, StoreError, StoreResult, StoredObject};
+use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_routes::Catalogue;
+use damaskstile_targets::{BookOptions, Choice, Listed, Work};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, request, response};
+use slog::{Discard, Logger, o};
+
+pub const SERVICE: &str = "model";
+
+/// Headers of callers and targets that say nothing.
+struct PlainDialect;
+
+impl Dialect for PlainDialect {
+    fn read_call(&self, _head: &request::Parts) -> CallHead {
+        CallHead::default()
+    }
+
+    fn dress_send(&self, _headers: &mut HeaderMap, _send: &SendHead<'_>) {}
+
+    fn read_answer(&self, _head: &response::Parts) -> AnswerHead {
+        AnswerHead::default()
+    }
+
+    fn dress_answer(&self, _headers: &mut HeaderMap) {}
+
+    fn own_answer(&self, _id: Option<&str>) -> HeaderMap {
+        HeaderMap::new()
+    }
+}
+
+/// A directory in which every entry is a target that takes work.
+struct AllReady;
+
+impl Directory for AllReady {
+    fn catalogue_kind(&self) -> &'static str {
+        "catalogues"
+    }
+
+    fn targets_kind(&self) -> &'static str {
+        "targets"
+    }
+
+    fn catalogue(&self, _object: &StoredObject) -> Result<Option<Catalogue>, String> {
+        Ok(None)
+    }
+
+    fn target(&self, object: &StoredObject) -> Result<Listed, String> {
+        Ok(listed(&object.name, unused_address()))
+    }
+}
+
+/// The answer of a store that is away.
+pub fn no_answer<T: Send + 'static>() -> BoxFuture<'static, StoreResult<T>> {
+    async { Err(StoreError::NotDone("no store".to_owned())) }.boxed()
+}
+
+pub fn unused_address() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+pub fn gateway(peers_address: SocketAddr, store: Arc<dyn ObjectStore>) -> Arc<Gateway> {
+    let options = GatewayOptions {
+        identity: Identity::new("i0", 1, "north"),
+        capacity_percent: 12,
+        link_bytes_per_s: 1_250_000,
+        callers_address: unused_address(),
+        readiness_address: unused_address(),
+        metrics_address: unused_address(),
+        peers_address,
+        seeds: Vec::new(),
+        stop_limit: Duration::from_secs(8),
+        retry_percent: 20,
+        extra_retries_per_s: 5,
+        escrow: EscrowOptions::default(),
+        book: BookOptions::default(),
+    };
+    let log = Logger::root(Discard, o!());
+    Gateway::new(
+        options,
+        Box::new(PlainDialect),
+        Box::new(AllReady),
+        store,
+        log,
+    )
+    .0
+}
+
+pub fn listed(name: &str, address: SocketAddr) -> Listed {
+    Listed {
+        target: name.to_owned(),
+        service: SERVICE.to_owned(),
+        address,
+        data_centre: "north".to_owned(),
+        slots_requests: 64,
+        is_ready: true,
+    }
+}
+
+/// Returns the target that a call would get, other than those tried.
+pub fn choose(gateway: &Gateway, tried: &[&str]) -> Option<Choice> {
+    let now = gateway.now();
+    let tried: Vec<TargetId> = tried.iter().map(|target| (*target).to_owned()).collect();
+    let book = &gateway.state().book;
+    book.choose(now, SERVICE, &Work::default(), &tried)
+}
