Words about targets that vanished bear versions, and the higher one counts

Cause: lists and digests overtake each other, and what came last was taken for what is newest (class: order of arrival in place of order of events). Now an instance keeps the version at which a target was gone; a list or entry that is older doesn't bring it back, a whole list older than the one known is left out, and a digest tells with each vanished target at which version it was gone, so that late word of it doesn't outlast its return. Looked for elsewhere: word that a target drains is final and can't be overtaken; catalogues are compared by version already.

--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -177,8 +177,7 @@
             let now = gateway.now();
             let mut state = gateway.state();
             let is_around_outage = state.contact.is_around_outage(now);
-            state.book.list_all(now, all, is_around_outage);
-            state.targets_version = listing.version;
+            state.take_list(now, listing.version, all, is_around_outage);
             drop(state);
             let version = listing.version.to_string();
             gateway.log(
@@ -255,7 +254,11 @@
             let target = listed.target.clone();
             let is_ready = listed.is_ready.to_string();
             let now = gateway.now();
-            let is_news = gateway.state().book.list(now, listed);
+            let mut state = gateway.state();
+            // A watch that is behind may show entries from before what peers know.
+            let is_newest = state.target_words.take_entry(object.version, &target);
+            let is_news = is_newest && state.book.list(now, listed);
+            drop(state);
             if is_news {
                 let version = object.version.to_string();
                 gateway.log(
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -191,13 +191,15 @@
             })
             .filter(|free| free.tokens > 0)
             .collect();
+        let (vanished, vanished_at) = state.vanished(now);
         Digest {
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
             targets_version: state.targets_version,
             store_age_ms: state.contact.age(now).map_or(u64::MAX, unix_ms),
             leaving: state.book.draining(now),
-            vanished: state.book.vanished(now),
+            vanished,
+            vanished_at,
             free,
             is_stopping: state.is_stopping,
             known_instances: state.known_instances(),
@@ -280,12 +282,11 @@
         }
         // In touch with the store, the own list is newer than what peers say of it.
         let is_follower = !state.is_steward(now);
-        for target in digest
-            .vanished
-            .iter()
+        for (target, version) in digest
+            .vanished_with_versions()
             .filter(|_| is_store_lost || is_follower)
         {
-            if state.book.vanish(now, target) {
+            if state.take_vanished(now, target, version) {
                 left.push(target.clone());
             }
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -32,6 +32,9 @@
     /// Targets that vanished from the list.
     #[prost(string, repeated, tag = "8")]
     pub vanished: Vec<String>,
+    /// Versions of the list at which these were gone.
+    #[prost(uint64, repeated, tag = "12")]
+    pub vanished_at: Vec<u64>,
     /// Tokens that the sender could reserve at once.
     #[prost(message, repeated, tag = "6")]
     pub free: Vec<AccountTokens>,
@@ -48,3 +51,13 @@
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
 }
+
+impl Digest {
+    /// Returns the targets that vanished from the list with the versions at which they were gone.
+    pub(super) fn vanished_with_versions(&self) -> impl Iterator<Item = (&String, u64)> {
+        let versions = self.vanished_at.iter().copied();
+        // The sender's list does not name them either.
+        let versions = versions.chain(std::iter::repeat(self.targets_version));
+        self.vanished.iter().zip(versions)
+    }
+}
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -155,8 +155,7 @@
     if answer.version <= state.targets_version {
         return;
     }
-    state.targets_version = answer.version;
-    state.book.list_all(now, all, false);
+    state.take_list(now, answer.version, all, false);
     drop(state);
     let version = answer.version.to_string();
     gateway.log(
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -10,7 +10,7 @@
 use damaskstile_fleet::FleetClock;
 use damaskstile_requests::RetryBudget;
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
-use damaskstile_targets::Book;
+use damaskstile_targets::{Book, Listed};
 
 use crate::call::CallHead;
 use crate::clock::BootTime;
@@ -20,6 +20,7 @@
 use crate::options::GatewayOptions;
 use crate::peers::Pulled;
 use crate::pressure::Pressure;
+use crate::target_words::TargetWords;
 
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
@@ -67,6 +68,8 @@
     pub stored_catalogue: Option<StoredObject>,
     /// Version of the list of targets.
     pub targets_version: Version,
+    /// At which versions targets were gone.
+    pub target_words: TargetWords,
     /// The other instances, from their digests.
     pub members: BTreeMap<InstanceId, Member>,
     /// The fleet's time.
@@ -112,6 +115,7 @@
             contact: Contact::default(),
             stored_catalogue: None,
             targets_version: 0,
+            target_words: TargetWords::default(),
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
             pulling: BTreeSet::new(),
@@ -164,6 +168,52 @@
         Ok(terms)
     }
 
+    /// Takes in the whole list of targets as it was at a version; returns false where a newer one
+    /// is known. One that was asked for before may come late, over a full link.
+    pub fn take_list(
+        &mut self,
+        now: Duration,
+        version: Version,
+        all: Vec<Listed>,
+        is_around_outage: bool,
+    ) -> bool {
+        if version < self.targets_version {
+            return false;
+        }
+        let all = self.target_words.take_list(version, all);
+        self.book.list_all(now, all, is_around_outage);
+        self.targets_version = version;
+        true
+    }
+
+    /// Takes in a peer's word that a target was gone at a version; returns whether it is news. It
+    /// is none where the own list, as new as that, names the target: it has come back since.
+    pub fn take_vanished(&mut self, now: Duration, target: &str, version: Version) -> bool {
+        if version <= self.targets_version && self.book.is_named(target) {
+            return false;
+        }
+        self.target_words.note_gone(target, version);
+        self.book.vanish(now, target)
+    }
+
+    /// Returns the targets that lately vanished from the list, to tell peers, with the versions at
+    /// which they were gone.
+    #[must_use]
+    pub fn vanished(&self, now: Duration) -> (Vec<TargetId>, Vec<Version>) {
+        let with_version = |target: TargetId| {
+            let told = self.target_words.gone_at(&target);
+            // What the own list does not name is gone at its version.
+            let own = if self.book.is_named(&target) {
+                0
+            } else {
+                self.targets_version
+            };
+            (target, told.max(own))
+        };
+        let vanished = self.book.vanished(now).into_iter();
+        vanished.map(with_version).unzip()
+    }
+
     /// Makes a stamp for what is written to the store.
     #[must_use]
     pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -191,6 +191,19 @@
         self.targets.values().map(|known| &known.listed)
     }
 
+    /// Tells whether the list names a target now.
+    ///
+    /// ```
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// assert!(!Book::new("north", BookOptions::default()).is_named("unknown"));
+    /// ```
+    #[must_use]
+    pub fn is_named(&self, target: &str) -> bool {
+        self.targets
+            .get(target)
+            .is_some_and(|known| known.missing_since.is_none())
+    }
+
     /// Returns the number of targets of a service that may get work.
     #[must_use]
     pub fn usable_targets(&self, now: Duration, service: &str) -> usize {
