Test, failing: an isolated instance of a large fleet tells all peers

Each isolated instance sends its digest to all 80 peers every 0.4 s, in place of 10, and digests grow with the targets that left. On a full link datagrams are lost. The test fails on the code as it is (40 of 40 peers hear it); that one in touch tells all of them passes.

--- a/crates/damaskstile-gateway/tests/lists.rs
+++ b/crates/damaskstile-gateway/tests/lists.rs
@@ -1,4 +1,4 @@
-//! What an instance knows of targets where words about them overtake each other.
+//! What instances know of targets where words about them overtake each other, and whom they tell.
 
 mod support;
 
@@ -11,6 +11,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_gateway::follow::{Followed, follow};
 use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::member::Member;
 use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
 use damaskstile_gateway::peers::{Datagram, DatagramBody, Digest, Peers, serve_pulls};
 use futures_util::FutureExt;
@@ -22,6 +23,10 @@
 
 /// Time after which what a test waits for does not come any more.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// Peers of an instance of a large fleet.
+const PEERS: usize = 40;
+/// Time that one round of digests takes on one machine, and less than until the next.
+const ROUND: Duration = Duration::from_millis(200);
 
 /// A store that lists two targets, at version 285, once it is let go, and then says nothing more.
 #[derive(Default)]
@@ -229,3 +234,70 @@
     // Assert
     assert_eq!(choose(&gateway, &["t1"]), None);
 }
+
+/// Makes an instance that knows peers, none of which the store answers.
+async fn instance() -> (Arc<Gateway>, Vec<UdpSocket>) {
+    let (gateway, _) = knowing(unused_address(), 280);
+    let now = gateway.now();
+    let isolated = Digest {
+        store_age_ms: u64::MAX,
+        ..Digest::default()
+    };
+    let mut sockets = Vec::new();
+    for index in 0..PEERS {
+        let socket = UdpSocket::bind(unused_address()).await.unwrap();
+        let member = Member::new(1, socket.local_addr().unwrap(), now, &isolated);
+        gateway
+            .state()
+            .members
+            .insert(format!("peer{index}"), member);
+        sockets.push(socket);
+    }
+    (gateway, sockets)
+}
+
+/// Has an instance tell its news once, and returns the number of peers that hear it.
+async fn tell_once(gateway: &Arc<Gateway>, sockets: &[UdpSocket]) -> usize {
+    let peers = Peers::try_new(gateway).await.unwrap();
+    let telling = tokio::spawn(peers.tell());
+    gateway.news.notify_one();
+    tokio::time::sleep(ROUND).await;
+    telling.abort();
+    let mut buffer = [0; 2048];
+    let mut heard = 0;
+    for socket in sockets {
+        heard += usize::from(socket.try_recv(&mut buffer).is_ok());
+    }
+    heard
+}
+
+#[tokio::test]
+async fn an_isolated_instance_of_a_large_fleet_tells_a_few_peers_and_not_all() {
+    // Symptom: while all instances of a large fleet are cut off from the store, a fifth of a narrow
+    // link carries digests, which grow with the targets that left, and calls and digests wait or
+    // get lost behind them. Sequence: no peer is in touch with the store, so each instance takes
+    // itself for one that must tell all others. Cause: what makes it one was not asked for.
+
+    // Arrange
+    let (gateway, sockets) = instance().await;
+
+    // Act
+    let heard = tell_once(&gateway, &sockets).await;
+
+    // Assert
+    assert!((1..=PEERS / 4).contains(&heard), "{heard}");
+}
+
+#[tokio::test]
+async fn an_instance_in_touch_with_the_store_that_watches_for_others_tells_all() {
+    // Arrange
+    let (gateway, sockets) = instance().await;
+    let now = gateway.now();
+    gateway.state().contact.answered(now);
+
+    // Act
+    let heard = tell_once(&gateway, &sockets).await;
+
+    // Assert
+    assert_eq!(heard, PEERS);
+}
