--- a/crates/damaskstile-gateway/src/peers/addresses.rs
+++ b/crates/damaskstile-gateway/src/peers/addresses.rs
@@ -12,7 +12,7 @@
 
 impl Peers {
     /// Returns the addresses of the peers that a digest goes to: all of a small fleet. In a large
-    /// one it goes to some by chance, and from those that watch and write for the others to all.
+    /// one it goes to some by chance, and to all from those that watch and write for the others.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let gateway = &self.gateway;
         let now = gateway.now();
@@ -25,7 +25,7 @@
             known.remove(&gateway.options.peers_address);
         }
         let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
-        let is_to_all = state.is_steward(now);
+        let is_to_all = state.must_tell_all(now);
         while !is_to_all && addresses.len() > DIGEST_FANOUT {
             let index = state.random.index(addresses.len());
             addresses.swap_remove(index);
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -264,6 +264,16 @@
         !self.is_large_fleet() || self.better_members(now).count() < STEWARDS_MAX
     }
 
+    /// Tells whether this instance's news go to all peers: in a small fleet, and from an instance
+    /// that watches the store for others and is in touch with it. While a whole fleet is cut off
+    /// from the store nobody outranks anybody; if all told all, digests would fill narrow links,
+    /// and what matters would be lost among them.
+    #[must_use]
+    pub fn must_tell_all(&self, now: Duration) -> bool {
+        let is_in_touch = self.contact.age(now).is_some_and(|age| age < TOLD_AGE_MAX);
+        !self.is_large_fleet() || (is_in_touch && self.is_steward(now))
+    }
+
     /// Returns the peer that writes to the ledger for this instance; `None` where it writes
     /// itself.
     #[must_use]
