--- /dev/null
+++ b/crates/damaskstile-gateway/tests/outages.rs
@@ -0,0 +1,58 @@
+//! What counts as an outage of the store, in which the list of targets may have lost some that live.
+
+use std::time::Duration;
+
+use damaskstile_gateway::contact::Contact;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Makes the contact of an instance that the store answered, did not answer and answered again.
+fn contact(lost_at_ms: u64, regained_at_ms: u64) -> Contact {
+    let mut contact = Contact::default();
+    contact.answered(at(0));
+    contact.failed(at(lost_at_ms));
+    contact.answered(at(regained_at_ms));
+    contact
+}
+
+#[test]
+fn one_call_that_fails_is_no_outage_in_which_entries_lapse() {
+    // Symptom: an instance gives calls to a target seconds after its entry was removed. Sequence:
+    // many instances turn to the store at once, a connection times out, and the next call is
+    // answered 0.6 s later; the list that comes then no longer names a target, which is taken for
+    // lapsed in an outage and stays in use for a grace, however late the instance noticed. Cause:
+    // any failed call counted as an outage, but entries lapse only after seconds of silence.
+
+    // Arrange and act
+    let contact = contact(200, 807);
+
+    // Assert
+    assert!(!contact.is_around_outage(at(900)));
+    assert!(!contact.is_lost());
+}
+
+#[test]
+fn after_an_outage_of_seconds_entries_may_have_lapsed() {
+    // Arrange and act
+    let contact = contact(1_200, 3_000);
+
+    // Assert
+    assert!(contact.is_around_outage(at(4_900)));
+    assert!(!contact.is_around_outage(at(5_000)));
+}
+
+#[test]
+fn a_failed_call_after_an_outage_does_not_prolong_its_time() {
+    // Arrange
+    let mut contact = contact(1_200, 3_000);
+
+    // Act
+    contact.failed(at(3_500));
+    contact.answered(at(4_100));
+
+    // Assert
+    assert!(contact.is_around_outage(at(4_900)));
+    assert!(!contact.is_around_outage(at(5_500)));
+}
