Count only a second and more without the store as an outage in which entries lapse

Cause: any failed call began an outage, and the next answer ended it, so that entries removed in the two seconds after it were waited for (class: one failure taken for a condition that lasts). Entries lapse after seconds of silence; now an outage shorter than one second changes nothing for targets. Writers go on waiting for better ones after any loss.

--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -5,6 +5,10 @@
 /// Time after an outage in which the list of targets may still lack some that live. Their entries
 /// come back within about two seconds; one that is missing after that is gone.
 const AFTER_OUTAGE: Duration = Duration::from_secs(2);
+/// Shortest time without an answer that counts as an outage in which entries lapse. They do so only
+/// after several heartbeats, which are seconds. A single call that fails and the next one after its
+/// pause take 0.6 to 0.7 s; taken for an outage, it would keep targets in use that were removed.
+const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
 /// `Contact` remembers when the store answered.
 #[derive(Debug, Clone, Default)]
@@ -14,6 +18,7 @@
     lost_at: Option<Duration>,
     failed_at: Option<Duration>,
     regained_at: Option<Duration>,
+    outage_ended_at: Option<Duration>,
 }
 
 impl Contact {
@@ -21,11 +26,14 @@
     pub fn answered(&mut self, now: Duration) -> bool {
         self.answered_at = Some(now);
         self.failed_at = None;
-        let was_lost = self.lost_at.take().is_some();
-        if was_lost {
-            self.regained_at = Some(now);
+        let Some(lost_at) = self.lost_at.take() else {
+            return false;
+        };
+        self.regained_at = Some(now);
+        if now.saturating_sub(lost_at) >= OUTAGE_MIN {
+            self.outage_ended_at = Some(now);
         }
-        was_lost
+        true
     }
 
     /// Notes a call without an answer; returns true where the store was not lost before.
@@ -36,7 +44,8 @@
         is_new
     }
 
-    /// Tells whether the store is lost, or was so lately that its list may lack targets.
+    /// Tells whether the store is lost, or was so lately and so long that its list may lack targets
+    /// that live.
     ///
     /// ```
     /// use std::time::Duration;
@@ -51,7 +60,7 @@
     pub fn is_around_outage(&self, now: Duration) -> bool {
         self.lost_at.is_some()
             || self
-                .regained_at
+                .outage_ended_at
                 .is_some_and(|at| now.saturating_sub(at) < AFTER_OUTAGE)
     }
 
