--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod state;
 pub mod stop;
 pub mod target_list;
+pub mod target_words;
 
 use std::sync::Arc;
 
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -206,7 +206,7 @@
             capacity_percent: self.gateway.options.capacity_percent,
             ..Digest::default()
         };
-        digest.with_departures(&state.book.draining(now), &state.book.vanished(now))
+        digest.with_departures(&state.book.draining(now), &state.vanished(now))
     }
 
     /// Makes one question for each account that calls here lack tokens of, to the peer that said
@@ -284,8 +284,9 @@
         // In touch with the store, the own list is newer than what peers say of it.
         let is_follower = !state.is_steward(now);
         let is_list_told = is_store_lost || is_follower;
-        for target in digest.all_vanished().into_iter().filter(|_| is_list_told) {
-            if state.book.vanish(now, &target) {
+        let vanished = digest.vanished_with_versions();
+        for (target, version) in vanished.into_iter().filter(|_| is_list_told) {
+            if state.take_vanished(now, &target, version) {
                 left.push(target);
             }
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -42,6 +42,10 @@
     /// Incarnations that vanished from the list.
     #[prost(message, repeated, tag = "13")]
     pub vanished_incarnations: Vec<ToldTarget>,
+    /// Versions of the list at which those that vanished were gone: first of the targets that do not
+    /// state their starts, then of the others.
+    #[prost(uint64, repeated, tag = "14")]
+    pub vanished_at: Vec<u64>,
     /// Tokens that the sender could reserve at once.
     #[prost(message, repeated, tag = "6")]
     pub free: Vec<AccountTokens>,
@@ -60,15 +64,22 @@
 }
 
 impl Digest {
-    /// Tells which targets are leaving and which vanished from the list.
+    /// Tells which targets are leaving, and which vanished from the list at which versions of it.
     #[must_use]
     pub fn with_departures(
         mut self,
         leaving: &[TargetIdentity],
-        vanished: &[TargetIdentity],
+        vanished: &[(TargetIdentity, Version)],
     ) -> Self {
         (self.leaving, self.leaving_incarnations) = split(leaving);
-        (self.vanished, self.vanished_incarnations) = split(vanished);
+        // The versions stand in the order in which the two kinds are read again.
+        let (unstated, stated): (Vec<_>, Vec<_>) = vanished
+            .iter()
+            .cloned()
+            .partition(|(identity, _)| identity.incarnation.is_none());
+        let (vanished, versions): (Vec<_>, Vec<_>) = unstated.into_iter().chain(stated).unzip();
+        (self.vanished, self.vanished_incarnations) = split(&vanished);
+        self.vanished_at = versions;
         self
     }
 
@@ -78,10 +89,16 @@
         join(&self.leaving, &self.leaving_incarnations)
     }
 
-    /// Returns the targets that vanished from the list.
+    /// Returns the targets that vanished from the list, with the versions at which they were gone.
     #[must_use]
-    pub fn all_vanished(&self) -> Vec<TargetIdentity> {
+    pub fn vanished_with_versions(&self) -> Vec<(TargetIdentity, Version)> {
+        let versions = self.vanished_at.iter().copied();
+        // The sender's list does not name them either.
+        let versions = versions.chain(std::iter::repeat(self.targets_version));
         join(&self.vanished, &self.vanished_incarnations)
+            .into_iter()
+            .zip(versions)
+            .collect()
     }
 }
 
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -10,7 +10,7 @@
 use damaskstile_fleet::FleetClock;
 use damaskstile_requests::RetryBudget;
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
-use damaskstile_targets::Book;
+use damaskstile_targets::{Book, Listed, Refused};
 
 use crate::call::CallHead;
 use crate::clock::BootTime;
@@ -22,6 +22,7 @@
 use crate::options::GatewayOptions;
 use crate::peers::Pulled;
 use crate::pressure::Pressure;
+use crate::target_words::TargetWords;
 
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
@@ -75,6 +76,8 @@
     pub ledger_fault: Option<LedgerFault>,
     /// Version of the list of targets.
     pub targets_version: Version,
+    /// At which versions targets were gone.
+    pub target_words: TargetWords,
     /// The other instances, from their digests.
     pub members: BTreeMap<InstanceId, Member>,
     /// The fleet's time.
@@ -123,6 +126,7 @@
             catalogue_fault: None,
             ledger_fault: None,
             targets_version: 0,
+            target_words: TargetWords::default(),
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
             pulling: BTreeSet::new(),
@@ -175,6 +179,57 @@
         Ok(terms)
     }
 
+    /// Takes in the whole list of targets as it was at a version, unless a newer one is known: one
+    /// that was asked for before may come late, over a full link. Returns the refused entries that
+    /// are news.
+    pub fn take_list(
+        &mut self,
+        now: Duration,
+        version: Version,
+        all: Vec<Result<Listed, Refused>>,
+        is_around_outage: bool,
+    ) -> Vec<Refused> {
+        if version < self.targets_version {
+            return Vec::new();
+        }
+        let all = self.target_words.take_list(version, all);
+        self.targets_version = version;
+        self.book.list_all(now, all, is_around_outage)
+    }
+
+    /// Takes in a peer's word that a target was gone at a version; returns whether it is news. It
+    /// is none where the own list, as new as that, names the target: it has come back since.
+    pub fn take_vanished(
+        &mut self,
+        now: Duration,
+        identity: &TargetIdentity,
+        version: Version,
+    ) -> bool {
+        if version <= self.targets_version && self.book.is_named(&identity.target) {
+            return false;
+        }
+        self.target_words.note_gone(&identity.target, version);
+        self.book.vanish(now, identity)
+    }
+
+    /// Returns the targets that lately vanished from the list, to tell peers, with the versions at
+    /// which they were gone.
+    #[must_use]
+    pub fn vanished(&self, now: Duration) -> Vec<(TargetIdentity, Version)> {
+        let with_version = |identity: TargetIdentity| {
+            let told = self.target_words.gone_at(&identity.target);
+            // What the own list does not name is gone at its version.
+            let own = if self.book.is_named(&identity.target) {
+                0
+            } else {
+                self.targets_version
+            };
+            (identity, told.max(own))
+        };
+        let vanished = self.book.vanished(now).into_iter();
+        vanished.map(with_version).collect()
+    }
+
     /// Makes a stamp for what is written to the store.
     #[must_use]
     pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
@@ -225,6 +280,16 @@
         !self.is_large_fleet() || self.better_members(now).count() < STEWARDS_MAX
     }
 
+    /// Tells whether this instance's news go to all peers: in a small fleet, and from an instance
+    /// that watches the store for others and is in touch with it. While a whole fleet is cut off
+    /// from the store nobody outranks anybody; if all told all, digests would fill narrow links,
+    /// and what matters would be lost among them.
+    #[must_use]
+    pub fn must_tell_all(&self, now: Duration) -> bool {
+        let is_in_touch = self.contact.age(now).is_some_and(|age| age < TOLD_AGE_MAX);
+        !self.is_large_fleet() || (is_in_touch && self.is_steward(now))
+    }
+
     /// Returns the peer that writes to the ledger for this instance; `None` where it writes
     /// itself.
     #[must_use]
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -23,8 +23,7 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let is_around_outage = state.contact.is_around_outage(now);
-    let refused = state.book.list_all(now, all, is_around_outage);
-    state.targets_version = listing.version;
+    let refused = state.take_list(now, listing.version, all, is_around_outage);
     drop(state);
     for entry in refused {
         note_refused(gateway, &entry, listing.version);
@@ -43,6 +42,12 @@
     let is_ready = matches!(&entry, Ok(listed) if listed.is_ready);
     let incarnation = entry.as_ref().map_or(None, |listed| listed.incarnation);
     let mut state = gateway.state();
+    // A watch that is behind may show entries from before what peers know. What cannot be read may
+    // lack its version too; it came last, so it counts.
+    let has_version = object.version > 0;
+    if has_version && !state.target_words.take_entry(object.version, &object.name) {
+        return false;
+    }
     let is_news = match entry {
         Ok(listed) => state.book.list(now, listed),
         Err(refused) => state.book.refuse(&refused),
--- a/crates/damaskstile-gateway/tests/messages.rs
+++ b/crates/damaskstile-gateway/tests/messages.rs
@@ -61,7 +61,10 @@
     // Arrange
     let identity = TargetIdentity::new;
     let leaving = [identity("old", None), identity("new", Some(7))];
-    let vanished = [identity("gone", Some(9))];
+    let vanished = [
+        (identity("gone", None), 41),
+        (identity("back", Some(9)), 40),
+    ];
 
     // Act
     let digest = Digest::default().with_departures(&leaving, &vanished);
@@ -70,5 +73,5 @@
     // Assert
     assert_eq!(read.leaving, ["old"]);
     assert_eq!(read.all_leaving(), leaving);
-    assert_eq!(read.all_vanished(), vanished);
+    assert_eq!(read.vanished_with_versions(), vanished);
 }
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -0,0 +1,182 @@
+//! What a call that was given to a target does where the target begins to leave before it is sent.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
+use damaskstile_gateway::run::{self, NoRun};
+use damaskstile_gateway::sendable::Sendable;
+use damaskstile_gateway::state::Terms;
+use damaskstile_requests::{Attempts, Next, SendEnd};
+use damaskstile_routes::{Catalogue, Route, RouteKind};
+use damaskstile_targets::Work;
+use futures_util::future::BoxFuture;
+use futures_util::poll;
+use http::{HeaderMap, Method, Uri};
+use support::{SERVICE, choose, gateway, listed, no_answer, unused_address};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+/// Time that a call may take here: far more than a connection on one machine needs.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// A store that is away.
+struct Nothing;
+
+impl ObjectStore for Nothing {
+    fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
+        no_answer()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _kind: &'a str,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
+        no_answer()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
+        no_answer()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
+        no_answer()
+    }
+
+    fn write<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+        _expected_version: Version,
+        _content: Bytes,
+    ) -> BoxFuture<'a, StoreResult<Version>> {
+        no_answer()
+    }
+}
+
+fn sendable() -> Sendable {
+    Sendable {
+        method: Method::POST,
+        uri: Uri::from_static("/a/"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"call"),
+        id: None,
+        work: Work::default(),
+    }
+}
+
+fn terms() -> Terms {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::NonIdempotent,
+        shares: Vec::new(),
+        timeout: LIMIT,
+        objective: LIMIT,
+        priority: 0,
+        attempts_max: 1,
+        is_anonymous: true,
+    };
+    Terms {
+        catalogue: Arc::new(Catalogue::default()),
+        catalogue_age: Duration::ZERO,
+        route: Arc::new(route),
+        service: SERVICE.to_owned(),
+        account: None,
+        priority: 0,
+    }
+}
+
+/// Takes one connection and reads all that is sent on it.
+async fn read_all(listener: TcpListener) -> Vec<u8> {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.unwrap();
+    bytes
+}
+
+/// Sends a call for which a target was chosen, and runs `meanwhile` while the call waits for its
+/// connection. Returns how the send ended and what the target read.
+async fn send_with(meanwhile: impl FnOnce(&Gateway)) -> (Option<NoRun>, Vec<u8>) {
+    let listener = TcpListener::bind(unused_address()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let gateway = gateway(unused_address(), Arc::new(Nothing));
+    let now = gateway.now();
+    gateway.state().book.list(now, listed("t0", address));
+    let (call, terms) = (sendable(), terms());
+    let choice = choose(&gateway, &[]).unwrap();
+    let deadline = now + LIMIT;
+    let reading = tokio::spawn(read_all(listener));
+    let mut sending = Box::pin(run::start(
+        &gateway,
+        &call,
+        &terms,
+        choice,
+        deadline,
+        LIMIT / 4,
+        None,
+    ));
+    assert!(poll!(sending.as_mut()).is_pending());
+    meanwhile(&gateway);
+    let no_run = sending.await.err();
+    (no_run, reading.await.unwrap())
+}
+
+#[tokio::test]
+async fn a_call_that_waits_for_its_connection_is_not_sent_to_a_target_that_left() {
+    // Symptom: a target gets a call after it said that it leaves, from an instance that knew.
+    // Sequence: the target is chosen; the connection to it takes its time, hundreds of
+    // milliseconds over a full link; meanwhile the instance hears that the target leaves; then
+    // the connection is there and the call is sent. Cause: nobody looked again.
+
+    // Arrange and act
+    let (no_run, read) = send_with(|gateway| {
+        let now = gateway.now();
+        let target = TargetIdentity::new("t0", None);
+        gateway.state().book.leave(now, &target);
+    })
+    .await;
+
+    // Assert: nothing was sent, so even a call that runs at most once may go to another target.
+    assert_eq!(String::from_utf8_lossy(&read), "");
+    assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::NotSent));
+    let mut attempts = Attempts::default();
+    attempts.note(SendEnd::NotSent);
+    assert_eq!(attempts.next(false, 1, || false), Next::Again);
+}
+
+#[tokio::test]
+async fn a_call_that_waits_for_its_connection_is_not_sent_to_a_target_that_vanished() {
+    // Arrange and act
+    let (no_run, read) = send_with(|gateway| {
+        let now = gateway.now();
+        gateway.state().book.unlist(now, "t0", false);
+    })
+    .await;
+
+    // Assert
+    assert_eq!(String::from_utf8_lossy(&read), "");
+    assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::NotSent));
+}
+
+#[tokio::test]
+async fn a_call_is_sent_to_a_target_that_stays() {
+    // Arrange and act: the target reads the call and never answers.
+    let (no_run, read) = send_with(|_| {}).await;
+
+    // Assert
+    assert!(read.starts_with(b"POST /a/"));
+    assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::Unknown));
+}
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -72,6 +72,23 @@
             .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
+    /// Tells whether an incarnation may still get the call that was chosen for it: nothing that came
+    /// since shows that it leaves, is gone or has been followed by another.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_core::prelude::TargetIdentity;
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// let book = Book::new("north", BookOptions::default());
+    /// assert!(!book.may_send(Duration::ZERO, &TargetIdentity::new("unknown", None)));
+    /// ```
+    #[must_use]
+    pub fn may_send(&self, now: Duration, identity: &TargetIdentity) -> bool {
+        self.targets.get(&identity.target).is_some_and(|known| {
+            known.listed.incarnation == identity.incarnation && self.is_usable(now, known)
+        })
+    }
+
     /// Returns what is known of the incarnation that a call was sent to; `None` where another has
     /// taken its place, of which the call says nothing.
     fn chosen(&mut self, choice: &Choice) -> Option<&mut Known> {
@@ -130,16 +147,19 @@
     }
 
     fn usable<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
-        self.targets.values().filter(move |known| {
-            let is_listed = known
-                .missing_since
-                .is_none_or(|since| now.saturating_sub(since) < self.options.lapse_grace);
-            known.listed.service == service
-                && known.listed.is_ready
-                && is_listed
-                && self.is_sound(known)
-                && !self.departures.covers(&known.listed.target)
-        })
+        self.targets
+            .values()
+            .filter(move |known| known.listed.service == service && self.is_usable(now, known))
+    }
+
+    fn is_usable(&self, now: Duration, known: &Known) -> bool {
+        let is_listed = known
+            .missing_since
+            .is_none_or(|since| now.saturating_sub(since) < self.options.lapse_grace);
+        known.listed.is_ready
+            && is_listed
+            && self.is_sound(known)
+            && !self.departures.covers(&known.listed.target)
     }
 
     fn is_sound(&self, known: &Known) -> bool {
--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -222,4 +222,17 @@
     pub fn listed(&self) -> impl Iterator<Item = &Listed> {
         self.targets.values().map(|known| &known.listed)
     }
+
+    /// Tells whether the list names a target now.
+    ///
+    /// ```
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// assert!(!Book::new("north", BookOptions::default()).is_named("unknown"));
+    /// ```
+    #[must_use]
+    pub fn is_named(&self, target: &str) -> bool {
+        self.targets
+            .get(target)
+            .is_some_and(|known| known.missing_since.is_none())
+    }
 }
