--- a/crates/damaskstile-escrow/tests/together.rs
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -80,6 +80,8 @@
         if round.expected_version != self.version {
             return false;
         }
+        // An instance must never take another's true write for another writer's.
+        assert_eq!(round.ledger.fault_after(&self.ledger), None);
         self.version += 1;
         self.ledger = round.ledger.clone();
         true
