Go by the known incarnation where a peer of an older version tells none

Cause: found by reading. A peer of an older version hands its list on without incarnations; in a fleet whose targets state them all its entries would have been refused during an upgrade, and the instance left without targets.

Entries of a whole list that hide a known start are logged and counted like those of a watch, once.

Tests: an_entry_that_hides_a_known_start_is_told_once; the upgrade has none yet.

--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -138,13 +138,23 @@
 }
 
 fn take_targets(gateway: &Gateway, answer: PullAnswer, source: &str) {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    if answer.version <= state.targets_version {
+        return;
+    }
+    let book = &state.book;
     let all = answer
         .targets
         .into_iter()
         .filter_map(|pulled| {
             Some(Ok(Listed {
+                // A peer of an older version does not tell incarnations. Taken for unstated, its
+                // whole list would be refused during an upgrade of the fleet.
+                incarnation: pulled
+                    .started_at_unix_ms
+                    .or_else(|| book.newest(&pulled.target)),
                 target: pulled.target,
-                incarnation: pulled.started_at_unix_ms,
                 service: pulled.service,
                 address: pulled.address.parse().ok()?,
                 data_centre: pulled.data_centre,
@@ -153,11 +163,6 @@
             }))
         })
         .collect();
-    let now = gateway.now();
-    let mut state = gateway.state();
-    if answer.version <= state.targets_version {
-        return;
-    }
     state.targets_version = answer.version;
     state.book.list_all(now, all, false);
     drop(state);
--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -123,7 +123,12 @@
         for entry in all {
             match entry {
                 Ok(listed) => {
-                    self.take(now, listed);
+                    let target = listed.target.clone();
+                    let is_news = self.take(now, listed);
+                    if let Some(fault) = self.refused.get(&target).filter(|_| is_news) {
+                        let fault = fault.clone();
+                        news.push(Refused { target, fault });
+                    }
                 }
                 Err(refused) if self.refuse(&refused) => news.push(refused),
                 Err(_) => {}
@@ -144,7 +149,8 @@
     }
 
     /// Returns the newest incarnation of a name, from the list or from whoever told that it left.
-    fn newest(&self, target: &str) -> Option<TargetIncarnation> {
+    #[must_use]
+    pub fn newest(&self, target: &str) -> Option<TargetIncarnation> {
         let known = self.targets.get(target);
         let listed = known.and_then(|known| known.listed.incarnation);
         listed.max(self.departures.newest(target))
--- a/crates/damaskstile-targets/tests/restarts.rs
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -120,6 +120,30 @@
     assert!(choose(&book, at(30), "t0", &Work::default()).is_some());
 }
 
+#[test]
+fn an_entry_that_hides_a_known_start_is_told_once() {
+    // Arrange
+    let mut book = book();
+    book.list(at(0), listed("t0", Some(5), true));
+    let all = || vec![Ok(listed("t0", None, false))];
+
+    // Act
+    let first = book.list_all(at(10), all(), false);
+    let again = book.list_all(at(20), all(), false);
+    let meanwhile = book.usable_targets(at(30), SERVICE);
+    book.list(at(40), listed("t0", Some(5), true));
+
+    // Assert: it was no drain.
+    let expected = Refused {
+        target: "t0".to_owned(),
+        fault: "the start is not stated".to_owned(),
+    };
+    assert_eq!(first, [expected]);
+    assert_eq!(again, []);
+    assert_eq!(meanwhile, 0);
+    assert_eq!(book.usable_targets(at(50), SERVICE), 1);
+}
+
 #[test]
 fn an_entry_without_a_start_names_no_target_where_others_state_theirs() {
     // Arrange
