--- /dev/null
+++ b/crates/damaskstile-gateway/tests/upgrade.rs
@@ -0,0 +1,242 @@
+//! An instance beside peers of the version before, which tell no incarnations of targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::answer::AnswerHead;
+use damaskstile_gateway::call::{CallHead, SendHead};
+use damaskstile_gateway::dialect::Dialect;
+use damaskstile_gateway::directory::Directory;
+use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::objects::{
+    Change, Listing, ObjectStore, StoreError, StoreResult, StoredObject,
+};
+use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::peers::{Datagram, DatagramBody, Digest, Peers};
+use damaskstile_routes::Catalogue;
+use damaskstile_targets::{BookOptions, Listed};
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use http::{HeaderMap, request, response};
+use prost::Message;
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+const SERVICE: &str = "model";
+/// Time within which a list must have been pulled.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// What nothing here asks for: headers, stored objects, the store.
+#[derive(Debug)]
+struct Unused;
+
+impl Dialect for Unused {
+    fn read_call(&self, _: &request::Parts) -> CallHead {
+        CallHead::default()
+    }
+
+    fn dress_send(&self, _: &mut HeaderMap, _: &SendHead<'_>) {}
+
+    fn read_answer(&self, _: &response::Parts) -> AnswerHead {
+        AnswerHead::default()
+    }
+
+    fn dress_answer(&self, _: &mut HeaderMap) {}
+
+    fn own_answer(&self, _: Option<&str>) -> HeaderMap {
+        HeaderMap::new()
+    }
+}
+
+impl Directory for Unused {
+    fn catalogue_kind(&self) -> &'static str {
+        "catalogue"
+    }
+
+    fn targets_kind(&self) -> &'static str {
+        "targets"
+    }
+
+    fn catalogue(&self, _: &StoredObject) -> Result<Option<Catalogue>, String> {
+        Ok(None)
+    }
+
+    fn target(&self, _: &StoredObject) -> Result<Listed, String> {
+        Err("unused".to_owned())
+    }
+}
+
+fn no_answer<T: Send + 'static>() -> BoxFuture<'static, StoreResult<T>> {
+    std::future::ready(Err(StoreError::Lost("silent".to_owned()))).boxed()
+}
+
+impl ObjectStore for Unused {
+    fn list<'a>(&'a self, _: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
+        no_answer()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _: &'a str,
+        _: Version,
+        _: Duration,
+    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
+        no_answer()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
+        no_answer()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _: &'a str,
+        _: &'a str,
+    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
+        no_answer()
+    }
+
+    fn write<'a>(
+        &'a self,
+        _: &'a str,
+        _: &'a str,
+        _: Version,
+        _: Bytes,
+    ) -> BoxFuture<'a, StoreResult<Version>> {
+        no_answer()
+    }
+}
+
+/// The list of targets, as the version before hands it on.
+#[derive(prost::Message, Clone, PartialEq)]
+struct OldAnswer {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(message, repeated, tag = "4")]
+    targets: Vec<OldTarget>,
+}
+
+#[derive(prost::Message, Clone, PartialEq)]
+struct OldTarget {
+    #[prost(string, tag = "1")]
+    target: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    address: String,
+    #[prost(bool, tag = "6")]
+    is_ready: bool,
+}
+
+/// Makes an instance that takes peers' messages at an address of this process alone.
+async fn instance() -> (Arc<Gateway>, String) {
+    let pid = std::process::id();
+    let address = format!("127.{}.{}.1:7200", 100 + pid % 100, pid / 100 % 250);
+    let any = "127.0.0.1:1".parse().unwrap();
+    let options = GatewayOptions {
+        identity: Identity::new("one", 1, "north"),
+        capacity_percent: 12,
+        link_bytes_per_s: 1_250_000,
+        callers_address: any,
+        readiness_address: any,
+        metrics_address: any,
+        peers_address: address.parse().unwrap(),
+        seeds: Vec::new(),
+        stop_limit: Duration::from_secs(8),
+        retry_percent: 20,
+        extra_retries_per_s: 5,
+        escrow: EscrowOptions::default(),
+        book: BookOptions::default(),
+    };
+    let log = Logger::root(slog::Discard, slog::o!());
+    let (dialect, directory) = (Box::new(Unused), Box::new(Unused));
+    let (gateway, _) = Gateway::new(options, dialect, directory, Arc::new(Unused), log);
+    let peers = Peers::try_new(&gateway).await.unwrap();
+    tokio::spawn(peers.hear());
+    (gateway, address)
+}
+
+fn listed(name: &str, incarnation: u64) -> Listed {
+    Listed {
+        target: name.to_owned(),
+        incarnation: Some(incarnation),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: String::new(),
+        slots_requests: 8,
+        is_ready: true,
+    }
+}
+
+/// Hands a list on to whoever asks, as the version before does.
+async fn serve_list(listener: TcpListener, answer: OldAnswer) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+        frames.next().await;
+        let bytes = Bytes::from(answer.encode_to_vec());
+        frames.send(bytes).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn a_list_without_incarnations_keeps_targets_in_use() {
+    // Symptom: during an upgrade the instances of the new version refuse every call for lack of
+    // targets. Sequence: an instance knows the targets' incarnations from the store; then it goes
+    // by the list of a peer of the version before, which names none. Cause: an entry that does not
+    // state a start that is known was taken for another writer's.
+
+    // Arrange
+    let (gateway, address) = instance().await;
+    for (name, incarnation) in [("t0", 5), ("t1", 6)] {
+        let now = gateway.now();
+        gateway.state().book.list(now, listed(name, incarnation));
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer_address = listener.local_addr().unwrap();
+    let socket = UdpSocket::bind(peer_address).await.unwrap();
+    let old = |name: &str| OldTarget {
+        target: name.to_owned(),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:2".to_owned(),
+        is_ready: true,
+    };
+    let answer = OldAnswer {
+        version: 9,
+        targets: vec![old("t1"), old("t2")],
+    };
+    tokio::spawn(serve_list(listener, answer));
+
+    // Act: three better equipped peers of a large fleet watch the store.
+    for from in ["a", "b", "c", "a"] {
+        let digest = Digest {
+            targets_version: 9,
+            is_steward: true,
+            known_instances: 40,
+            capacity_percent: 50,
+            ..Digest::default()
+        };
+        let datagram = Datagram {
+            from: from.to_owned(),
+            incarnation: 1,
+            body: Some(DatagramBody::Digest(digest)),
+        };
+        let bytes = datagram.encode_to_vec();
+        socket.send_to(&bytes, &address).await.unwrap();
+    }
+    let end = tokio::time::Instant::now() + LIMIT;
+    while gateway.state().targets_version != 9 {
+        assert!(tokio::time::Instant::now() < end, "no list was pulled");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    // Assert: one is gone, one is kept with its incarnation; one that is new has none, where others
+    // have, until the instance lists the targets itself.
+    let state = gateway.state();
+    let incarnations: Vec<_> = state.book.present().map(Listed::identity).collect();
+    assert_eq!(state.book.usable_targets(gateway.now(), SERVICE), 1);
+    assert_eq!(incarnations, [TargetIdentity::new("t1", Some(6))]);
+}
