Take from peers with an older list no word that a target vanished

Cause: found by reading. A refused entry that is put right, or one that lapsed and came back, was told as vanished by peers of a large fleet that had not taken the new list over yet; an instance that had took the target out again, until the next change of the list or its own list 20 s later.

Before: a_peer_with_an_older_list_takes_no_target_out failed. After: it passes with the gateway's other tests.

--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -283,7 +283,10 @@
         }
         // In touch with the store, the own list is newer than what peers say of it.
         let is_follower = !state.is_steward(now);
-        let is_list_told = is_store_lost || is_follower;
+        // What vanished from a list older than the own may be back in this one, and no newer list
+        // would come to put it into use again.
+        let is_list_newer = digest.targets_version >= state.targets_version;
+        let is_list_told = (is_store_lost || is_follower) && is_list_newer;
         for target in digest.all_vanished().into_iter().filter(|_| is_list_told) {
             if state.book.vanish(now, &target) {
                 left.push(target);
--- a/crates/damaskstile-gateway/tests/upgrade.rs
+++ b/crates/damaskstile-gateway/tests/told_targets.rs
@@ -1,4 +1,4 @@
-//! An instance beside peers of the version before, which tell no incarnations of targets.
+//! What peers tell an instance of targets: lists, also of the version before, and digests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,8 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 const SERVICE: &str = "model";
+/// Peers that are better equipped than the instance, so that it goes by their lists.
+const STEWARDS: [&str; 3] = ["a", "b", "c"];
 /// Time within which a list must have been pulled.
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -132,10 +134,11 @@
     is_ready: bool,
 }
 
-/// Makes an instance that takes peers' messages at an address of this process alone.
-async fn instance() -> (Arc<Gateway>, String) {
+/// Makes an instance that takes peers' messages at an address of this process and test alone.
+async fn instance(test: u8) -> (Arc<Gateway>, String) {
     let pid = std::process::id();
-    let address = format!("127.{}.{}.1:7200", 100 + pid % 100, pid / 100 % 250);
+    let (high, low) = (100 + pid % 100, pid / 100 % 250);
+    let address = format!("127.{high}.{low}.{test}:7200");
     let any = "127.0.0.1:1".parse().unwrap();
     let options = GatewayOptions {
         identity: Identity::new("one", 1, "north"),
@@ -172,6 +175,27 @@
     }
 }
 
+/// Makes the digest of a peer that watches the store for a large fleet.
+fn digest(targets_version: Version) -> Digest {
+    Digest {
+        targets_version,
+        is_steward: true,
+        known_instances: 40,
+        capacity_percent: 50,
+        ..Digest::default()
+    }
+}
+
+async fn tell(socket: &UdpSocket, address: &str, from: &str, digest: Digest) {
+    let datagram = Datagram {
+        from: from.to_owned(),
+        incarnation: 1,
+        body: Some(DatagramBody::Digest(digest)),
+    };
+    let bytes = datagram.encode_to_vec();
+    socket.send_to(&bytes, address).await.unwrap();
+}
+
 /// Hands a list on to whoever asks, as the version before does.
 async fn serve_list(listener: TcpListener, answer: OldAnswer) {
     while let Ok((stream, _)) = listener.accept().await {
@@ -190,7 +214,7 @@
     // state a start that is known was taken for another writer's.
 
     // Arrange
-    let (gateway, address) = instance().await;
+    let (gateway, address) = instance(1).await;
     for (name, incarnation) in [("t0", 5), ("t1", 6)] {
         let now = gateway.now();
         gateway.state().book.list(now, listed(name, incarnation));
@@ -211,21 +235,8 @@
     tokio::spawn(serve_list(listener, answer));
 
     // Act: three better equipped peers of a large fleet watch the store.
-    for from in ["a", "b", "c", "a"] {
-        let digest = Digest {
-            targets_version: 9,
-            is_steward: true,
-            known_instances: 40,
-            capacity_percent: 50,
-            ..Digest::default()
-        };
-        let datagram = Datagram {
-            from: from.to_owned(),
-            incarnation: 1,
-            body: Some(DatagramBody::Digest(digest)),
-        };
-        let bytes = datagram.encode_to_vec();
-        socket.send_to(&bytes, &address).await.unwrap();
+    for from in STEWARDS.into_iter().chain(["a"]) {
+        tell(&socket, &address, from, digest(9)).await;
     }
     let end = tokio::time::Instant::now() + LIMIT;
     while gateway.state().targets_version != 9 {
@@ -240,3 +251,43 @@
     assert_eq!(state.book.usable_targets(gateway.now(), SERVICE), 1);
     assert_eq!(incarnations, [TargetIdentity::new("t1", Some(6))]);
 }
+
+#[tokio::test]
+async fn a_peer_with_an_older_list_takes_no_target_out() {
+    // Symptom: a sound target gets no calls from some instances of a large fleet for up to twenty
+    // seconds. Sequence: its entry is gone for a moment and comes back; an instance takes the new
+    // list over, and then hears a peer that has not done so yet say that the target vanished.
+    // Cause: that was taken for news, and no newer list came to end it.
+
+    // Arrange
+    let (gateway, address) = instance(2).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let vanished = [TargetIdentity::new("t0", Some(5))];
+    let now = gateway.now();
+    gateway.state().book.list(now, listed("t0", 5));
+    gateway.state().targets_version = 9;
+    for from in STEWARDS {
+        tell(&socket, &address, from, digest(9)).await;
+    }
+
+    // Act
+    let older = digest(8).with_departures(&[], &vanished);
+    tell(&socket, &address, "late", older).await;
+    heard(&gateway, "late").await;
+    let after_older = gateway.state().book.usable_targets(now, SERVICE);
+    let same = digest(9).with_departures(&[], &vanished);
+    tell(&socket, &address, "timely", same).await;
+    heard(&gateway, "timely").await;
+
+    // Assert
+    assert_eq!(after_older, 1);
+    assert_eq!(gateway.state().book.usable_targets(now, SERVICE), 0);
+}
+
+async fn heard(gateway: &Gateway, peer: &str) {
+    let end = tokio::time::Instant::now() + LIMIT;
+    while !gateway.state().members.contains_key(peer) {
+        assert!(tokio::time::Instant::now() < end, "{peer} was not heard");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/damaskstile-targets/src/departures.rs
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -18,8 +18,9 @@
 /// `Departures` remembers which incarnations of targets are leaving or gone, by any source.
 ///
 /// Only the newest incarnation of each name is kept; the book passes on no word on an older one,
-/// which comes late and says nothing of it. Without the incarnation a target that starts again under its name would stay
-/// out of use for ever, and a late word on the one before it would take it out.
+/// which comes late and says nothing of it. Without the incarnation a target that starts again
+/// under its name would stay out of use for ever, and a late word on the one before it would take
+/// it out.
 #[derive(Debug, Default)]
 pub struct Departures {
     left: BTreeMap<TargetId, Departure>,
