Make the logs tell calls that a stop cuts from callers that left

Cause: an open call whose process ended was logged as event 110, CallerLeft, and StopDone did not say that calls were cut; nothing told when a call was taken relative to the order to stop. Before: a stop that cut a call looked like one that cut none. After: event 112, CallCut; all lines of calls during a stop bear taken_after_stop_ms; 702 and 703 bear cut_calls and took_ms; the outcome cut_by_stop is counted, and open_calls is a gauge. The moments of a stop are fixed in one type, with the same values.

--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -73,7 +73,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut phase = gateway.phase.subscribe();
-    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
+    let closing = phase.wait_for(|phase| *phase >= Phase::Closing);
     let mut closing = pin!(closing);
     let mut is_closing = false;
     loop {
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! `gateway` is what all duties of an instance share.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use damaskstile_core::prelude::*;
 use slog::Logger;
@@ -19,6 +19,7 @@
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::state::State;
+use crate::stop_times::StopTimes;
 
 /// Messages that may wait to be sent to peers: a receipt for each of the largest fleet in view.
 const OUTBOX_RING: usize = 512;
@@ -57,6 +58,8 @@
     pub tokens_wanted: Notify,
     /// Tells all duties how far a stop has come.
     pub phase: watch::Sender<Phase>,
+    /// The moments of a stop, once one was ordered.
+    pub stop_times: OnceLock<StopTimes>,
     open_calls: AtomicUsize,
     state: Mutex<State>,
 }
@@ -95,6 +98,7 @@
             news: Notify::new(),
             tokens_wanted: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
+            stop_times: OnceLock::new(),
             open_calls: AtomicUsize::new(0),
             state,
             options,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod sendable;
 pub mod state;
 pub mod stop;
+pub mod stop_times;
 
 use std::sync::Arc;
 
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     free_tokens: Family<AccountLabels, Gauge>,
     store_age_ms: Gauge,
     catalogue_version: Gauge,
+    open_calls: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -58,6 +59,7 @@
         let free_tokens = Family::default();
         let store_age_ms = Gauge::default();
         let catalogue_version = Gauge::default();
+        let open_calls = Gauge::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -69,6 +71,7 @@
         registry.register("store_age_ms", help, store_age_ms.clone());
         let help = "Version of the catalogue in force";
         registry.register("catalogue_version", help, catalogue_version.clone());
+        registry.register("open_calls", "Calls that are open", open_calls.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -77,6 +80,7 @@
             free_tokens,
             store_age_ms,
             catalogue_version,
+            open_calls,
         }
     }
 
@@ -133,6 +137,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Notes the calls that are open whenever they are asked for.
+    pub fn sample_open_calls(&self, open_calls: usize) {
+        self.open_calls
+            .set(i64::try_from(open_calls).unwrap_or(i64::MAX));
+    }
+
     /// Gives all metrics in the customary text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -109,6 +109,7 @@
     let (age, version) = (state.contact.age(now), state.catalogue.version());
     drop(state);
     gateway.metrics.sample(&free, age, version);
+    gateway.metrics.sample_open_calls(gateway.open_calls());
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     finish(StatusCode::OK, content_type, gateway.metrics.encode())
 }
--- a/crates/damaskstile-gateway/src/phase.rs
+++ b/crates/damaskstile-gateway/src/phase.rs
@@ -9,4 +9,6 @@
     Leaving,
     /// No new work is taken.
     Closing,
+    /// What is still open is cut off, and the process ends.
+    Ending,
 }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -5,6 +5,7 @@
 use damaskstile_core::prelude::*;
 
 use crate::gateway::Gateway;
+use crate::phase::Phase;
 
 /// `Record` collects what decided a call's way. Dropped, it writes one line.
 #[derive(Debug)]
@@ -85,6 +86,27 @@
         }
     }
 
+    /// Adds when the call was taken, counted from the order to stop.
+    ///
+    /// A call without an outcome once open calls are cut off was cut by the stop. Without this the
+    /// logs would blame its caller, and nobody would look at the stop.
+    fn note_stop(&mut self) {
+        let Some(times) = self.gateway.stop_times.get() else {
+            return;
+        };
+        let before = times.began_at.saturating_sub(self.began_at).as_millis();
+        let after = self.began_at.saturating_sub(times.began_at).as_millis();
+        let sign = if before > 0 { "-" } else { "" };
+        self.add(
+            "taken_after_stop_ms",
+            format!("{sign}{}", before.max(after)),
+        );
+        let is_ending = *self.gateway.phase.borrow() == Phase::Ending;
+        if is_ending && self.code == EventCode::CallerLeft {
+            self.end(EventCode::CallCut, "cut_by_stop");
+        }
+    }
+
     /// Sets how the call ended.
     pub fn end(&mut self, code: EventCode, outcome: &'static str) {
         self.code = code;
@@ -98,6 +120,7 @@
             return;
         }
         let took = self.gateway.now().saturating_sub(self.began_at);
+        self.note_stop();
         self.gateway.metrics.ended(&self.account, self.outcome);
         if let Some(first) = self.first_byte {
             self.add("first_byte_ms", first.as_millis());
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -8,14 +8,10 @@
 use crate::gateway::Gateway;
 use crate::phase::Phase;
 use crate::rounds;
+use crate::stop_times::StopTimes;
 
-/// Time for which an instance that is leaving still takes what comes. The balancer asks once a
-/// second and needs two refusals, and callers on open connections learn of it with an answer.
-const LEAVING_TIME: Duration = Duration::from_millis(3_500);
 /// Time between two looks at what is still open.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-/// Part of the stop's time that is left for handing back tokens.
-const HAND_BACK_TIME: Duration = Duration::from_millis(900);
 
 /// Waits for the order to stop and carries it out.
 ///
@@ -30,35 +26,44 @@
         _ = interrupt.recv() => {}
     }
     let began_at = gateway.now();
+    let times = StopTimes::new(began_at, gateway.options.stop_limit);
+    let times = *gateway.stop_times.get_or_init(|| times);
     let open_calls = gateway.open_calls().to_string();
     gateway.log(EventCode::StopBegan, &[("open_calls", &open_calls)]);
     gateway.state().is_stopping = true;
     gateway.phase.send_replace(Phase::Leaving);
 
-    let leaving_time = LEAVING_TIME.min(gateway.options.stop_limit / 2);
-    tokio::time::sleep(leaving_time).await;
+    tokio::time::sleep(times.closing_at.saturating_sub(began_at)).await;
     gateway.phase.send_replace(Phase::Closing);
     gateway.state().holder.stop();
 
-    let close_by = began_at + gateway.options.stop_limit.saturating_sub(HAND_BACK_TIME);
-    while gateway.open_calls() > 0 && gateway.now() < close_by {
+    while gateway.open_calls() > 0 && gateway.now() < times.cut_at {
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    hand_back(&gateway, began_at + gateway.options.stop_limit).await;
+    gateway.phase.send_replace(Phase::Ending);
+    let cut_calls = gateway.open_calls();
+    hand_back(&gateway, &times, cut_calls).await;
     Ok(())
 }
 
-async fn hand_back(gateway: &Gateway, until: Duration) {
+async fn hand_back(gateway: &Gateway, times: &StopTimes, cut_calls: usize) {
     // What peers handed over goes back to them, the rest to the store.
     gateway.tokens_wanted.notify_one();
-    while gateway.now() < until {
-        if gateway.state().holder.is_handed_back() {
-            gateway.log(EventCode::StopDone, &[]);
-            return;
+    let mut is_handed_back = false;
+    while !is_handed_back && gateway.now() < times.end_at {
+        is_handed_back = gateway.state().holder.is_handed_back();
+        if !is_handed_back {
+            rounds::look(gateway).await;
+            tokio::time::sleep(LOOK_INTERVAL).await;
         }
-        rounds::look(gateway).await;
-        tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    let open_calls = gateway.open_calls().to_string();
-    gateway.log(EventCode::StopCutShort, &[("open_calls", &open_calls)]);
+    let took_ms = gateway.now().saturating_sub(times.began_at).as_millis();
+    let (took_ms, cut_calls) = (took_ms.to_string(), cut_calls.to_string());
+    let fields = [("took_ms", took_ms.as_str()), ("cut_calls", &cut_calls)];
+    let code = if is_handed_back {
+        EventCode::StopDone
+    } else {
+        EventCode::StopCutShort
+    };
+    gateway.log(code, &fields);
 }
