Take calls during a stop only if they will be over in time, and cut late

Before: a_stop_takes_no_call_that_it_would_cut_off is red. How long calls last is remembered by route, bounded; a call whose own limit or record does not fit before the cut is refused at once as not run, with Connection: close and Retry-After 0. That holds for sends again and for streams that go on elsewhere too; where no time is left for another run, a target's silence is waited out. All that reaches a closing instance gets that refusal; connections are closed at the end only, once what was written to them is sent. Plain calls open at the cut get an answer (outcome unknown, or not run). The margins are parts of short limits.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! `exchange` takes one call from its caller to its answer.
 
+mod stopping;
 mod tokens;
 
 use std::sync::Arc;
@@ -18,7 +19,7 @@
 use crate::phase::Phase;
 use crate::record::Record;
 use crate::relay::Relay;
-use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
+use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
 use crate::reservation::Reservation;
 use crate::run::{self, Run};
 use crate::sendable::Sendable;
@@ -43,6 +44,8 @@
     attempts: Attempts,
     tried: Vec<TargetId>,
     last_event: Option<u64>,
+    /// Whether a target may be at work on it.
+    is_sending: bool,
 }
 
 /// Serves one call.
@@ -58,7 +61,7 @@
             let limit = head
                 .time_limit
                 .map_or(terms.route.timeout, |limit| limit.min(terms.route.timeout));
-            let exchange = Exchange {
+            let mut exchange = Exchange {
                 gateway: Arc::clone(&gateway),
                 call: Sendable {
                     method: parts.method,
@@ -75,8 +78,13 @@
                 attempts: Attempts::default(),
                 tried: Vec::new(),
                 last_event: head.last_event,
+                is_sending: false,
             };
-            exchange.go(body).await
+            tokio::select! {
+                biased;
+                response = exchange.go(body) => response,
+                () = gateway.cut() => exchange.cut(),
+            }
         }
         Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
     };
@@ -151,7 +159,7 @@
 }
 
 impl Exchange {
-    async fn go(mut self, body: Incoming) -> Response<ReplyBody> {
+    async fn go(&mut self, body: Incoming) -> Response<ReplyBody> {
         match self.read_body(body).await {
             Ok(body) => {
                 let now = self.gateway.now();
@@ -161,6 +169,11 @@
             }
             Err(refusal) => return self.refuse(&refusal),
         }
+        // The body is read first: closing a connection with bytes unread would reset it, and the
+        // caller might never see the refusal.
+        if self.is_closing() || !self.is_over_in_time() {
+            return self.refuse(&Self::stopping());
+        }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
             Err(refusal) => return self.refuse(&refusal),
@@ -190,12 +203,15 @@
         }
     }
 
-    async fn send(mut self, mut reservation: Reservation) -> Response<ReplyBody> {
+    async fn send(&mut self, mut reservation: Reservation) -> Response<ReplyBody> {
         loop {
             let left = self.left();
             if left.is_zero() {
                 return self.too_late();
             }
+            if !self.is_over_in_time() {
+                return self.give_up(RefusalCode::Stopping, RETRY_AT_ONCE);
+            }
             let now = self.gateway.now();
             let choice = {
                 let state = self.gateway.state();
@@ -211,7 +227,8 @@
             self.record.set_target(&choice.target);
             self.record.add("cost_ms", format!("{:.0}", choice.cost_ms));
             reservation.sending();
-            let patience = patience(&self.terms, left);
+            self.is_sending = true;
+            let patience = self.patience(left);
             let started = run::start(
                 &self.gateway,
                 &self.call,
@@ -238,6 +255,7 @@
                 reservation.not_run();
             }
             self.attempts.note(no_run.end);
+            self.is_sending = false;
             self.record.add("cause", no_run.cause);
             if self.left().is_zero() {
                 return self.too_late();
@@ -261,6 +279,7 @@
     fn too_late(&mut self) -> Response<ReplyBody> {
         let code = RefusalCode::DeadlineExceeded;
         let refusal = if self.attempts.has_run() {
+            self.note_time();
             Refusal::unknown(code)
         } else {
             Refusal::not_run(code, Some(RETRY_SOON))
@@ -320,6 +339,7 @@
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
         reservation.finished(0);
+        self.note_time();
         self.record.first_byte();
         self.record.add("status", parts.status.as_u16());
         let (code, outcome) = if parts.status.is_success() {
--- /dev/null
+++ b/crates/damaskstile-gateway/src/exchange/stopping.rs
@@ -0,0 +1,60 @@
+//! `stopping` keeps calls from beginning what a stop would cut off.
+
+use damaskstile_core::prelude::*;
+use http::Response;
+
+use super::{Exchange, patience};
+use crate::phase::Phase;
+use crate::reply::{RETRY_AT_ONCE, Refusal, ReplyBody};
+
+impl Exchange {
+    pub(super) fn stopping() -> Refusal {
+        Refusal::not_run(RefusalCode::Stopping, Some(RETRY_AT_ONCE))
+    }
+
+    /// Tells whether a stop has come so far that no call is taken.
+    pub(super) fn is_closing(&self) -> bool {
+        *self.gateway.phase.borrow() >= Phase::Closing
+    }
+
+    /// Tells whether a run that begins now can be expected to be over before a stop would cut it
+    /// off. Without this a stream that is taken seconds after the order would be cut.
+    pub(super) fn is_over_in_time(&self) -> bool {
+        let now = self.gateway.now();
+        let route = &self.terms.route.name;
+        self.gateway.is_over_in_time(route, now, self.deadline)
+    }
+
+    /// Returns how long a target may take until the head of its answer. Where a stop leaves no time
+    /// for another run after that, a target's silence is waited out.
+    pub(super) fn patience(&self, left: Duration) -> Duration {
+        let patience = patience(&self.terms, left);
+        let next_at = self.gateway.now() + patience;
+        let route = &self.terms.route.name;
+        if self.gateway.is_over_in_time(route, next_at, self.deadline) {
+            patience
+        } else {
+            left
+        }
+    }
+
+    /// Answers a call that a stop cannot wait for. A caller without an answer would not know
+    /// whether it may ask again.
+    pub(super) fn cut(&mut self) -> Response<ReplyBody> {
+        if self.is_sending || self.attempts.has_run() {
+            let response = self.refuse(&Refusal::unknown(RefusalCode::Stopping));
+            self.record.end(EventCode::CallCut, "cut_by_stop");
+            response
+        } else {
+            self.refuse(&Self::stopping())
+        }
+    }
+
+    /// Notes how long the call lasted.
+    pub(super) fn note_time(&self) {
+        let now = self.gateway.now();
+        let took = now.saturating_sub(self.record.began_at());
+        let route = &self.terms.route.name;
+        self.gateway.state().call_times.note(route, took);
+    }
+}
--- a/crates/damaskstile-gateway/src/exchange/tokens.rs
+++ b/crates/damaskstile-gateway/src/exchange/tokens.rs
@@ -52,6 +52,10 @@
                 }
                 Err(shortage) => shortage,
             };
+            // Once tokens are handed back, their lack says nothing of the budget.
+            if self.is_closing() {
+                return Err(Self::stopping());
+            }
             let is_coming = self.call_for_tokens(shortage, tokens);
             let wait = until.saturating_sub(self.gateway.now());
             if !is_coming || wait.is_zero() {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -226,6 +226,7 @@
         Ok(Some(catalogue)) => {
             let version = catalogue.version();
             let prepaid = catalogue.prepaid_tokens();
+            let routes = catalogue.route_names();
             let now = gateway.now();
             let mut state = gateway.state();
             let is_new = state.catalogue.apply(now, catalogue);
@@ -233,6 +234,7 @@
                 return;
             }
             state.holder.set_prepaid(version, prepaid);
+            state.call_times.retain(|route| routes.contains(route));
             state.stored_catalogue = Some(object.clone());
             drop(state);
             gateway.round_wanted.notify_one();
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -12,7 +12,6 @@
 
 use crate::exchange::serve;
 use crate::gateway::Gateway;
-use crate::phase::Phase;
 
 /// Smallest buffer for a head that the HTTP library takes, in bytes.
 const HEAD_BYTES_MIN: usize = 8 * 1024;
@@ -34,10 +33,17 @@
     socket.listen(BACKLOG)
 }
 
-/// Takes connections until the process ends.
+/// Takes connections until a stop closes them.
+///
+/// An instance that is closing still takes them: a caller whose call is refused knows that it has
+/// not run, and one whose connection is dropped knows nothing.
 pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.cut() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(converse(Arc::clone(&gateway), stream));
             }
@@ -50,8 +56,10 @@
     }
 }
 
-/// Serves one connection. It is closed once the instance takes no more work and it is idle.
+/// Serves one connection. It is closed with the first answer during a stop, and at the stop's end
+/// once all that was written to it is sent.
 async fn converse(gateway: Arc<Gateway>, stream: TcpStream) {
+    let _open = gateway.open_connection();
     // An answer must not wait to be sent together with the next one.
     let _ = stream.set_nodelay(true);
     let limits = gateway
@@ -72,16 +80,14 @@
         .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let mut phase = gateway.phase.subscribe();
-    let closing = phase.wait_for(|phase| *phase >= Phase::Closing);
-    let mut closing = pin!(closing);
-    let mut is_closing = false;
+    let mut ending = pin!(gateway.cut());
+    let mut is_ending = false;
     loop {
         tokio::select! {
             // How a caller's connection ends is told by the records of its calls.
             _ = connection.as_mut() => return,
-            _ = closing.as_mut(), if !is_closing => {
-                is_closing = true;
+            () = ending.as_mut(), if !is_ending => {
+                is_ending = true;
                 connection.as_mut().graceful_shutdown();
             }
         }
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::objects::ObjectStore;
 use crate::open_call::OpenCall;
+use crate::open_connection::OpenConnection;
 use crate::options::GatewayOptions;
 use crate::outgoing::Outgoing;
 use crate::phase::Phase;
@@ -61,6 +62,7 @@
     /// The moments of a stop, once one was ordered.
     pub stop_times: OnceLock<StopTimes>,
     open_calls: AtomicUsize,
+    open_connections: AtomicUsize,
     state: Mutex<State>,
 }
 
@@ -100,6 +102,7 @@
             phase: watch::Sender::new(Phase::Serving),
             stop_times: OnceLock::new(),
             open_calls: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             state,
             options,
             outbox,
@@ -123,6 +126,42 @@
         logs::write(&self.log, &LogEvent::new(code, fields));
     }
 
+    /// Tells whether a call that began at some time can be expected to be over before a stop would
+    /// cut it off; always, while no stop was ordered.
+    pub fn is_over_in_time(&self, route: &str, began_at: Duration, deadline: Duration) -> bool {
+        let Some(times) = self.stop_times.get() else {
+            return true;
+        };
+        if self.now() >= times.cut_at {
+            return false;
+        }
+        let time = times.cut_at.saturating_sub(began_at);
+        deadline <= times.cut_at || self.state().call_times.is_over_within(route, time)
+    }
+
+    /// Waits until open calls are cut off.
+    pub async fn cut(&self) {
+        let mut phase = self.phase.subscribe();
+        // The phases live as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase == Phase::Ending).await;
+    }
+
+    /// Counts a caller's connection as open until the guard is dropped.
+    pub fn open_connection(self: &Arc<Self>) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection::new(Arc::clone(self))
+    }
+
+    /// Notes that a caller's connection is closed, with all that was written to it sent.
+    pub(crate) fn close_connection(&self) {
+        self.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of callers' connections.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Counts a call as open until the guard is dropped.
     pub fn open_call(self: &Arc<Self>) -> OpenCall {
         self.open_calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod call;
+pub mod call_times;
 pub mod clock;
 pub mod contact;
 pub mod dialect;
@@ -21,6 +22,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod open_call;
+pub mod open_connection;
 pub mod operators;
 pub mod options;
 pub mod outgoing;
--- a/crates/damaskstile-gateway/src/phase.rs
+++ b/crates/damaskstile-gateway/src/phase.rs
@@ -5,10 +5,11 @@
 pub enum Phase {
     /// No stop was asked for.
     Serving,
-    /// The balancer is told to send no more work; what comes is still served.
+    /// The balancer is told to send no more work; what comes is still served where it will be over
+    /// in time.
     Leaving,
-    /// No new work is taken.
+    /// No new work is taken; what comes is refused.
     Closing,
-    /// What is still open is cut off, and the process ends.
+    /// What is still open is cut off, connections are closed, and the process ends.
     Ending,
 }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -75,6 +75,12 @@
         self.add("target", target);
     }
 
+    /// Returns when the call was taken.
+    #[must_use]
+    pub fn began_at(&self) -> Duration {
+        self.began_at
+    }
+
     /// Notes the first byte of the answer.
     pub fn first_byte(&mut self) {
         if self.first_byte.is_none() {
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -79,6 +79,15 @@
         if self.is_over {
             return None;
         }
+        let gateway = Arc::clone(&self.gateway);
+        tokio::select! {
+            biased;
+            frame = self.frame_of_runs() => frame,
+            () = gateway.cut() => Some(Err(self.cut())),
+        }
+    }
+
+    async fn frame_of_runs(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
         loop {
             match self.next_piece().await {
                 Piece::Event(event) => {
@@ -92,7 +101,10 @@
                         return Some(Err(self.break_off(cause)));
                     }
                 }
-                Piece::TooLate => return Some(Err(self.break_off("deadline"))),
+                Piece::TooLate => {
+                    self.note_time();
+                    return Some(Err(self.break_off("deadline")));
+                }
             }
         }
     }
@@ -103,11 +115,11 @@
                 return Piece::Event(event);
             }
             let left = self.deadline.saturating_sub(self.gateway.now());
-            let is_resumable = self.is_resumable();
+            let may_go_on = self.may_go_on();
             let Some(run) = &mut self.run else {
                 return Piece::Broken("no_run");
             };
-            let patience = if is_resumable {
+            let patience = if may_go_on {
                 left.min(STALL_LIMIT)
             } else {
                 left
@@ -149,8 +161,24 @@
         Some(event.bytes)
     }
 
+    /// Ends a stream that a stop cannot wait for.
+    fn cut(&mut self) -> std::io::Error {
+        let error = self.break_off("stopping");
+        self.record.end(EventCode::CallCut, "cut_by_stop");
+        error
+    }
+
+    /// Notes how long the call lasted.
+    fn note_time(&self) {
+        let now = self.gateway.now();
+        let took = now.saturating_sub(self.record.began_at());
+        let route = &self.terms.route.name;
+        self.gateway.state().call_times.note(route, took);
+    }
+
     async fn end(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
         self.is_over = true;
+        self.note_time();
         self.reservation.finished(self.events);
         self.record.add("events", self.events);
         self.record.add("used", self.reservation.used_tokens());
@@ -173,8 +201,15 @@
         std::io::Error::other(cause)
     }
 
-    fn is_resumable(&self) -> bool {
-        self.terms.route.kind.is_repeatable()
+    /// Tells whether the stream may go on at another target: the route allows it, and no stop
+    /// would cut it off there. While it may not, a target's silence is waited out.
+    fn may_go_on(&self) -> bool {
+        let (route, began_at) = (&self.terms.route, self.record.began_at());
+        let is_over_in_time = || {
+            self.gateway
+                .is_over_in_time(&route.name, began_at, self.deadline)
+        };
+        route.kind.is_repeatable() && is_over_in_time()
     }
 
     /// Goes on at another target after a broken run, if the route allows it.
@@ -187,6 +222,9 @@
         self.attempts.note(SendEnd::Unknown);
         let mut cause = cause;
         loop {
+            if !self.may_go_on() {
+                return false;
+            }
             let next = plan_next(&self.gateway, &self.terms, &self.attempts);
             let left = self.deadline.saturating_sub(self.gateway.now());
             if next != Next::Again || left.is_zero() || !self.reservation.extend() {
--- a/crates/damaskstile-gateway/src/reply.rs
+++ b/crates/damaskstile-gateway/src/reply.rs
@@ -13,6 +13,8 @@
 /// answer never looks whole.
 pub type ReplyBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
+/// Wait that is advised where another instance can serve the call now: none.
+pub const RETRY_AT_ONCE: Duration = Duration::ZERO;
 /// Wait that is advised where the cause passes as soon as a message or two went round.
 pub const RETRY_SOON: Duration = Duration::from_millis(200);
 /// Wait that is advised where instances or targets have to come back.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use damaskstile_targets::Book;
 
 use crate::call::CallHead;
+use crate::call_times::CallTimes;
 use crate::clock::BootTime;
 use crate::contact::Contact;
 use crate::member::Member;
@@ -81,6 +82,8 @@
     pub gifts_taken: BTreeMap<(InstanceId, Incarnation), BTreeSet<u64>>,
     /// The peer that writes for this instance, as last found.
     pub writer_known: Option<InstanceId>,
+    /// How long calls lasted, by route.
+    pub call_times: CallTimes,
     /// How full the link is.
     pub pressure: Pressure,
     /// Source of choices.
@@ -119,6 +122,7 @@
             gifts_made: 0,
             gifts_taken: BTreeMap::new(),
             writer_known: None,
+            call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
             is_stopping: false,
             retries: BTreeMap::new(),
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -11,7 +11,7 @@
 use crate::stop_times::StopTimes;
 
 /// Time between two looks at what is still open.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits for the order to stop and carries it out.
 ///
@@ -35,31 +35,49 @@
 
     tokio::time::sleep(times.closing_at.saturating_sub(began_at)).await;
     gateway.phase.send_replace(Phase::Closing);
+    // What no open call holds goes back now, so that little is left to do after the last call.
     gateway.state().holder.stop();
+    gateway.tokens_wanted.notify_one();
+    gateway.round_wanted.notify_one();
 
     while gateway.open_calls() > 0 && gateway.now() < times.cut_at {
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    gateway.phase.send_replace(Phase::Ending);
     let cut_calls = gateway.open_calls();
-    hand_back(&gateway, &times, cut_calls).await;
+    gateway.phase.send_replace(Phase::Ending);
+    // Calls that are cut let go of their tokens, and their callers are told.
+    tokio::time::sleep(LOOK_INTERVAL).await;
+    end(&gateway, &times, cut_calls).await;
     Ok(())
 }
 
-async fn hand_back(gateway: &Gateway, times: &StopTimes, cut_calls: usize) {
+/// Hands back what is held, and waits for callers to read what was written to them.
+///
+/// Answers of which a part still waits in the process are cut when it ends: a caller that reads
+/// slowly would lose the end of an answer that counts as given.
+async fn end(gateway: &Gateway, times: &StopTimes, cut_calls: usize) {
     // What peers handed over goes back to them, the rest to the store.
     gateway.tokens_wanted.notify_one();
     let mut is_handed_back = false;
-    while !is_handed_back && gateway.now() < times.end_at {
-        is_handed_back = gateway.state().holder.is_handed_back();
+    loop {
+        is_handed_back = is_handed_back || gateway.state().holder.is_handed_back();
+        let is_done = is_handed_back && gateway.open_connections() == 0;
+        if is_done || gateway.now() >= times.end_at {
+            break;
+        }
         if !is_handed_back {
             rounds::look(gateway).await;
-            tokio::time::sleep(LOOK_INTERVAL).await;
         }
+        tokio::time::sleep(LOOK_INTERVAL).await;
     }
+    let open_connections = gateway.open_connections().to_string();
     let took_ms = gateway.now().saturating_sub(times.began_at).as_millis();
     let (took_ms, cut_calls) = (took_ms.to_string(), cut_calls.to_string());
-    let fields = [("took_ms", took_ms.as_str()), ("cut_calls", &cut_calls)];
+    let fields = [
+        ("took_ms", took_ms.as_str()),
+        ("cut_calls", &cut_calls),
+        ("open_connections", &open_connections),
+    ];
     let code = if is_handed_back {
         EventCode::StopDone
     } else {
--- a/crates/damaskstile-gateway/src/stop_times.rs
+++ b/crates/damaskstile-gateway/src/stop_times.rs
@@ -2,11 +2,16 @@
 
 use damaskstile_core::prelude::*;
 
-/// Time for which an instance that is leaving still takes what comes. The balancer asks once a
-/// second and needs two refusals, and callers on open connections learn of it with an answer.
-const LEAVING_TIME: Duration = Duration::from_millis(3_500);
-/// Part of the stop's time that is left for handing back tokens.
-const HAND_BACK_TIME: Duration = Duration::from_millis(900);
+/// Time for which an instance that is leaving still takes calls that will be over in time. The
+/// balancer asks once a second and needs two refusals, so it knows after 2.2 s at most, and callers
+/// on open connections learn of it with an answer. Later calls get a refusal, which costs little.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+/// Part of the stop's time that is left after the last call. All that no open call holds is handed
+/// back by then, so what is left is one conditional write, and a second one after a conflict, of
+/// some 20 ms each. Each tenth of a second more would cut off more calls.
+const HAND_BACK_TIME: Duration = Duration::from_millis(300);
+/// Largest part of the limit that this may be, one in so many: it counts where limits are short.
+const HAND_BACK_PART: u32 = 20;
 
 /// `StopTimes` are the moments of a stop, fixed when the order comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,7 +40,7 @@
         Self {
             began_at,
             closing_at: began_at + LEAVING_TIME.min(limit / 2),
-            cut_at: began_at + limit.saturating_sub(HAND_BACK_TIME),
+            cut_at: began_at + limit.saturating_sub(HAND_BACK_TIME.min(limit / HAND_BACK_PART)),
             end_at: began_at + limit,
         }
     }
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -117,6 +117,16 @@
         None
     }
 
+    /// Returns the names of all routes.
+    #[must_use]
+    pub fn route_names(&self) -> BTreeSet<String> {
+        self.routes
+            .values()
+            .flat_map(BTreeMap::values)
+            .map(|route| route.name.clone())
+            .collect()
+    }
+
     /// Returns the account that calls with a key.
     #[must_use]
     pub fn account_of_key(&self, key: &str) -> Option<&Account> {
