--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! `gateway` is what all duties of an instance share.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use damaskstile_core::prelude::*;
 use slog::Logger;
@@ -14,11 +14,13 @@
 use crate::metrics::Metrics;
 use crate::objects::ObjectStore;
 use crate::open_call::OpenCall;
+use crate::open_connection::OpenConnection;
 use crate::options::GatewayOptions;
 use crate::outgoing::Outgoing;
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::state::State;
+use crate::stop_times::StopTimes;
 
 /// Messages that may wait to be sent to peers: a receipt for each of the largest fleet in view.
 const OUTBOX_RING: usize = 512;
@@ -60,7 +62,10 @@
     pub outages_over: watch::Sender<u64>,
     /// Tells all duties how far a stop has come.
     pub phase: watch::Sender<Phase>,
+    /// The moments of a stop, once one was ordered.
+    pub stop_times: OnceLock<StopTimes>,
     open_calls: AtomicUsize,
+    open_connections: AtomicUsize,
     state: Mutex<State>,
 }
 
@@ -99,7 +104,9 @@
             tokens_wanted: Notify::new(),
             outages_over: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Serving),
+            stop_times: OnceLock::new(),
             open_calls: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
             state,
             options,
             outbox,
@@ -123,6 +130,42 @@
         logs::write(&self.log, &LogEvent::new(code, fields));
     }
 
+    /// Tells whether a call that began at some time can be expected to be over before a stop would
+    /// cut it off; always, while no stop was ordered.
+    pub fn is_over_in_time(&self, route: &str, began_at: Duration, deadline: Duration) -> bool {
+        let Some(times) = self.stop_times.get() else {
+            return true;
+        };
+        if self.now() >= times.cut_at {
+            return false;
+        }
+        let time = times.cut_at.saturating_sub(began_at);
+        deadline <= times.cut_at || self.state().call_times.is_over_within(route, time)
+    }
+
+    /// Waits until open calls are cut off.
+    pub async fn cut(&self) {
+        let mut phase = self.phase.subscribe();
+        // The phases live as long as the gateway.
+        let _ = phase.wait_for(|phase| *phase == Phase::Ending).await;
+    }
+
+    /// Counts a caller's connection as open until the guard is dropped.
+    pub fn open_connection(self: &Arc<Self>) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection::new(Arc::clone(self))
+    }
+
+    /// Notes that a caller's connection is closed, with all that was written to it sent.
+    pub(crate) fn close_connection(&self) {
+        self.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of callers' connections.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Counts a call as open until the guard is dropped.
     pub fn open_call(self: &Arc<Self>) -> OpenCall {
         self.open_calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod call;
+pub mod call_times;
 pub mod clock;
 pub mod contact;
 pub mod dialect;
@@ -23,6 +24,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod open_call;
+pub mod open_connection;
 pub mod operators;
 pub mod options;
 pub mod outgoing;
@@ -41,6 +43,7 @@
 pub mod sendable;
 pub mod state;
 pub mod stop;
+pub mod stop_times;
 pub mod target_list;
 pub mod target_words;
 
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -73,6 +73,7 @@
     catalogue_version: Gauge,
     targets: Family<StateLabels, Gauge>,
     refused_entries: Family<StoredLabels, Counter>,
+    open_calls: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -94,6 +95,7 @@
         let catalogue_version = Gauge::default();
         let targets = Family::default();
         let refused_entries = Family::default();
+        let open_calls = Gauge::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -111,6 +113,7 @@
         registry.register("targets", help, targets.clone());
         let help = "Stored objects that could not be used, counted once for each fault";
         registry.register("refused_entries", help, refused_entries.clone());
+        registry.register("open_calls", "Calls that are open", open_calls.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -122,6 +125,7 @@
             catalogue_version,
             targets,
             refused_entries,
+            open_calls,
         }
     }
 
@@ -212,6 +216,12 @@
             .set(age_ms);
     }
 
+    /// Notes the calls that are open whenever they are asked for.
+    pub fn sample_open_calls(&self, open_calls: usize) {
+        self.open_calls
+            .set(i64::try_from(open_calls).unwrap_or(i64::MAX));
+    }
+
     /// Gives all metrics in the customary text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -116,6 +116,7 @@
     }
     gateway.metrics.count_targets(&counts);
     gateway.metrics.sample(&free, age, version);
+    gateway.metrics.sample_open_calls(gateway.open_calls());
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     finish(StatusCode::OK, content_type, gateway.metrics.encode())
 }
