--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -168,7 +168,10 @@
     }
     // Peers read the list anew for each version, so what tells them nothing makes none.
     if followed == Followed::Targets && is_news {
-        gateway.state().targets_version = version;
+        let mut state = gateway.state();
+        // A list that a peer had may be newer than this watch.
+        state.targets_version = state.targets_version.max(version);
+        drop(state);
         gateway.news.notify_one();
     }
     if is_burst && must_watch(gateway) {
