--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -14,7 +14,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// Whether it watches the store for others and may write to the ledger for them.
-    pub is_steward: bool,
+    pub is_watcher: bool,
     /// Instances that it knows of.
     pub known_instances: u64,
     /// Whether it is being stopped.
@@ -46,7 +46,7 @@
         Self {
             incarnation,
             address,
-            is_steward: digest.is_steward,
+            is_watcher: digest.is_watcher,
             known_instances: digest.known_instances,
             is_stopping: digest.is_stopping,
             capacity_percent: digest.capacity_percent,
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -93,7 +93,7 @@
                 self.send(address, DatagramBody::Ask(ask)).await;
             }
             for (address, gift) in self.returns() {
-                self.note_gift(EventCode::TokensGiven, "steward", &gift);
+                self.note_gift(EventCode::TokensGiven, &address.to_string(), &gift);
                 self.send(address, DatagramBody::Give(gift)).await;
             }
         }
@@ -202,7 +202,7 @@
             free,
             is_stopping: state.is_stopping,
             known_instances: state.known_instances(),
-            is_steward: state.is_steward(now),
+            is_watcher: state.is_watcher(now),
             capacity_percent: self.gateway.options.capacity_percent,
             ..Digest::default()
         };
@@ -282,7 +282,7 @@
             }
         }
         // In touch with the store, the own list is newer than what peers say of it.
-        let is_follower = !state.is_steward(now);
+        let is_follower = !state.is_watcher(now);
         let is_list_told = is_store_lost || is_follower;
         let vanished = digest.vanished_with_versions();
         for (target, version) in vanished.into_iter().filter(|_| is_list_told) {
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -51,7 +51,7 @@
     pub free: Vec<AccountTokens>,
     /// Whether the sender watches the store for others and may write to the ledger for them.
     #[prost(bool, tag = "9")]
-    pub is_steward: bool,
+    pub is_watcher: bool,
     /// Instances that the sender knows of, itself among them.
     #[prost(uint64, tag = "11")]
     pub known_instances: u64,
--- a/crates/damaskstile-gateway/src/proof.rs
+++ b/crates/damaskstile-gateway/src/proof.rs
@@ -21,7 +21,7 @@
         let silence = silence(&gateway);
         let is_watcher = {
             let now = gateway.now();
-            gateway.state().is_steward(now)
+            gateway.state().is_watcher(now)
         };
         if is_watcher && silence >= PROOF_INTERVAL {
             prove(&gateway).await;
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -1,16 +1,18 @@
 //! `state` holds all that one instance decides by.
 
-use std::cmp::Reverse;
+mod roles;
+mod targets;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
-use damaskstile_core::random::stable_hash;
+use damaskstile_core::random::Random;
 use damaskstile_escrow::{Holder, Stamp};
 use damaskstile_fleet::FleetClock;
 use damaskstile_requests::RetryBudget;
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
-use damaskstile_targets::{Book, Listed, Refused};
+use damaskstile_targets::Book;
 
 use crate::call::CallHead;
 use crate::call_times::CallTimes;
@@ -31,14 +33,6 @@
 /// Age past which a peer's digest says nothing of what it has.
 const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// Instances of a large fleet that watch the store and tell all others: one writes, and two more
-/// are there should it fail.
-const STEWARDS_MAX: usize = 3;
-
-/// Age past which what a peer says of the store is no longer taken for news: three digests and a
-/// call to the store.
-const TOLD_AGE_MAX: Duration = Duration::from_millis(1_800);
-
 /// `Terms` are what the catalogue in force says of a call.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -183,57 +177,6 @@
         Ok(terms)
     }
 
-    /// Takes in the whole list of targets as it was at a version, unless a newer one is known: one
-    /// that was asked for before may come late, over a full link. Returns the refused entries that
-    /// are news.
-    pub fn take_list(
-        &mut self,
-        now: Duration,
-        version: Version,
-        all: Vec<Result<Listed, Refused>>,
-        is_around_outage: bool,
-    ) -> Vec<Refused> {
-        if version < self.targets_version {
-            return Vec::new();
-        }
-        let all = self.target_words.take_list(version, all);
-        self.targets_version = version;
-        self.book.list_all(now, all, is_around_outage)
-    }
-
-    /// Takes in a peer's word that a target was gone at a version; returns whether it is news. It
-    /// is none where the own list, as new as that, names the target: it has come back since.
-    pub fn take_vanished(
-        &mut self,
-        now: Duration,
-        identity: &TargetIdentity,
-        version: Version,
-    ) -> bool {
-        if version <= self.targets_version && self.book.is_named(&identity.target) {
-            return false;
-        }
-        self.target_words.note_gone(&identity.target, version);
-        self.book.vanish(now, identity)
-    }
-
-    /// Returns the targets that lately vanished from the list, to tell peers, with the versions at
-    /// which they were gone.
-    #[must_use]
-    pub fn vanished(&self, now: Duration) -> Vec<(TargetIdentity, Version)> {
-        let with_version = |identity: TargetIdentity| {
-            let told = self.target_words.gone_at(&identity.target);
-            // What the own list does not name is gone at its version.
-            let own = if self.book.is_named(&identity.target) {
-                0
-            } else {
-                self.targets_version
-            };
-            (identity, told.max(own))
-        };
-        let vanished = self.book.vanished(now).into_iter();
-        vanished.map(with_version).collect()
-    }
-
     /// Makes a stamp for what is written to the store.
     #[must_use]
     pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
@@ -261,78 +204,6 @@
             .map(|(_, address)| address)
     }
 
-    /// Tells whether the fleet is so large that some instances watch and write for the others.
-    #[must_use]
-    pub fn is_large_fleet(&self) -> bool {
-        // At the first start an instance knows only some peers, and those know the others.
-        let told = self.members.values().map(|member| member.known_instances);
-        let known = told.chain([self.known_instances()]).max();
-        known.is_some_and(|known| known > self.small_fleet)
-    }
-
-    /// Returns the number of instances that this one knows of, itself among them.
-    #[must_use]
-    pub fn known_instances(&self) -> u64 {
-        let heard = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
-        heard.saturating_add(1).max(self.holder.instances())
-    }
-
-    /// Tells whether this instance watches the store for others: all of a small fleet do, and of
-    /// a large one those to which few better ones are in touch with the store.
-    #[must_use]
-    pub fn is_steward(&self, now: Duration) -> bool {
-        !self.is_large_fleet() || self.better_members(now).count() < STEWARDS_MAX
-    }
-
-    /// Tells whether this instance's news go to all peers: in a small fleet, and from an instance
-    /// that watches the store for others and is in touch with it. While a whole fleet is cut off
-    /// from the store nobody outranks anybody; if all told all, digests would fill narrow links,
-    /// and what matters would be lost among them.
-    #[must_use]
-    pub fn must_tell_all(&self, now: Duration) -> bool {
-        let is_in_touch = self.contact.age(now).is_some_and(|age| age < TOLD_AGE_MAX);
-        !self.is_large_fleet() || (is_in_touch && self.is_steward(now))
-    }
-
-    /// Returns the peer that writes to the ledger for this instance; `None` where it writes
-    /// itself.
-    #[must_use]
-    pub fn writer(&self, now: Duration) -> Option<(&InstanceId, SocketAddr)> {
-        if !self.is_large_fleet() {
-            return None;
-        }
-        self.better_members(now)
-            .min_by_key(|(name, member)| rank(name, member.capacity_percent))
-            .map(|(name, member)| (name, member.address))
-    }
-
-    /// Returns the peers that are in touch with the store and better suited to write than this
-    /// instance.
-    fn better_members(&self, now: Duration) -> impl Iterator<Item = (&InstanceId, &Member)> {
-        let own_rank = rank(&self.instance, self.capacity_percent);
-        let is_own_lost = self.contact.age(now).is_none_or(|age| age > TOLD_AGE_MAX);
-        self.members
-            .iter()
-            .filter(move |(_, member)| {
-                let age = now.saturating_sub(member.heard_at) + member.store_age;
-                age < TOLD_AGE_MAX && !member.is_stopping
-            })
-            .filter(move |(name, member)| {
-                is_own_lost || self.is_stopping || rank(name, member.capacity_percent) < own_rank
-            })
-    }
-
-    /// Tells whether this instance must watch the store itself: it does so for others, or it has
-    /// not heard lately from a peer that does and that the store answers.
-    #[must_use]
-    pub fn must_watch(&self, now: Duration) -> bool {
-        let is_told = self.members.values().any(|member| {
-            member.is_steward
-                && now.saturating_sub(member.heard_at) + member.store_age < TOLD_AGE_MAX
-        });
-        !is_told || self.is_steward(now)
-    }
-
     /// Takes one retry from the instance's part of the fleet's budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
@@ -347,15 +218,6 @@
     }
 }
 
-/// Returns the rank of an instance among those that may write for others; the least is the best.
-/// Instances with more processor time come first, since one of them carries the writes of all.
-fn rank(instance: &str, capacity_percent: u64) -> (Reverse<u64>, u64) {
-    (
-        Reverse(capacity_percent),
-        stable_hash(&["writer", instance]),
-    )
-}
-
 fn account_of<'a>(
     catalogue: &'a Catalogue,
     route: &Route,
--- /dev/null
+++ b/crates/damaskstile-gateway/src/state/roles.rs
@@ -0,0 +1,101 @@
+//! `roles` tells which instances of a large fleet watch the store and write for the others.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
+
+use super::State;
+use crate::member::Member;
+
+/// Instances of a large fleet that watch the store and tell all others: one writes, and two more
+/// are there should it fail.
+const WATCHERS_MAX: usize = 3;
+
+/// Age past which what a peer says of the store is no longer taken for news: three digests and a
+/// call to the store.
+const TOLD_AGE_MAX: Duration = Duration::from_millis(1_800);
+
+impl State {
+    /// Tells whether the fleet is so large that some instances watch and write for the others.
+    #[must_use]
+    pub fn is_large_fleet(&self) -> bool {
+        // At the first start an instance knows only some peers, and those know the others.
+        let told = self.members.values().map(|member| member.known_instances);
+        let known = told.chain([self.known_instances()]).max();
+        known.is_some_and(|known| known > self.small_fleet)
+    }
+
+    /// Returns the number of instances that this one knows of, itself among them.
+    #[must_use]
+    pub fn known_instances(&self) -> u64 {
+        let heard = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
+        heard.saturating_add(1).max(self.holder.instances())
+    }
+
+    /// Tells whether this instance watches the store for others: all of a small fleet do, and of
+    /// a large one those to which few better ones are in touch with the store.
+    #[must_use]
+    pub fn is_watcher(&self, now: Duration) -> bool {
+        !self.is_large_fleet() || self.better_members(now).count() < WATCHERS_MAX
+    }
+
+    /// Tells whether this instance's news go to all peers: in a small fleet, and from an instance
+    /// that watches the store for others and is in touch with it. While a whole fleet is cut off
+    /// from the store nobody outranks anybody; if all told all, digests would fill narrow links,
+    /// and what matters would be lost among them.
+    #[must_use]
+    pub fn must_tell_all(&self, now: Duration) -> bool {
+        let is_in_touch = self.contact.age(now).is_some_and(|age| age < TOLD_AGE_MAX);
+        !self.is_large_fleet() || (is_in_touch && self.is_watcher(now))
+    }
+
+    /// Returns the peer that writes to the ledger for this instance; `None` where it writes
+    /// itself.
+    #[must_use]
+    pub fn writer(&self, now: Duration) -> Option<(&InstanceId, SocketAddr)> {
+        if !self.is_large_fleet() {
+            return None;
+        }
+        self.better_members(now)
+            .min_by_key(|(name, member)| rank(name, member.capacity_percent))
+            .map(|(name, member)| (name, member.address))
+    }
+
+    /// Returns the peers that are in touch with the store and better suited to write than this
+    /// instance.
+    fn better_members(&self, now: Duration) -> impl Iterator<Item = (&InstanceId, &Member)> {
+        let own_rank = rank(&self.instance, self.capacity_percent);
+        let is_own_lost = self.contact.age(now).is_none_or(|age| age > TOLD_AGE_MAX);
+        self.members
+            .iter()
+            .filter(move |(_, member)| {
+                let age = now.saturating_sub(member.heard_at) + member.store_age;
+                age < TOLD_AGE_MAX && !member.is_stopping
+            })
+            .filter(move |(name, member)| {
+                is_own_lost || self.is_stopping || rank(name, member.capacity_percent) < own_rank
+            })
+    }
+
+    /// Tells whether this instance must watch the store itself: it does so for others, or it has
+    /// not heard lately from a peer that does and that the store answers.
+    #[must_use]
+    pub fn must_watch(&self, now: Duration) -> bool {
+        let is_told = self.members.values().any(|member| {
+            member.is_watcher
+                && now.saturating_sub(member.heard_at) + member.store_age < TOLD_AGE_MAX
+        });
+        !is_told || self.is_watcher(now)
+    }
+}
+
+/// Returns the rank of an instance among those that may write for others; the least is the best.
+/// Instances with more processor time come first, since one of them carries the writes of all.
+fn rank(instance: &str, capacity_percent: u64) -> (Reverse<u64>, u64) {
+    (
+        Reverse(capacity_percent),
+        stable_hash(&["writer", instance]),
+    )
+}
--- a/crates/damaskstile-gateway/tests/step_down.rs
+++ b/crates/damaskstile-gateway/tests/step_down.rs
@@ -145,7 +145,7 @@
             store_age_ms: 100,
             capacity_percent: 50,
             known_instances: u64::from(PEERS),
-            is_steward: true,
+            is_watcher: true,
             ..Digest::default()
         };
         let member = Member::new(1, address(index), now, &digest);
--- a/crates/damaskstile-gateway/tests/told_targets.rs
+++ b/crates/damaskstile-gateway/tests/told_targets.rs
@@ -28,7 +28,7 @@
 
 const SERVICE: &str = "model";
 /// Peers that are better equipped than the instance, so that it goes by their lists.
-const STEWARDS: [&str; 3] = ["a", "b", "c"];
+const WATCHERS: [&str; 3] = ["a", "b", "c"];
 /// Time within which a list must have been pulled.
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -179,7 +179,7 @@
 fn digest(targets_version: Version) -> Digest {
     Digest {
         targets_version,
-        is_steward: true,
+        is_watcher: true,
         known_instances: 40,
         capacity_percent: 50,
         ..Digest::default()
@@ -235,7 +235,7 @@
     tokio::spawn(serve_list(listener, answer));
 
     // Act: three better equipped peers of a large fleet watch the store.
-    for from in STEWARDS.into_iter().chain(["a"]) {
+    for from in WATCHERS.into_iter().chain(["a"]) {
         tell(&socket, &address, from, digest(9)).await;
     }
     let end = tokio::time::Instant::now() + LIMIT;
@@ -266,7 +266,7 @@
     let now = gateway.now();
     gateway.state().book.list(now, listed("t0", 5));
     gateway.state().targets_version = 9;
-    for from in STEWARDS {
+    for from in WATCHERS {
         tell(&socket, &address, from, digest(9)).await;
     }
 
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -93,12 +93,12 @@
         .enumerate()
         .map(|(index, state)| writer_of(state, 500).unwrap_or_else(|| name(index)))
         .collect();
-    let stewards = states.iter().filter(|state| state.is_steward(at(500)));
+    let watchers = states.iter().filter(|state| state.is_watcher(at(500)));
 
     // Assert
     assert_eq!(writers.len(), 1);
     assert!((0..LARGE).any(|index| writers.contains(&name(index))));
-    assert_eq!(stewards.count(), 3);
+    assert_eq!(watchers.count(), 3);
 }
 
 #[test]
