--- /dev/null
+++ b/crates/damaskstile-gateway/tests/behind.rs
@@ -0,0 +1,194 @@
+//! Watches and lists of targets that are behind, and entries that lapsed for a watcher.
+
+mod support;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskstile_core::prelude::*;
+use damaskstile_gateway::follow::{Followed, follow};
+use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
+use damaskstile_gateway::peers::{Datagram, DatagramBody, Digest, Peers, serve_pulls};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use prost::Message;
+use support::{choose, gateway, listed, no_answer, unused_address};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+
+/// Time within which what is waited for must happen.
+const LIMIT: Duration = Duration::from_secs(5);
+/// Version of the list that the store gives, of the change that the watch tells, and of the list
+/// that a peer had.
+const LISTED: Version = 280;
+const WATCHED: Version = 285;
+const NEWER: Version = 290;
+
+/// A store whose first watch tells, once it is let go, that a target is gone.
+#[derive(Debug, Default)]
+struct LateStore {
+    let_go: Notify,
+    watches: Mutex<usize>,
+}
+
+impl LateStore {
+    fn watches(&self) -> usize {
+        *self.watches.lock().unwrap()
+    }
+}
+
+fn object(name: &str) -> StoredObject {
+    StoredObject {
+        name: name.to_owned(),
+        version: 1,
+        content: Bytes::new(),
+    }
+}
+
+impl ObjectStore for LateStore {
+    fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
+        let listing = Listing {
+            objects: vec![object("t0"), object("t1")],
+            version: LISTED,
+        };
+        async { Ok(listing) }.boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _kind: &'a str,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
+        let mut watches = self.watches.lock().unwrap();
+        *watches += 1;
+        if *watches > 1 {
+            return std::future::pending().boxed();
+        }
+        async {
+            self.let_go.notified().await;
+            Ok((vec![Change::Gone("t0".to_owned())], WATCHED))
+        }
+        .boxed()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
+        async { Ok(()) }.boxed()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
+        no_answer()
+    }
+
+    fn write<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+        _expected_version: Version,
+        _content: Bytes,
+    ) -> BoxFuture<'a, StoreResult<Version>> {
+        no_answer()
+    }
+}
+
+async fn wait_for(is_so: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, waiting).await.unwrap();
+}
+
+fn take_list(gateway: &Gateway, version: Version, names: &[&str], is_around_outage: bool) {
+    let now = gateway.now();
+    let all = names.iter().map(|name| Ok(listed(name, unused_address())));
+    let all = all.collect();
+    gateway
+        .state()
+        .take_list(now, version, all, is_around_outage);
+}
+
+#[tokio::test]
+async fn a_watch_that_is_behind_takes_out_no_target_that_a_newer_list_names() {
+    // Symptom: a sound target gets no calls, and peers are told that it vanished. Sequence: it
+    // vanishes and comes back; a peer's list that names it is taken in; then a watch tells of the
+    // vanishing alone. Cause: what came last was taken for what is newest.
+
+    // Arrange
+    let store = Arc::new(LateStore::default());
+    let known: Arc<dyn ObjectStore> = Arc::<LateStore>::clone(&store);
+    let gateway = gateway(unused_address(), known);
+    tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
+    wait_for(|| store.watches() == 1).await;
+    take_list(&gateway, NEWER, &["t0", "t1"], false);
+
+    // Act
+    store.let_go.notify_one();
+    wait_for(|| store.watches() == 2).await;
+
+    // Assert
+    let now = gateway.now();
+    assert!(gateway.state().vanished(now).is_empty());
+    assert!(choose(&gateway, &["t1"]).is_some());
+}
+
+/// Makes the digest of a peer that watches the store for a large fleet.
+fn watchers_digest() -> Digest {
+    Digest {
+        targets_version: NEWER,
+        known_instances: 80,
+        is_watcher: true,
+        capacity_percent: 100,
+        store_age_ms: 10,
+        ..Digest::default()
+    }
+}
+
+#[tokio::test]
+async fn a_follower_waits_for_lapsed_entries_as_the_watcher_does_whose_list_it_pulls() {
+    // Symptom: after an outage of some seconds most instances of a large fleet have no target until
+    // the entries return, while the few that watch the store use them all. Sequence: the entries
+    // lapse; a watcher noticed the outage and waits for them; a follower asked the store nothing
+    // meanwhile and pulls the watcher's list. Cause: it judged by its own contact alone.
+
+    // Arrange
+    let store: Arc<dyn ObjectStore> = Arc::new(LateStore::default());
+    let listener = TcpListener::bind(unused_address()).await.unwrap();
+    let watcher_address = listener.local_addr().unwrap();
+    let watcher = gateway(watcher_address, Arc::clone(&store));
+    take_list(&watcher, LISTED, &["t0", "t1"], false);
+    let now = watcher.now();
+    watcher.state().contact.failed(now);
+    take_list(&watcher, NEWER, &["t1"], true);
+    tokio::spawn(serve_pulls(Arc::clone(&watcher), listener));
+    let own = UdpSocket::bind(unused_address()).await.unwrap();
+    let own_address = own.local_addr().unwrap();
+    drop(own);
+    let follower = gateway(own_address, store);
+    take_list(&follower, LISTED, &["t0", "t1"], false);
+    tokio::spawn(Peers::try_new(&follower).await.unwrap().hear());
+
+    // Act
+    let socket = UdpSocket::bind(watcher_address).await.unwrap();
+    for from in ["w1", "w2", "w3", "w1"] {
+        let datagram = Datagram {
+            from: from.to_owned(),
+            incarnation: 1,
+            body: Some(DatagramBody::Digest(watchers_digest())),
+        };
+        let bytes = datagram.encode_to_vec();
+        socket.send_to(&bytes, own_address).await.unwrap();
+    }
+    wait_for(|| follower.state().targets_version == NEWER).await;
+
+    // Assert
+    assert!(choose(&watcher, &["t1"]).is_some());
+    assert!(choose(&follower, &["t1"]).is_some());
+}
