--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -164,7 +164,7 @@
     let is_burst = !changes.is_empty();
     let mut is_news = false;
     for change in changes {
-        is_news |= take_change(gateway, followed, change);
+        is_news |= take_change(gateway, followed, change, version);
     }
     // Peers read the list anew for each version, so what tells them nothing makes none.
     if followed == Followed::Targets && is_news {
@@ -257,7 +257,7 @@
 }
 
 /// Takes in a change; returns whether it is news of a target.
-fn take_change(gateway: &Gateway, followed: Followed, change: Change) -> bool {
+fn take_change(gateway: &Gateway, followed: Followed, change: Change, version: Version) -> bool {
     match (followed, change) {
         (Followed::Catalogue, Change::Put(object)) => {
             take_catalogue(gateway, &object, "store");
@@ -269,10 +269,7 @@
             false
         }
         (Followed::Targets, Change::Put(object)) => target_list::take(gateway, &object),
-        (Followed::Targets, Change::Gone(name)) => {
-            target_list::take_gone(gateway, &name);
-            true
-        }
+        (Followed::Targets, Change::Gone(name)) => target_list::take_gone(gateway, &name, version),
     }
 }
 
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -60,6 +60,9 @@
     /// The list of targets.
     #[prost(message, repeated, tag = "4")]
     targets: Vec<PulledTarget>,
+    /// Whether the sender waits for entries that the list may lack because of an outage.
+    #[prost(bool, tag = "5")]
+    is_around_outage: bool,
 }
 
 #[derive(prost::Message, Clone, PartialEq)]
@@ -163,8 +166,9 @@
             }))
         })
         .collect();
-    // Entries that lapsed in an outage are waited for here as where the list was read.
-    let is_around_outage = state.contact.is_around_outage(now);
+    // Entries that lapsed in an outage are waited for here as where the list was read. An instance
+    // that goes by its peers may have asked the store nothing meanwhile, and know of no outage.
+    let is_around_outage = answer.is_around_outage || state.contact.is_around_outage(now);
     state.take_list(now, answer.version, all, is_around_outage);
     drop(state);
     let version = answer.version.to_string();
@@ -203,6 +207,7 @@
 }
 
 fn make_answer(gateway: &Gateway, is_targets: bool) -> PullAnswer {
+    let now = gateway.now();
     let state = gateway.state();
     if is_targets {
         let targets = state.book.present().map(|listed| PulledTarget {
@@ -217,6 +222,7 @@
         return PullAnswer {
             version: state.targets_version,
             targets: targets.collect(),
+            is_around_outage: state.contact.is_around_outage(now),
             ..PullAnswer::default()
         };
     }
@@ -225,7 +231,7 @@
             version: object.version,
             name: object.name.clone(),
             content: object.content.clone(),
-            targets: Vec::new(),
+            ..PullAnswer::default()
         },
         None => PullAnswer::default(),
     }
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -78,10 +78,15 @@
     true
 }
 
-/// Takes in that the list no longer holds a name.
-pub(crate) fn take_gone(gateway: &Gateway, name: &str) {
+/// Takes in that the list no longer holds a name, as a watch tells it up to a version; returns
+/// whether it is news.
+pub(crate) fn take_gone(gateway: &Gateway, name: &str, version: Version) -> bool {
     let now = gateway.now();
     let mut state = gateway.state();
+    // A newer list names it: it has come back since.
+    if version < state.targets_version && state.book.is_named(name) {
+        return false;
+    }
     let is_around_outage = state.contact.is_around_outage(now);
     state.book.unlist(now, name, is_around_outage);
     drop(state);
@@ -92,6 +97,7 @@
         EventCode::TargetUnlisted,
         &[("target", name), ("around_outage", &around)],
     );
+    true
 }
 
 /// Returns how the logs name an incarnation.
