--- a/crates/damaskstile-gateway/tests/step_down.rs
+++ b/crates/damaskstile-gateway/tests/step_down.rs
@@ -18,6 +18,7 @@
 use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
+use damaskstile_gateway::proof;
 use damaskstile_routes::Catalogue;
 use damaskstile_targets::{BookOptions, Listed};
 use futures_util::FutureExt;
@@ -180,3 +181,28 @@
     assert_eq!(lists, 1);
     assert!(store.lists.load(Ordering::Relaxed) > lists);
 }
+
+#[tokio::test]
+async fn an_instance_that_watches_for_nobody_finds_out_that_the_store_is_back() {
+    // Symptom: an instance of a large fleet uses targets for 1.5 s more than others, long after an
+    // outage. Sequence: its one call in the outage fails; peers watch and write for it from then
+    // on, so it makes no other. Cause: it held the store for lost until its next list, 20 s later.
+
+    // Arrange
+    let gateway = gateway(Arc::new(MuteStore::default()));
+    let failed_at = gateway.now();
+    gateway.state().contact.failed(failed_at);
+    hear_peers(&gateway);
+    tokio::spawn(proof::keep(Arc::clone(&gateway)));
+
+    // Act
+    let until = failed_at + 2 * BOUND;
+    while gateway.now() < until && gateway.state().contact.is_lost() {
+        hear_peers(&gateway);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    // Assert
+    assert!(!gateway.state().is_watcher(gateway.now()));
+    assert!(!gateway.state().contact.is_lost());
+}
