--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -8,63 +8,21 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_gateway::gateway::Gateway;
-use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
 use damaskstile_gateway::run::{self, NoRun};
 use damaskstile_gateway::sendable::Sendable;
 use damaskstile_gateway::state::Terms;
 use damaskstile_requests::{Attempts, Next, SendEnd};
 use damaskstile_routes::{Catalogue, Route, RouteKind};
 use damaskstile_targets::Work;
-use futures_util::future::BoxFuture;
 use futures_util::poll;
 use http::{HeaderMap, Method, Uri};
-use support::{SERVICE, choose, gateway, listed, no_answer, unused_address};
+use support::{Away, SERVICE, choose, gateway, listed, unused_address};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
 /// Time that a call may take here: far more than a connection on one machine needs.
 const LIMIT: Duration = Duration::from_secs(2);
 
-/// A store that is away.
-struct Nothing;
-
-impl ObjectStore for Nothing {
-    fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
-        no_answer()
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _kind: &'a str,
-        _after: Version,
-        _wait: Duration,
-    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
-        no_answer()
-    }
-
-    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
-        no_answer()
-    }
-
-    fn read<'a>(
-        &'a self,
-        _kind: &'a str,
-        _name: &'a str,
-    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
-        no_answer()
-    }
-
-    fn write<'a>(
-        &'a self,
-        _kind: &'a str,
-        _name: &'a str,
-        _expected_version: Version,
-        _content: Bytes,
-    ) -> BoxFuture<'a, StoreResult<Version>> {
-        no_answer()
-    }
-}
-
 fn sendable() -> Sendable {
     Sendable {
         method: Method::POST,
@@ -112,7 +70,7 @@
 async fn send_with(meanwhile: impl FnOnce(&Gateway)) -> (Option<NoRun>, Vec<u8>) {
     let listener = TcpListener::bind(unused_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    let gateway = gateway(unused_address(), Arc::new(Nothing));
+    let gateway = gateway(unused_address(), Arc::new(Away));
     let now = gateway.now();
     gateway.state().book.list(now, listed("t0", address));
     let (call, terms) = (sendable(), terms());
--- a/crates/damaskstile-gateway/tests/step_down.rs
+++ b/crates/damaskstile-gateway/tests/step_down.rs
@@ -1,5 +1,7 @@
 //! An instance of a large fleet that no longer watches the store for others.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,23 +9,15 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::EscrowOptions;
-use damaskstile_gateway::answer::AnswerHead;
-use damaskstile_gateway::call::{CallHead, SendHead};
-use damaskstile_gateway::dialect::Dialect;
-use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::follow::{Followed, follow};
 use damaskstile_gateway::gateway::Gateway;
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::objects::{Change, Listing, ObjectStore, StoreResult, StoredObject};
-use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
 use damaskstile_gateway::proof;
-use damaskstile_routes::Catalogue;
-use damaskstile_targets::{BookOptions, Listed};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, request, response};
+use support::gateway;
 
 /// Peers of the instance, all better suited to watch than it is.
 const PEERS: u8 = 30;
@@ -74,70 +68,10 @@
     }
 }
 
-/// A directory and a dialect without entries and calls.
-#[derive(Debug)]
-struct Nothing;
-
-impl Directory for Nothing {
-    fn catalogue_kind(&self) -> &'static str {
-        "catalogues"
-    }
-
-    fn targets_kind(&self) -> &'static str {
-        "targets"
-    }
-
-    fn catalogue(&self, _object: &StoredObject) -> Result<Option<Catalogue>, String> {
-        Ok(None)
-    }
-
-    fn target(&self, _object: &StoredObject) -> Result<Listed, String> {
-        Err("none".to_owned())
-    }
-}
-
-impl Dialect for Nothing {
-    fn read_call(&self, _head: &request::Parts) -> CallHead {
-        CallHead::default()
-    }
-
-    fn dress_send(&self, _headers: &mut HeaderMap, _send: &SendHead<'_>) {}
-
-    fn read_answer(&self, _head: &response::Parts) -> AnswerHead {
-        AnswerHead::default()
-    }
-
-    fn dress_answer(&self, _headers: &mut HeaderMap) {}
-
-    fn own_answer(&self, _id: Option<&str>) -> HeaderMap {
-        HeaderMap::new()
-    }
-}
-
 fn address(last: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, last], 7200))
 }
 
-fn gateway(store: Arc<MuteStore>) -> Arc<Gateway> {
-    let options = GatewayOptions {
-        identity: Identity::new("small", 1, "north"),
-        capacity_percent: 12,
-        link_bytes_per_s: 1_250_000,
-        callers_address: address(1),
-        readiness_address: address(1),
-        metrics_address: address(1),
-        peers_address: address(1),
-        seeds: Vec::new(),
-        stop_limit: Duration::from_secs(8),
-        retry_percent: 20,
-        extra_retries_per_s: 5,
-        escrow: EscrowOptions::default(),
-        book: BookOptions::default(),
-    };
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    Gateway::new(options, Box::new(Nothing), Box::new(Nothing), store, log).0
-}
-
 /// Has the instance hear its peers, to which the store answers.
 fn hear_peers(gateway: &Gateway) {
     let now = gateway.now();
@@ -164,7 +98,8 @@
 
     // Arrange
     let store = Arc::new(MuteStore::default());
-    let gateway = gateway(Arc::clone(&store));
+    let known: Arc<dyn ObjectStore> = Arc::<MuteStore>::clone(&store);
+    let gateway = gateway(address(1), known);
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
     tokio::time::sleep(Duration::from_millis(300)).await;
     let lists = store.lists.load(Ordering::Relaxed);
@@ -189,7 +124,7 @@
     // on, so it makes no other. Cause: it held the store for lost until its next list, 20 s later.
 
     // Arrange
-    let gateway = gateway(Arc::new(MuteStore::default()));
+    let gateway = gateway(address(1), Arc::new(MuteStore::default()));
     let failed_at = gateway.now();
     gateway.state().contact.failed(failed_at);
     hear_peers(&gateway);
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -1,9 +1,12 @@
 //! Fixtures of the tests of a whole gateway: headers that say nothing, a store, targets by name.
 
+#![allow(dead_code)] // each test uses a part
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::answer::AnswerHead;
@@ -11,7 +14,9 @@
 use damaskstile_gateway::dialect::Dialect;
 use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
-use damaskstile_gateway::objects::{ObjectStore, StoreError, StoreResult, StoredObject};
+use damaskstile_gateway::objects::{
+    Change, Listing, ObjectStore, StoreError, StoreResult, StoredObject,
+};
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_routes::Catalogue;
 use damaskstile_targets::{BookOptions, Choice, Listed, Work};
@@ -64,6 +69,47 @@
     }
 }
 
+/// A store that is away.
+#[derive(Debug)]
+pub struct Away;
+
+impl ObjectStore for Away {
+    fn list<'a>(&'a self, _kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
+        no_answer()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _kind: &'a str,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
+        no_answer()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
+        no_answer()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
+        no_answer()
+    }
+
+    fn write<'a>(
+        &'a self,
+        _kind: &'a str,
+        _name: &'a str,
+        _expected_version: Version,
+        _content: Bytes,
+    ) -> BoxFuture<'a, StoreResult<Version>> {
+        no_answer()
+    }
+}
+
 /// The answer of a store that is away.
 pub fn no_answer<T: Send + 'static>() -> BoxFuture<'static, StoreResult<T>> {
     async { Err(StoreError::NotDone("no store".to_owned())) }.boxed()
--- a/crates/damaskstile-gateway/tests/told_targets.rs
+++ b/crates/damaskstile-gateway/tests/told_targets.rs
@@ -1,28 +1,18 @@
 //! What peers tell an instance of targets: lists, also of the version before, and digests.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::EscrowOptions;
-use damaskstile_gateway::answer::AnswerHead;
-use damaskstile_gateway::call::{CallHead, SendHead};
-use damaskstile_gateway::dialect::Dialect;
-use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
-use damaskstile_gateway::objects::{
-    Change, Listing, ObjectStore, StoreError, StoreResult, StoredObject,
-};
-use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::{Datagram, DatagramBody, Digest, Peers};
-use damaskstile_routes::Catalogue;
-use damaskstile_targets::{BookOptions, Listed};
-use futures_util::future::BoxFuture;
-use futures_util::{FutureExt, SinkExt, StreamExt};
-use http::{HeaderMap, request, response};
+use damaskstile_targets::Listed;
+use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use slog::Logger;
+use support::{Away, gateway};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -32,87 +22,6 @@
 /// Time within which a list must have been pulled.
 const LIMIT: Duration = Duration::from_secs(5);
 
-/// What nothing here asks for: headers, stored objects, the store.
-#[derive(Debug)]
-struct Unused;
-
-impl Dialect for Unused {
-    fn read_call(&self, _: &request::Parts) -> CallHead {
-        CallHead::default()
-    }
-
-    fn dress_send(&self, _: &mut HeaderMap, _: &SendHead<'_>) {}
-
-    fn read_answer(&self, _: &response::Parts) -> AnswerHead {
-        AnswerHead::default()
-    }
-
-    fn dress_answer(&self, _: &mut HeaderMap) {}
-
-    fn own_answer(&self, _: Option<&str>) -> HeaderMap {
-        HeaderMap::new()
-    }
-}
-
-impl Directory for Unused {
-    fn catalogue_kind(&self) -> &'static str {
-        "catalogue"
-    }
-
-    fn targets_kind(&self) -> &'static str {
-        "targets"
-    }
-
-    fn catalogue(&self, _: &StoredObject) -> Result<Option<Catalogue>, String> {
-        Ok(None)
-    }
-
-    fn target(&self, _: &StoredObject) -> Result<Listed, String> {
-        Err("unused".to_owned())
-    }
-}
-
-fn no_answer<T: Send + 'static>() -> BoxFuture<'static, StoreResult<T>> {
-    std::future::ready(Err(StoreError::Lost("silent".to_owned()))).boxed()
-}
-
-impl ObjectStore for Unused {
-    fn list<'a>(&'a self, _: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
-        no_answer()
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _: &'a str,
-        _: Version,
-        _: Duration,
-    ) -> BoxFuture<'a, StoreResult<(Vec<Change>, Version)>> {
-        no_answer()
-    }
-
-    fn probe(&self) -> BoxFuture<'_, StoreResult<()>> {
-        no_answer()
-    }
-
-    fn read<'a>(
-        &'a self,
-        _: &'a str,
-        _: &'a str,
-    ) -> BoxFuture<'a, StoreResult<Option<StoredObject>>> {
-        no_answer()
-    }
-
-    fn write<'a>(
-        &'a self,
-        _: &'a str,
-        _: &'a str,
-        _: Version,
-        _: Bytes,
-    ) -> BoxFuture<'a, StoreResult<Version>> {
-        no_answer()
-    }
-}
-
 /// The list of targets, as the version before hands it on.
 #[derive(prost::Message, Clone, PartialEq)]
 struct OldAnswer {
@@ -139,25 +48,7 @@
     let pid = std::process::id();
     let (high, low) = (100 + pid % 100, pid / 100 % 250);
     let address = format!("127.{high}.{low}.{test}:7200");
-    let any = "127.0.0.1:1".parse().unwrap();
-    let options = GatewayOptions {
-        identity: Identity::new("one", 1, "north"),
-        capacity_percent: 12,
-        link_bytes_per_s: 1_250_000,
-        callers_address: any,
-        readiness_address: any,
-        metrics_address: any,
-        peers_address: address.parse().unwrap(),
-        seeds: Vec::new(),
-        stop_limit: Duration::from_secs(8),
-        retry_percent: 20,
-        extra_retries_per_s: 5,
-        escrow: EscrowOptions::default(),
-        book: BookOptions::default(),
-    };
-    let log = Logger::root(slog::Discard, slog::o!());
-    let (dialect, directory) = (Box::new(Unused), Box::new(Unused));
-    let (gateway, _) = Gateway::new(options, dialect, directory, Arc::new(Unused), log);
+    let gateway = gateway(address.parse().unwrap(), Arc::new(Away));
     let peers = Peers::try_new(&gateway).await.unwrap();
     tokio::spawn(peers.hear());
     (gateway, address)
