Tell from logs where budgets and time went: explain budgets, explain latency

Cause: calls that broke or whose callers left did not log what they were charged, so no command told where a budget went; nor did a call say what ran at its target. Every end of a call now logs used, events and the longest pause, each choice what is read and runs there; 217 says what an instance holds.

--- /dev/null
+++ b/crates/damaskctl/src/explain.rs
@@ -0,0 +1,60 @@
+//! `explain` finds out from the logs of instances what became of a call, of budgets and of time.
+
+mod budgets;
+mod call;
+mod latency;
+mod lines;
+
+use std::path::PathBuf;
+
+use clap::{Args, Subcommand};
+
+use crate::context::Context;
+use crate::exit::Failure;
+
+/// Arguments of `explain`: a call's id with logs, or one of the tables.
+#[derive(Debug, Args)]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+pub struct ExplainArgs {
+    /// The caller's id of the call.
+    #[arg(required = true)]
+    id: Option<String>,
+    /// Files with the logs of instances.
+    #[arg(required = true)]
+    logs: Vec<PathBuf>,
+    #[command(subcommand)]
+    table: Option<ExplainTable>,
+}
+
+/// `ExplainTable` is a table made of all lines.
+#[derive(Debug, Subcommand)]
+enum ExplainTable {
+    /// Where the tokens of each account went.
+    Budgets {
+        /// Files with the logs of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
+    /// How long callers waited on each route, and what ran at their targets then.
+    Latency {
+        /// Files with the logs of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
+}
+
+/// Prints what was asked for.
+///
+/// # Errors
+///
+/// Returns what could not be read; what could was printed before.
+pub fn run(context: &Context, args: &ExplainArgs) -> Result<(), Failure> {
+    let (Some(id), None) = (&args.id, &args.table) else {
+        return match &args.table {
+            Some(ExplainTable::Budgets { logs }) => budgets::run(context, logs),
+            Some(ExplainTable::Latency { logs }) => latency::run(context, logs),
+            None => Err(Failure::Refused("no id of a call".to_owned())),
+        };
+    };
+    call::run(context, id, &args.logs)
+}
--- /dev/null
+++ b/crates/damaskctl/src/explain/budgets.rs
@@ -0,0 +1,244 @@
+//! `budgets` adds up where the tokens of each account went.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::lines::{Line, Logs};
+use crate::context::Context;
+use crate::exit::Failure;
+use crate::table::Table;
+
+/// Numbers of the events that are read here.
+mod event {
+    pub const CALL_ANSWERED: u64 = 107;
+    pub const CALL_REFUSED: u64 = 108;
+    pub const CALL_FAILED: u64 = 109;
+    pub const CALLER_LEFT: u64 = 110;
+    pub const CALL_CUT: u64 = 112;
+    pub const ROUND_WRITTEN: u64 = 211;
+    pub const ESTATE_SETTLED: u64 = 214;
+    pub const REPORT_ENTERED: u64 = 215;
+    pub const HOLDINGS_NOTED: u64 = 217;
+    pub const STARTED: u64 = 700;
+}
+
+/// Holdings older than this at the end of the logs are those of an instance that has ended.
+const HOLDINGS_AGE_MAX_MS: u64 = 12_000;
+
+/// `Spent` is where the tokens of one account went.
+#[derive(Debug, Clone, Default)]
+struct Spent {
+    bought: u64,
+    answered: u64,
+    failed: u64,
+    broken_off: u64,
+    caller_left: u64,
+    written_off: u64,
+    /// Part of what was written off that calls had used, by lines of the ended incarnation.
+    written_off_known: u64,
+    refused_calls: u64,
+    /// What instances hold at the end of the logs: reserved and free, by instance.
+    held: BTreeMap<String, (u64, u64)>,
+}
+
+impl Spent {
+    fn reserved(&self) -> u64 {
+        self.held.values().map(|(reserved, _)| reserved).sum()
+    }
+
+    fn free(&self) -> u64 {
+        self.held.values().map(|(_, free)| free).sum()
+    }
+
+    /// Returns the instance with most free tokens.
+    fn richest(&self) -> &str {
+        let richest = self.held.iter().max_by_key(|(_, (_, free))| *free);
+        richest
+            .filter(|(_, (_, free))| *free > 0)
+            .map_or("-", |(instance, _)| instance)
+    }
+
+    fn not_seen(&self) -> u64 {
+        let seen = self.answered + self.failed + self.broken_off + self.caller_left;
+        self.bought
+            .saturating_sub(seen + self.written_off + self.reserved() + self.free())
+    }
+}
+
+type ByAccount = BTreeMap<String, u64>;
+
+/// `Adder` goes through the lines in the order of time.
+#[derive(Debug, Default)]
+struct Adder {
+    accounts: BTreeMap<String, Spent>,
+    /// Used since an instance's last write that took effect, by instance.
+    unwritten: BTreeMap<String, ByAccount>,
+    /// The same of incarnations that have ended and were not settled yet.
+    left_behind: BTreeMap<String, ByAccount>,
+    held_at_ms: BTreeMap<String, u64>,
+}
+
+impl Adder {
+    fn add(&mut self, line: &Line) {
+        match line.event {
+            event::CALL_ANSWERED..=event::CALLER_LEFT | event::CALL_CUT => self.add_call(line),
+            event::ROUND_WRITTEN | event::REPORT_ENTERED => {
+                self.unwritten.remove(&line.instance);
+            }
+            event::STARTED => self.end_incarnation(&line.instance),
+            event::ESTATE_SETTLED => self.settle(line),
+            event::HOLDINGS_NOTED => self.note_holdings(line),
+            _ => {}
+        }
+    }
+
+    fn add_call(&mut self, line: &Line) {
+        let account = line.field("account").unwrap_or("-");
+        if account == "-" || account.is_empty() {
+            return;
+        }
+        let spent = self.accounts.entry(account.to_owned()).or_default();
+        if line.event == event::CALL_REFUSED {
+            if line.field("shortage").is_some() {
+                spent.refused_calls += 1;
+                spent.bought = spent.bought.max(line.number("bought").unwrap_or(0));
+            }
+            return;
+        }
+        let used = line.number("used").unwrap_or(0);
+        let is_broken_off = line.field("outcome") == Some("broken_off");
+        match line.event {
+            event::CALL_ANSWERED => spent.answered += used,
+            event::CALL_FAILED if !is_broken_off => spent.failed += used,
+            event::CALLER_LEFT => spent.caller_left += used,
+            _ => spent.broken_off += used,
+        }
+        let unwritten = self.unwritten.entry(line.instance.clone()).or_default();
+        *unwritten.entry(account.to_owned()).or_default() += used;
+    }
+
+    fn end_incarnation(&mut self, instance: &str) {
+        let left = self.left_behind.entry(instance.to_owned()).or_default();
+        for (account, used) in self.unwritten.remove(instance).unwrap_or_default() {
+            *left.entry(account).or_default() += used;
+        }
+        for spent in self.accounts.values_mut() {
+            spent.held.remove(instance);
+        }
+    }
+
+    fn settle(&mut self, line: &Line) {
+        let estate = line.field("estate").unwrap_or_default();
+        let instance = estate.split('/').next().unwrap_or_default().to_owned();
+        let mut left = self.left_behind.remove(&instance).unwrap_or_default();
+        for part in line.field("spent_of_granted").unwrap_or("").split(',') {
+            let Some((account, written_off)) = parse_settled(part) else {
+                continue;
+            };
+            let known = left.remove(account).unwrap_or(0).min(written_off);
+            let spent = self.accounts.entry(account.to_owned()).or_default();
+            // What calls had used is counted with them.
+            spent.written_off += written_off - known;
+            spent.written_off_known += known;
+        }
+    }
+
+    fn note_holdings(&mut self, line: &Line) {
+        for spent in self.accounts.values_mut() {
+            spent.held.remove(&line.instance);
+        }
+        for part in line.field("held").unwrap_or("").split(',') {
+            let Some((account, numbers)) = part.split_once(':') else {
+                continue;
+            };
+            let numbers: Vec<u64> = numbers.split('/').flat_map(str::parse).collect();
+            let [bought, reserved, _, free] = numbers[..] else {
+                continue;
+            };
+            let spent = self.accounts.entry(account.to_owned()).or_default();
+            spent.bought = spent.bought.max(bought);
+            spent.held.insert(line.instance.clone(), (reserved, free));
+        }
+        if let Some(at_ms) = line.at_ms() {
+            self.held_at_ms.insert(line.instance.clone(), at_ms);
+        }
+    }
+
+    /// Drops what instances held that wrote no more lines by the end.
+    fn drop_old_holdings(&mut self, end_ms: u64) {
+        for (instance, at_ms) in &self.held_at_ms {
+            if end_ms.saturating_sub(*at_ms) > HOLDINGS_AGE_MAX_MS {
+                for spent in self.accounts.values_mut() {
+                    spent.held.remove(instance);
+                }
+            }
+        }
+    }
+}
+
+/// Splits `account:spent/granted`.
+fn parse_settled(part: &str) -> Option<(&str, u64)> {
+    let (account, numbers) = part.split_once(':')?;
+    let (spent, _granted) = numbers.split_once('/')?;
+    Some((account, spent.parse().ok()?))
+}
+
+/// Prints where the tokens of each account went.
+pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
+    let logs = Logs::read(paths);
+    let mut adder = Adder::default();
+    logs.lines.iter().for_each(|line| adder.add(line));
+    let end_ms = logs.lines.iter().filter_map(Line::at_ms).max().unwrap_or(0);
+    adder.drop_old_holdings(end_ms);
+    print(context, &adder.accounts)?;
+    logs.finish()
+}
+
+fn print(context: &Context, accounts: &BTreeMap<String, Spent>) -> Result<(), Failure> {
+    let mut table = Table::new(&[
+        "account",
+        "bought",
+        "answered",
+        "failed",
+        "broken_off",
+        "caller_left",
+        "written_off",
+        "of_that_known",
+        "reserved",
+        "free",
+        "most_free_at",
+        "in_store_or_not_seen",
+        "refused_calls",
+    ]);
+    let mut shown = Vec::new();
+    for (account, spent) in accounts {
+        table.row(&[
+            account,
+            &spent.bought,
+            &spent.answered,
+            &spent.failed,
+            &spent.broken_off,
+            &spent.caller_left,
+            &(spent.written_off + spent.written_off_known),
+            &spent.written_off_known,
+            &spent.reserved(),
+            &spent.free(),
+            &spent.richest(),
+            &spent.not_seen(),
+            &spent.refused_calls,
+        ]);
+        shown.push(serde_json::json!({
+            "account": account, "bought_tokens": spent.bought,
+            "answered_tokens": spent.answered, "failed_tokens": spent.failed,
+            "broken_off_tokens": spent.broken_off, "caller_left_tokens": spent.caller_left,
+            "written_off_tokens": spent.written_off + spent.written_off_known,
+            "written_off_known_tokens": spent.written_off_known,
+            "reserved_tokens": spent.reserved(), "free_tokens": spent.free(),
+            "most_free_at": spent.richest(), "not_seen_tokens": spent.not_seen(),
+            "refused_calls": spent.refused_calls,
+        }));
+    }
+    context.print(&Value::Array(shown), &table)
+}
--- a/crates/damaskctl/src/explain/call.rs
+++ b/crates/damaskctl/src/explain/call.rs
@@ -1,10 +1,10 @@
-//! `explain` finds out from logs what became of a call, and what its instance believed then.
+//! `call` tells what became of one call, with what its instance believed then.
 
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use serde_json::Value;
 
+use super::lines::{Line, Logs};
 use crate::context::Context;
 use crate::exit::Failure;
 use crate::table::Table;
@@ -14,22 +14,10 @@
 /// First number of the events on single calls, and the first one past them.
 const CALL_EVENTS: std::ops::Range<u64> = 100..200;
 
-#[derive(Debug, Clone)]
-struct Line {
-    ts: String,
-    instance: String,
-    event: u64,
-    name: String,
-    fields: String,
-}
-
 /// Prints the lines on a call, each with what its instance had last learnt before it.
-pub fn run(context: &Context, id: &str, logs: &[PathBuf]) -> Result<(), Failure> {
-    let mut lines = Vec::new();
-    for path in logs {
-        read(path, &mut lines)?;
-    }
-    lines.sort_by(|one, other| one.ts.cmp(&other.ts));
+pub fn run(context: &Context, id: &str, paths: &[PathBuf]) -> Result<(), Failure> {
+    let logs = Logs::read(paths);
+    let lines = &logs.lines;
     let wanted = format!("id={id}");
     let mut table = Table::new(&["time", "instance", "event", "fields"]);
     let mut shown = Vec::new();
@@ -42,10 +30,12 @@
         }
         add(&mut table, &mut shown, line);
     }
-    if shown.is_empty() {
-        return Err(Failure::NotFound(format!("no line names {id}")));
+    if !shown.is_empty() {
+        context.print(&Value::Array(shown), &table)?;
+        return logs.finish();
     }
-    context.print(&Value::Array(shown), &table)
+    logs.finish()?;
+    Err(Failure::NotFound(format!("no line names {id}")))
 }
 
 /// Returns the last lines of an instance that are not on single calls.
@@ -68,26 +58,3 @@
         "name": line.name, "fields": line.fields,
     }));
 }
-
-/// Reads the lines of a log. What stands before the JSON of a line, as some collectors put a time
-/// and a host there, is passed over; a line without JSON is no event.
-fn read(path: &Path, lines: &mut Vec<Line>) -> Result<(), Failure> {
-    let refused = |error: std::io::Error| Failure::Refused(format!("{}: {error}", path.display()));
-    let file = std::fs::File::open(path).map_err(refused)?;
-    for line in BufReader::new(file).lines() {
-        let line = line.map_err(refused)?;
-        let json = line.find('{').map_or("", |start| &line[start..]);
-        let Ok(value) = serde_json::from_str::<Value>(json) else {
-            continue;
-        };
-        let text = |name: &str| value[name].as_str().unwrap_or("").to_owned();
-        lines.push(Line {
-            ts: text("ts"),
-            instance: text("instance"),
-            event: value["event"].as_u64().unwrap_or(0),
-            name: text("msg"),
-            fields: text("fields"),
-        });
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/damaskctl/src/explain/latency.rs
@@ -0,0 +1,155 @@
+//! `latency` tells how long callers waited on each route, and what ran at their targets then.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::lines::{Line, Logs};
+use crate::context::Context;
+use crate::exit::Failure;
+use crate::table::Table;
+
+/// Numbers of the events with which calls end that brought a first token.
+const ENDS: std::ops::RangeInclusive<u64> = 107..=112;
+
+/// `Wait` is one call that brought a first token.
+#[derive(Debug, Clone)]
+struct Wait {
+    route: String,
+    target: String,
+    /// When it was sent, as the line's time less what came after.
+    sent_at_ms: u64,
+    first_ms: u64,
+    expected_ms: u64,
+    pause_ms: u64,
+    /// Tokens of the prompt that its target had to read.
+    read_tokens: u64,
+    running: u64,
+}
+
+impl Wait {
+    fn try_new(line: &Line) -> Option<Self> {
+        let took_ms = line.number("took_ms")?;
+        let sent_ms = line.number("sent_ms")?;
+        let first_ms = line.number("first_byte_ms")?.checked_sub(sent_ms)?;
+        Some(Self {
+            route: line.field("route")?.to_owned(),
+            target: line.field("target")?.to_owned(),
+            sent_at_ms: (line.at_ms()? + sent_ms).checked_sub(took_ms)?,
+            first_ms,
+            expected_ms: line.number("cost_ms")?,
+            pause_ms: line.number("pause_ms").unwrap_or(0),
+            read_tokens: line.number("uncached").unwrap_or(0),
+            running: line.number("running").unwrap_or(0),
+        })
+    }
+
+    fn overlaps(&self, other: &Self) -> bool {
+        let end_ms = self.sent_at_ms + self.first_ms;
+        let other_end_ms = other.sent_at_ms + other.first_ms;
+        self.sent_at_ms < other_end_ms && other.sent_at_ms < end_ms
+    }
+}
+
+/// Prints one row a route.
+pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
+    let logs = Logs::read(paths);
+    let ends = logs.lines.iter().filter(|line| ENDS.contains(&line.event));
+    let waits: Vec<Wait> = ends.filter_map(Wait::try_new).collect();
+    let beside = read_beside(&waits);
+    let mut routes: BTreeMap<&str, Vec<(&Wait, u64)>> = BTreeMap::new();
+    for (wait, beside) in waits.iter().zip(&beside) {
+        routes.entry(&wait.route).or_default().push((wait, *beside));
+    }
+    print(context, routes)?;
+    logs.finish()
+}
+
+/// Returns for each call the tokens of other prompts that its target read while the call waited for
+/// its first token, whichever instance sent them.
+fn read_beside(waits: &[Wait]) -> Vec<u64> {
+    let mut targets: BTreeMap<&str, Vec<&Wait>> = BTreeMap::new();
+    for wait in waits {
+        targets.entry(&wait.target).or_default().push(wait);
+    }
+    for waits in targets.values_mut() {
+        waits.sort_by_key(|wait| wait.sent_at_ms);
+    }
+    waits
+        .iter()
+        .map(|wait| {
+            let others = &targets[wait.target.as_str()];
+            let end_ms = wait.sent_at_ms + wait.first_ms;
+            let until = others.partition_point(|other| other.sent_at_ms < end_ms);
+            others[..until]
+                .iter()
+                .filter(|other| !std::ptr::eq(**other, wait) && wait.overlaps(other))
+                .map(|other| other.read_tokens)
+                .sum()
+        })
+        .collect()
+}
+
+/// `Spread` sorts numbers to find those of the middle and of the end.
+#[derive(Debug)]
+struct Spread(Vec<u64>);
+
+impl Spread {
+    fn new(mut numbers: Vec<u64>) -> Self {
+        numbers.sort_unstable();
+        Self(numbers)
+    }
+
+    /// Returns the number below which so many in a hundred are.
+    fn at(&self, percent: usize) -> u64 {
+        let index = (self.0.len() * percent / 100).min(self.0.len().saturating_sub(1));
+        self.0.get(index).copied().unwrap_or(0)
+    }
+
+    fn text(&self) -> String {
+        format!("{}/{}/{}", self.at(50), self.at(90), self.at(99))
+    }
+}
+
+fn print(context: &Context, routes: BTreeMap<&str, Vec<(&Wait, u64)>>) -> Result<(), Failure> {
+    let mut table = Table::new(&[
+        "route",
+        "calls",
+        "first_token_ms_50/90/99",
+        "expected_ms_50/90/99",
+        "pause_ms_50/90/99",
+        "running_50/90/99",
+        "read_beside_tokens_50/90/99",
+        "the_same_of_the_slowest_tenth",
+    ]);
+    let mut shown = Vec::new();
+    for (route, mut calls) in routes {
+        calls.sort_by_key(|(wait, _)| wait.first_ms);
+        let slowest = &calls[calls.len() - calls.len().div_ceil(10)..];
+        let spread = |of: &dyn Fn(&Wait) -> u64| {
+            Spread::new(calls.iter().map(|(wait, _)| of(wait)).collect())
+        };
+        let beside =
+            |calls: &[(&Wait, u64)]| Spread::new(calls.iter().map(|(_, beside)| *beside).collect());
+        let columns = [
+            ("first_token_ms", spread(&|wait| wait.first_ms)),
+            ("expected_ms", spread(&|wait| wait.expected_ms)),
+            ("pause_ms", spread(&|wait| wait.pause_ms)),
+            ("running", spread(&|wait| wait.running)),
+            ("read_beside_tokens", beside(&calls)),
+            ("read_beside_slowest_tokens", beside(slowest)),
+        ];
+        let texts: Vec<String> = columns.iter().map(|(_, spread)| spread.text()).collect();
+        let number = calls.len();
+        let mut cells: Vec<&dyn std::fmt::Display> = vec![&route, &number];
+        cells.extend(texts.iter().map(|text| text as &dyn std::fmt::Display));
+        table.row(&cells);
+        let mut row = serde_json::json!({ "route": route, "calls": number });
+        for (name, spread) in &columns {
+            row[*name] = serde_json::json!([spread.at(50), spread.at(90), spread.at(99)]);
+        }
+        shown.push(row);
+    }
+    context.print(&Value::Array(shown), &table)
+}
--- a/crates/damaskctl/src/main.rs
+++ b/crates/damaskctl/src/main.rs
@@ -69,14 +69,9 @@
     /// Bills.
     #[command(subcommand)]
     Bill(bills::BillCommand),
-    /// Tells from logs what became of a call, with what its instance believed then.
-    Explain {
-        /// The caller's id of the call.
-        id: String,
-        /// Files with the logs of instances.
-        #[arg(required = true)]
-        logs: Vec<PathBuf>,
-    },
+    /// Tells from logs what became of a call, with what its instance believed then; or where
+    /// budgets and time went.
+    Explain(explain::ExplainArgs),
     /// Replays a recorded trace against its stated outcomes.
     Replay {
         /// File with the trace.
@@ -107,7 +102,7 @@
         Command::Instance(command) => instances::run(context, command).await,
         Command::Request(command) => requests::run(context, command).await,
         Command::Bill(command) => bills::run(context, command).await,
-        Command::Explain { id, logs } => explain::run(context, &id, &logs),
+        Command::Explain(args) => explain::run(context, &args),
         Command::Replay { trace } => requests::replay(context, &trace),
     }
 }
--- /dev/null
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -0,0 +1,151 @@
+//! Where budgets and time went, over recorded lines of instances.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde_json::Value;
+
+/// Lines of two instances; the second ends without a word and starts anew.
+const LOGS: [&str; 2] = [
+    r#"{"msg":"RoundWritten","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"on=1 round=1","event":211}
+0.5 host {"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:02.000Z","instance":"a","fields":"account=office ahead=0 cost_ms=20 events=10 first_byte_ms=300 id=c1 outcome=answered pause_ms=90 reserved=1200 route=chat running=2 sent_ms=0 target=t1 took_ms=1000 uncached=900 used=1050","event":107}
+{"msg":"CallerLeft","level":"INFO","ts":"2026-01-01T00:00:02.100Z","instance":"a","fields":"account=office events=2 id=c2 outcome=caller_left reserved=700 used=610","event":110}
+{"msg":"CallFailed","level":"WARN","ts":"2026-01-01T00:00:02.200Z","instance":"a","fields":"account=office cause=broken events=3 id=c3 outcome=broken_off reserved=700 used=515","event":109}
+{"msg":"CallFailed","level":"WARN","ts":"2026-01-01T00:00:02.300Z","instance":"a","fields":"account=office events=0 id=c4 outcome=target_lost reserved=700 used=500","event":109}
+{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:02.400Z","instance":"a","fields":"account=office bought=20000 free=0 id=c5 needed=900 outcome=budget_unreachable shortage=elsewhere","event":108}
+{"msg":"HoldingsNoted","level":"INFO","ts":"2026-01-01T00:00:08.000Z","instance":"a","fields":"held=office:20000/300/1000/4000 omitted=0","event":217}
+no event
+"#,
+    r#"{"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"b","fields":"account=office events=4 id=d1 outcome=answered reserved=400 used=300","event":107}
+{"msg":"RoundWritten","level":"INFO","ts":"2026-01-01T00:00:01.500Z","instance":"b","fields":"on=2 round=1","event":211}
+{"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:02.000Z","instance":"b","fields":"account=office ahead=0 cost_ms=500 events=4 first_byte_ms=600 id=d2 outcome=answered pause_ms=10 reserved=40000 route=long running=1 sent_ms=100 target=t1 took_ms=900 uncached=30000 used=400","event":107}
+{"msg":"HoldingsNoted","level":"INFO","ts":"2026-01-01T00:00:02.500Z","instance":"b","fields":"held=office:20000/0/500/5000 omitted=0","event":217}
+{"msg":"Started","level":"INFO","ts":"2026-01-01T00:00:04.000Z","instance":"b","fields":"data_centre=north","event":700}
+{"msg":"EstateSettled","level":"INFO","ts":"2026-01-01T00:00:05.000Z","instance":"b","fields":"estate=b/1f lived_ms=1500 spent_of_granted=office:2000/5000,other:7/9","event":214}
+"#,
+];
+
+/// Runs a table over files with the given contents, and over one more path.
+fn explain(name: &str, table: &str, logs: &[&str], more: &[&str]) -> (Option<i32>, Value, String) {
+    let dir = std::env::temp_dir().join(format!("damaskctl-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_damaskctl"));
+    command.args(["--json", "explain", table]);
+    for (index, text) in logs.iter().enumerate() {
+        let path = dir.join(format!("{index}.log"));
+        std::fs::write(&path, text).unwrap();
+        command.arg(path);
+    }
+    command.args(more.iter().map(PathBuf::from));
+    let output = command.output().unwrap();
+    std::fs::remove_dir_all(&dir).unwrap();
+    let rows = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+    let errors = String::from_utf8(output.stderr).unwrap();
+    (output.status.code(), rows, errors)
+}
+
+#[test]
+fn tokens_are_told_apart_by_how_their_calls_ended() {
+    // Act
+    let (code, rows, errors) = explain("ends", "budgets", &LOGS, &[]);
+
+    // Assert
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    let office = &rows[0];
+    assert_eq!(office["account"], "office");
+    assert_eq!(office["bought_tokens"], 20_000);
+    assert_eq!(office["answered_tokens"], 1_050 + 300 + 400);
+    assert_eq!(office["caller_left_tokens"], 610);
+    assert_eq!(office["broken_off_tokens"], 515);
+    assert_eq!(office["failed_tokens"], 500);
+    assert_eq!(office["refused_calls"], 1);
+}
+
+#[test]
+fn what_an_ended_incarnation_had_used_after_its_last_round_is_known() {
+    // Act
+    let (_, rows, _) = explain("estates", "budgets", &LOGS, &[]);
+
+    // Assert: 400 of the 2,000 are in the line of a call that ended after the round.
+    assert_eq!(rows[0]["written_off_tokens"], 2_000);
+    assert_eq!(rows[0]["written_off_known_tokens"], 400);
+    assert_eq!(rows[1]["account"], "other");
+    assert_eq!(rows[1]["written_off_tokens"], 7);
+}
+
+#[test]
+fn only_instances_that_live_hold_tokens() {
+    // Act
+    let (_, rows, _) = explain("held", "budgets", &LOGS, &[]);
+
+    // Assert: what the second instance held was settled.
+    assert_eq!(rows[0]["reserved_tokens"], 300);
+    assert_eq!(rows[0]["free_tokens"], 4_000);
+    assert_eq!(rows[0]["most_free_at"], "a");
+    let seen = 1_050 + 300 + 400 + 610 + 515 + 500 + 1_600 + 300 + 4_000;
+    assert_eq!(rows[0]["not_seen_tokens"], 20_000 - seen);
+}
+
+#[test]
+fn what_a_target_read_meanwhile_is_found_in_the_logs_of_other_instances() {
+    // Act
+    let (code, rows, _) = explain("beside", "latency", &LOGS, &[]);
+
+    // Assert
+    assert_eq!(code, Some(0));
+    let chat = &rows[0];
+    assert_eq!(chat["route"], "chat");
+    assert_eq!(chat["first_token_ms"][0], 300);
+    assert_eq!(chat["expected_ms"][0], 20);
+    assert_eq!(chat["pause_ms"][0], 90);
+    assert_eq!(chat["read_beside_tokens"][0], 30_000);
+    assert_eq!(rows[1]["first_token_ms"][0], 500);
+    assert_eq!(rows[1]["read_beside_tokens"][0], 900);
+}
+
+#[test]
+fn bad_lines_are_named_and_the_rest_is_still_read() {
+    // Arrange
+    let truncated = format!("{}{{\"msg\":\"CallAnswered\",\"ev\n", LOGS[0]);
+    let foreign = "{\"level\":\"info\",\"message\":\"hello\"}\n{no json}\n";
+
+    // Act
+    let (code, rows, errors) = explain(
+        "bad",
+        "budgets",
+        &[&truncated, foreign, LOGS[1]],
+        &["/nowhere/at/all.log"],
+    );
+
+    // Assert
+    assert_eq!(code, Some(1));
+    assert_eq!(rows[0]["answered_tokens"], 1_050 + 300 + 400);
+    assert!(errors.contains("0.log:9: a truncated line"), "{errors}");
+    assert!(
+        errors.contains("1.log:1: no line of an instance"),
+        "{errors}"
+    );
+    assert!(
+        errors.contains("1.log:2: no line of an instance"),
+        "{errors}"
+    );
+    assert!(errors.contains("1.log: no line of an instance"), "{errors}");
+    assert!(
+        errors.contains("/nowhere/at/all.log: No such file"),
+        "{errors}"
+    );
+}
+
+#[test]
+fn the_faults_of_one_file_are_counted_beyond_the_first() {
+    // Arrange
+    let foreign = "{no json}\n".repeat(1_000);
+
+    // Act
+    let (code, _, errors) = explain("many", "latency", &[LOGS[0], &foreign], &[]);
+
+    // Assert
+    assert_eq!(code, Some(1));
+    assert!(errors.contains("995 more such lines"), "{errors}");
+    assert!(errors.lines().count() < 10, "{errors}");
+}
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -72,6 +72,7 @@
     EstateSettled = 214, "info", "Tokens of an ended incarnation were written off or came back.";
     ReportEntered = 215, "info", "What this instance reported stands in the ledger.";
     WriterChanged = 216, "info", "Another instance writes to the ledger for this one.";
+    HoldingsNoted = 217, "info", "What this instance holds of the accounts, as account:bought/reserved/free now/free in all.";
     ClaimRepeated = 301, "info", "A non-idempotent request was repeated and not run again.";
     ClaimInvalid = 302, "error", "A stored claim table could not be read.";
     PeerFrameInvalid = 401, "warn", "A frame from a peer could not be decoded.";
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -191,6 +191,22 @@
             .map_or(0, |purse| purse.free(bound))
     }
 
+    /// Returns the worst case of the calls under way.
+    #[must_use]
+    pub fn reserved_tokens(&self, account: &str) -> u64 {
+        self.purses
+            .get(account)
+            .map_or(0, |purse| purse.reserved_tokens)
+    }
+
+    /// Returns what is free here, with what is not unlocked yet.
+    #[must_use]
+    pub fn granted_free_tokens(&self, account: &str) -> u64 {
+        self.purses
+            .get(account)
+            .map_or(0, |purse| purse.free(purse.allowed_tokens))
+    }
+
     /// Returns the accounts that are prepaid.
     pub fn prepaid_accounts(&self) -> impl Iterator<Item = &AccountId> {
         self.prepaid_tokens.keys()
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -226,8 +226,7 @@
                 return self.give_up(RefusalCode::NoTarget, RETRY_LATER);
             };
             self.tried.push(choice.target.clone());
-            self.record.set_target(&choice.target);
-            self.record.add("cost_ms", format!("{:.0}", choice.cost_ms));
+            self.record.note_choice(&choice);
             reservation.sending();
             self.is_sending = true;
             let patience = self.patience(left);
@@ -372,6 +371,8 @@
             last_event: self.last_event,
             cutter: EventCutter::default(),
             events: 0,
+            event_at: None,
+            pause_max: Duration::ZERO,
             is_over: false,
         };
         Response::from_parts(parts, relay.into_body())
--- a/crates/damaskstile-gateway/src/exchange/tokens.rs
+++ b/crates/damaskstile-gateway/src/exchange/tokens.rs
@@ -48,6 +48,9 @@
             let shortage = match reserved {
                 Ok(reservation) => {
                     self.record.add("reserved", reservation.reserved_tokens());
+                    if reservation.reserved_tokens() > 0 {
+                        self.record.set_charge(reservation.charge());
+                    }
                     return Ok(reservation);
                 }
                 Err(shortage) => shortage,
--- /dev/null
+++ b/crates/damaskstile-gateway/src/holdings.rs
@@ -0,0 +1,55 @@
+//! `holdings` writes to the logs now and then what this instance holds of each account.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+
+use crate::gateway::Gateway;
+
+/// Time between two lines. A day's table of budgets needs the last one only, and a line costs about
+/// as much as that of a call.
+const INTERVAL: Duration = Duration::from_secs(5);
+/// Accounts in one line, those with most tokens here first: about 1 KB.
+const ACCOUNTS_MAX: usize = 16;
+
+/// Writes what is held until the process ends.
+pub async fn keep(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        note(&gateway);
+    }
+}
+
+/// Writes what is held now: what was bought, is reserved and is free, by account.
+pub fn note(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut held: Vec<(u64, String)> = {
+        let state = gateway.state();
+        let accounts = state.holder.prepaid_accounts();
+        accounts
+            .map(|account| {
+                let bought = state.holder.standing(account).bought_tokens;
+                let reserved = state.holder.reserved_tokens(account);
+                let free = state.holder.granted_free_tokens(account);
+                let unlocked = state.holder.free_tokens(now, account).min(free);
+                let text = format!("{account}:{bought}/{reserved}/{unlocked}/{free}");
+                (reserved + free, text)
+            })
+            .filter(|(tokens, _)| *tokens > 0)
+            .collect()
+    };
+    if held.is_empty() {
+        return;
+    }
+    held.sort_by(|one, other| other.cmp(one));
+    let omitted = held.len().saturating_sub(ACCOUNTS_MAX).to_string();
+    let mut text = String::new();
+    for (_, one) in held.iter().take(ACCOUNTS_MAX) {
+        let separator = if text.is_empty() { "" } else { "," };
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{separator}{one}");
+    }
+    let fields = [("held", text.as_str()), ("omitted", omitted.as_str())];
+    gateway.log(EventCode::HoldingsNoted, &fields);
+}
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod call;
 pub mod call_times;
+pub mod charge;
 pub mod clock;
 pub mod contact;
 pub mod dialect;
@@ -17,6 +18,7 @@
 pub mod follow;
 pub mod front;
 pub mod gateway;
+pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
 pub mod logs;
@@ -80,6 +82,7 @@
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
     tokio::spawn(proof::keep(Arc::clone(&gateway)));
     tokio::spawn(rounds::keep(Arc::clone(&gateway)));
+    tokio::spawn(holdings::keep(Arc::clone(&gateway)));
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
     tokio::spawn(Arc::clone(&peers).tell());
     tokio::spawn(Arc::clone(&peers).beg());
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_targets::Choice;
 
+use crate::charge::Charge;
 use crate::gateway::Gateway;
 use crate::phase::Phase;
 
@@ -18,6 +20,8 @@
     fields: Vec<(&'static str, String)>,
     first_byte: Option<Duration>,
     target: TargetId,
+    /// What the call counts for, once tokens were reserved for it.
+    charge: Option<Arc<Charge>>,
     /// Whether another record has taken over.
     is_handed_over: bool,
 }
@@ -35,6 +39,7 @@
             fields: Vec::with_capacity(12),
             first_byte: None,
             target: String::new(),
+            charge: None,
             is_handed_over: false,
         };
         record.add("id", id.unwrap_or("-"));
@@ -54,6 +59,7 @@
             fields: std::mem::take(&mut self.fields),
             first_byte: self.first_byte,
             target: self.target.clone(),
+            charge: self.charge.take(),
             is_handed_over: false,
         }
     }
@@ -64,15 +70,28 @@
         self.fields.push((name, value.to_string()));
     }
 
+    /// Notes the target that the call is sent to, and what it was chosen by.
+    pub fn note_choice(&mut self, choice: &Choice) {
+        choice.target.clone_into(&mut self.target);
+        let sent = self.gateway.now().saturating_sub(self.began_at);
+        self.add("target", &choice.target);
+        self.add("sent_ms", sent.as_millis());
+        self.add("cost_ms", format!("{:.0}", choice.cost_ms));
+        if choice.uncached_tokens > 0 {
+            self.add("uncached", choice.uncached_tokens);
+            self.add("ahead", choice.ahead_tokens);
+            self.add("running", format!("{:.0}", choice.running));
+        }
+    }
+
     /// Sets the client account.
     pub fn set_account(&mut self, account: &str) {
         account.clone_into(&mut self.account);
     }
 
-    /// Sets the target that the call was last sent to.
-    pub fn set_target(&mut self, target: &str) {
-        target.clone_into(&mut self.target);
-        self.add("target", target);
+    /// Sets what the call counts for, read when it ends.
+    pub fn set_charge(&mut self, charge: Arc<Charge>) {
+        self.charge = Some(charge);
     }
 
     /// Returns when the call was taken.
@@ -131,6 +150,10 @@
         if let Some(first) = self.first_byte {
             self.add("first_byte_ms", first.as_millis());
         }
+        if let Some(charge) = self.charge.take() {
+            self.add("events", charge.events());
+            self.add("used", charge.used_tokens());
+        }
         self.add("took_ms", took.as_millis());
         self.add("outcome", self.outcome);
         let account = std::mem::take(&mut self.account);
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -52,6 +52,10 @@
     pub cutter: EventCutter,
     /// Events of the run under way.
     pub events: u64,
+    /// When the last event came.
+    pub event_at: Option<Duration>,
+    /// Longest pause between two events.
+    pub pause_max: Duration,
     /// Whether the answer's end was given.
     pub is_over: bool,
 }
@@ -145,6 +149,8 @@
         self.record.first_byte();
         self.events += 1;
         let now = self.gateway.now();
+        let before = self.event_at.replace(now).unwrap_or(now);
+        self.pause_max = self.pause_max.max(now.saturating_sub(before));
         self.gateway.state().pressure.add(now, event.bytes.len());
         self.reservation.received(self.events);
         if let Some(run) = &mut self.run {
@@ -180,8 +186,7 @@
         self.is_over = true;
         self.note_time();
         self.reservation.finished(self.events);
-        self.record.add("events", self.events);
-        self.record.add("used", self.reservation.used_tokens());
+        self.record.add("pause_ms", self.pause_max.as_millis());
         self.record.end(EventCode::CallAnswered, "answered");
         if let Some(run) = self.run.take() {
             run.running.note(true);
@@ -194,8 +199,7 @@
     fn break_off(&mut self, cause: &'static str) -> std::io::Error {
         self.is_over = true;
         self.run = None;
-        self.record.add("events", self.events);
-        self.record.add("used", self.reservation.used_tokens());
+        self.record.add("pause_ms", self.pause_max.as_millis());
         self.record.add("cause", cause);
         self.record.end(EventCode::CallFailed, "broken_off");
         std::io::Error::other(cause)
@@ -243,7 +247,7 @@
             };
             self.note_resumption(cause, &choice.target);
             self.tried.push(choice.target.clone());
-            self.record.set_target(&choice.target);
+            self.record.note_choice(&choice);
             self.reservation.sending();
             let patience = patience(&self.terms, left);
             let resume_after = self.last_event;
--- a/crates/damaskstile-gateway/src/reservation.rs
+++ b/crates/damaskstile-gateway/src/reservation.rs
@@ -6,6 +6,7 @@
 use damaskstile_escrow::{Rank, Shortage};
 use damaskstile_targets::Work;
 
+use crate::charge::Charge;
 use crate::gateway::Gateway;
 
 /// Events that a target may make after its connection was closed and before it notices: a step
@@ -35,7 +36,10 @@
     reserved_tokens: u64,
     /// Output of earlier runs of the call.
     earlier_tokens: u64,
+    /// Events of all runs.
+    events: u64,
     used: Use,
+    charge: Arc<Charge>,
 }
 
 impl Reservation {
@@ -70,7 +74,9 @@
             rank,
             reserved_tokens: tokens,
             earlier_tokens: 0,
+            events: 0,
             used: Use::Nothing,
+            charge: Arc::default(),
         })
     }
 
@@ -80,29 +86,41 @@
         self.reserved_tokens
     }
 
+    /// Returns what the call counts for, kept up to date.
+    #[must_use]
+    pub fn charge(&self) -> Arc<Charge> {
+        Arc::clone(&self.charge)
+    }
+
+    fn set_used(&mut self, used: Use) {
+        self.used = used;
+        self.charge.set(self.used_tokens(), self.events);
+    }
+
     /// Notes that the call is being sent: from here on it may use all.
     pub fn sending(&mut self) {
-        self.used = Use::Unknown;
+        self.set_used(Use::Unknown);
     }
 
     /// Notes that the target proved that it has not run the call.
     pub fn not_run(&mut self) {
-        self.used = Use::Nothing;
+        self.set_used(Use::Nothing);
     }
 
     /// Notes the events received so far from a target that still runs the call.
     pub fn received(&mut self, events: u64) {
-        self.used = Use::Output(self.output_of(events + EVENTS_AFTER_CLOSE));
+        self.events += 1;
+        self.set_used(Use::Output(self.output_of(events + EVENTS_AFTER_CLOSE)));
     }
 
     /// Notes that the target ended the call after so many events.
     pub fn finished(&mut self, events: u64) {
-        self.used = Use::Output(self.output_of(events));
+        self.set_used(Use::Output(self.output_of(events)));
     }
 
     /// Notes that the connection broke, so nobody knows how far the target got.
     pub fn broken(&mut self) {
-        self.used = Use::Unknown;
+        self.set_used(Use::Unknown);
     }
 
     /// Holds another worst case of output for a further run, on top of what earlier ones used.
@@ -130,7 +148,7 @@
         drop(state);
         self.reserved_tokens += missing;
         self.earlier_tokens = earlier_tokens;
-        self.used = Use::Nothing;
+        self.set_used(Use::Nothing);
         true
     }
 
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -192,13 +192,15 @@
             + failures * failures * self.options.failure_ms
             + f64::from(u8::from(is_far)) * self.options.distance_ms;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let uncached_tokens = uncached as u64;
+        let (uncached_tokens, ahead_tokens) = (uncached as u64, waiting as u64);
         Choice {
             target: known.listed.target.clone(),
             incarnation: known.listed.incarnation,
             address: known.listed.address,
             cost_ms,
             uncached_tokens,
+            ahead_tokens,
+            running,
         }
     }
 }
--- a/crates/damaskstile-targets/src/choice.rs
+++ b/crates/damaskstile-targets/src/choice.rs
@@ -17,6 +17,10 @@
     pub cost_ms: f64,
     /// Tokens of the prompt that are not expected to be cached there.
     pub uncached_tokens: u64,
+    /// Prompt tokens that wait or are read there before it, as far as is known.
+    pub ahead_tokens: u64,
+    /// Calls that are likely to run there.
+    pub running: f64,
 }
 
 impl Choice {
