Charge a call for its prompt and for the output that its caller was given

Cause: a broken run, and a call whose caller left before the first event, counted its whole worst case of output; a run that went on elsewhere reserved it a second time. A whole answer of a model was charged no output at all: now its most. Ruled out: that a run going on elsewhere needs more; it goes on after the last event, and prompts count once.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -262,8 +262,8 @@
                 return self.too_late();
             }
             match plan_next(&self.gateway, &self.terms, &self.attempts) {
-                Next::Again if reservation.extend() => self.note_retry(no_run.cause),
-                Next::Again | Next::GiveUp if self.attempts.has_run() => {
+                Next::Again => self.note_retry(no_run.cause),
+                Next::GiveUp if self.attempts.has_run() => {
                     return self.refuse(&Refusal::unknown(RefusalCode::TargetLost));
                 }
                 _ => return self.give_up(RefusalCode::Overloaded, RETRY_SOON),
@@ -339,7 +339,9 @@
         };
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
-        reservation.finished(0);
+        if parts.status.is_success() {
+            reservation.delivering_whole();
+        }
         self.note_time();
         self.record.first_byte();
         self.record.add("status", parts.status.as_u16());
@@ -370,7 +372,6 @@
             open: self.gateway.open_call(),
             last_event: self.last_event,
             cutter: EventCutter::default(),
-            events: 0,
             event_at: None,
             pause_max: Duration::ZERO,
             is_over: false,
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -50,8 +50,6 @@
     pub last_event: Option<u64>,
     /// Cuts the stream into events.
     pub cutter: EventCutter,
-    /// Events of the run under way.
-    pub events: u64,
     /// When the last event came.
     pub event_at: Option<Duration>,
     /// Longest pause between two events.
@@ -147,12 +145,10 @@
     /// Counts an event; returns its bytes where the caller does not have it yet.
     fn take_event(&mut self, event: WholeEvent) -> Option<Bytes> {
         self.record.first_byte();
-        self.events += 1;
         let now = self.gateway.now();
         let before = self.event_at.replace(now).unwrap_or(now);
         self.pause_max = self.pause_max.max(now.saturating_sub(before));
         self.gateway.state().pressure.add(now, event.bytes.len());
-        self.reservation.received(self.events);
         if let Some(run) = &mut self.run {
             run.running.prefilled();
         }
@@ -164,6 +160,7 @@
             return None;
         }
         self.last_event = event.id.or(self.last_event);
+        self.reservation.delivering();
         Some(event.bytes)
     }
 
@@ -185,7 +182,6 @@
     async fn end(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
         self.is_over = true;
         self.note_time();
-        self.reservation.finished(self.events);
         self.record.add("pause_ms", self.pause_max.as_millis());
         self.record.end(EventCode::CallAnswered, "answered");
         if let Some(run) = self.run.take() {
@@ -221,7 +217,6 @@
         if let Some(run) = self.run.take() {
             run.running.note(false);
         }
-        self.reservation.broken();
         self.cutter = EventCutter::default();
         self.attempts.note(SendEnd::Unknown);
         let mut cause = cause;
@@ -231,7 +226,7 @@
             }
             let next = plan_next(&self.gateway, &self.terms, &self.attempts);
             let left = self.deadline.saturating_sub(self.gateway.now());
-            if next != Next::Again || left.is_zero() || !self.reservation.extend() {
+            if next != Next::Again || left.is_zero() {
                 return false;
             }
             let choice = {
@@ -262,7 +257,6 @@
             );
             match started.await {
                 Ok(run) if run.parts.status.is_success() => {
-                    self.events = 0;
                     self.run = Some(run);
                     return true;
                 }
--- a/crates/damaskstile-gateway/src/reservation.rs
+++ b/crates/damaskstile-gateway/src/reservation.rs
@@ -9,22 +9,11 @@
 use crate::charge::Charge;
 use crate::gateway::Gateway;
 
-/// Events that a target may make after its connection was closed and before it notices: a step
-/// of a few milliseconds for each, over a link of a few milliseconds.
-const EVENTS_AFTER_CLOSE: u64 = 4;
-
-/// What is known of the tokens that a call used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Use {
-    /// No target has run it.
-    Nothing,
-    /// It may have used all that is reserved.
-    Unknown,
-    /// So many output tokens were generated, on top of the prompt.
-    Output(u64),
-}
-
 /// `Reservation` holds the worst case of one call. Dropped, it settles what the call used.
+///
+/// An account pays for the prompt once for each call, and for the output that its caller was
+/// given. So a call that goes on at another target after a broken run needs no more than before,
+/// and what a target generated and nobody was given is not charged.
 #[derive(Debug)]
 pub struct Reservation {
     gateway: Arc<Gateway>,
@@ -32,13 +21,15 @@
     prompt_tokens: u64,
     output_tokens_max: u64,
     tokens_per_event: u64,
-    rank: Rank,
     reserved_tokens: u64,
-    /// Output of earlier runs of the call.
-    earlier_tokens: u64,
-    /// Events of all runs.
-    events: u64,
-    used: Use,
+    /// Whether a target may have run the call, or may be at it.
+    may_have_run: bool,
+    /// The same of earlier sends.
+    had_run: bool,
+    /// Events that were passed on to the caller.
+    delivered_events: u64,
+    /// Whether an answer was passed on whose tokens were not counted.
+    is_whole: bool,
     charge: Arc<Charge>,
 }
 
@@ -71,11 +62,11 @@
             prompt_tokens: work.prompt_tokens,
             output_tokens_max: work.output_tokens,
             tokens_per_event,
-            rank,
             reserved_tokens: tokens,
-            earlier_tokens: 0,
-            events: 0,
-            used: Use::Nothing,
+            may_have_run: false,
+            had_run: false,
+            delivered_events: 0,
+            is_whole: false,
             charge: Arc::default(),
         })
     }
@@ -92,82 +83,48 @@
         Arc::clone(&self.charge)
     }
 
-    fn set_used(&mut self, used: Use) {
-        self.used = used;
-        self.charge.set(self.used_tokens(), self.events);
+    fn note_charge(&self) {
+        self.charge.set(self.used_tokens(), self.delivered_events);
     }
 
-    /// Notes that the call is being sent: from here on it may use all.
+    /// Notes that the call is being sent: from here on it may run.
     pub fn sending(&mut self) {
-        self.set_used(Use::Unknown);
+        self.had_run = self.may_have_run;
+        self.may_have_run = true;
+        self.note_charge();
     }
 
-    /// Notes that the target proved that it has not run the call.
+    /// Notes that the target of the last send proved that it has not run the call.
     pub fn not_run(&mut self) {
-        self.set_used(Use::Nothing);
+        self.may_have_run = self.had_run;
+        self.note_charge();
     }
 
-    /// Notes the events received so far from a target that still runs the call.
-    pub fn received(&mut self, events: u64) {
-        self.events += 1;
-        self.set_used(Use::Output(self.output_of(events + EVENTS_AFTER_CLOSE)));
+    /// Notes that another event is passed on to the caller.
+    pub fn delivering(&mut self) {
+        self.delivered_events += 1;
+        self.note_charge();
     }
 
-    /// Notes that the target ended the call after so many events.
-    pub fn finished(&mut self, events: u64) {
-        self.set_used(Use::Output(self.output_of(events)));
-    }
-
-    /// Notes that the connection broke, so nobody knows how far the target got.
-    pub fn broken(&mut self) {
-        self.set_used(Use::Unknown);
-    }
-
-    /// Holds another worst case of output for a further run, on top of what earlier ones used.
-    /// Returns false where the tokens are not there.
-    pub fn extend(&mut self) -> bool {
-        let earlier_tokens = match self.used {
-            Use::Nothing => return true,
-            Use::Unknown => self.earlier_tokens + self.output_tokens_max,
-            Use::Output(tokens) => self.earlier_tokens + tokens,
-        };
-        let Some(account) = &self.account else {
-            return true;
-        };
-        let needed = self.prompt_tokens + earlier_tokens + self.output_tokens_max;
-        let missing = needed.saturating_sub(self.reserved_tokens);
-        let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        if state
-            .holder
-            .try_reserve(now, account, missing, self.rank)
-            .is_err()
-        {
-            return false;
-        }
-        drop(state);
-        self.reserved_tokens += missing;
-        self.earlier_tokens = earlier_tokens;
-        self.set_used(Use::Nothing);
-        true
-    }
-
-    fn output_of(&self, events: u64) -> u64 {
-        events
-            .saturating_mul(self.tokens_per_event)
-            .min(self.output_tokens_max)
+    /// Notes that an answer is passed on whole. Nobody counts its tokens on the way.
+    pub fn delivering_whole(&mut self) {
+        self.is_whole = true;
+        self.note_charge();
     }
 
     /// Returns the tokens that the call counts for, as far as it went.
     #[must_use]
     pub fn used_tokens(&self) -> u64 {
-        let output_tokens = match self.used {
-            Use::Nothing if self.earlier_tokens == 0 => return 0,
-            Use::Nothing => 0,
-            Use::Unknown => self.output_tokens_max,
-            Use::Output(tokens) => tokens,
+        if !self.may_have_run {
+            return 0;
+        }
+        let delivered = self.delivered_events.saturating_mul(self.tokens_per_event);
+        let output_tokens = if self.is_whole {
+            self.output_tokens_max
+        } else {
+            delivered.min(self.output_tokens_max)
         };
-        self.prompt_tokens + self.earlier_tokens + output_tokens
+        self.prompt_tokens + output_tokens
     }
 }
 
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/charges.rs
@@ -0,0 +1,109 @@
+//! What a call is charged, however it ends.
+
+mod support;
+
+use std::sync::Arc;
+
+use damaskstile_gateway::reservation::Reservation;
+use damaskstile_targets::Work;
+use support::{Away, gateway, unused_address};
+
+const PROMPT_TOKENS: u64 = 6_000;
+const OUTPUT_TOKENS: u64 = 400;
+const TOKENS_PER_EVENT: u64 = 5;
+
+fn reservation() -> Reservation {
+    let gateway = gateway(unused_address(), Arc::new(Away));
+    let work = Work {
+        prompt_tokens: PROMPT_TOKENS,
+        output_tokens: OUTPUT_TOKENS,
+        parts: Vec::new(),
+    };
+    Reservation::try_new(&gateway, Some("account"), Some(&work), TOKENS_PER_EVENT, 0).unwrap()
+}
+
+#[test]
+fn a_call_that_never_ran_is_charged_nothing() {
+    // Arrange
+    let mut reservation = reservation();
+    assert_eq!(reservation.used_tokens(), 0);
+
+    // Act
+    reservation.sending();
+    reservation.not_run();
+
+    // Assert
+    assert_eq!(reservation.used_tokens(), 0);
+}
+
+#[test]
+fn a_caller_that_leaves_before_the_first_event_is_charged_the_prompt() {
+    // Symptom: accounts run out although the answers that callers were given used less than was
+    // bought. Sequence: a caller leaves, or a connection to a target breaks, before an event came.
+    // Cause: the most that the call could have generated was charged, which nobody was given.
+
+    // Arrange
+    let mut reservation = reservation();
+
+    // Act
+    reservation.sending();
+
+    // Assert
+    assert_eq!(reservation.used_tokens(), PROMPT_TOKENS);
+}
+
+#[test]
+fn a_run_that_broke_is_charged_for_what_its_caller_was_given() {
+    // Arrange
+    let mut reservation = reservation();
+    reservation.sending();
+
+    // Act
+    for _ in 0..7 {
+        reservation.delivering();
+    }
+
+    // Assert
+    let output_tokens = 7 * TOKENS_PER_EVENT;
+    assert_eq!(reservation.used_tokens(), PROMPT_TOKENS + output_tokens);
+}
+
+#[test]
+fn a_call_that_goes_on_elsewhere_never_needs_more_than_was_reserved() {
+    // Arrange
+    let mut reservation = reservation();
+
+    // Act: three runs, of which the second proves that it has not run.
+    reservation.sending();
+    (0..50).for_each(|_| reservation.delivering());
+    reservation.sending();
+    reservation.not_run();
+    let between = reservation.used_tokens();
+    reservation.sending();
+    (0..200).for_each(|_| reservation.delivering());
+
+    // Assert: what the first run gave stays charged, the prompt counts once.
+    assert_eq!(between, PROMPT_TOKENS + 50 * TOKENS_PER_EVENT);
+    assert_eq!(reservation.used_tokens(), PROMPT_TOKENS + OUTPUT_TOKENS);
+    assert_eq!(reservation.used_tokens(), reservation.reserved_tokens());
+}
+
+#[test]
+fn an_answer_whose_tokens_nobody_counts_is_charged_at_its_most() {
+    // Symptom: an account gets more than it bought. Sequence: a route of a model's service is no
+    // stream, and its answers are passed on whole. Cause: they were charged as no output.
+
+    // Arrange
+    let mut reservation = reservation();
+    reservation.sending();
+
+    // Act
+    reservation.delivering_whole();
+
+    // Assert
+    assert_eq!(reservation.used_tokens(), PROMPT_TOKENS + OUTPUT_TOKENS);
+    assert_eq!(
+        reservation.charge().used_tokens(),
+        reservation.used_tokens()
+    );
+}
