--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -146,7 +146,12 @@
             return Ok(());
         }
         if self.is_kept_for_urgent(now, account, tokens, rank) {
-            return Err(Shortage::Reserved);
+            let is_spent = self.is_exhausted(now, account, tokens);
+            return Err(if is_spent {
+                Shortage::Exhausted
+            } else {
+                Shortage::Reserved
+            });
         }
         let bound = self.allowance(now, account);
         let purse = self.purses.entry(account.to_owned()).or_default();
@@ -321,12 +326,24 @@
         self.left_tokens(account) < kept.saturating_add(tokens)
     }
 
+    /// Tells whether the ledger was seen so lately that it proves what others have.
+    fn is_ledger_recent(&self, now: Duration) -> bool {
+        let age = self.ledger_age(now);
+        age.is_some_and(|age| age <= self.options.evidence_age)
+    }
+
+    /// Tells whether no instance has so many tokens, by a recent look at the ledger. Nothing but
+    /// another purchase brings them then, so a caller need not ask again.
+    fn is_exhausted(&self, now: Duration, account: &str, tokens: u64) -> bool {
+        let purse = self.purses.get(account);
+        let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
+        let left = self.left_tokens(account).saturating_sub(own_reserved);
+        self.is_ledger_recent(now) && tokens > left
+    }
+
     fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
-        let is_recent = self
-            .ledger_age(now)
-            .is_some_and(|age| age <= self.options.evidence_age);
         let can_ask = self.role == Role::Member && !self.is_in_doubt;
-        if !is_recent {
+        if !self.is_ledger_recent(now) {
             // The answer to a report tells how the account stands.
             return if can_ask {
                 Shortage::InStore
@@ -334,11 +351,10 @@
                 Shortage::Elsewhere
             };
         }
-        let purse = self.purses.get(account);
-        let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
-        if tokens > self.left_tokens(account).saturating_sub(own_reserved) {
+        if self.is_exhausted(now, account, tokens) {
             return Shortage::Exhausted;
         }
+        let purse = self.purses.get(account);
         // A write without an answer, or none for longer than a round, tells of an isolation.
         let is_in_touch = match self.role {
             Role::Member => can_ask,
--- a/crates/damaskstile-escrow/tests/holder.rs
+++ b/crates/damaskstile-escrow/tests/holder.rs
@@ -236,6 +236,31 @@
     assert_eq!(other, Err(Shortage::Reserved));
 }
 
+#[test]
+fn a_call_that_no_tokens_are_left_for_is_told_so_though_some_are_kept_for_others() {
+    // Symptom: callers come back again and again and are refused each time. Sequence: an account
+    // is spent but for a few hundred tokens; a large call that is not among its most urgent is
+    // told to come back, since what is left is kept. Cause: whether tokens are kept was asked
+    // before whether any are left.
+
+    // Arrange: an isolated instance has spent its whole grant and then sees the ledger again.
+    let (mut holder, round) = started("one");
+    let granted = holder.granted_free_tokens(ACCOUNT);
+    assert_eq!(holder.try_reserve(at(20_000), ACCOUNT, granted, 0), Ok(()));
+    holder.release(ACCOUNT, granted, granted);
+    holder.note_demand(at(20_000), ACCOUNT, PREPAID_TOKENS, 0);
+    holder.observe(at(20_050), 1, round.ledger);
+    let left = PREPAID_TOKENS - granted;
+
+    // Act
+    let lacking = holder.try_reserve(at(20_200), ACCOUNT, left + 1, 1);
+    let kept = holder.try_reserve(at(20_200), ACCOUNT, left, 1);
+
+    // Assert
+    assert_eq!(lacking, Err(Shortage::Exhausted));
+    assert_eq!(kept, Err(Shortage::Reserved));
+}
+
 #[test]
 fn tokens_that_were_handed_over_are_gone_here_and_spent_first_there() {
     // Symptom: an account gets more than it bought. Cause: giver and taker spend the same tokens.
