--- a/crates/damaskstile-gateway/src/call.rs
+++ b/crates/damaskstile-gateway/src/call.rs
@@ -1,5 +1,7 @@
 //! `call` holds what the decisions need of a call's head, in the project's own words.
 
+use std::net::SocketAddr;
+
 use damaskstile_core::prelude::*;
 use damaskstile_targets::Work;
 
@@ -29,6 +31,8 @@
     pub time_left: Duration,
     /// Rank of the call; 0 is the most urgent.
     pub priority: u8,
+    /// Target that is likely to keep more of the prompt, to fetch it from.
+    pub fetch_from: Option<SocketAddr>,
     /// Event after which the answer goes on; `None` to leave what the caller said.
     pub resume_after: Option<u64>,
 }
--- a/crates/damaskstile-gateway/src/outgoing.rs
+++ b/crates/damaskstile-gateway/src/outgoing.rs
@@ -4,11 +4,15 @@
 
 use damaskstile_escrow::{LedgerChange, Receipt, Report};
 
+use crate::peers::Reading;
+
 /// `Outgoing` is a message that a duty has sent to peers.
 #[derive(Debug)]
 pub enum Outgoing {
     /// An own write to the ledger, for all that write to it.
     Change(LedgerChange),
+    /// A long prompt that was sent to a target, for all peers.
+    Reading(Reading),
     /// What this instance asks to have written.
     Report(SocketAddr, Report),
     /// What became of a peer's report.
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod digest;
 mod pull;
+mod reading;
 mod reports;
 mod tokens;
 mod told_target;
@@ -25,6 +26,7 @@
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use pull::{Pulled, serve as serve_pulls};
+pub use reading::Reading;
 pub use tokens::{AskTokens, GiveTokens};
 pub use told_target::ToldTarget;
 
@@ -104,6 +106,7 @@
         while let Some(outgoing) = outbox.recv().await {
             match outgoing {
                 Outgoing::Change(change) => self.tell_change(&change).await,
+                Outgoing::Reading(reading) => self.tell_reading(&reading).await,
                 Outgoing::Report(address, report) => {
                     self.send(address, DatagramBody::Report(report)).await;
                 }
@@ -129,6 +132,14 @@
         }
     }
 
+    /// Tells all peers of a long prompt.
+    async fn tell_reading(&self, reading: &Reading) {
+        for address in self.all() {
+            let body = DatagramBody::Reading(reading.clone());
+            self.send(address, body).await;
+        }
+    }
+
     fn take_change(&self, bytes: &[u8]) {
         match serde_json::from_slice::<LedgerChange>(bytes) {
             Ok(change) => {
@@ -262,6 +273,11 @@
             DatagramBody::Change(bytes) => self.take_change(&bytes),
             DatagramBody::Give(gift) => self.take_gift(&datagram.from, datagram.incarnation, &gift),
             DatagramBody::Report(report) => self.take_report(report),
+            DatagramBody::Reading(reading) => {
+                let now = self.gateway.now();
+                let book = &mut self.gateway.state().book;
+                book.hear_reading(now, &reading.identity(), reading.time());
+            }
             DatagramBody::Receipt(receipt) => self.take_receipt(&datagram.from, &receipt),
         }
     }
--- a/crates/damaskstile-gateway/src/peers/addresses.rs
+++ b/crates/damaskstile-gateway/src/peers/addresses.rs
@@ -17,9 +17,7 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let mut state = gateway.state();
-        let mut known = listed_addresses(&state);
-        known.extend(state.members.values().map(|member| member.address));
-        known.remove(&gateway.options.peers_address);
+        let mut known = self.known(&state);
         if known.is_empty() {
             known.extend(&gateway.options.seeds);
             known.remove(&gateway.options.peers_address);
@@ -33,6 +31,18 @@
         addresses
     }
 
+    /// Returns the addresses of all peers that the ledger lists or that were heard of.
+    pub(super) fn all(&self) -> BTreeSet<SocketAddr> {
+        self.known(&self.gateway.state())
+    }
+
+    fn known(&self, state: &State) -> BTreeSet<SocketAddr> {
+        let mut known = listed_addresses(state);
+        known.extend(state.members.values().map(|member| member.address));
+        known.remove(&self.gateway.options.peers_address);
+        known
+    }
+
     /// Returns the addresses of the other instances that write to the ledger: all of a small
     /// fleet. In a large one a writer's changes are not told.
     pub(super) fn writers(&self) -> BTreeSet<SocketAddr> {
--- a/crates/damaskstile-gateway/src/peers/datagram.rs
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use damaskstile_escrow::{Receipt, Report};
 
-use super::{AskTokens, Digest, GiveTokens};
+use super::{AskTokens, Digest, GiveTokens, Reading};
 
 /// `DatagramBody` is what a datagram says.
 #[derive(prost::Oneof, Clone, PartialEq)]
@@ -26,6 +26,9 @@
     /// What became of it.
     #[prost(message, tag = "8")]
     Receipt(Receipt),
+    /// A long prompt that a target reads.
+    #[prost(message, tag = "9")]
+    Reading(Reading),
 }
 
 /// `Datagram` is one message with its sender.
@@ -38,6 +41,6 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<DatagramBody>,
 }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -81,6 +81,7 @@
             self.add("uncached", choice.uncached_tokens);
             self.add("ahead", choice.ahead_tokens);
             self.add("running", format!("{:.0}", choice.running));
+            self.add("fetch", u8::from(choice.fetch_from.is_some()));
         }
     }
 
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -80,6 +80,7 @@
         account: terms.account.as_deref(),
         time_left: deadline.saturating_sub(gateway.now()),
         priority: terms.priority,
+        fetch_from: choice.fetch_from,
         resume_after,
     };
     let request = build(gateway, call, &send);
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -5,6 +5,8 @@
 use damaskstile_targets::{Choice, Work};
 
 use crate::gateway::Gateway;
+use crate::outgoing::Outgoing;
+use crate::peers::Reading;
 
 /// `Running` counts a call at its target while it runs there.
 #[derive(Debug)]
@@ -17,7 +19,16 @@
 
 impl Running {
     pub(crate) fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
-        gateway.state().book.sent(gateway.now(), &choice, work);
+        let reading = {
+            let book = &mut gateway.state().book;
+            book.sent(gateway.now(), &choice, work);
+            book.reading_to_tell(&choice)
+        };
+        if let Some(time) = reading {
+            // Peers that are not told choose as if they had not heard.
+            let reading = Reading::new(choice.identity(), time);
+            let _ = gateway.outbox.try_send(Outgoing::Reading(reading));
+        }
         Self {
             gateway: Arc::clone(gateway),
             choice,
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -174,6 +174,7 @@
             catalogue: Arc::clone(&catalogue),
         };
         self.retry_budget(now, &terms.service).add_request();
+        self.book.set_instances(self.holder.instances());
         Ok(terms)
     }
 
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -1,15 +1,17 @@
 //! `book` knows the listed targets and chooses one for a call.
 
 mod list;
+mod long_load;
+mod weigh;
 
 use damaskstile_core::prelude::*;
-use damaskstile_core::random::stable_hash;
 
 use crate::book_options::BookOptions;
 use crate::choice::Choice;
 use crate::departures::Departures;
 use crate::known::Known;
 use crate::work::Work;
+use long_load::LongLoad;
 
 /// `Book` knows the listed targets and chooses one for a call.
 ///
@@ -27,6 +29,10 @@
     refused: BTreeMap<TargetId, String>,
     /// Whether targets state their starts. An entry that does not is another writer's then.
     is_start_stated: bool,
+    /// Instances of the fleet, each with about as much load.
+    instances: u64,
+    /// Long prompts that this instance sent.
+    long_load: LongLoad,
 }
 
 impl Book {
@@ -40,6 +46,8 @@
             departures: Departures::default(),
             refused: BTreeMap::new(),
             is_start_stated: false,
+            instances: 1,
+            long_load: LongLoad::default(),
         }
     }
 
@@ -65,10 +73,10 @@
         work: &Work,
         tried: &[TargetId],
     ) -> Option<Choice> {
-        let home = self.home(now, service, work);
+        let outlook = self.outlook(now, service, work);
         self.usable(now, service)
             .filter(|known| !tried.contains(&known.listed.target))
-            .map(|known| self.weigh(now, known, work, home.as_deref()))
+            .map(|known| self.weigh(now, known, &outlook))
             .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
@@ -97,13 +105,41 @@
             .filter(|known| known.listed.incarnation == choice.incarnation)
     }
 
+    /// Sets how many instances there are, by which each knows the load of all from its own.
+    pub fn set_instances(&mut self, instances: u64) {
+        self.instances = instances;
+    }
+
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
+        if self.is_long(work) {
+            let read_ms = self.own_read_ms(work);
+            self.long_load.add(now, read_ms);
+        }
         if let Some(known) = self.chosen(choice) {
             known.sent(now, work, choice.uncached_tokens);
         }
     }
 
+    /// Returns how long the prompt of a call takes to read at its target, if that is worth telling
+    /// the peers.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
+    pub fn reading_to_tell(&self, choice: &Choice) -> Option<Duration> {
+        let read_ms = choice.uncached_tokens as f64 / self.options.prefill_tokens_per_ms;
+        let is_worth = read_ms >= self.options.tell_ms;
+        is_worth.then(|| Duration::from_secs_f64(read_ms / 1_000.0))
+    }
+
+    /// Takes in that a peer sent a prompt to a target that takes so long to read there.
+    pub fn hear_reading(&mut self, now: Duration, identity: &TargetIdentity, time: Duration) {
+        let known = self.targets.get_mut(&identity.target);
+        let of_incarnation = known.filter(|known| known.listed.identity() == *identity);
+        if let Some(known) = of_incarnation {
+            known.hear_reading(now, time);
+        }
+    }
+
     /// Notes that the first token came, or that the call ended before it.
     pub fn prefilled(&mut self, choice: &Choice) {
         if let Some(known) = self.chosen(choice) {
@@ -165,42 +201,4 @@
     fn is_sound(&self, known: &Known) -> bool {
         !self.refused.contains_key(&known.listed.target) && !self.is_start_missing(known)
     }
-
-    /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
-    /// all send the subject where its parts are cached.
-    fn home(&self, now: Duration, service: &str, work: &Work) -> Option<TargetId> {
-        let subject = work.shared_parts().last()?.name.to_string();
-        self.usable(now, service)
-            .max_by_key(|known| stable_hash(&[&subject, &known.listed.target]))
-            .map(|known| known.listed.target.clone())
-    }
-
-    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
-    fn weigh(&self, now: Duration, known: &Known, work: &Work, home: Option<&str>) -> Choice {
-        let mut cached = known.cached_tokens(now, work) as f64;
-        if home == Some(known.listed.target.as_str()) {
-            let shared: u64 = work.shared_parts().iter().map(|part| part.tokens).sum();
-            cached = cached.max(shared as f64 * self.options.home_share);
-        }
-        let uncached = (work.prompt_tokens as f64 - cached).max(0.0);
-        let waiting = known.own_prefill_tokens() as f64;
-        let running = known.own_running() as f64 + known.others(now);
-        let failures = known.failure_share(now);
-        let is_far = work.prompt_tokens == 0 && known.listed.data_centre != self.data_centre;
-        let cost_ms = (uncached + waiting) / self.options.prefill_tokens_per_ms
-            + running * self.options.running_ms
-            + failures * failures * self.options.failure_ms
-            + f64::from(u8::from(is_far)) * self.options.distance_ms;
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let (uncached_tokens, ahead_tokens) = (uncached as u64, waiting as u64);
-        Choice {
-            target: known.listed.target.clone(),
-            incarnation: known.listed.incarnation,
-            address: known.listed.address,
-            cost_ms,
-            uncached_tokens,
-            ahead_tokens,
-            running,
-        }
-    }
 }
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/long_load.rs
@@ -0,0 +1,31 @@
+//! `long_load` measures how long targets are busy with reading long prompts.
+
+use damaskstile_core::prelude::*;
+
+/// Time in which an old load loses two thirds of its weight: a few tens of long prompts at today's
+/// rates, and short against the changes of a day.
+const TIME_CONSTANT: Duration = Duration::from_secs(20);
+
+/// `LongLoad` measures how many targets one instance keeps busy with reading long prompts.
+#[derive(Debug, Clone, Default)]
+pub(super) struct LongLoad {
+    read_ms: f64,
+    at: Duration,
+}
+
+impl LongLoad {
+    pub(super) fn add(&mut self, now: Duration, read_ms: f64) {
+        self.read_ms = self.decayed(now) + read_ms;
+        self.at = self.at.max(now);
+    }
+
+    /// Returns the targets that are busy at a time.
+    pub(super) fn busy_targets(&self, now: Duration) -> f64 {
+        self.decayed(now) / TIME_CONSTANT.as_secs_f64() / 1_000.0
+    }
+
+    fn decayed(&self, now: Duration) -> f64 {
+        let gap = now.saturating_sub(self.at).as_secs_f64();
+        self.read_ms * (-gap / TIME_CONSTANT.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -0,0 +1,181 @@
+//! `weigh` says what a call would cost at each target.
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
+
+use super::Book;
+use crate::choice::Choice;
+use crate::known::Known;
+use crate::work::Work;
+
+/// Tokens that are worth fetching: a transfer takes a millisecond or two to begin, in which about so
+/// many are read.
+const FETCH_MIN_TOKENS: f64 = 64.0;
+/// Share of failures from which on nothing is fetched from a target.
+const FETCH_FAILURES_MAX: f64 = 0.1;
+/// Part of the targets that are kept for long prompts at most.
+const LONG_PART_MAX: usize = 3;
+
+/// `Outlook` is what the targets of a service have in common for one call.
+#[derive(Debug)]
+pub(super) struct Outlook<'a> {
+    work: &'a Work,
+    is_long: bool,
+    /// Targets kept for long prompts.
+    kept: BTreeSet<&'a str>,
+    /// Target that the subject of the prompt hashes to.
+    home: Option<&'a str>,
+    /// Target that is likely to keep most of the prompt, and how much.
+    source: Option<(&'a Known, f64)>,
+}
+
+impl Book {
+    pub(super) fn outlook<'a>(
+        &'a self,
+        now: Duration,
+        service: &'a str,
+        work: &'a Work,
+    ) -> Outlook<'a> {
+        let is_long = self.is_long(work);
+        let kept = self.kept_for_long(now, service);
+        let mut outlook = Outlook {
+            work,
+            is_long,
+            kept,
+            home: None,
+            source: None,
+        };
+        outlook.home = self.home(now, service, &outlook);
+        outlook.source = self.source(now, service, &outlook);
+        outlook
+    }
+
+    /// Tells whether a prompt takes so long to read that it holds up what runs beside it.
+    pub(super) fn is_long(&self, work: &Work) -> bool {
+        self.options.long_ms > 0.0 && self.own_read_ms(work) >= self.options.long_ms
+    }
+
+    /// Returns the time to read the part of a prompt that no other call shares.
+    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
+    pub(super) fn own_read_ms(&self, work: &Work) -> f64 {
+        let shared: u64 = work.shared_parts().iter().map(|part| part.tokens).sum();
+        work.prompt_tokens.saturating_sub(shared) as f64 / self.options.prefill_tokens_per_ms
+    }
+
+    /// Returns the targets that are kept for long prompts, the same on every instance that sees
+    /// the same load: as many as read them a given part of their time, in the order of a hash.
+    fn kept_for_long<'a>(&'a self, now: Duration, service: &'a str) -> BTreeSet<&'a str> {
+        let instances = u32::try_from(self.instances.max(1)).unwrap_or(u32::MAX);
+        let busy = self.long_load.busy_targets(now) * f64::from(instances);
+        if busy <= 0.0 {
+            return BTreeSet::new();
+        }
+        let mut ranked: Vec<(u64, &str)> = self
+            .usable(now, service)
+            .map(|known| known.listed.target.as_str())
+            .map(|target| (stable_hash(&["long", target]), target))
+            .collect();
+        ranked.sort_unstable();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few targets
+        let wanted = (busy / self.options.long_busy).ceil() as usize;
+        let count = wanted.min(ranked.len() / LONG_PART_MAX);
+        ranked[..count].iter().map(|(_, target)| *target).collect()
+    }
+
+    /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
+    /// all send the subject where its parts are cached. Targets that are kept for long prompts are
+    /// no home; what they lack they fetch from there.
+    fn home<'a>(
+        &'a self,
+        now: Duration,
+        service: &'a str,
+        outlook: &Outlook<'a>,
+    ) -> Option<&'a str> {
+        let subject = outlook.work.shared_parts().last()?.name.to_string();
+        self.usable(now, service)
+            .map(|known| known.listed.target.as_str())
+            .filter(|target| !outlook.kept.contains(target))
+            .max_by_key(|target| stable_hash(&[&subject, target]))
+    }
+
+    /// Returns the target that is likely to keep most of a prompt.
+    fn source<'a>(
+        &'a self,
+        now: Duration,
+        service: &'a str,
+        outlook: &Outlook<'a>,
+    ) -> Option<(&'a Known, f64)> {
+        self.usable(now, service)
+            .filter(|known| known.failure_share(now) < FETCH_FAILURES_MAX)
+            .map(|known| (known, self.cached(now, known, outlook)))
+            .max_by(|(_, one), (_, other)| one.total_cmp(other))
+            .filter(|_| self.options.fetch_share < 1.0)
+    }
+
+    /// Returns the tokens of a prompt that a target is likely to keep.
+    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
+    fn cached(&self, now: Duration, known: &Known, outlook: &Outlook<'_>) -> f64 {
+        let seen = known.cached_tokens(now, outlook.work) as f64;
+        if outlook.home != Some(known.listed.target.as_str()) {
+            return seen;
+        }
+        let parts = outlook.work.shared_parts();
+        let shared: u64 = parts.iter().map(|part| part.tokens).sum();
+        seen.max(shared as f64 * self.options.home_share)
+    }
+
+    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
+    pub(super) fn weigh(&self, now: Duration, known: &Known, outlook: &Outlook<'_>) -> Choice {
+        let options = &self.options;
+        let work = outlook.work;
+        let target = known.listed.target.as_str();
+        let cached = self.cached(now, known, outlook);
+        let fetched = outlook.source.and_then(|(source, there)| {
+            let more = there - cached;
+            let is_worth = source.listed.target != target && more >= FETCH_MIN_TOKENS;
+            is_worth.then_some((source.listed.address, more))
+        });
+        let fetched_tokens = fetched.map_or(0.0, |(_, tokens)| tokens);
+        let uncached = (work.prompt_tokens as f64 - cached - fetched_tokens).max(0.0);
+        let waiting = known.own_prefill_tokens() as f64;
+        let running = known.own_running() as f64 + known.others(now);
+        let others_reading_ms = known.others_reading(now).as_secs_f64() * 1_000.0;
+        let beside_ms = if outlook.is_long {
+            options.beside_ms
+        } else {
+            0.0
+        };
+        let failures = known.failure_share(now);
+        let is_far = work.prompt_tokens == 0 && known.listed.data_centre != self.data_centre;
+        let is_apart = !outlook.kept.is_empty() && !outlook.is_for(target);
+        let read = uncached + waiting + fetched_tokens * options.fetch_share;
+        let cost_ms = read / options.prefill_tokens_per_ms
+            + others_reading_ms
+            + running * (options.running_ms + beside_ms)
+            + failures * failures * options.failure_ms
+            + f64::from(u8::from(is_apart)) * options.apart_ms
+            + f64::from(u8::from(is_far)) * options.distance_ms;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+        let (uncached_tokens, ahead_tokens) = (
+            uncached as u64,
+            (waiting + others_reading_ms * options.prefill_tokens_per_ms) as u64,
+        );
+        Choice {
+            target: known.listed.target.clone(),
+            incarnation: known.listed.incarnation,
+            address: known.listed.address,
+            cost_ms,
+            uncached_tokens,
+            fetch_from: fetched.map(|(address, _)| address),
+            ahead_tokens,
+            running,
+        }
+    }
+}
+
+impl Outlook<'_> {
+    /// Tells whether a target is of those that the call's prompt, long or not, belongs to.
+    fn is_for(&self, target: &str) -> bool {
+        self.kept.contains(target) == self.is_long
+    }
+}
--- a/crates/damaskstile-targets/src/book_options.rs
+++ b/crates/damaskstile-targets/src/book_options.rs
@@ -17,6 +17,22 @@
     pub distance_ms: f64,
     /// Part of a prompt taken to be cached at the target that its session hashes to.
     pub home_share: f64,
+    /// Cost of a token that one target fetches from another, as a part of reading it. Moving memory
+    /// takes a fiftieth of the time of reading it anew on fast links, but load that follows no
+    /// prompts moves far more of it.
+    pub fetch_share: f64,
+    /// Time to read a prompt from which on it counts as long; 0 for none. All that runs at its
+    /// target pauses between the chunks that are read, and the longer the prompt the longer.
+    pub long_ms: f64,
+    /// Time to read a prompt from which on peers are told of it.
+    pub tell_ms: f64,
+    /// Cost of a long prompt for each call that runs at its target already.
+    pub beside_ms: f64,
+    /// Cost of a target kept for long prompts, for others, and the other way round.
+    pub apart_ms: f64,
+    /// Part of its time that a target kept for long prompts reads them; by it and by the load seen
+    /// follows how many are kept.
+    pub long_busy: f64,
     /// Time for which a target stays in use after the list lost it around an outage of the list.
     pub lapse_grace: Duration,
 }
@@ -29,6 +45,12 @@
             failure_ms: 2_000.0,
             distance_ms: 1.0,
             home_share: 0.95,
+            fetch_share: 0.2,
+            long_ms: 300.0,
+            tell_ms: 100.0,
+            beside_ms: 0.0,
+            apart_ms: 100.0,
+            long_busy: 0.15,
             lapse_grace: Duration::from_millis(1_500),
         }
     }
--- a/crates/damaskstile-targets/src/choice.rs
+++ b/crates/damaskstile-targets/src/choice.rs
@@ -17,6 +17,8 @@
     pub cost_ms: f64,
     /// Tokens of the prompt that are not expected to be cached there.
     pub uncached_tokens: u64,
+    /// Address of the target that is likely to keep parts of the prompt that this one does not.
+    pub fetch_from: Option<SocketAddr>,
     /// Prompt tokens that wait or are read there before it, as far as is known.
     pub ahead_tokens: u64,
     /// Calls that are likely to run there.
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -7,6 +7,9 @@
 
 /// Time after which a part of a prompt that was sent is no longer taken to be cached.
 const PART_MEMORY: Duration = Duration::from_secs(10);
+/// Longest time that a target is taken to be busy with what peers told of: a few of the longest
+/// prompts. What is told wrongly costs the choice no more.
+const READING_MAX: Duration = Duration::from_secs(3);
 /// Parts remembered for one target. A replica caches some hundred thousand tokens, which is at
 /// most a few hundred parts.
 const PARTS_MAX: usize = 1024;
@@ -34,6 +37,9 @@
     failure_share: f64,
     failure_at: Duration,
     parts: BTreeMap<u64, Duration>,
+    /// Time for which the target is still likely to read prompts that peers told of.
+    others_reading: Duration,
+    others_reading_at: Duration,
 }
 
 impl Known {
@@ -49,6 +55,8 @@
             failure_share: 0.0,
             failure_at: Duration::ZERO,
             parts: BTreeMap::new(),
+            others_reading: Duration::ZERO,
+            others_reading_at: Duration::ZERO,
         }
     }
 
@@ -103,6 +111,20 @@
         self.failure_share * (-age / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
+    /// Notes that a peer sent a prompt that takes so long to read.
+    pub(crate) fn hear_reading(&mut self, now: Duration, time: Duration) {
+        let sum = self.others_reading(now) + time.min(READING_MAX);
+        self.others_reading = sum.min(READING_MAX);
+        self.others_reading_at = now;
+    }
+
+    /// Returns the time for which the target is still likely to read what peers told of. It passes
+    /// by itself, so a peer that dies or falls silent leaves nothing behind.
+    pub(crate) fn others_reading(&self, now: Duration) -> Duration {
+        let passed = now.saturating_sub(self.others_reading_at);
+        self.others_reading.saturating_sub(passed)
+    }
+
     pub(crate) fn own_running(&self) -> u64 {
         self.own_running
     }
--- /dev/null
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -0,0 +1,289 @@
+//! Long prompts beside everything else: where they go, who is told, what is fetched.
+//!
+//! The load is that of twelve engines that read some 60 tokens in a millisecond: prompts of 20,000
+//! tokens and more, about one a second in the fleet, beside short questions.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, Choice, Listed, Part, Work};
+
+const SERVICE: &str = "model";
+const TARGETS: u16 = 12;
+const INSTANCES: usize = 7;
+const LONG_TOKENS: u64 = 25_000;
+const SHORT_TOKENS: u64 = 800;
+
+fn listed(index: u16, incarnation: Option<TargetIncarnation>) -> Listed {
+    Listed {
+        target: format!("t{index}"),
+        incarnation,
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 1_000 + index).into(),
+        data_centre: "north".to_owned(),
+        slots_requests: 64,
+        is_ready: true,
+    }
+}
+
+fn book(targets: u16) -> Book {
+    let mut book = Book::new("north", BookOptions::default());
+    for index in 0..targets {
+        book.list(Duration::ZERO, listed(index, None));
+    }
+    book
+}
+
+fn fleet() -> Vec<Book> {
+    let mut books: Vec<Book> = (0..INSTANCES).map(|_| book(TARGETS)).collect();
+    for book in &mut books {
+        book.set_instances(u64::try_from(INSTANCES).unwrap());
+    }
+    books
+}
+
+/// Makes a prompt of a shared subject and an own part, which no other call has.
+fn prompt(subject: u64, shared_tokens: u64, own_tokens: u64) -> Work {
+    static CALLS: AtomicU64 = AtomicU64::new(1_000_000);
+    let own = CALLS.fetch_add(1, Ordering::Relaxed);
+    let part = |name, tokens| Part { name, tokens };
+    Work {
+        prompt_tokens: shared_tokens + own_tokens,
+        output_tokens: 300,
+        parts: vec![part(subject, shared_tokens), part(own, own_tokens)],
+    }
+}
+
+fn long(subject: u64) -> Work {
+    prompt(1_000 + subject, 5_000, LONG_TOKENS)
+}
+
+fn short(subject: u64) -> Work {
+    prompt(subject, 200, SHORT_TOKENS)
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Gives a call to its target; nothing of it ends.
+fn send(book: &mut Book, ms: u64, work: &Work) -> Choice {
+    let choice = book.choose(at(ms), SERVICE, work, &[]).unwrap();
+    book.sent(at(ms), &choice, work);
+    choice
+}
+
+/// Gives a call to its target, which reads and answers it at once.
+fn serve(book: &mut Book, ms: u64, work: &Work) -> Choice {
+    let choice = send(book, ms, work);
+    book.prefilled(&choice);
+    book.ended(&choice);
+    choice
+}
+
+#[test]
+fn what_the_home_of_a_subject_keeps_is_fetched_by_others() {
+    // Symptom: a fortieth of what prompts are worth goes into reading shared parts again. Sequence:
+    // the target that a subject belongs to is busy, and its next call goes elsewhere. Cause: the
+    // target read all parts anew, although the first one keeps them.
+
+    // Arrange: the home reads a prompt of 25,000 tokens that is not its own subject's.
+    let mut book = book(TARGETS);
+    let work = prompt(7, 5_000, 1_000);
+    let home = serve(&mut book, 0, &work);
+    book.hear_reading(at(10), &home.identity(), at(1_000));
+
+    // Act
+    let other = book.choose(at(20), SERVICE, &work, &[]).unwrap();
+
+    // Assert
+    assert_ne!(other.target, home.target);
+    assert_eq!(home.fetch_from, None);
+    assert_eq!(other.fetch_from, Some(home.address));
+    assert!(other.uncached_tokens < 1_500, "{other:?}");
+}
+
+#[test]
+fn nothing_is_fetched_from_a_target_that_fails() {
+    // Arrange
+    let mut book = book(TARGETS);
+    let work = prompt(7, 5_000, 1_000);
+    let home = serve(&mut book, 0, &work);
+
+    // Act
+    book.failed(at(10), &home);
+    book.failed(at(10), &home);
+    let other = book.choose(at(20), SERVICE, &work, &[]).unwrap();
+
+    // Assert
+    assert_ne!(other.target, home.target);
+    assert_ne!(other.fetch_from, Some(home.address));
+}
+
+#[test]
+fn peers_that_hear_of_a_long_prompt_go_elsewhere_until_it_is_read() {
+    // Symptom: first tokens of short calls come half a second late. Sequence: one instance sends a
+    // long prompt, and another a short call to the same target. Cause: each instance knew only of
+    // what it sent itself.
+
+    // Arrange
+    let mut books = fleet();
+    let work = short(3);
+    let usual = serve(&mut books[1], 0, &work);
+    let reading = Choice {
+        uncached_tokens: LONG_TOKENS,
+        ..usual.clone()
+    };
+    let time = books[0].reading_to_tell(&reading).unwrap();
+
+    // Act
+    books[1].hear_reading(at(100), &usual.identity(), time);
+    let meanwhile = books[1].choose(at(110), SERVICE, &work, &[]).unwrap();
+    let afterwards = books[1]
+        .choose(at(110) + time, SERVICE, &work, &[])
+        .unwrap();
+
+    // Assert
+    assert_ne!(meanwhile.target, usual.target);
+    assert_eq!(afterwards.target, usual.target);
+}
+
+#[test]
+fn short_prompts_are_not_told() {
+    // Arrange
+    let mut book = book(TARGETS);
+
+    // Act
+    let choice = send(&mut book, 0, &short(3));
+
+    // Assert
+    assert_eq!(book.reading_to_tell(&choice), None);
+}
+
+#[test]
+fn what_is_told_of_another_incarnation_or_wrongly_costs_seconds_at_most() {
+    // Arrange: one target, which is always chosen in the end.
+    let mut book = Book::new("north", BookOptions::default());
+    book.list(Duration::ZERO, listed(0, Some(5)));
+    let work = short(3);
+    let usual = book.choose(at(0), SERVICE, &work, &[]).unwrap();
+
+    // Act: of an incarnation that has ended; a time of years; the same again and again.
+    let ended = TargetIdentity::new("t0", Some(4));
+    book.hear_reading(at(0), &ended, at(5_000));
+    let unmoved = book.choose(at(1), SERVICE, &work, &[]).unwrap();
+    for _ in 0..1_000 {
+        book.hear_reading(at(2), &usual.identity(), Duration::MAX);
+    }
+    let held = book.choose(at(2), SERVICE, &work, &[]).unwrap();
+    let later = book.choose(at(4_000), SERVICE, &work, &[]).unwrap();
+
+    // Assert
+    assert!((unmoved.cost_ms - usual.cost_ms).abs() < 1.0);
+    assert!(held.cost_ms < 4_000.0, "{held:?}");
+    assert!((later.cost_ms - usual.cost_ms).abs() < 1.0);
+}
+
+/// Plays a minute: a long prompt a second and forty short calls, each at an instance by chance.
+/// Returns how many calls of each kind each target got in the last half.
+fn play_a_minute(books: &mut [Book]) -> (BTreeMap<TargetId, u64>, BTreeMap<TargetId, u64>) {
+    let mut random = Random::new(5);
+    let (mut of_long, mut of_short) = (BTreeMap::new(), BTreeMap::new());
+    for tick in 0..2_400_u64 {
+        let ms = tick * 25;
+        let is_long = tick % 40 == 0;
+        let subject = random.below(50);
+        let work = if is_long {
+            long(subject)
+        } else {
+            short(subject)
+        };
+        let index = random.index(books.len());
+        let choice = serve(&mut books[index], ms, &work);
+        let counts = if is_long { &mut of_long } else { &mut of_short };
+        if ms >= 30_000 {
+            *counts.entry(choice.target).or_default() += 1;
+        }
+    }
+    (of_long, of_short)
+}
+
+#[test]
+fn long_prompts_share_few_targets_and_short_calls_leave_them() {
+    // Symptom: one answer in fifteen comes late, since its stream pauses beyond what its route
+    // promises. Sequence: a prompt of 25,000 tokens is read in chunks between the tokens of seven
+    // streams at its target. Cause: such prompts went to all targets alike.
+
+    // Arrange
+    let mut books = fleet();
+
+    // Act
+    let (of_long, of_short) = play_a_minute(&mut books);
+
+    // Assert: the instances agree without a word, from what each sees of the load.
+    let is_for_long = |target: &TargetId| of_long.contains_key(target);
+    assert!(of_long.len() <= 4, "{of_long:?}");
+    let beside: u64 = of_short
+        .iter()
+        .filter(|(target, _)| is_for_long(target))
+        .map(|(_, calls)| calls)
+        .sum();
+    let all: u64 = of_short.values().sum();
+    assert!(
+        beside * 20 < all,
+        "{beside} of {all}: {of_long:?}, {of_short:?}"
+    );
+}
+
+#[test]
+fn no_target_is_kept_where_no_prompt_is_long() {
+    // Arrange
+    let mut books = fleet();
+    let mut used = BTreeSet::new();
+
+    // Act
+    for subject in 0..400 {
+        let choice = serve(&mut books[0], subject * 20, &short(subject));
+        used.insert(choice.target);
+    }
+
+    // Assert
+    assert_eq!(used.len(), usize::from(TARGETS));
+}
+
+#[test]
+fn a_target_that_is_kept_serves_short_calls_once_the_others_are_busy() {
+    // Arrange
+    let mut books = fleet();
+    let (of_long, _) = play_a_minute(&mut books);
+    let mut used = BTreeSet::new();
+
+    // Act: a burst in which nothing ends.
+    for call in 0..800 {
+        used.insert(send(&mut books[0], 60_000, &short(call)).target);
+    }
+
+    // Assert
+    assert!(
+        of_long.keys().all(|target| used.contains(target)),
+        "{used:?}"
+    );
+}
+
+#[test]
+fn targets_are_given_back_once_no_prompt_is_long_any_more() {
+    // Arrange
+    let mut books = fleet();
+    let (of_long, _) = play_a_minute(&mut books);
+    let mut used = BTreeSet::new();
+
+    // Act: minutes later.
+    for call in 0..800 {
+        let ms = 600_000 + call * 20;
+        used.insert(serve(&mut books[0], ms, &short(call)).target);
+    }
+
+    // Assert
+    let kept = of_long.keys().filter(|target| !used.contains(*target));
+    assert!(kept.count() <= 1, "{of_long:?} {used:?}");
+}
