Learn how fast targets read

Cause: 56.9 tokens a millisecond was one deployment's figure, and time grew with the length only; calls over 20,000 tokens were expected 220 to 350 ms too early. A recursive fit of start, tokens and pairs of tokens for each service, from first tokens of calls that nothing else was likely to be read before; bounded, forgetting, faster once all err to one side.

--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -79,7 +79,7 @@
         self.add("cost_ms", format!("{:.0}", choice.cost_ms));
         if choice.uncached_tokens > 0 {
             self.add("uncached", choice.uncached_tokens);
-            self.add("ahead", choice.ahead_tokens);
+            self.add("ahead_ms", format!("{:.0}", choice.ahead_ms));
             self.add("running", format!("{:.0}", choice.running));
             self.add("fetch", u8::from(choice.fetch_from.is_some()));
         }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -150,7 +150,7 @@
         self.pause_max = self.pause_max.max(now.saturating_sub(before));
         self.gateway.state().pressure.add(now, event.bytes.len());
         if let Some(run) = &mut self.run {
-            run.running.prefilled();
+            run.running.event();
         }
         let is_repeated = match (event.id, self.last_event) {
             (Some(id), Some(last)) => id <= last,
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use damaskstile_core::prelude::*;
 use damaskstile_targets::{Choice, Work};
 
 use crate::gateway::Gateway;
@@ -14,6 +15,8 @@
     gateway: Arc<Gateway>,
     /// The target.
     pub choice: Choice,
+    work: Work,
+    sent_at: Duration,
     is_prefilled: bool,
 }
 
@@ -32,12 +35,23 @@
         Self {
             gateway: Arc::clone(gateway),
             choice,
+            work: work.clone(),
+            sent_at: gateway.now(),
             is_prefilled: false,
         }
     }
 
-    /// Notes that the first token came.
-    pub fn prefilled(&mut self) {
+    /// Notes that an event came; the first one tells how fast the target reads.
+    pub fn event(&mut self) {
+        if !self.is_prefilled {
+            let took = self.gateway.now().saturating_sub(self.sent_at);
+            let book = &mut self.gateway.state().book;
+            book.first_token(&self.choice, &self.work, took);
+        }
+        self.prefilled();
+    }
+
+    fn prefilled(&mut self) {
         if !self.is_prefilled {
             self.is_prefilled = true;
             self.gateway.state().book.prefilled(&self.choice);
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -10,8 +10,13 @@
 use crate::choice::Choice;
 use crate::departures::Departures;
 use crate::known::Known;
+use crate::reading_speed::ReadingSpeed;
 use crate::work::Work;
 use long_load::LongLoad;
+use weigh::{own_read_ms, tokens};
+
+/// Time for which a target may read other prompts for a first token still to tell how fast it reads.
+const AHEAD_MAX_MS: f64 = 2.0;
 
 /// `Book` knows the listed targets and chooses one for a call.
 ///
@@ -33,6 +38,8 @@
     instances: u64,
     /// Long prompts that this instance sent.
     long_load: LongLoad,
+    /// How fast targets read, by service.
+    speeds: BTreeMap<ServiceId, ReadingSpeed>,
 }
 
 impl Book {
@@ -48,6 +55,7 @@
             is_start_stated: false,
             instances: 1,
             long_load: LongLoad::default(),
+            speeds: BTreeMap::new(),
         }
     }
 
@@ -112,23 +120,26 @@
 
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
-        if self.is_long(work) {
-            let read_ms = self.own_read_ms(work);
+        let service = self
+            .targets
+            .get(&choice.target)
+            .map(|known| &known.listed.service);
+        let speed = self.speed(service.map_or("", String::as_str));
+        if self.is_long(&speed, work) {
+            let read_ms = own_read_ms(&speed, work);
             self.long_load.add(now, read_ms);
         }
         if let Some(known) = self.chosen(choice) {
-            known.sent(now, work, choice.uncached_tokens);
+            known.sent(now, work, choice.read_ms);
         }
     }
 
     /// Returns how long the prompt of a call takes to read at its target, if that is worth telling
     /// the peers.
     #[must_use]
-    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
     pub fn reading_to_tell(&self, choice: &Choice) -> Option<Duration> {
-        let read_ms = choice.uncached_tokens as f64 / self.options.prefill_tokens_per_ms;
-        let is_worth = read_ms >= self.options.tell_ms;
-        is_worth.then(|| Duration::from_secs_f64(read_ms / 1_000.0))
+        let is_worth = choice.read_ms >= self.options.tell_ms;
+        is_worth.then(|| Duration::from_secs_f64(choice.read_ms / 1_000.0))
     }
 
     /// Takes in that a peer sent a prompt to a target that takes so long to read there.
@@ -140,10 +151,35 @@
         }
     }
 
+    /// Takes in the time from the send of a call to its first token, to learn from it.
+    pub fn first_token(&mut self, choice: &Choice, work: &Work, took: Duration) {
+        let is_alone = choice.ahead_ms < AHEAD_MAX_MS && choice.fetch_from.is_none();
+        let Some(known) = self.targets.get(&choice.target) else {
+            return;
+        };
+        if !self.options.is_learning || !is_alone || work.prompt_tokens == 0 {
+            return;
+        }
+        let service = known.listed.service.clone();
+        let uncached = tokens(choice.uncached_tokens);
+        let cached = tokens(work.prompt_tokens) - uncached;
+        let start = self.options.prefill_tokens_per_ms;
+        let speed = self.speeds.entry(service);
+        let speed = speed.or_insert_with(|| ReadingSpeed::new(start));
+        speed.learn(uncached, cached, took.as_secs_f64() * 1_000.0);
+    }
+
+    /// Returns how fast the targets of a service are known to read.
+    #[must_use]
+    pub fn speed(&self, service: &str) -> ReadingSpeed {
+        let known = self.speeds.get(service).cloned();
+        known.unwrap_or_else(|| ReadingSpeed::new(self.options.prefill_tokens_per_ms))
+    }
+
     /// Notes that the first token came, or that the call ended before it.
     pub fn prefilled(&mut self, choice: &Choice) {
         if let Some(known) = self.chosen(choice) {
-            known.prefilled(choice.uncached_tokens);
+            known.prefilled(choice.read_ms);
         }
     }
 
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -6,6 +6,7 @@
 use super::Book;
 use crate::choice::Choice;
 use crate::known::Known;
+use crate::reading_speed::ReadingSpeed;
 use crate::work::Work;
 
 /// Tokens that are worth fetching: a transfer takes a millisecond or two to begin, in which about so
@@ -20,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct Outlook<'a> {
     work: &'a Work,
+    /// How fast the targets read.
+    speed: ReadingSpeed,
     is_long: bool,
     /// Targets kept for long prompts.
     kept: BTreeSet<&'a str>,
@@ -36,10 +39,12 @@
         service: &'a str,
         work: &'a Work,
     ) -> Outlook<'a> {
-        let is_long = self.is_long(work);
+        let speed = self.speed(service);
+        let is_long = self.is_long(&speed, work);
         let kept = self.kept_for_long(now, service);
         let mut outlook = Outlook {
             work,
+            speed,
             is_long,
             kept,
             home: None,
@@ -51,15 +56,8 @@
     }
 
     /// Tells whether a prompt takes so long to read that it holds up what runs beside it.
-    pub(super) fn is_long(&self, work: &Work) -> bool {
-        self.options.long_ms > 0.0 && self.own_read_ms(work) >= self.options.long_ms
-    }
-
-    /// Returns the time to read the part of a prompt that no other call shares.
-    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
-    pub(super) fn own_read_ms(&self, work: &Work) -> f64 {
-        let shared: u64 = work.shared_parts().iter().map(|part| part.tokens).sum();
-        work.prompt_tokens.saturating_sub(shared) as f64 / self.options.prefill_tokens_per_ms
+    pub(super) fn is_long(&self, speed: &ReadingSpeed, work: &Work) -> bool {
+        self.options.long_ms > 0.0 && own_read_ms(speed, work) >= self.options.long_ms
     }
 
     /// Returns the targets that are kept for long prompts, the same on every instance that sees
@@ -113,18 +111,15 @@
     }
 
     /// Returns the tokens of a prompt that a target is likely to keep.
-    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
     fn cached(&self, now: Duration, known: &Known, outlook: &Outlook<'_>) -> f64 {
-        let seen = known.cached_tokens(now, outlook.work) as f64;
+        let seen = tokens(known.cached_tokens(now, outlook.work));
         if outlook.home != Some(known.listed.target.as_str()) {
             return seen;
         }
-        let parts = outlook.work.shared_parts();
-        let shared: u64 = parts.iter().map(|part| part.tokens).sum();
-        seen.max(shared as f64 * self.options.home_share)
+        let shared = tokens(outlook.work.shared_tokens());
+        seen.max(shared * self.options.home_share)
     }
 
-    #[allow(clippy::cast_precision_loss)] // token counts far below 2^52
     pub(super) fn weigh(&self, now: Duration, known: &Known, outlook: &Outlook<'_>) -> Choice {
         let options = &self.options;
         let work = outlook.work;
@@ -136,30 +131,24 @@
             is_worth.then_some((source.listed.address, more))
         });
         let fetched_tokens = fetched.map_or(0.0, |(_, tokens)| tokens);
-        let uncached = (work.prompt_tokens as f64 - cached - fetched_tokens).max(0.0);
-        let waiting = known.own_prefill_tokens() as f64;
-        let running = known.own_running() as f64 + known.others(now);
+        let uncached = (tokens(work.prompt_tokens) - cached - fetched_tokens).max(0.0);
+        let before = tokens(work.prompt_tokens) - uncached;
+        let fetch_ms = outlook.speed.read_ms(fetched_tokens, cached) * options.fetch_share;
+        let read_ms = outlook.speed.read_ms(uncached, before) + fetch_ms;
         let others_reading_ms = known.others_reading(now).as_secs_f64() * 1_000.0;
-        let beside_ms = if outlook.is_long {
-            options.beside_ms
-        } else {
-            0.0
-        };
+        let ahead_ms = known.own_reading_ms() + others_reading_ms;
+        let running = tokens(known.own_running()) + known.others(now);
         let failures = known.failure_share(now);
         let is_far = work.prompt_tokens == 0 && known.listed.data_centre != self.data_centre;
         let is_apart = !outlook.kept.is_empty() && !outlook.is_for(target);
-        let read = uncached + waiting + fetched_tokens * options.fetch_share;
-        let cost_ms = read / options.prefill_tokens_per_ms
-            + others_reading_ms
-            + running * (options.running_ms + beside_ms)
+        let cost_ms = read_ms
+            + ahead_ms
+            + running * options.running_ms
             + failures * failures * options.failure_ms
             + f64::from(u8::from(is_apart)) * options.apart_ms
             + f64::from(u8::from(is_far)) * options.distance_ms;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let (uncached_tokens, ahead_tokens) = (
-            uncached as u64,
-            (waiting + others_reading_ms * options.prefill_tokens_per_ms) as u64,
-        );
+        let uncached_tokens = uncached as u64;
         Choice {
             target: known.listed.target.clone(),
             incarnation: known.listed.incarnation,
@@ -167,12 +156,25 @@
             cost_ms,
             uncached_tokens,
             fetch_from: fetched.map(|(address, _)| address),
-            ahead_tokens,
+            read_ms,
+            ahead_ms,
             running,
         }
     }
 }
 
+/// Returns the time to read the part of a prompt that no other call shares.
+pub(super) fn own_read_ms(speed: &ReadingSpeed, work: &Work) -> f64 {
+    let shared = work.shared_tokens();
+    let own = work.prompt_tokens.saturating_sub(shared);
+    speed.read_ms(tokens(own), tokens(shared))
+}
+
+#[allow(clippy::cast_precision_loss)] // counts far below 2^52
+pub(super) fn tokens(count: u64) -> f64 {
+    count as f64
+}
+
 impl Outlook<'_> {
     /// Tells whether a target is of those that the call's prompt, long or not, belongs to.
     fn is_for(&self, target: &str) -> bool {
--- a/crates/damaskstile-targets/src/book_options.rs
+++ b/crates/damaskstile-targets/src/book_options.rs
@@ -6,8 +6,10 @@
 /// a call is likely to wait for its first token.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BookOptions {
-    /// Prompt tokens that a target reads in a millisecond.
+    /// Prompt tokens that a target is taken to read in a millisecond before any was seen to.
     pub prefill_tokens_per_ms: f64,
+    /// Whether the speed is learned from the first tokens that come.
+    pub is_learning: bool,
     /// Cost of one call that runs there already.
     pub running_ms: f64,
     /// Cost of a target at which every call failed lately.
@@ -26,8 +28,6 @@
     pub long_ms: f64,
     /// Time to read a prompt from which on peers are told of it.
     pub tell_ms: f64,
-    /// Cost of a long prompt for each call that runs at its target already.
-    pub beside_ms: f64,
     /// Cost of a target kept for long prompts, for others, and the other way round.
     pub apart_ms: f64,
     /// Part of its time that a target kept for long prompts reads them; by it and by the load seen
@@ -40,15 +40,15 @@
 impl Default for BookOptions {
     fn default() -> Self {
         Self {
-            prefill_tokens_per_ms: 56.9,
+            prefill_tokens_per_ms: 50.0,
+            is_learning: true,
             running_ms: 3.0,
             failure_ms: 2_000.0,
             distance_ms: 1.0,
             home_share: 0.95,
             fetch_share: 0.2,
-            long_ms: 300.0,
+            long_ms: 350.0,
             tell_ms: 100.0,
-            beside_ms: 0.0,
             apart_ms: 100.0,
             long_busy: 0.15,
             lapse_grace: Duration::from_millis(1_500),
--- a/crates/damaskstile-targets/src/choice.rs
+++ b/crates/damaskstile-targets/src/choice.rs
@@ -19,8 +19,10 @@
     pub uncached_tokens: u64,
     /// Address of the target that is likely to keep parts of the prompt that this one does not.
     pub fetch_from: Option<SocketAddr>,
-    /// Prompt tokens that wait or are read there before it, as far as is known.
-    pub ahead_tokens: u64,
+    /// Time to read those, and what the fetched ones take.
+    pub read_ms: f64,
+    /// Time for which the target is likely to read other prompts before it.
+    pub ahead_ms: f64,
     /// Calls that are likely to run there.
     pub running: f64,
 }
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -30,7 +30,7 @@
     /// When the list stopped showing it; kept while that may be an outage of the list.
     pub(crate) missing_since: Option<Duration>,
     own_running: u64,
-    own_prefill_tokens: u64,
+    own_reading_ms: f64,
     others_running: u64,
     others_waiting: u64,
     reported_at: Duration,
@@ -48,7 +48,7 @@
             listed,
             missing_since: None,
             own_running: 0,
-            own_prefill_tokens: 0,
+            own_reading_ms: 0.0,
             others_running: 0,
             others_waiting: 0,
             reported_at: Duration::ZERO,
@@ -60,10 +60,10 @@
         }
     }
 
-    /// Notes that work was sent, with the tokens of the prompt that are not cached there.
-    pub(crate) fn sent(&mut self, now: Duration, work: &Work, uncached_tokens: u64) {
+    /// Notes that work was sent whose prompt takes so long to read there.
+    pub(crate) fn sent(&mut self, now: Duration, work: &Work, read_ms: f64) {
         self.own_running += 1;
-        self.own_prefill_tokens += uncached_tokens;
+        self.own_reading_ms += read_ms;
         for part in &work.parts {
             self.parts.insert(part.name, now);
         }
@@ -73,8 +73,8 @@
         }
     }
 
-    pub(crate) fn prefilled(&mut self, uncached_tokens: u64) {
-        self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(uncached_tokens);
+    pub(crate) fn prefilled(&mut self, read_ms: f64) {
+        self.own_reading_ms = (self.own_reading_ms - read_ms).max(0.0);
     }
 
     pub(crate) fn ended(&mut self) {
@@ -129,8 +129,9 @@
         self.own_running
     }
 
-    pub(crate) fn own_prefill_tokens(&self) -> u64 {
-        self.own_prefill_tokens
+    /// Returns the time to read the own prompts that wait or are read there.
+    pub(crate) fn own_reading_ms(&self) -> f64 {
+        self.own_reading_ms
     }
 
     /// Returns the calls of other instances that are likely to run or wait there now.
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -38,4 +38,14 @@
             [shared @ .., _own] => shared,
         }
     }
+
+    /// Returns the length of those parts.
+    ///
+    /// ```
+    /// assert_eq!(damaskstile_targets::Work::default().shared_tokens(), 0);
+    /// ```
+    #[must_use]
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
 }
