--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -10,6 +10,13 @@
 /// pause take 0.6 to 0.7 s; taken for an outage, it would keep targets in use that were removed.
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
+/// Length that an outage is expected to have before any was seen.
+const OUTAGE_START: Duration = Duration::from_secs(5);
+/// Longest outage that is learned from: one of hours tells callers nothing that they can wait for.
+const OUTAGE_MAX: Duration = Duration::from_secs(15);
+/// Shortest time that an outage is expected to go on, once it is longer than expected.
+const OUTAGE_LEFT_MIN: Duration = Duration::from_secs(1);
+
 /// `Contact` remembers when the store answered.
 #[derive(Debug, Clone, Default)]
 #[allow(clippy::struct_field_names)] // each is a time
@@ -19,6 +26,8 @@
     failed_at: Option<Duration>,
     regained_at: Option<Duration>,
     outage_ended_at: Option<Duration>,
+    /// Length that outages have, the later ones weighing most.
+    outage_length: Option<Duration>,
 }
 
 impl Contact {
@@ -30,8 +39,11 @@
             return false;
         };
         self.regained_at = Some(now);
-        if now.saturating_sub(lost_at) >= OUTAGE_MIN {
+        let length = now.saturating_sub(lost_at);
+        if length >= OUTAGE_MIN {
             self.outage_ended_at = Some(now);
+            let before = self.outage_length.unwrap_or(length);
+            self.outage_length = Some((before + length.min(OUTAGE_MAX)) / 2);
         }
         true
     }
@@ -77,6 +89,23 @@
         self.regained_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns how long the outage under way is likely to go on, by those that were seen; `None`
+    /// where the store answers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_gateway::contact::Contact;
+    /// let mut contact = Contact::default();
+    /// contact.failed(Duration::from_secs(10));
+    /// assert_eq!(contact.outage_left(Duration::from_secs(12)), Some(Duration::from_secs(3)));
+    /// ```
+    #[must_use]
+    pub fn outage_left(&self, now: Duration) -> Option<Duration> {
+        let passed = now.saturating_sub(self.lost_at?);
+        let expected = self.outage_length.unwrap_or(OUTAGE_START);
+        Some(expected.saturating_sub(passed).max(OUTAGE_LEFT_MIN))
+    }
+
     /// Returns the time since the last answer.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/damaskstile-gateway/src/exchange/tokens.rs
+++ b/crates/damaskstile-gateway/src/exchange/tokens.rs
@@ -12,6 +12,9 @@
 /// Longest wait for tokens that the store or a peer has: a few round trips, with conflicts, and
 /// still a small part of the time within which an answer is of full use.
 const TOKENS_WAIT: Duration = Duration::from_millis(120);
+/// The same where one instance writes for all: the pause between two of its writes, a call to the
+/// store, two datagrams, and the same again if a datagram is lost.
+const WRITER_TOKENS_WAIT: Duration = Duration::from_millis(300);
 
 impl Exchange {
     /// Reserves the worst case; waits a moment for tokens that the store has.
@@ -34,7 +37,7 @@
             let mut state = self.gateway.state();
             state.holder.note_demand(now, account, tokens, rank);
         }
-        let until = now + TOKENS_WAIT.min(self.left());
+        let until = now + self.tokens_wait();
         loop {
             let gateway = Arc::clone(&self.gateway);
             let round_done = gateway.round_done.notified();
@@ -69,6 +72,18 @@
         }
     }
 
+    /// Returns how long to wait for tokens: at most half of the time within which an answer is of
+    /// full use.
+    fn tokens_wait(&self) -> Duration {
+        let wait = if self.gateway.state().is_large_fleet() {
+            WRITER_TOKENS_WAIT
+        } else {
+            TOKENS_WAIT
+        };
+        let objective = self.terms.route.objective;
+        wait.min(objective / 2).max(TOKENS_WAIT).min(self.left())
+    }
+
     /// Has missing tokens fetched from the store or a peer; returns whether they may come soon.
     fn call_for_tokens(&self, shortage: Shortage, tokens: u64) -> bool {
         let gateway = &self.gateway;
@@ -97,6 +112,9 @@
         let age = state.holder.ledger_age(now);
         let version = state.holder.ledger_version();
         let standing = state.holder.standing(&account);
+        // Tokens that others hold come back with the store. A caller that asks once more before
+        // that is most likely refused once more.
+        let until_back = state.contact.outage_left(now).unwrap_or(RETRY_LATER);
         drop(state);
         self.record.add("needed", tokens);
         self.record.add("free", free);
@@ -113,7 +131,7 @@
                 Refusal::not_run(RefusalCode::BudgetReserved, Some(RETRY_AFTER_TOP_UP))
             }
             Shortage::InStore | Shortage::Elsewhere => {
-                Refusal::not_run(RefusalCode::BudgetUnreachable, Some(RETRY_LATER))
+                Refusal::not_run(RefusalCode::BudgetUnreachable, Some(until_back))
             }
         }
     }
