Ask several peers for the tokens that a call lacks

Cause: only a peer with twice the missing tokens was asked. Hypothesis: fewer refusals in isolations, no change otherwise; no token is at risk, since each gift is the one that there was before.

--- a/crates/damaskstile-gateway/src/exchange/tokens.rs
+++ b/crates/damaskstile-gateway/src/exchange/tokens.rs
@@ -95,7 +95,7 @@
         let now = gateway.now();
         let mut state = gateway.state();
         let missing = tokens.saturating_sub(state.holder.free_tokens(now, &account));
-        if state.richest_member(now, &account, missing).is_none() {
+        if state.givers(now, &account, missing).is_empty() {
             return false;
         }
         state.wanted_tokens.insert(account, missing);
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -220,17 +220,20 @@
         digest.with_departures(&state.book.draining(now), &state.vanished(now))
     }
 
-    /// Makes one question for each account that calls here lack tokens of, to the peer that said
-    /// last that it has most.
+    /// Makes the questions for each account that calls here lack tokens of, to the peers that said
+    /// last that they have most.
     fn asks(&self) -> Vec<(SocketAddr, AskTokens)> {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
         let wanted = std::mem::take(&mut state.wanted_tokens);
         wanted
             .into_iter()
-            .filter_map(|(account, tokens)| {
-                let address = state.richest_member(now, &account, tokens)?;
-                Some((address, AskTokens { account, tokens }))
+            .flat_map(|(account, tokens)| {
+                let givers = state.givers(now, &account, tokens);
+                givers.into_iter().map(move |(address, tokens)| {
+                    let account = account.clone();
+                    (address, AskTokens { account, tokens })
+                })
             })
             .collect()
     }
@@ -245,7 +248,7 @@
         let spare = state.holder.take_back_gifts();
         let mut gifts = Vec::new();
         for (account, tokens) in spare {
-            if let Some(address) = state.richest_member(now, &account, 0) {
+            if let Some(address) = state.richest_member(now, &account) {
                 state.gifts_made += 1;
                 let gift = state.gifts_made;
                 gifts.push((
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -30,6 +30,10 @@
 /// Retries are allowed as a part of this many seconds' requests.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
 
+/// Peers that one call's missing tokens are asked of: enough for a long call where each holds a few
+/// short ones, and two messages for each.
+const GIVERS_MAX: usize = 6;
+
 /// Age past which a peer's digest says nothing of what it has.
 const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
 
@@ -192,17 +196,46 @@
         }
     }
 
-    /// Returns the address of the peer that said last that it has most tokens of an account, if
-    /// that is twice what is needed.
+    /// Returns the address of the peer that said last that it has most tokens of an account.
+    #[must_use]
+    pub fn richest_member(&self, now: Duration, account: &str) -> Option<SocketAddr> {
+        self.rich_members(now, account)
+            .first()
+            .map(|(_, address)| *address)
+    }
+
+    /// Returns the peers to ask for tokens of an account that a call lacks, each with its part;
+    /// none where all that may be asked have too few together.
+    ///
+    /// Each peer keeps half of what it has. Where many instances share an account none has twice
+    /// the tokens of a long call, and calls were refused although all together had plenty.
     #[must_use]
-    pub fn richest_member(&self, now: Duration, account: &str, tokens: u64) -> Option<SocketAddr> {
-        self.members
+    pub fn givers(&self, now: Duration, account: &str, tokens: u64) -> Vec<(SocketAddr, u64)> {
+        let mut missing = tokens;
+        let mut givers = Vec::new();
+        for (free, address) in self.rich_members(now, account).iter().take(GIVERS_MAX) {
+            let part = missing.min(free / 2);
+            if part > 0 {
+                givers.push((*address, part));
+                missing -= part;
+            }
+        }
+        if missing > 0 {
+            givers.clear();
+        }
+        givers
+    }
+
+    /// Returns what peers said last that they have of an account, the largest first.
+    fn rich_members(&self, now: Duration, account: &str) -> Vec<(u64, SocketAddr)> {
+        let mut members: Vec<(u64, SocketAddr)> = self
+            .members
             .values()
             .filter(|member| now.saturating_sub(member.heard_at) < MEMBER_AGE_MAX)
-            .filter_map(|member| Some((member.free_tokens.get(account)?, member.address)))
-            .filter(|(free, _)| **free / 2 >= tokens)
-            .max()
-            .map(|(_, address)| address)
+            .filter_map(|member| Some((*member.free_tokens.get(account)?, member.address)))
+            .collect();
+        members.sort_unstable_by(|one, other| other.cmp(one));
+        members
     }
 
     /// Takes one retry from the instance's part of the fleet's budget.
