Targets kept for long prompts belong to the service that gets them

Cause, found on reading the change once more: the load of long prompts was counted for all services together, so of a plain service's four targets one stood idle. The test fails on the code before.

--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -36,8 +36,8 @@
     is_start_stated: bool,
     /// Instances of the fleet, each with about as much load.
     instances: u64,
-    /// Long prompts that this instance sent.
-    long_load: LongLoad,
+    /// Long prompts that this instance sent, by service.
+    long_loads: BTreeMap<ServiceId, LongLoad>,
     /// How fast targets read, by service.
     speeds: BTreeMap<ServiceId, ReadingSpeed>,
 }
@@ -54,7 +54,7 @@
             refused: BTreeMap::new(),
             is_start_stated: false,
             instances: 1,
-            long_load: LongLoad::default(),
+            long_loads: BTreeMap::new(),
             speeds: BTreeMap::new(),
         }
     }
@@ -120,20 +120,24 @@
 
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
-        let service = self
-            .targets
-            .get(&choice.target)
-            .map(|known| &known.listed.service);
-        let speed = self.speed(service.map_or("", String::as_str));
-        if self.is_long(&speed, work) {
-            let read_ms = own_read_ms(&speed, work);
-            self.long_load.add(now, read_ms);
-        }
+        self.note_long(now, choice, work);
         if let Some(known) = self.chosen(choice) {
             known.sent(now, work, choice.read_ms);
         }
     }
 
+    fn note_long(&mut self, now: Duration, choice: &Choice, work: &Work) {
+        let Some(known) = self.targets.get(&choice.target) else {
+            return;
+        };
+        let service = known.listed.service.clone();
+        let speed = self.speed(&service);
+        if self.is_long(&speed, work) {
+            let load = self.long_loads.entry(service).or_default();
+            load.add(now, own_read_ms(&speed, work));
+        }
+    }
+
     /// Returns how long the prompt of a call takes to read at its target, if that is worth telling
     /// the peers.
     #[must_use]
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -64,11 +64,11 @@
     /// the same load: as many as read them a given part of their time, in the order of a hash. Where
     /// that is less than half of one, a target would stand idle for a prompt now and then.
     fn kept_for_long<'a>(&'a self, now: Duration, service: &'a str) -> BTreeSet<&'a str> {
-        let instances = u32::try_from(self.instances.max(1)).unwrap_or(u32::MAX);
-        let busy = self.long_load.busy_targets(now) * f64::from(instances);
-        if busy <= 0.0 {
+        let Some(load) = self.long_loads.get(service) else {
             return BTreeSet::new();
-        }
+        };
+        let instances = u32::try_from(self.instances.max(1)).unwrap_or(u32::MAX);
+        let busy = load.busy_targets(now) * f64::from(instances);
         let mut ranked: Vec<(u64, &str)> = self
             .usable(now, service)
             .map(|known| known.listed.target.as_str())
--- a/crates/damaskstile-targets/tests/long_prompts.rs
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -306,3 +306,35 @@
     // Assert
     assert_eq!(used.len(), usize::from(TARGETS));
 }
+
+#[test]
+fn long_prompts_of_one_service_keep_no_target_of_another() {
+    // Symptom: calls of a plain service wait while one of its four targets has nothing to do.
+    // Sequence: a model's service gets long prompts. Cause: the load was counted for all services
+    // together, so targets of each were kept.
+
+    // Arrange
+    let mut books = fleet();
+    for index in 0..4 {
+        let target = Listed {
+            target: format!("p{index}"),
+            service: "plain".to_owned(),
+            ..listed(100 + index, None)
+        };
+        books[0].list(Duration::ZERO, target);
+    }
+    play_a_minute(&mut books);
+    let mut used = BTreeSet::new();
+
+    // Act
+    for call in 0..8 {
+        let work = Work::default();
+        let choice = books[0].choose(at(60_000 + call), "plain", &work, &[]);
+        let choice = choice.unwrap();
+        books[0].sent(at(60_000 + call), &choice, &work);
+        used.insert(choice.target);
+    }
+
+    // Assert
+    assert_eq!(used.len(), 4, "{used:?}");
+}
