--- a/crates/damaskstile-targets/src/book_options.rs
+++ b/crates/damaskstile-targets/src/book_options.rs
@@ -35,13 +35,13 @@
     pub long_ms: f64,
     /// Time to read a prompt from which on peers are told of it. A datagram arrives within
     /// milliseconds. Late answers on days with faults: 65 in 1,000 without, 59 with; from 40 ms on
-    /// the same with twice the messages.
+    /// no fewer.
     pub tell_ms: f64,
     /// Cost of a target kept for long prompts, for others, and the other way round: a busy minute's
     /// wait, so that none is left idle while the rest have thirty calls more each.
     pub apart_ms: f64,
     /// Part of its time that a target kept for long prompts reads them; by it and by the load seen
-    /// follows how many are kept. Two long prompts meet at such a target about once in seven.
+    /// follows how many are kept.
     pub long_busy: f64,
     /// Time for which a target stays in use after the list lost it around an outage of the list.
     pub lapse_grace: Duration,
