A call ends at its route's time-out whatever it waits for

Cause: the wait for a connection to a target (up to 400 ms, and the handshake) came on top of the call's time, and no timer stood round the whole exchange.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -29,6 +29,10 @@
 /// Shortest time that a target is given before a repeatable call goes to another one. Below it a
 /// long prompt ahead in the batch would be taken for silence.
 const PATIENCE_MIN: Duration = Duration::from_secs(1);
+/// Time past its limit after which a call is answered whatever it waits for. The waits inside it
+/// have limits of their own, which end it first and say more of the cause; callers are promised an
+/// answer within half a second.
+const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
 /// Bytes of a call's head, with those of the packets that carry it.
 const HEAD_BYTES: usize = 1_000;
 /// Largest answer that is kept to be sent again from another target, in bytes.
@@ -81,10 +85,12 @@
                 last_event: head.last_event,
                 is_sending: false,
             };
+            let time_is_up = tokio::time::sleep(limit + TIME_LIMIT_SLACK);
             tokio::select! {
                 biased;
                 response = exchange.go(body) => response,
                 () = gateway.cut() => exchange.cut(),
+                () = time_is_up => exchange.too_late(),
             }
         }
         Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
@@ -277,7 +283,7 @@
 
     fn too_late(&mut self) -> Response<ReplyBody> {
         let code = RefusalCode::DeadlineExceeded;
-        let refusal = if self.attempts.has_run() {
+        let refusal = if self.is_sending || self.attempts.has_run() {
             self.note_time();
             Refusal::unknown(code)
         } else {
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -9,6 +9,7 @@
 use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::AnswerHead;
 use crate::call::SendHead;
@@ -48,7 +49,8 @@
     }
 }
 
-/// Sends a call to one target and waits for the head of its answer, until `patience` is over.
+/// Sends a call to one target and waits for the head of its answer, until `patience` is over. The
+/// time that its connection takes counts: left out, it came on top of the route's time-out.
 ///
 /// # Errors
 ///
@@ -62,9 +64,12 @@
     patience: Duration,
     resume_after: Option<u64>,
 ) -> Result<Run, NoRun> {
+    let until = Instant::now() + patience;
     let running = Running::new(gateway, choice, &call.work);
     let choice = &running.choice;
-    let Ok(mut lease) = gateway.pool.lease(&choice.identity(), choice.address).await else {
+    let identity = choice.identity();
+    let leasing = gateway.pool.lease(&identity, choice.address);
+    let Ok(Ok(mut lease)) = timeout_at(until, leasing).await else {
         running.silent();
         return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
     };
@@ -84,7 +89,7 @@
         resume_after,
     };
     let request = build(gateway, call, &send);
-    let answer = match tokio::time::timeout(patience, lease.send(request)).await {
+    let answer = match timeout_at(until, lease.send(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::NotSent)) => return Err(NoRun::new(SendEnd::NotSent, "closed_before")),
         Ok(Err(SendError::Broken(_))) => {
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -18,10 +18,15 @@
 use http::{HeaderMap, Method, Uri};
 use support::{Away, SERVICE, choose, gateway, listed, unused_address};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, timeout};
 
 /// Time that a call may take here: far more than a connection on one machine needs.
 const LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a connection on one machine that is not made waits in a full queue.
+const QUEUE_WAIT: Duration = Duration::from_millis(200);
+/// Resolution of timers.
+const TIMER_STEP: Duration = Duration::from_millis(2);
 
 fn sendable() -> Sendable {
     Sendable {
@@ -138,3 +143,43 @@
     assert!(read.starts_with(b"POST /a/"));
     assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::Unknown));
 }
+
+/// Makes a target that takes no more connections, with those that fill its queue.
+async fn deaf_target() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(unused_address()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = timeout(QUEUE_WAIT, TcpStream::connect(address)).await {
+        queued.push(stream.unwrap());
+    }
+    (listener, queued)
+}
+
+#[tokio::test]
+async fn a_call_whose_connection_is_not_made_ends_within_its_time() {
+    // Symptom: calls have no answer half a second after their route's time-out. Sequence: a call
+    // that has little time left is given to a target; the target's link is full, so the connection
+    // is not made. Cause: the wait for the connection had a limit of its own, on top of the call's.
+
+    // Arrange
+    let (listener, _queued) = deaf_target().await;
+    let gateway = gateway(unused_address(), Arc::new(Away));
+    let now = gateway.now();
+    let address = listener.local_addr().unwrap();
+    gateway.state().book.list(now, listed("t0", address));
+    let (call, terms) = (sendable(), terms());
+    let choice = choose(&gateway, &[]).unwrap();
+    let patience = Duration::from_millis(100);
+    tokio::time::pause();
+    let began_at = Instant::now();
+
+    // Act
+    let sending = run::start(&gateway, &call, &terms, choice, now + LIMIT, patience, None);
+    let no_run = sending.await.err();
+
+    // Assert
+    assert!(began_at.elapsed() <= patience + TIMER_STEP);
+    assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::NotSent));
+}
