Wait for an answer of the store as long as it comes along

Ruled out: the store (other calls were answered), conflicts of writers (none), clocks. Test: an answer that trickles in for 1.5 limits, failed before.

--- a/crates/damaskstile-http/src/client.rs
+++ b/crates/damaskstile-http/src/client.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -111,24 +111,35 @@
 pub async fn send_whole(call: Call, limit: Duration) -> Result<Reply> {
     let exchange = async {
         let (head, body) = send(call).await?.into_parts();
-        read_whole(head, body).await
+        read_whole(head, body, limit).await
     };
     tokio::time::timeout(limit, exchange)
         .await
-        .unwrap_or_else(|_| Err(Error::Broken("no answer in time".to_owned())))
+        .unwrap_or_else(|_| Err(Error::Silent))
 }
 
-/// Reads the rest of an answer.
-pub(crate) async fn read_whole(head: response::Parts, body: Incoming) -> Result<Reply> {
-    let body = http_body_util::Limited::new(body, BODY_BYTES_MAX)
-        .collect()
-        .await
-        .map_err(|error| Error::Broken(error.to_string()))?
-        .to_bytes();
+/// Reads the rest of an answer, in which no pause is longer than the limit.
+pub(crate) async fn read_whole(
+    head: response::Parts,
+    body: Incoming,
+    pause_limit: Duration,
+) -> Result<Reply> {
+    let mut body = http_body_util::Limited::new(body, BODY_BYTES_MAX);
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(pause_limit, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Error::Silent)? else {
+            break;
+        };
+        let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
+        if let Ok(bytes) = frame.into_data() {
+            whole.extend_from_slice(&bytes);
+        }
+    }
     Ok(Reply {
         status: head.status,
         headers: head.headers,
-        body,
+        body: whole.freeze(),
     })
 }
 
--- a/crates/damaskstile-http/src/errors.rs
+++ b/crates/damaskstile-http/src/errors.rs
@@ -11,6 +11,8 @@
     NotConnected(std::io::Error),
     /// The call was sent, in whole or in part, and then failed.
     Broken(String),
+    /// The call was sent, in whole or in part, and then nothing came for too long.
+    Silent,
     /// The other side answered with something that it should not.
     Unexpected {
         /// HTTP status.
@@ -29,6 +31,7 @@
             Self::Invalid(what) => write!(f, "invalid call: {what}"),
             Self::NotConnected(error) => write!(f, "no connection: {error}"),
             Self::Broken(what) => write!(f, "call broken off: {what}"),
+            Self::Silent => write!(f, "call broken off: no answer in time"),
             Self::Unexpected { status, body } => write!(f, "status {status}: {body}"),
         }
     }
--- a/crates/damaskstile-http/tests/kept.rs
+++ b/crates/damaskstile-http/tests/kept.rs
@@ -67,3 +67,60 @@
     assert!(unanswered.is_err());
     assert_eq!(next.unwrap().text(), "ok");
 }
+
+/// Serves one call whose answer trickles in, longer in all than a call may take until it begins.
+async fn slow_server(pieces: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 1024];
+        let _ = stream.read(&mut buffer).await.unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {pieces}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..pieces {
+            tokio::time::sleep(pause).await;
+            // A caller that gave up is what some of the tests are about.
+            if stream.write_all(b"x").await.is_err() {
+                return;
+            }
+        }
+        let _ = stream.read(&mut buffer).await;
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_answer_that_comes_slowly_is_waited_for_and_not_asked_for_again() {
+    // Symptom: after all instances were killed none of hundreds ever reads the ledger again.
+    // Sequence: all read one large object at once, and the store's link needs 1.4 s for all; each
+    // throws away what it has after 1.2 s and begins anew, which keeps the link as full. Cause: the
+    // limit was for the whole answer, however well it came along.
+
+    // Arrange
+    let address = slow_server(12, LIMIT / 8).await;
+    let client = KeptClient::new(&address.to_string());
+
+    // Act
+    let call = Call::new("store", Method::GET, "/a");
+    let reply = client.call(&call, LIMIT);
+
+    // Assert
+    assert_eq!(reply.await.unwrap().text().len(), 12);
+}
+
+#[tokio::test]
+async fn an_answer_that_stops_coming_is_given_up() {
+    // Arrange
+    let address = slow_server(2, Duration::from_secs(30)).await;
+    let client = KeptClient::new(&address.to_string());
+    let began_at = std::time::Instant::now();
+
+    // Act
+    let call = Call::new("store", Method::GET, "/a");
+    let reply = client.call(&call, LIMIT);
+
+    // Assert
+    assert!(reply.await.is_err());
+    assert!(began_at.elapsed() < Duration::from_secs(3));
+}
