--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -2,10 +2,12 @@
 
 mod estates;
 mod gifts;
+mod lending;
 mod merge;
 mod plan;
 mod reports;
 mod round;
+mod shortage;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
@@ -21,10 +23,6 @@
 use crate::standing::Standing;
 use crate::sums::Sums;
 
-/// Time since the last ask for which an instance goes on holding tokens of an account for others:
-/// as long as the demand that it holds.
-const LENDING_SPAN: Duration = Duration::from_secs(12);
-
 use reports::Outstanding;
 pub use reports::Role;
 use round::Pending;
@@ -206,23 +204,6 @@
         self.prepaid_tokens.contains_key(account)
     }
 
-    /// Tells whether the demand that is measured here counts as this instance's, since it holds
-    /// tokens of the account. Else it counts where its calls borrow.
-    #[must_use]
-    pub fn is_counted(&self, now: Duration, account: &str) -> bool {
-        let purse = self.purses.get(account);
-        purse.is_some_and(|purse| !self.is_borrowed(&self.demand_claim(now, purse)))
-    }
-
-    /// Notes that this instance lends tokens of an account to others. It holds tokens of it for
-    /// them, however few calls of it there are.
-    pub fn note_lending(&mut self, now: Duration, account: &str) {
-        if self.prepaid_tokens.contains_key(account) {
-            let purse = self.purses.entry(account.to_owned()).or_default();
-            purse.lends_until = now + LENDING_SPAN;
-        }
-    }
-
     /// Notes that a call asked for tokens, once for each call however often it is tried.
     pub fn note_demand(&mut self, now: Duration, account: &str, tokens: u64, rank: Rank) {
         if self.prepaid_tokens.contains_key(account) {
@@ -362,62 +343,4 @@
             span_ms: unix_ms(self.options.unlock_span),
         }
     }
-
-    /// Tells whether a call must leave what is left to more urgent ones of its account. Near its
-    /// end a budget pays for many short urgent calls or for a few long ones that can wait.
-    fn is_kept_for_urgent(&self, now: Duration, account: &str, tokens: u64, rank: Rank) -> bool {
-        let Some(purse) = self.purses.get(account) else {
-            return false;
-        };
-        if purse.is_urgent(rank) {
-            return false;
-        }
-        let urgent = purse.urgent_demand.tokens_per_s(now)
-            + self.overview.account(account).others_urgent_tokens_per_s;
-        let kept = urgent.saturating_mul(self.options.urgent_horizon.as_secs());
-        self.left_tokens(account) < kept.saturating_add(tokens)
-    }
-
-    /// Tells whether the ledger was seen so lately that it proves what others have.
-    fn is_ledger_recent(&self, now: Duration) -> bool {
-        let age = self.ledger_age(now);
-        age.is_some_and(|age| age <= self.options.evidence_age)
-    }
-
-    /// Tells whether no instance has so many tokens, by a recent look at the ledger. Nothing but
-    /// another purchase brings them then, so a caller need not ask again.
-    fn is_exhausted(&self, now: Duration, account: &str, tokens: u64) -> bool {
-        let purse = self.purses.get(account);
-        let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
-        let left = self.left_tokens(account).saturating_sub(own_reserved);
-        self.is_ledger_recent(now) && tokens > left
-    }
-
-    fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
-        let can_ask = self.role == Role::Member && !self.is_in_doubt;
-        if !self.is_ledger_recent(now) {
-            // The answer to a report tells how the account stands.
-            return if can_ask {
-                Shortage::InStore
-            } else {
-                Shortage::Elsewhere
-            };
-        }
-        if self.is_exhausted(now, account, tokens) {
-            return Shortage::Exhausted;
-        }
-        let purse = self.purses.get(account);
-        // A write without an answer, or none for longer than a round, tells of an isolation.
-        let is_in_touch = match self.role {
-            Role::Member => can_ask,
-            Role::Writer => !self.is_in_doubt && self.was_touched_lately(now),
-        };
-        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
-        let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
-        let pool = self.overview.account(account).pool(prepaid);
-        if is_in_touch && tokens <= held + pool {
-            return Shortage::InStore;
-        }
-        Shortage::Elsewhere
-    }
 }
--- /dev/null
+++ b/crates/damaskstile-escrow/src/holder/shortage.rs
@@ -0,0 +1,74 @@
+//! `shortage` tells why tokens could not be reserved, and what is kept for more urgent calls.
+
+use damaskstile_core::prelude::*;
+
+use super::Holder;
+use super::reports::Role;
+use crate::purse::Rank;
+use crate::shortage::Shortage;
+
+impl Holder {
+    /// Tells whether a call must leave what is left to more urgent ones of its account. Near its
+    /// end a budget pays for many short urgent calls or for a few long ones that can wait.
+    pub(super) fn is_kept_for_urgent(
+        &self,
+        now: Duration,
+        account: &str,
+        tokens: u64,
+        rank: Rank,
+    ) -> bool {
+        let Some(purse) = self.purses.get(account) else {
+            return false;
+        };
+        if purse.is_urgent(rank) {
+            return false;
+        }
+        let urgent = purse.urgent_demand.tokens_per_s(now)
+            + self.overview.account(account).others_urgent_tokens_per_s;
+        let kept = urgent.saturating_mul(self.options.urgent_horizon.as_secs());
+        self.left_tokens(account) < kept.saturating_add(tokens)
+    }
+
+    /// Tells whether the ledger was seen so lately that it proves what others have.
+    pub(super) fn is_ledger_recent(&self, now: Duration) -> bool {
+        let age = self.ledger_age(now);
+        age.is_some_and(|age| age <= self.options.evidence_age)
+    }
+
+    /// Tells whether no instance has so many tokens, by a recent look at the ledger. Nothing but
+    /// another purchase brings them then, so a caller need not ask again.
+    pub(super) fn is_exhausted(&self, now: Duration, account: &str, tokens: u64) -> bool {
+        let purse = self.purses.get(account);
+        let own_reserved = purse.map_or(0, |purse| purse.reserved_tokens);
+        let left = self.left_tokens(account).saturating_sub(own_reserved);
+        self.is_ledger_recent(now) && tokens > left
+    }
+
+    pub(super) fn shortage(&self, now: Duration, account: &str, tokens: u64) -> Shortage {
+        let can_ask = self.role == Role::Member && !self.is_in_doubt;
+        if !self.is_ledger_recent(now) {
+            // The answer to a report tells how the account stands.
+            return if can_ask {
+                Shortage::InStore
+            } else {
+                Shortage::Elsewhere
+            };
+        }
+        if self.is_exhausted(now, account, tokens) {
+            return Shortage::Exhausted;
+        }
+        let purse = self.purses.get(account);
+        // A write without an answer, or none for longer than a round, tells of an isolation.
+        let is_in_touch = match self.role {
+            Role::Member => can_ask,
+            Role::Writer => !self.is_in_doubt && self.was_touched_lately(now),
+        };
+        let prepaid = self.prepaid_tokens.get(account).copied().unwrap_or(0);
+        let held = purse.map_or(0, |purse| purse.free(purse.allowed_tokens));
+        let pool = self.overview.account(account).pool(prepaid);
+        if is_in_touch && tokens <= held + pool {
+            return Shortage::InStore;
+        }
+        Shortage::Elsewhere
+    }
+}
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! `exchange` takes one call from its caller to its answer.
 
+mod admission;
 mod stopping;
 mod tokens;
 
@@ -8,11 +9,10 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, Next, SendEnd};
-use http::{HeaderValue, Request, Response, header, request};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use crate::call::CallHead;
 use crate::events::EventCutter;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
@@ -26,6 +26,8 @@
 use crate::sendable::Sendable;
 use crate::state::Terms;
 
+use admission::admit;
+
 /// Shortest time that a target is given before a repeatable call goes to another one. Below it a
 /// long prompt ahead in the batch would be taken for silence.
 const PATIENCE_MIN: Duration = Duration::from_secs(1);
@@ -104,32 +106,6 @@
     response
 }
 
-fn admit(
-    gateway: &Gateway,
-    parts: &request::Parts,
-    head: &CallHead,
-    record: &mut Record,
-) -> Result<Terms, Refusal> {
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or("");
-    let host = host.split(':').next().unwrap_or("").to_ascii_lowercase();
-    let now = gateway.now();
-    let terms = gateway.state().terms(now, &host, parts.uri.path(), head);
-    let terms = terms.map_err(|code| {
-        let wait = (code == RefusalCode::Starting).then_some(RETRY_LATER);
-        Refusal::not_run(code, wait)
-    })?;
-    record.set_account(terms.account.as_deref().unwrap_or("-"));
-    record.add("route", &terms.route.name);
-    record.add("service", &terms.service);
-    record.add("version", terms.catalogue.version());
-    record.add("version_age_ms", terms.catalogue_age.as_millis());
-    Ok(terms)
-}
-
 fn refuse(
     gateway: &Gateway,
     record: &mut Record,
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -175,7 +175,7 @@
                 take_changes(gateway, followed, changes, version).await;
             }
             // What changed meanwhile comes with the next watch, which begins at the same version.
-            Watched::Swallowed => {
+            Watched::LostInOutage => {
                 note_unanswered(
                     gateway,
                     followed,
--- a/crates/damaskstile-gateway/src/follow/watching.rs
+++ b/crates/damaskstile-gateway/src/follow/watching.rs
@@ -1,4 +1,4 @@
-//! `watching` waits for one answer of a watch, and gives up a watch that an outage has swallowed.
+//! `watching` waits for one answer of a watch, and gives up a watch that an outage has lost.
 //!
 //! A store that falls silent may lose the watches that it was sent and answer all later calls. Such
 //! a watch ends only at its own limit, which is longer than a change may take to come into force.
@@ -21,7 +21,7 @@
 /// Longest time that one watch waits. Each further one is a call to the store.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time after a watch was sent until another call is made beside it: long enough for the watch to
-/// be on its way first, so that an outage which swallows the watch meets the call too.
+/// be on its way first, so that an outage in which the watch is lost meets the call too.
 const BESIDE_DELAY: Duration = Duration::from_millis(50);
 /// Shortest time between two watches that outages end. Where the store refuses some calls and
 /// answers others, each pair of them looks like an outage; without this an instance that lacks
@@ -37,7 +37,7 @@
     /// With an answer: the changes, and the version to watch on from.
     Changes(Vec<Change>, Version),
     /// The store answers again after an outage in which this watch may have been lost.
-    Swallowed,
+    LostInOutage,
     /// Peers watch for this instance again, so their word counts and not this watch.
     NotNeeded,
     /// With an error.
@@ -55,7 +55,7 @@
             Ok((changes, next)) => Watched::Changes(changes, next),
             Err(error) => Watched::Failed(error),
         },
-        () = outage_over(gateway, outages_over) => Watched::Swallowed,
+        () = outage_over(gateway, outages_over) => Watched::LostInOutage,
         () = not_needed(gateway) => Watched::NotNeeded,
     }
 }
@@ -74,7 +74,7 @@
     }
 }
 
-/// Returns once an outage is over that may have swallowed a watch which was sent just now.
+/// Returns once an outage is over that may have lost a watch that was sent just now.
 async fn outage_over(gateway: &Gateway, mut outages_over: Receiver<u64>) {
     let sent_at = Instant::now();
     tokio::time::sleep(BESIDE_DELAY).await;
--- a/crates/damaskstile-gateway/src/proof.rs
+++ b/crates/damaskstile-gateway/src/proof.rs
@@ -2,7 +2,7 @@
 //!
 //! Watches may stay open for long and say nothing, so their silence does not tell whether the store
 //! is there. Two duties need to know: peers go by the word of the few watchers of a large fleet,
-//! and a watch that an outage has swallowed must be noticed.
+//! and a watch that an outage has lost must be noticed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 
 /// Silence of the store after which an instance that watches it asks for a sign of life: twice
 /// within the time for which peers believe it, and, with the limit of a call, early enough to find
-/// a swallowed watch within the time that a change may take. Such a call costs a tenth of another.
+/// a lost watch within the time that a change may take. Such a call costs a tenth of another.
 const PROOF_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The same for an instance that watches for nobody and whose last call failed. It may have no
--- a/crates/damaskstile-loans/src/loan.rs
+++ b/crates/damaskstile-loans/src/loan.rs
@@ -3,7 +3,9 @@
 mod answer;
 mod ask;
 mod end;
+mod ends_taken;
 
 pub use answer::{LoanAnswer, LoanOutcome};
 pub use ask::LoanAsk;
-pub use end::{LoanEnd, LoanEnds, LoanEndsTaken};
+pub use end::{LoanEnd, LoanEnds};
+pub use ends_taken::LoanEndsTaken;
--- a/crates/damaskstiled/src/store.rs
+++ b/crates/damaskstiled/src/store.rs
@@ -79,7 +79,7 @@
     }
 }
 
-/// Watches the settings. An outage may swallow a watch without an answer, which shows only at the
+/// Watches the settings. An outage may lose a watch without an answer, which shows only at the
 /// watch's own limit; so it is sent anew once lists of targets are answered again.
 async fn watch_settings(
     platform: Platform,
--- a/crates/damaskstiled/tests/fleet.rs
+++ b/crates/damaskstiled/tests/fleet.rs
@@ -243,13 +243,13 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_watch_that_an_outage_swallowed_does_not_hold_back_settings() {
+async fn a_watch_that_an_outage_lost_does_not_hold_back_settings() {
     // Symptom: an accepted version of the settings comes into force many seconds late. Sequence: a
     // change ends the watch; the platform fails and loses the next watch; it comes back and answers
     // all other calls. Cause: the watch was ended by nothing but its own limit of 20 s and more.
 
     // Arrange
-    let fleet = Fleet::start("swallowed", &["one"], 10_000).await;
+    let fleet = Fleet::start("lost-watch", &["one"], 10_000).await;
 
     // Act
     fleet
