--- a/crates/damaskstile-gateway/src/state/roles.rs
+++ b/crates/damaskstile-gateway/src/state/roles.rs
@@ -119,8 +119,8 @@
         !self.is_large_fleet() || better.count() < SCOUTS_MAX
     }
 
-    /// Returns the best suited writer that is in touch with the store, this instance among them, as
-    /// peers should know it; `None` where none is.
+    /// Returns the peer that writes for this instance, as others should know it; `None` where it
+    /// writes itself, which its own digest tells.
     #[must_use]
     pub fn best_in_touch(&self, now: Duration) -> Option<PeerWord> {
         let (name, _) = self.writer(now)?;
