Lines on broken runs name what was asked for, and whether the target ended

The lines on the incident could not tell its hypotheses apart: every attempt has an id of its own, and a broken connection looks the same whether the call alone broke or its target ended.

--- /dev/null
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -0,0 +1,50 @@
+//! `broken_run` follows up a run whose connection broke.
+
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+use damaskstile_requests::Fingerprint;
+use damaskstile_targets::Choice;
+
+use crate::gateway::Gateway;
+use crate::sendable::Sendable;
+use crate::state::Terms;
+
+/// `BrokenRun` is a run whose connection broke before its answer was whole.
+#[derive(Debug)]
+pub(crate) struct BrokenRun {
+    /// Where it ran.
+    target: TargetIdentity,
+    /// The target's address.
+    address: SocketAddr,
+    /// When it was sent.
+    sent_at: Duration,
+}
+
+impl BrokenRun {
+    /// Names the run of a call that is sent to its choice now.
+    pub(crate) fn of(choice: &Choice, sent_at: Duration) -> Self {
+        Self {
+            target: choice.identity(),
+            address: choice.address,
+            sent_at,
+        }
+    }
+
+    /// Finds out whether the target has ended, and logs what ran there.
+    pub(crate) async fn follow_up(&self, gateway: &Gateway, call: &Sendable, terms: &Terms) {
+        let now = gateway.now();
+        let state = gateway.ends.look(now, &self.target, self.address).await;
+        let content = Fingerprint::of(&call.content(terms.account.as_deref()));
+        let ran_ms = now.saturating_sub(self.sent_at).as_millis().to_string();
+        let fields = [
+            ("target", self.target.target.as_str()),
+            ("state", state.as_str()),
+            ("id", call.id.as_deref().unwrap_or("-")),
+            ("content", &content.to_string()),
+            ("account", terms.account.as_deref().unwrap_or("-")),
+            ("ran_ms", &ran_ms),
+        ];
+        gateway.log(EventCode::RunBroken, &fields);
+    }
+}
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use crate::broken_run::BrokenRun;
 use crate::events::EventCutter;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
@@ -21,7 +22,7 @@
 use crate::relay::Relay;
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
 use crate::reservation::Reservation;
-use crate::run::{self, Run};
+use crate::run::{self, NoRun, Run};
 use crate::send;
 use crate::sendable::Sendable;
 use crate::state::Terms;
@@ -225,6 +226,7 @@
             };
             self.is_sending = true;
             let patience = self.patience(left);
+            let sent = BrokenRun::of(&choice, self.gateway.now());
             let started = run::start(
                 &self.gateway,
                 &self.call,
@@ -237,12 +239,9 @@
             let no_run = match started.await {
                 Ok(run) => match self.answer(run, reservation).await {
                     Ok(response) => return (response, None),
-                    Err((cause, kept)) => {
+                    Err((no_run, kept)) => {
                         reservation = kept;
-                        run::NoRun {
-                            end: SendEnd::Failed,
-                            cause,
-                        }
+                        no_run
                     }
                 },
                 Err(no_run) => no_run,
@@ -253,6 +252,9 @@
             self.attempts.note(no_run.end);
             self.is_sending = false;
             self.record.add("cause", no_run.cause);
+            if no_run.end == SendEnd::Broken {
+                sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+            }
             if self.left().is_zero() {
                 return (self.too_late(), Some(reservation));
             }
@@ -301,7 +303,7 @@
         &mut self,
         run: Run,
         reservation: Reservation,
-    ) -> Result<Response<ReplyBody>, (&'static str, Reservation)> {
+    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
         let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
         if is_stream {
             return Ok(self.relay(run, reservation));
@@ -310,7 +312,7 @@
         let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
         if run.parts.status.is_server_error() && may_repeat {
             run.running.note(false);
-            return Err(("failed", reservation));
+            return Err((NoRun::new(SendEnd::Failed, "failed"), reservation));
         }
         self.pass_whole(run, reservation).await
     }
@@ -319,7 +321,7 @@
         &mut self,
         run: Run,
         mut reservation: Reservation,
-    ) -> Result<Response<ReplyBody>, (&'static str, Reservation)> {
+    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
         let Run {
             mut parts,
             head,
@@ -332,9 +334,9 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
                 running.note(false);
-                return Err(("body_broken", reservation));
+                return Err((NoRun::new(SendEnd::Broken, "body_broken"), reservation));
             }
-            Err(_) => return Err(("body_late", reservation)),
+            Err(_) => return Err((NoRun::new(SendEnd::Failed, "body_late"), reservation)),
         };
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::pool::Pool;
 use crate::state::State;
 use crate::stop_times::StopTimes;
+use crate::target_ends::TargetEnds;
 
 /// Messages that may wait to be sent to peers: a receipt for each of the largest fleet in view.
 const OUTBOX_RING: usize = 512;
@@ -42,6 +43,8 @@
     pub store: CountedStore,
     /// Kept connections to targets.
     pub pool: Arc<Pool>,
+    /// Finds out whether targets have ended.
+    pub ends: TargetEnds,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Numbered events.
@@ -100,6 +103,7 @@
             directory,
             store: CountedStore::new(store),
             pool: Pool::new(),
+            ends: TargetEnds::default(),
             metrics: Metrics::new(),
             log,
             round_wanted: Notify::new(),
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Directory`](directory::Directory) and [`ObjectStore`](objects::ObjectStore).
 
 pub mod answer;
+mod broken_run;
 pub mod call;
 pub mod call_times;
 pub mod charge;
@@ -49,6 +50,7 @@
 pub mod state;
 pub mod stop;
 pub mod stop_times;
+pub mod target_ends;
 pub mod target_list;
 pub mod target_words;
 
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
+use crate::broken_run::BrokenRun;
 use crate::events::{EventCutter, WholeEvent};
 use crate::exchange::{patience, plan_next};
 use crate::gateway::Gateway;
@@ -63,6 +64,9 @@
 enum Piece {
     Event(WholeEvent),
     End,
+    /// The connection ended before the stream.
+    Closed(&'static str),
+    /// The run is of no more use.
     Broken(&'static str),
     TooLate,
 }
@@ -99,6 +103,12 @@
                     }
                 }
                 Piece::End => return self.end().await,
+                Piece::Closed(cause) => {
+                    self.note_closed().await;
+                    if !self.go_on(cause).await {
+                        return Some(Err(self.break_off(cause)));
+                    }
+                }
                 Piece::Broken(cause) => {
                     if !self.go_on(cause).await {
                         return Some(Err(self.break_off(cause)));
@@ -129,9 +139,9 @@
             };
             let frame = match tokio::time::timeout(patience, run.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Piece::Broken("broken"),
+                Ok(Some(Err(_))) => return Piece::Closed("broken"),
                 Ok(None) if self.cutter.is_empty() => return Piece::End,
-                Ok(None) => return Piece::Broken("half_event"),
+                Ok(None) => return Piece::Closed("half_event"),
                 Err(_) if left <= patience => return Piece::TooLate,
                 Err(_) => return Piece::Broken("stalled"),
             };
@@ -214,6 +224,15 @@
         route.kind.is_repeatable() && is_over_in_time()
     }
 
+    /// Finds out what became of a target that closed the connection in the middle of the stream.
+    async fn note_closed(&mut self) {
+        let Some(run) = &self.run else {
+            return;
+        };
+        let sent = BrokenRun::of(&run.running.choice, run.running.sent_at());
+        sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+    }
+
     /// Goes on at another target after a broken run, if the route allows it.
     async fn go_on(&mut self, cause: &'static str) -> bool {
         if let Some(run) = self.run.take() {
@@ -244,6 +263,7 @@
             };
             self.note_resumption(cause, &choice.target);
             let patience = patience(&self.terms, left);
+            let sent = BrokenRun::of(&choice, self.gateway.now());
             let resume_after = self.last_event;
             let started = run::start(
                 &self.gateway,
@@ -265,8 +285,12 @@
                     cause = "failed";
                 }
                 Err(no_run) => {
-                    if no_run.end != SendEnd::Unknown {
-                        self.reservation.not_run();
+                    match no_run.end {
+                        SendEnd::NotSent | SendEnd::NotRun => self.reservation.not_run(),
+                        SendEnd::Broken => {
+                            sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+                        }
+                        SendEnd::Unknown | SendEnd::Failed => {}
                     }
                     self.attempts.note(no_run.end);
                     cause = no_run.cause;
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -44,7 +44,7 @@
 }
 
 impl NoRun {
-    const fn new(end: SendEnd, cause: &'static str) -> Self {
+    pub(crate) const fn new(end: SendEnd, cause: &'static str) -> Self {
         Self { end, cause }
     }
 }
@@ -97,7 +97,7 @@
             if !lease.is_reused {
                 running.note(false);
             }
-            return Err(NoRun::new(SendEnd::Unknown, "broken"));
+            return Err(NoRun::new(SendEnd::Broken, "broken"));
         }
         Err(_) => {
             running.silent();
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Returns when the call was sent.
+    #[must_use]
+    pub fn sent_at(&self) -> Duration {
+        self.sent_at
+    }
+
     /// Notes that an event came; the first one tells how fast the target reads.
     pub fn event(&mut self) {
         if !self.is_prefilled {
--- a/crates/damaskstile-gateway/src/sendable.rs
+++ b/crates/damaskstile-gateway/src/sendable.rs
@@ -1,8 +1,9 @@
 //! `sendable` is a call as it goes to any target.
 
 use bytes::Bytes;
+use damaskstile_requests::Content;
 use damaskstile_targets::Work;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Uri, header};
 
 /// `Sendable` is a call as it goes to any target.
 #[derive(Debug, Clone)]
@@ -20,3 +21,19 @@
     /// What it asks of a target.
     pub work: Work,
 }
+
+impl Sendable {
+    /// Returns what it asks for, for a client account.
+    #[must_use]
+    pub fn content<'a>(&'a self, account: Option<&'a str>) -> Content<'a> {
+        let host = self.headers.get(header::HOST);
+        let path = self.uri.path_and_query();
+        Content {
+            account: account.unwrap_or_default(),
+            method: self.method.as_str(),
+            host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+            path: path.map_or_else(|| self.uri.path(), |path| path.as_str()),
+            body: &self.body,
+        }
+    }
+}
--- a/crates/damaskstile-requests/src/attempts.rs
+++ b/crates/damaskstile-requests/src/attempts.rs
@@ -30,7 +30,7 @@
         match end {
             SendEnd::NotSent => self.not_sent += 1,
             SendEnd::NotRun => self.sent += 1,
-            SendEnd::Unknown | SendEnd::Failed => {
+            SendEnd::Unknown | SendEnd::Broken | SendEnd::Failed => {
                 self.sent += 1;
                 self.has_run = true;
             }
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod claim_op;
 pub mod claim_table;
 pub mod claims;
+pub mod content;
+pub mod fingerprint;
 pub mod retries;
 pub mod send_end;
 
@@ -15,5 +17,7 @@
 pub use claim_op::ClaimOp;
 pub use claim_table::ClaimTable;
 pub use claims::{ClaimEffect, ClaimShard};
+pub use content::Content;
+pub use fingerprint::Fingerprint;
 pub use retries::RetryBudget;
 pub use send_end::SendEnd;
--- a/crates/damaskstile-requests/src/send_end.rs
+++ b/crates/damaskstile-requests/src/send_end.rs
@@ -9,6 +9,8 @@
     NotRun,
     /// The call may have run, in whole or in part.
     Unknown,
+    /// The connection broke after the call was sent; it may have run, in whole or in part.
+    Broken,
     /// The call ran and failed at the target.
     Failed,
 }
