A call under which three targets ended is refused at all instances

Callers saw streams broken off and refusals by the hundred: a call that ends each target which begins to run it came again and again, under ids that differ, at any instance, and took down 48 to 50 targets with some 30 other calls each.

Cause: what limits attempts is counted for each call. Its harm adds up over attempts and instances, and nobody added it up.

Now ends of targets are counted by content (account, method, host, path, body). A connection that broke counts only where nothing listens at the target's address any more. Ends are told at once to the instances that collect those of the content (all of a small fleet, four of a large one by hash), and from two ends on in digests; three ends that came apart by 250 ms refuse the content for ten minutes, as not run, with the time left. An answer that was whole clears it; a content all of whose ends were also under one that is refused and has more is not held for the cause. Memory: 512 contents of 16 ends; who has most of them loses one first.

Why it holds: whatever instance the attempts reach, the ends meet at the same few collectors, and a refused content stands in every digest, so that an instance that starts has it with the first.

--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -52,6 +52,8 @@
     InProgress,
     /// The target's stream was cut after the request was sent.
     TargetLost,
+    /// Targets ended again and again while they ran the same request.
+    CrashesTargets,
 }
 
 impl RefusalCode {
@@ -87,6 +89,7 @@
             Self::AlreadyRan => "already_ran",
             Self::InProgress => "in_progress",
             Self::TargetLost => "target_lost",
+            Self::CrashesTargets => "crashes_targets",
         }
     }
 }
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -56,6 +56,8 @@
     CallerLeft = 110, "info", "A caller left before its answer was whole; its run was cancelled.";
     SendRetried = 111, "warn", "A call is sent again, to another target or over another connection.";
     CallCut = 112, "error", "A stop cut a call off before its answer was whole.";
+    ContentBarred = 113, "error", "Targets ended again and again under calls for the same; it is refused.";
+    ContentReleased = 114, "info", "What was refused because targets ended under it is served again.";
     GrantReceived = 201, "info", "Tokens were granted out of a budget.";
     GrantSealed = 202, "warn", "A silent holder's grant was closed and its rest given back.";
     GrantLost = 203, "warn", "A grant of this instance was closed by its witness.";
--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::sendable::Sendable;
 use crate::state::Terms;
+use crate::target_ends::TargetState;
 
 /// `BrokenRun` is a run whose connection broke before its answer was whole.
 #[derive(Debug)]
@@ -31,7 +32,9 @@
         }
     }
 
-    /// Finds out whether the target has ended, and logs what ran there.
+    /// Finds out whether the target has ended, and notes what ran there. Whoever sends the call
+    /// again waits for this, or a call that ends its targets would be sent once more before it is
+    /// known as such.
     pub(crate) async fn follow_up(&self, gateway: &Gateway, call: &Sendable, terms: &Terms) {
         let now = gateway.now();
         let state = gateway.ends.look(now, &self.target, self.address).await;
@@ -46,5 +49,11 @@
             ("ran_ms", &ran_ms),
         ];
         gateway.log(EventCode::RunBroken, &fields);
+        // A connection breaks for many reasons. Counted without a look, a few reset links would make
+        // calls suspect that did no harm.
+        if state == TargetState::Ended {
+            let account = terms.account.as_deref().unwrap_or_default();
+            gateway.note_end(content, account, self.target.clone());
+        }
     }
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -159,6 +159,9 @@
             let refusal = self.stopping();
             return self.refuse(&refusal);
         }
+        if let Some(refusal) = self.barred() {
+            return self.refuse(&refusal);
+        }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
             Err(refusal) => return self.refuse(&refusal),
@@ -166,6 +169,19 @@
         self.send(reservation).await
     }
 
+    /// Returns the refusal of a call for what is known to end its targets, by other attempts too.
+    fn barred(&self) -> Option<Refusal> {
+        let refusal = self
+            .gateway
+            .barred(&self.call, self.terms.account.as_deref())?;
+        let has_run = self.attempts.has_run();
+        Some(if has_run {
+            Refusal::unknown(refusal.code)
+        } else {
+            refusal
+        })
+    }
+
     fn refuse(&mut self, refusal: &Refusal) -> Response<ReplyBody> {
         let id = self.call.id.clone();
         refuse(&self.gateway, &mut self.record, refusal, id.as_deref())
@@ -212,6 +228,9 @@
                 let response = self.give_up(RefusalCode::Stopping, wait);
                 return (response, Some(reservation));
             }
+            if let Some(refusal) = self.barred() {
+                return (self.refuse(&refusal), Some(reservation));
+            }
             let choice = send::choose(
                 &self.gateway,
                 &self.terms.service,
@@ -341,6 +360,8 @@
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
         if parts.status.is_success() {
+            let account = self.terms.account.as_deref();
+            self.gateway.note_success(&self.call, account);
             reservation.delivering_whole();
         } else {
             reservation.failed();
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod state;
 pub mod stop;
 pub mod stop_times;
+mod suspicion;
 pub mod target_ends;
 pub mod target_list;
 pub mod target_words;
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -83,6 +83,7 @@
     open_calls: Gauge,
     store_calls: Family<StoreCallLabels, Gauge>,
     loans: Family<StateLabels, Gauge>,
+    contents: Family<StateLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -107,6 +108,7 @@
         let open_calls = Gauge::default();
         let store_calls = Family::default();
         let loans = Family::default();
+        let contents = Family::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -129,6 +131,8 @@
         registry.register("store_calls", help, store_calls.clone());
         let help = "Loans of tokens to peers: made since the start, and not over";
         registry.register("loans", help, loans.clone());
+        let help = "Contents under which targets ended: all that are remembered, and those refused";
+        registry.register("contents", help, contents.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -143,6 +147,7 @@
             open_calls,
             store_calls,
             loans,
+            contents,
         }
     }
 
@@ -257,6 +262,15 @@
         }
     }
 
+    /// Notes the contents under which targets ended, and those of them that are refused.
+    pub fn sample_contents(&self, (known, barred): (usize, usize)) {
+        for (state, count) in [("suspect", known), ("refused", barred)] {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            let labels = StateLabels { state };
+            self.contents.get_or_create(&labels).set(count);
+        }
+    }
+
     /// Gives all metrics in the customary text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -123,6 +123,8 @@
         (lender.lent_loans(), lender.open_loans())
     };
     gateway.metrics.sample_loans(made, open);
+    let contents = gateway.state().suspects.counts();
+    gateway.metrics.sample_contents(contents);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     finish(StatusCode::OK, content_type, gateway.metrics.encode())
 }
--- a/crates/damaskstile-gateway/src/outgoing.rs
+++ b/crates/damaskstile-gateway/src/outgoing.rs
@@ -4,6 +4,7 @@
 
 use damaskstile_escrow::{LedgerChange, Receipt, Report};
 use damaskstile_loans::LoanAsk;
+use damaskstile_requests::Fingerprint;
 
 use crate::peers::Reading;
 
@@ -14,6 +15,8 @@
     Change(LedgerChange),
     /// A long prompt that was sent to a target, for all peers.
     Reading(Reading),
+    /// A content of which there is something new, for those that collect what is known of it.
+    Suspect(Fingerprint),
     /// What this instance asks to have written.
     Report(SocketAddr, Report),
     /// An ask for the loan of a call's tokens.
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -13,6 +13,7 @@
 mod reading;
 mod reports;
 mod tokens;
+mod told_suspect;
 mod told_target;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
 use damaskstile_escrow::LedgerChange;
+use damaskstile_requests::Fingerprint;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
@@ -32,6 +34,7 @@
 pub use pull::{Pulled, serve as serve_pulls};
 pub use reading::Reading;
 pub use tokens::{AskTokens, GiveTokens};
+pub use told_suspect::{ToldEnd, ToldSuspect};
 pub use told_target::ToldTarget;
 
 use crate::gateway::Gateway;
@@ -117,6 +120,7 @@
             match outgoing {
                 Outgoing::Change(change) => self.tell_change(&change).await,
                 Outgoing::Reading(reading) => self.tell_reading(&reading).await,
+                Outgoing::Suspect(content) => self.tell_suspect(&content).await,
                 Outgoing::Report(address, report) => {
                     self.send(address, DatagramBody::Report(report)).await;
                 }
@@ -153,6 +157,29 @@
         }
     }
 
+    /// Tells those that collect the ends under a content what is known of it here.
+    async fn tell_suspect(&self, content: &Fingerprint) {
+        let now = self.gateway.now();
+        let (word, collectors) = {
+            let state = self.gateway.state();
+            let word = state.suspects.word(now, content);
+            (word, state.collectors(content))
+        };
+        let Some(told) = word.map(ToldSuspect::of) else {
+            return;
+        };
+        for address in collectors {
+            self.send(address, DatagramBody::Suspect(told.clone()))
+                .await;
+        }
+    }
+
+    fn hear_suspects(&self, from: &str, told: &[ToldSuspect]) {
+        for word in told.iter().filter_map(ToldSuspect::word) {
+            self.gateway.hear_suspect(from, word);
+        }
+    }
+
     fn take_change(&self, bytes: &[u8]) {
         match serde_json::from_slice::<LedgerChange>(bytes) {
             Ok(change) => {
@@ -209,6 +236,7 @@
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
         let state = self.gateway.state();
+        let suspects = state.suspects.told(now);
         let free = state
             .holder
             .prepaid_accounts()
@@ -233,6 +261,7 @@
             capacity_percent: self.gateway.options.capacity_percent,
             data_centre: self.gateway.options.identity.data_centre.clone(),
             writer: state.best_in_touch(now),
+            suspects: suspects.into_iter().map(ToldSuspect::of).collect(),
             ..Digest::default()
         };
         digest.with_departures(&state.book.draining(now), &state.vanished(now))
@@ -244,8 +273,9 @@
         };
         match body {
             DatagramBody::Digest(digest) => {
-                self.take_digest(&datagram.from, datagram.incarnation, &digest, from);
-                self.introduce(&digest, from).await;
+                let is_new = self.take_digest(&datagram.from, datagram.incarnation, &digest, from);
+                self.hear_suspects(&datagram.from, &digest.suspects);
+                self.introduce(&digest, is_new, from).await;
             }
             DatagramBody::Ask(ask) => self.answer_ask(&datagram.from, ask, from).await,
             DatagramBody::Change(bytes) => self.take_change(&bytes),
@@ -266,19 +296,25 @@
                 self.take_loan_ends(&datagram.from, datagram.incarnation, ends, from)
                     .await;
             }
+            DatagramBody::Suspect(told) => {
+                self.hear_suspects(&datagram.from, std::slice::from_ref(&told));
+            }
             DatagramBody::LoanEndsTaken(taken) => self.take_loan_ends_taken(&taken, from),
         }
     }
 
     /// Tells a peer that has just started what is known here. It knows some seeds and is known to
-    /// nobody else, so it would hear of the others by chance, and take itself for their writer.
-    async fn introduce(&self, digest: &Digest, address: SocketAddr) {
-        let known = {
+    /// nobody else, so it would hear of the others by chance, and take itself for their writer. It
+    /// does not know either which contents are refused, and would send them to targets.
+    async fn introduce(&self, digest: &Digest, is_new: bool, address: SocketAddr) {
+        let (known, barred) = {
             let state = self.gateway.state();
             let is_large = state.is_large_fleet();
-            if is_large { state.known_instances() } else { 0 }
+            let known = if is_large { state.known_instances() } else { 0 };
+            (known, state.suspects.counts().1)
         };
-        if digest.known_instances.saturating_mul(2) < known {
+        let is_unaware = is_new && barred > 0;
+        if is_unaware || digest.known_instances.saturating_mul(2) < known {
             self.send(address, DatagramBody::Digest(self.make_digest()))
                 .await;
         }
@@ -291,7 +327,14 @@
         u64::try_from(bytes).unwrap_or(u64::MAX)
     }
 
-    fn take_digest(&self, from: &str, incarnation: u64, digest: &Digest, address: SocketAddr) {
+    /// Takes in a digest; returns whether its sender was not heard of before.
+    fn take_digest(
+        &self,
+        from: &str,
+        incarnation: u64,
+        digest: &Digest,
+        address: SocketAddr,
+    ) -> bool {
         let gateway = &self.gateway;
         let now = gateway.now();
         let mut state = gateway.state();
@@ -369,5 +412,6 @@
                 pull_jitter,
             ));
         }
+        is_new
     }
 }
--- a/crates/damaskstile-gateway/src/peers/datagram.rs
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -4,7 +4,7 @@
 use damaskstile_escrow::{Receipt, Report};
 use damaskstile_loans::{LoanAnswer, LoanAsk, LoanEnds, LoanEndsTaken};
 
-use super::{AskTokens, Digest, GiveTokens, Reading};
+use super::{AskTokens, Digest, GiveTokens, Reading, ToldSuspect};
 
 /// `DatagramBody` is what a datagram says.
 #[derive(prost::Oneof, Clone, PartialEq)]
@@ -42,6 +42,9 @@
     /// That they were heard of.
     #[prost(message, tag = "13")]
     LoanEndsTaken(LoanEndsTaken),
+    /// What the sender knows of a content under which targets ended.
+    #[prost(message, tag = "14")]
+    Suspect(ToldSuspect),
 }
 
 /// `Datagram` is one message with its sender.
@@ -54,6 +57,9 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "DatagramBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "DatagramBody",
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub body: Option<DatagramBody>,
 }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
-use super::{PeerWord, ToldTarget};
+use super::{PeerWord, ToldSuspect, ToldTarget};
 
 /// `AccountTokens` are tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -67,6 +67,9 @@
     /// The best writer that the sender knows to be in touch with the store, other than itself.
     #[prost(message, optional, tag = "16")]
     pub writer: Option<PeerWord>,
+    /// Contents under which targets ended.
+    #[prost(message, repeated, tag = "18")]
+    pub suspects: Vec<ToldSuspect>,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- /dev/null
+++ b/crates/damaskstile-gateway/src/peers/told_suspect.rs
@@ -0,0 +1,73 @@
+//! `told_suspect` tells peers of a content under which targets ended.
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
+use damaskstile_requests::{Fingerprint, SuspectWord};
+
+/// Ends taken from one message: more than are ever told of one content.
+const ENDS_MAX: usize = 64;
+
+/// `ToldEnd` is the end of a target.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ToldEnd {
+    /// The target.
+    #[prost(string, tag = "1")]
+    pub target: TargetId,
+    /// Its incarnation, if it states one.
+    #[prost(uint64, optional, tag = "2")]
+    pub incarnation: Option<TargetIncarnation>,
+    /// Milliseconds since it ended.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+/// `ToldSuspect` tells peers of a content under which targets ended.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ToldSuspect {
+    /// The content.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Client account whose calls ask for it.
+    #[prost(string, tag = "2")]
+    pub account: AccountId,
+    /// Targets that ended under it.
+    #[prost(message, repeated, tag = "3")]
+    pub ends: Vec<ToldEnd>,
+    /// Milliseconds since it last ran to its end.
+    #[prost(uint64, optional, tag = "4")]
+    pub cleared_age_ms: Option<u64>,
+}
+
+impl ToldSuspect {
+    pub(super) fn of(word: SuspectWord) -> Self {
+        let ends = word.ends.into_iter();
+        Self {
+            fingerprint: word.fingerprint.to_bytes(),
+            account: word.account,
+            ends: ends
+                .map(|(identity, age)| ToldEnd {
+                    target: identity.target,
+                    incarnation: identity.incarnation,
+                    age_ms: unix_ms(age),
+                })
+                .collect(),
+            cleared_age_ms: word.cleared_age.map(unix_ms),
+        }
+    }
+
+    /// Returns what it says; `None` where it names no content.
+    pub(super) fn word(&self) -> Option<SuspectWord> {
+        let ends = self.ends.iter().take(ENDS_MAX);
+        Some(SuspectWord {
+            fingerprint: Fingerprint::from_bytes(&self.fingerprint)?,
+            account: self.account.clone(),
+            ends: ends
+                .map(|end| {
+                    let identity = TargetIdentity::new(&end.target, end.incarnation);
+                    (identity, Duration::from_millis(end.age_ms))
+                })
+                .collect(),
+            cleared_age: self.cleared_age_ms.map(Duration::from_millis),
+        })
+    }
+}
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -195,6 +195,8 @@
         self.note_time();
         self.record.add("pause_ms", self.pause_max.as_millis());
         self.record.end(EventCode::CallAnswered, "answered");
+        let account = self.terms.account.as_deref();
+        self.gateway.note_success(&self.call, account);
         if let Some(run) = self.run.take() {
             run.running.note(true);
             let reuse_for = run.head.reuse_for;
@@ -224,6 +226,12 @@
         route.kind.is_repeatable() && is_over_in_time()
     }
 
+    /// Tells whether the call asks for what is known to end its targets, by other attempts too.
+    fn is_barred(&self) -> bool {
+        let account = self.terms.account.as_deref();
+        self.gateway.barred(&self.call, account).is_some()
+    }
+
     /// Finds out what became of a target that closed the connection in the middle of the stream.
     async fn note_closed(&mut self) {
         let Some(run) = &self.run else {
@@ -242,7 +250,7 @@
         self.attempts.note(SendEnd::Unknown);
         let mut cause = cause;
         loop {
-            if !self.may_go_on() {
+            if !self.may_go_on() || self.is_barred() {
                 return false;
             }
             let next = plan_next(&self.gateway, &self.terms, &self.attempts);
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! `state` holds all that one instance decides by.
 
+mod collectors;
 mod lenders;
 mod roles;
 mod targets;
@@ -12,7 +13,7 @@
 use damaskstile_escrow::{Holder, Stamp};
 use damaskstile_fleet::FleetClock;
 use damaskstile_loans::{Borrower, Candidate, Lender};
-use damaskstile_requests::RetryBudget;
+use damaskstile_requests::{RetryBudget, Suspects};
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
 use damaskstile_targets::Book;
 
@@ -100,6 +101,8 @@
     pub gifts_taken: BTreeMap<(InstanceId, Incarnation), BTreeSet<u64>>,
     /// The peer that writes for this instance, as last found.
     pub writer_known: Option<InstanceId>,
+    /// Contents under which targets ended.
+    pub suspects: Suspects,
     /// How long calls lasted, by route.
     pub call_times: CallTimes,
     /// How full the link is.
@@ -155,6 +158,7 @@
             gifts_made: 0,
             gifts_taken: BTreeMap::new(),
             writer_known: None,
+            suspects: Suspects::default(),
             call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
             is_stopping: false,
--- a/crates/damaskstile-requests/src/fingerprint.rs
+++ b/crates/damaskstile-requests/src/fingerprint.rs
@@ -74,6 +74,15 @@
         self.outline
     }
 
+    /// Returns the first and the last of all names that share an outline.
+    pub(crate) fn range_of(outline: u64) -> std::ops::RangeInclusive<Self> {
+        let with = |byte| Self {
+            outline,
+            digest: [byte; DIGEST_BYTES],
+        };
+        with(0)..=with(u8::MAX)
+    }
+
     /// Returns the name as bytes, as peers tell it to each other.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -28,6 +28,7 @@
         | RefusalCode::NoTarget
         | RefusalCode::BillsBacklog
         | RefusalCode::ClaimUnavailable
+        | RefusalCode::CrashesTargets
         | RefusalCode::Stopping
         | RefusalCode::Starting
         | RefusalCode::RetriesExhausted => StatusCode::SERVICE_UNAVAILABLE,
