--- a/crates/damaskstile-gateway/src/answer.rs
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -2,6 +2,8 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::handling::Handling;
+
 /// `Load` is a target's report of its calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
@@ -18,10 +20,10 @@
     pub id: Option<String>,
     /// Whether the target vouches for the answer as its own.
     pub is_signed: bool,
-    /// Whether the target proves that it has not run the call.
-    pub is_not_run: bool,
-    /// Whether another target has the address.
-    pub is_misdirected: bool,
+    /// Whether the call ran.
+    pub handling: Handling,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
     /// The target's load.
     pub load: Option<Load>,
     /// Time for which the connection may be used again; `None` where it may not.
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -323,6 +323,9 @@
         run: Run,
         reservation: Reservation,
     ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
+        if run.head.is_leaving {
+            self.record.add("leaving", &run.running.choice.target);
+        }
         let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
         if is_stream {
             return Ok(self.relay(run, reservation));
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod follow;
 pub mod front;
 pub mod gateway;
+pub mod handling;
 pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::answer::AnswerHead;
 use crate::call::SendHead;
 use crate::gateway::Gateway;
+use crate::handling::Handling;
 use crate::lease::{Lease, SendError};
 use crate::running::Running;
 use crate::sendable::Sendable;
@@ -140,12 +141,12 @@
         run.running.note(false);
         return Err(NoRun::new(SendEnd::Unknown, "foreign_answer"));
     }
-    if run.head.is_misdirected {
+    if run.head.handling == Handling::Misdirected {
         let now = gateway.now();
         gateway.state().book.leave(now, &choice.identity());
         return Err(NoRun::new(SendEnd::NotRun, "misdirected"));
     }
-    if run.head.is_not_run {
+    if run.head.handling == Handling::NotRun {
         run.running.note(false);
         return Err(NoRun::new(SendEnd::NotRun, "rejected"));
     }
