A target that says in an answer that it leaves gets no more calls

Cause: that a target leaves was read from the store's list and from peers, who have it from the store too. A target that cannot reach the store says it in its answers, and that word was dropped with the other headers.

Now the word is heeded at the head of any answer on the target's connection, as final for its incarnation as a drain from the list, and told to peers at once. Only an answer that another target gives at the address (421) does not count.

Why it holds: all sends go by the book, which a departure enters the moment the head is read; a later entry that shows the same incarnation as ready does not end it, a later incarnation does.

--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::running::Running;
 use crate::sendable::Sendable;
 use crate::state::Terms;
+use crate::target_list::incarnation_text;
 
 /// `Run` is an answer that a target has begun.
 #[derive(Debug)]
@@ -127,9 +128,31 @@
     request
 }
 
+/// Takes in that a target says in an answer that it leaves.
+///
+/// It may not reach the store for long, and neither the list nor peers tell of it until it has. The
+/// word is on the process that the connection leads to, so any answer on it counts, also one that
+/// turns the call away or answers another one, and it counts from its head on: calls that follow
+/// while a stream goes on would reach a target that has left.
+fn heed_leaving(gateway: &Gateway, head: &AnswerHead, target: &TargetIdentity) {
+    let is_own = head.handling != Handling::Misdirected;
+    let now = gateway.now();
+    if head.is_leaving && is_own && gateway.state().book.leave(now, target) {
+        let incarnation = incarnation_text(target.incarnation);
+        let fields = [
+            ("target", target.target.as_str()),
+            ("incarnation", incarnation.as_str()),
+            ("source", "answer"),
+        ];
+        gateway.log(EventCode::TargetLeaving, &fields);
+        gateway.news.notify_one();
+    }
+}
+
 /// Decides whether an answer is the one to this call and tells of a run.
 fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
     let choice = &run.running.choice;
+    heed_leaving(gateway, &run.head, &choice.identity());
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
