A target that asks for a pause with a 503 gets it

What callers saw: calls sent to a full target, turned away and sent on, each with a way there and back and a retry; and, while all targets of a service were full, the word to come back after 200 ms, to be refused once more.

Cause: Retry-After of a target's 503 was not read. Failures seen lately kept calls away for a while, but under load the others seemed worse: 4 calls in a pause of 2 s.

It keeps the target's incarnation out of the choice on this instance, for calls that wait for a connection too, and a fifth longer by chance, so that instances do not return together. What the target failed counts as new until the pause is over, so work comes back by and by. While all targets of a service pause, calls are refused at once, before tokens are waited for, and told when the first of them wants work again, within 300 ms of each other.

Event 606, metric targets{state=paused}.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -95,6 +95,7 @@
     TargetListed = 603, "info", "The list shows a new target, or one whose state changed.";
     TargetUnlisted = 604, "info", "The list no longer shows a target.";
     RunBroken = 605, "warn", "A target's connection broke under a call: what the call asked for, and whether the target has ended.";
+    TargetPaused = 606, "info", "A target turned a call away and wants none from this instance for a time.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
     StopDone = 702, "info", "The instance has handed back what it held.";
--- a/crates/damaskstile-gateway/src/answer.rs
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -24,6 +24,8 @@
     pub handling: Handling,
     /// Whether the target says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the target wants nothing from this instance.
+    pub pause: Option<Duration>,
     /// The target's load.
     pub load: Option<Load>,
     /// Time for which the connection may be used again; `None` where it may not.
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -36,6 +36,8 @@
 /// have limits of their own, which end it first and say more of the cause; callers are promised an
 /// answer within half a second.
 const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
+/// Time in which callers come back after a pause of all targets, by chance.
+const RETURN_SPREAD_MS: u64 = 300;
 /// Bytes of a call's head, with those of the packets that carry it.
 const HEAD_BYTES: usize = 1_000;
 /// Largest answer that is kept to be sent again from another target, in bytes.
@@ -162,6 +164,11 @@
         if let Some(refusal) = self.barred() {
             return self.refuse(&refusal);
         }
+        // Known before any tokens are waited for.
+        if let Some(wait) = self.targets_pause() {
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, Some(wait));
+            return self.refuse(&refusal);
+        }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
             Err(refusal) => return self.refuse(&refusal),
@@ -308,7 +315,18 @@
         self.refuse(&refusal)
     }
 
+    /// Returns when a caller should come back where all targets of the service want a pause. Those
+    /// that were refused all through it come back some time apart.
+    fn targets_pause(&self) -> Option<Duration> {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let left = state.book.paused_for(now, &self.terms.service)?;
+        let spread = Duration::from_millis(state.random.below(RETURN_SPREAD_MS));
+        Some(left.saturating_add(spread))
+    }
+
     fn give_up(&mut self, code: RefusalCode, wait: Duration) -> Response<ReplyBody> {
+        let wait = self.targets_pause().unwrap_or(wait);
         let refusal = if self.attempts.has_run() {
             Refusal::unknown(RefusalCode::TargetLost)
         } else {
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -210,6 +210,13 @@
         }
     }
 
+    /// Notes how many targets want no work from this instance now.
+    pub fn sample_paused(&self, paused: usize) {
+        let count = i64::try_from(paused).unwrap_or(i64::MAX);
+        let labels = StateLabels { state: "paused" };
+        self.targets.get_or_create(&labels).set(count);
+    }
+
     /// Notes what is measured whenever it is asked for.
     pub fn sample(
         &self,
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -109,12 +109,14 @@
     let (age, version) = (state.contact.age(now), state.catalogue.version());
     let followed_at = state.followed_at.clone();
     let counts = state.book.counts();
+    let paused = state.book.paused_targets(now);
     drop(state);
     for (followed, at) in followed_at {
         let age = now.saturating_sub(at);
         gateway.metrics.sample_watch(followed.name(), age);
     }
     gateway.metrics.count_targets(&counts);
+    gateway.metrics.sample_paused(paused);
     gateway.metrics.sample(&free, age, version);
     gateway.metrics.sample_open_calls(gateway.open_calls());
     gateway.metrics.sample_store_calls(gateway.store.counts());
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 use damaskstile_requests::SendEnd;
 use damaskstile_targets::Choice;
 use http::{Request, StatusCode, response};
@@ -21,6 +22,11 @@
 use crate::state::Terms;
 use crate::target_list::incarnation_text;
 
+/// Part of a pause by which an instance stays away longer, by chance.
+const PAUSE_SPREAD_PART: u32 = 5;
+/// Pause up to which it is a part of it.
+const PAUSE_SPREAD_OF_MAX: Duration = Duration::from_secs(10);
+
 /// `Run` is an answer that a target has begun.
 #[derive(Debug)]
 pub struct Run {
@@ -149,10 +155,37 @@
     }
 }
 
+/// Takes in that a target wants nothing from this instance for a time.
+///
+/// Calls sent before it is over are turned away again, each after a way to the target and back, and
+/// keep a target busy that has no room. Instances that were told the same at the same moment come
+/// back some time apart.
+fn heed_pause(gateway: &Gateway, head: &AnswerHead, choice: &Choice) {
+    let Some(pause) = head.pause.filter(|pause| !pause.is_zero()) else {
+        return;
+    };
+    let is_own = head.handling != Handling::Misdirected;
+    if is_own {
+        let now = gateway.now();
+        let mut state = gateway.state();
+        let spread_ms = unix_ms(pause.min(PAUSE_SPREAD_OF_MAX) / PAUSE_SPREAD_PART);
+        let spread = Duration::from_millis(state.random.below(spread_ms));
+        state.book.pause(now, choice, pause.saturating_add(spread));
+        drop(state);
+        let pause_ms = pause.as_millis().to_string();
+        let fields = [
+            ("target", choice.target.as_str()),
+            ("pause_ms", pause_ms.as_str()),
+        ];
+        gateway.log(EventCode::TargetPaused, &fields);
+    }
+}
+
 /// Decides whether an answer is the one to this call and tells of a run.
 fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
     let choice = &run.running.choice;
     heed_leaving(gateway, &run.head, &choice.identity());
+    heed_pause(gateway, &run.head, choice);
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -2,6 +2,7 @@
 
 mod list;
 mod long_load;
+mod pause;
 mod weigh;
 
 use damaskstile_core::prelude::*;
@@ -94,7 +95,7 @@
     }
 
     /// Tells whether an incarnation may still get the call that was chosen for it: nothing that came
-    /// since shows that it leaves, is gone or has been followed by another.
+    /// since shows that it leaves, is gone, wants a pause or has been followed by another.
     ///
     /// ```
     /// use std::time::Duration;
@@ -229,12 +230,22 @@
     }
 
     fn usable<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
+        self.in_use(now, service)
+            .filter(move |known| known.paused_for(now).is_zero())
+    }
+
+    /// Returns the targets of a service that may get work, now or after a pause.
+    fn in_use<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
         self.targets
             .values()
-            .filter(move |known| known.listed.service == service && self.is_usable(now, known))
+            .filter(move |known| known.listed.service == service && self.is_in_use(now, known))
     }
 
     fn is_usable(&self, now: Duration, known: &Known) -> bool {
+        self.is_in_use(now, known) && known.paused_for(now).is_zero()
+    }
+
+    fn is_in_use(&self, now: Duration, known: &Known) -> bool {
         let is_listed = known
             .missing_since
             .is_none_or(|since| now.saturating_sub(since) < self.options.lapse_grace);
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -36,6 +36,8 @@
     reported_at: Duration,
     failure_share: f64,
     failure_at: Duration,
+    /// Until when the target wants no work.
+    paused_until: Duration,
     parts: BTreeMap<u64, Duration>,
     /// Time for which the target is still likely to read prompts that peers told of.
     others_reading: Duration,
@@ -54,6 +56,7 @@
             reported_at: Duration::ZERO,
             failure_share: 0.0,
             failure_at: Duration::ZERO,
+            paused_until: Duration::ZERO,
             parts: BTreeMap::new(),
             others_reading: Duration::ZERO,
             others_reading_at: Duration::ZERO,
@@ -102,7 +105,21 @@
     fn note_outcome(&mut self, now: Duration, outcome: f64, weight: f64) {
         let share = self.failure_share(now);
         self.failure_share = share + (outcome - share) * weight;
-        self.failure_at = now;
+        self.failure_at = now.max(self.paused_until);
+    }
+
+    /// Notes that the target wants no work for a time. Of several words the one that ends last counts.
+    ///
+    /// What it failed counts until then as if it were new: it gets work again by and by, and not all
+    /// at the moment at which its pause ends.
+    pub(crate) fn pause(&mut self, now: Duration, time: Duration) {
+        self.paused_until = self.paused_until.max(now.saturating_add(time));
+        self.failure_at = self.failure_at.max(self.paused_until);
+    }
+
+    /// Returns for how long the target wants no work.
+    pub(crate) fn paused_for(&self, now: Duration) -> Duration {
+        self.paused_until.saturating_sub(now)
     }
 
     /// Returns the share of calls that failed lately, between 0 and 1.
