A target's 503 after a run is no promise to the caller

A caller whose call may run once only was told 503 by a target that had run it, and would have had it run twice: callers take 503, 429, 408 and 421 for the promise that the call has not run and never will.

Cause: the target's proof of that was asked for only to decide whether another target may have the call, not where the answer was passed on.

Such an answer without proof is replaced by 502, outcome unknown, for calls that may not be repeated; others get it as it is. Test: 503, 429 and 408 after a run; before, each was passed on.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, Next, SendEnd};
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
@@ -144,6 +144,17 @@
     })
 }
 
+/// Tells whether callers take a status for the promise that the call has not run.
+fn is_promise(status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    promises.contains(&status)
+}
+
 impl Exchange {
     async fn go(&mut self, body: Incoming) -> Response<ReplyBody> {
         match self.read_body(body).await {
@@ -354,6 +365,15 @@
             run.running.note(false);
             return Err((NoRun::new(SendEnd::Failed, "failed"), reservation));
         }
+        if is_promise(run.parts.status) && !self.terms.route.kind.is_repeatable() {
+            run.running.note(false);
+            let mut reservation = reservation;
+            reservation.failed();
+            self.note_time();
+            // Passed on, it would say in our name that the call has not run, and its caller would
+            // have it run twice. The target's own proof of that is not here.
+            return Ok(self.refuse(&Refusal::unknown(RefusalCode::TargetLost)));
+        }
         self.pass_whole(run, reservation).await
     }
 
