--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -1,6 +1,8 @@
 //! `exchange` takes one call from its caller to its answer.
 
 mod admission;
+mod answering;
+mod refusing;
 mod stopping;
 mod tokens;
 
@@ -9,20 +11,18 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, Next, SendEnd};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::broken_run::BrokenRun;
-use crate::events::EventCutter;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
 use crate::phase::Phase;
 use crate::record::Record;
-use crate::relay::Relay;
-use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody, whole};
+use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
-use crate::run::{self, NoRun, Run};
+use crate::run;
 use crate::send;
 use crate::sendable::Sendable;
 use crate::state::Terms;
@@ -36,12 +36,8 @@
 /// have limits of their own, which end it first and say more of the cause; callers are promised an
 /// answer within half a second.
 const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
-/// Time in which callers come back after a pause of all targets, by chance.
-const RETURN_SPREAD_MS: u64 = 300;
 /// Bytes of a call's head, with those of the packets that carry it.
 const HEAD_BYTES: usize = 1_000;
-/// Largest answer that is kept to be sent again from another target, in bytes.
-const WHOLE_BYTES_MAX: usize = 8 * 1024 * 1024;
 
 /// `Exchange` is one call on its way.
 struct Exchange {
@@ -144,17 +140,6 @@
     })
 }
 
-/// Tells whether callers take a status for the promise that the call has not run.
-fn is_promise(status: StatusCode) -> bool {
-    let promises = [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ];
-    promises.contains(&status)
-}
-
 impl Exchange {
     async fn go(&mut self, body: Incoming) -> Response<ReplyBody> {
         match self.read_body(body).await {
@@ -187,24 +172,6 @@
         self.send(reservation).await
     }
 
-    /// Returns the refusal of a call for what is known to end its targets, by other attempts too.
-    fn barred(&self) -> Option<Refusal> {
-        let refusal = self
-            .gateway
-            .barred(&self.call, self.terms.account.as_deref())?;
-        let has_run = self.attempts.has_run();
-        Some(if has_run {
-            Refusal::unknown(refusal.code)
-        } else {
-            refusal
-        })
-    }
-
-    fn refuse(&mut self, refusal: &Refusal) -> Response<ReplyBody> {
-        let id = self.call.id.clone();
-        refuse(&self.gateway, &mut self.record, refusal, id.as_deref())
-    }
-
     fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
     }
@@ -314,133 +281,4 @@
         self.gateway
             .log(EventCode::SendRetried, &[("id", id), ("cause", cause)]);
     }
-
-    fn too_late(&mut self) -> Response<ReplyBody> {
-        let code = RefusalCode::DeadlineExceeded;
-        let refusal = if self.is_sending || self.attempts.has_run() {
-            self.note_time();
-            Refusal::unknown(code)
-        } else {
-            Refusal::not_run(code, Some(RETRY_SOON))
-        };
-        self.refuse(&refusal)
-    }
-
-    /// Returns when a caller should come back where all targets of the service want a pause. Those
-    /// that were refused all through it come back some time apart.
-    fn targets_pause(&self) -> Option<Duration> {
-        let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        let left = state.book.paused_for(now, &self.terms.service)?;
-        let spread = Duration::from_millis(state.random.below(RETURN_SPREAD_MS));
-        Some(left.saturating_add(spread))
-    }
-
-    fn give_up(&mut self, code: RefusalCode, wait: Duration) -> Response<ReplyBody> {
-        let wait = self.targets_pause().unwrap_or(wait);
-        let refusal = if self.attempts.has_run() {
-            Refusal::unknown(RefusalCode::TargetLost)
-        } else {
-            Refusal::not_run(code, Some(wait))
-        };
-        self.refuse(&refusal)
-    }
-
-    /// Passes an answer on. Gives the reservation back where the call should be sent again.
-    async fn answer(
-        &mut self,
-        run: Run,
-        reservation: Reservation,
-    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
-        if run.head.is_leaving {
-            self.record.add("leaving", &run.running.choice.target);
-        }
-        let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
-        if is_stream {
-            return Ok(self.relay(run, reservation));
-        }
-        let is_last = self.attempts.sent() + 1 >= self.terms.route.attempts_max;
-        let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
-        if run.parts.status.is_server_error() && may_repeat {
-            run.running.note(false);
-            return Err((NoRun::new(SendEnd::Failed, "failed"), reservation));
-        }
-        if is_promise(run.parts.status) && !self.terms.route.kind.is_repeatable() {
-            run.running.note(false);
-            let mut reservation = reservation;
-            reservation.failed();
-            self.note_time();
-            // Passed on, it would say in our name that the call has not run, and its caller would
-            // have it run twice. The target's own proof of that is not here.
-            return Ok(self.refuse(&Refusal::unknown(RefusalCode::TargetLost)));
-        }
-        self.pass_whole(run, reservation).await
-    }
-
-    async fn pass_whole(
-        &mut self,
-        run: Run,
-        mut reservation: Reservation,
-    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
-        let Run {
-            mut parts,
-            head,
-            body,
-            lease,
-            running,
-        } = run;
-        let reading = Limited::new(body, WHOLE_BYTES_MAX).collect();
-        let body = match tokio::time::timeout(self.left(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
-                running.note(false);
-                return Err((NoRun::new(SendEnd::Broken, "body_broken"), reservation));
-            }
-            Err(_) => return Err((NoRun::new(SendEnd::Failed, "body_late"), reservation)),
-        };
-        lease.give_back(head.reuse_for).await;
-        running.note(!parts.status.is_server_error());
-        if parts.status.is_success() {
-            let account = self.terms.account.as_deref();
-            self.gateway.note_success(&self.call, account);
-            reservation.delivering_whole();
-        } else {
-            reservation.failed();
-        }
-        self.note_time();
-        self.record.first_byte();
-        self.record.add("status", parts.status.as_u16());
-        let (code, outcome) = if parts.status.is_success() {
-            (EventCode::CallAnswered, "answered")
-        } else {
-            (EventCode::CallFailed, "target_failed")
-        };
-        self.record.end(code, outcome);
-        self.gateway.dialect.dress_answer(&mut parts.headers);
-        Ok(Response::from_parts(parts, whole(body)))
-    }
-
-    fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
-        let mut parts = run.parts.clone();
-        self.gateway.dialect.dress_answer(&mut parts.headers);
-        parts.headers.remove(header::CONTENT_LENGTH);
-        let relay = Relay {
-            gateway: Arc::clone(&self.gateway),
-            call: self.call.clone(),
-            terms: self.terms.clone(),
-            reservation,
-            record: self.record.hand_over(),
-            attempts: std::mem::take(&mut self.attempts),
-            tried: std::mem::take(&mut self.tried),
-            deadline: self.deadline,
-            run: Some(run),
-            open: self.gateway.open_call(),
-            last_event: self.last_event,
-            cutter: EventCutter::default(),
-            event_at: None,
-            pause_max: Duration::ZERO,
-            is_over: false,
-        };
-        Response::from_parts(parts, relay.into_body())
-    }
 }
--- /dev/null
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -0,0 +1,129 @@
+//! `answering` passes a target's answer on to the caller.
+
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+use damaskstile_requests::SendEnd;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+
+use super::Exchange;
+use crate::events::EventCutter;
+use crate::relay::Relay;
+use crate::reply::{Refusal, ReplyBody, whole};
+use crate::reservation::Reservation;
+use crate::run::{NoRun, Run};
+
+/// Largest answer that is kept to be sent again from another target, in bytes.
+const WHOLE_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// Tells whether callers take a status for the promise that the call has not run.
+fn is_promise(status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    promises.contains(&status)
+}
+
+impl Exchange {
+    /// Passes an answer on. Gives the reservation back where the call should be sent again.
+    pub(super) async fn answer(
+        &mut self,
+        run: Run,
+        reservation: Reservation,
+    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
+        if run.head.is_leaving {
+            self.record.add("leaving", &run.running.choice.target);
+        }
+        let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
+        if is_stream {
+            return Ok(self.relay(run, reservation));
+        }
+        let is_last = self.attempts.sent() + 1 >= self.terms.route.attempts_max;
+        let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
+        if run.parts.status.is_server_error() && may_repeat {
+            run.running.note(false);
+            return Err((NoRun::new(SendEnd::Failed, "failed"), reservation));
+        }
+        if is_promise(run.parts.status) && !self.terms.route.kind.is_repeatable() {
+            run.running.note(false);
+            let mut reservation = reservation;
+            reservation.failed();
+            self.note_time();
+            // Passed on, it would say in our name that the call has not run, and its caller would
+            // have it run twice. The target's own proof of that is not here.
+            return Ok(self.refuse(&Refusal::unknown(RefusalCode::TargetLost)));
+        }
+        self.pass_whole(run, reservation).await
+    }
+
+    async fn pass_whole(
+        &mut self,
+        run: Run,
+        mut reservation: Reservation,
+    ) -> Result<Response<ReplyBody>, (NoRun, Reservation)> {
+        let Run {
+            mut parts,
+            head,
+            body,
+            lease,
+            running,
+        } = run;
+        let reading = Limited::new(body, WHOLE_BYTES_MAX).collect();
+        let body = match tokio::time::timeout(self.left(), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                running.note(false);
+                return Err((NoRun::new(SendEnd::Broken, "body_broken"), reservation));
+            }
+            Err(_) => return Err((NoRun::new(SendEnd::Failed, "body_late"), reservation)),
+        };
+        lease.give_back(head.reuse_for).await;
+        running.note(!parts.status.is_server_error());
+        if parts.status.is_success() {
+            let account = self.terms.account.as_deref();
+            self.gateway.note_success(&self.call, account);
+            reservation.delivering_whole();
+        } else {
+            reservation.failed();
+        }
+        self.note_time();
+        self.record.first_byte();
+        self.record.add("status", parts.status.as_u16());
+        let (code, outcome) = if parts.status.is_success() {
+            (EventCode::CallAnswered, "answered")
+        } else {
+            (EventCode::CallFailed, "target_failed")
+        };
+        self.record.end(code, outcome);
+        self.gateway.dialect.dress_answer(&mut parts.headers);
+        Ok(Response::from_parts(parts, whole(body)))
+    }
+
+    fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
+        let mut parts = run.parts.clone();
+        self.gateway.dialect.dress_answer(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        let relay = Relay {
+            gateway: Arc::clone(&self.gateway),
+            call: self.call.clone(),
+            terms: self.terms.clone(),
+            reservation,
+            record: self.record.hand_over(),
+            attempts: std::mem::take(&mut self.attempts),
+            tried: std::mem::take(&mut self.tried),
+            deadline: self.deadline,
+            run: Some(run),
+            open: self.gateway.open_call(),
+            last_event: self.last_event,
+            cutter: EventCutter::default(),
+            event_at: None,
+            pause_max: Duration::ZERO,
+            is_over: false,
+        };
+        Response::from_parts(parts, relay.into_body())
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -0,0 +1,61 @@
+//! `refusing` answers a call that no target answers.
+
+use damaskstile_core::prelude::*;
+use http::Response;
+
+use super::{Exchange, refuse};
+use crate::reply::{RETRY_SOON, Refusal, ReplyBody};
+
+/// Time in which callers come back after a pause of all targets, by chance.
+const RETURN_SPREAD_MS: u64 = 300;
+
+impl Exchange {
+    /// Returns the refusal of a call for what is known to end its targets, by other attempts too.
+    pub(super) fn barred(&self) -> Option<Refusal> {
+        let refusal = self
+            .gateway
+            .barred(&self.call, self.terms.account.as_deref())?;
+        let has_run = self.attempts.has_run();
+        Some(if has_run {
+            Refusal::unknown(refusal.code)
+        } else {
+            refusal
+        })
+    }
+
+    pub(super) fn refuse(&mut self, refusal: &Refusal) -> Response<ReplyBody> {
+        let id = self.call.id.clone();
+        refuse(&self.gateway, &mut self.record, refusal, id.as_deref())
+    }
+
+    pub(super) fn too_late(&mut self) -> Response<ReplyBody> {
+        let code = RefusalCode::DeadlineExceeded;
+        let refusal = if self.is_sending || self.attempts.has_run() {
+            self.note_time();
+            Refusal::unknown(code)
+        } else {
+            Refusal::not_run(code, Some(RETRY_SOON))
+        };
+        self.refuse(&refusal)
+    }
+
+    /// Returns when a caller should come back where all targets of the service want a pause. Those
+    /// that were refused all through it come back some time apart.
+    pub(super) fn targets_pause(&self) -> Option<Duration> {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state();
+        let left = state.book.paused_for(now, &self.terms.service)?;
+        let spread = Duration::from_millis(state.random.below(RETURN_SPREAD_MS));
+        Some(left.saturating_add(spread))
+    }
+
+    pub(super) fn give_up(&mut self, code: RefusalCode, wait: Duration) -> Response<ReplyBody> {
+        let wait = self.targets_pause().unwrap_or(wait);
+        let refusal = if self.attempts.has_run() {
+            Refusal::unknown(RefusalCode::TargetLost)
+        } else {
+            Refusal::not_run(code, Some(wait))
+        };
+        self.refuse(&refusal)
+    }
+}
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -12,6 +12,7 @@
 mod pull;
 mod reading;
 mod reports;
+mod suspects;
 mod tokens;
 mod told_suspect;
 mod told_target;
@@ -23,7 +24,6 @@
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
 use damaskstile_escrow::LedgerChange;
-use damaskstile_requests::Fingerprint;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
@@ -157,29 +157,6 @@
         }
     }
 
-    /// Tells those that collect the ends under a content what is known of it here.
-    async fn tell_suspect(&self, content: &Fingerprint) {
-        let now = self.gateway.now();
-        let (word, collectors) = {
-            let state = self.gateway.state();
-            let word = state.suspects.word(now, content);
-            (word, state.collectors(content))
-        };
-        let Some(told) = word.map(ToldSuspect::of) else {
-            return;
-        };
-        for address in collectors {
-            self.send(address, DatagramBody::Suspect(told.clone()))
-                .await;
-        }
-    }
-
-    fn hear_suspects(&self, from: &str, told: &[ToldSuspect]) {
-        for word in told.iter().filter_map(ToldSuspect::word) {
-            self.gateway.hear_suspect(from, word);
-        }
-    }
-
     fn take_change(&self, bytes: &[u8]) {
         match serde_json::from_slice::<LedgerChange>(bytes) {
             Ok(change) => {
