--- a/crates/damaskstile-requests/src/suspect.rs
+++ b/crates/damaskstile-requests/src/suspect.rs
@@ -14,6 +14,9 @@
 /// Time within which ends count as one. What takes down many targets at once, as a loss of power
 /// does, ends them under all that runs there, also at several targets under the same content.
 const TOGETHER: Duration = Duration::from_millis(250);
+/// Ends from which on all peers are told of a content, and not only those that collect the ends
+/// under it. Tens of contents run at each target that ends, and few of them at the next.
+const TOLD_FROM: usize = 2;
 /// Ends that are remembered of one content.
 const ENDS_MAX: usize = 16;
 /// Ends from which on only those are remembered that come apart from all others. Else a quick series
@@ -31,6 +34,8 @@
     pub(crate) cleared_at: Option<Duration>,
     /// When this was last news.
     pub(crate) changed_at: Duration,
+    /// Whether all peers are told: of its ends, and then also that it was cleared.
+    pub(crate) is_told: bool,
 }
 
 impl Suspect {
@@ -60,6 +65,7 @@
         }
         self.ends.push(end);
         self.changed_at = now;
+        self.is_told |= self.ends.len() >= TOLD_FROM;
         true
     }
 
--- a/crates/damaskstile-requests/src/suspects.rs
+++ b/crates/damaskstile-requests/src/suspects.rs
@@ -16,9 +16,6 @@
 pub const ENDS_LIMIT: usize = 3;
 /// Contents that are remembered: what ran at some tens of targets that end together.
 const SUSPECTS_MAX: usize = 512;
-/// Ends from which on all peers are told of a content, and not only those that collect the ends
-/// under it. Tens of contents run at each target that ends, and few of them at the next.
-const TOLD_FROM: usize = 2;
 /// Time for which peers are told what is new of a content. Those that are refused are told of as
 /// long as they are, so that an instance that starts knows them with the first digests.
 const TOLD_FOR: Duration = Duration::from_secs(5);
@@ -135,8 +132,7 @@
     pub fn told(&self, now: Duration) -> Vec<SuspectWord> {
         let is_told = |fingerprint: &Fingerprint, suspect: &Suspect| {
             let is_new = now.saturating_sub(suspect.changed_at) < TOLD_FOR;
-            let is_wide = suspect.ends.len() >= TOLD_FROM || suspect.cleared_at.is_some();
-            (is_new && is_wide) || self.barred.contains(fingerprint)
+            (is_new && suspect.is_told) || self.barred.contains(fingerprint)
         };
         let known = self.known.iter();
         let mut told: Vec<(&Fingerprint, &Suspect)> = known
