--- a/crates/damaskctl/src/explain.rs
+++ b/crates/damaskctl/src/explain.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod call;
+mod contents;
 mod latency;
 mod lenders;
 mod lines;
@@ -37,6 +38,12 @@
         #[arg(required = true)]
         logs: Vec<PathBuf>,
     },
+    /// Under which contents targets ended, and which of them were refused.
+    Contents {
+        /// Files with the logs of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Who lent the tokens of each account, when first and last, and who asked in vain.
     Lenders {
         /// Files with the logs of instances.
@@ -66,6 +73,7 @@
     let (Some(id), None) = (&args.id, &args.table) else {
         return match &args.table {
             Some(ExplainTable::Budgets { logs }) => budgets::run(context, logs),
+            Some(ExplainTable::Contents { logs }) => contents::run(context, logs),
             Some(ExplainTable::Lenders { logs }) => lenders::run(context, logs),
             Some(ExplainTable::Store { logs }) => store::run(context, logs),
             Some(ExplainTable::Latency { logs }) => latency::run(context, logs),
--- /dev/null
+++ b/crates/damaskctl/src/explain/contents.rs
@@ -0,0 +1,110 @@
+//! `contents` tells under which contents targets ended, and what became of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::lines::{Line, Logs};
+use crate::context::Context;
+use crate::exit::Failure;
+use crate::table::Table;
+
+/// Number of the event of a refused call.
+const CALL_REFUSED: u64 = 108;
+/// Number of the event of a content that is refused from then on.
+const CONTENT_BARRED: u64 = 113;
+/// Number of the event of a content that is served again.
+const CONTENT_RELEASED: u64 = 114;
+/// Number of the event of a run that broke.
+const RUN_BROKEN: u64 = 605;
+
+/// `Seen` is what was seen of one content.
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    account: String,
+    /// Targets that ended under it.
+    ended: BTreeSet<String>,
+    /// Runs that broke at targets that did not end, or of which that is not known.
+    broken_else: u64,
+    calls: BTreeSet<String>,
+    instances: BTreeSet<String>,
+    refused_calls: u64,
+    refused_since: String,
+    released_at: String,
+}
+
+/// Prints under which contents targets ended, those with most first.
+pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
+    let logs = Logs::read(paths);
+    let mut contents: BTreeMap<String, Seen> = BTreeMap::new();
+    for line in &logs.lines {
+        add(&mut contents, line);
+    }
+    print(context, &contents)?;
+    logs.finish()
+}
+
+fn add(contents: &mut BTreeMap<String, Seen>, line: &Line) {
+    let Some(content) = line.field("content") else {
+        return;
+    };
+    let seen = contents.entry(content.to_owned()).or_default();
+    if let Some(account) = line.field("account") {
+        account.clone_into(&mut seen.account);
+    }
+    match line.event {
+        RUN_BROKEN => {
+            seen.calls.extend(line.field("id").map(str::to_owned));
+            seen.instances.insert(line.instance.clone());
+            if line.field("state") == Some("ended") {
+                seen.ended.extend(line.field("target").map(str::to_owned));
+            } else {
+                seen.broken_else += 1;
+            }
+        }
+        CONTENT_BARRED if seen.refused_since.is_empty() => {
+            seen.refused_since.clone_from(&line.ts);
+        }
+        CONTENT_RELEASED => seen.released_at.clone_from(&line.ts),
+        CALL_REFUSED => seen.refused_calls += 1,
+        _ => {}
+    }
+}
+
+fn print(context: &Context, contents: &BTreeMap<String, Seen>) -> Result<(), Failure> {
+    let mut table = Table::new(&[
+        "content",
+        "account",
+        "ended_targets",
+        "broken_else",
+        "calls",
+        "instances",
+        "refused_calls",
+        "refused_since",
+        "released_at",
+    ]);
+    let mut ordered: Vec<_> = contents.iter().collect();
+    ordered.sort_by_key(|(_, seen)| std::cmp::Reverse(seen.ended.len()));
+    let mut shown = Vec::new();
+    for (content, seen) in ordered {
+        table.row(&[
+            content,
+            &seen.account,
+            &seen.ended.len(),
+            &seen.broken_else,
+            &seen.calls.len(),
+            &seen.instances.len(),
+            &seen.refused_calls,
+            &seen.refused_since,
+            &seen.released_at,
+        ]);
+        shown.push(serde_json::json!({
+            "content": content, "account": seen.account, "ended_targets": seen.ended.len(),
+            "broken_else": seen.broken_else, "calls": seen.calls.len(),
+            "instances": seen.instances.len(), "refused_calls": seen.refused_calls,
+            "refused_since": seen.refused_since, "released_at": seen.released_at,
+        }));
+    }
+    context.print(&Value::Array(shown), &table)
+}
--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -192,6 +192,46 @@
     assert_eq!(rows[0]["written_off_known_tokens"], 600);
 }
 
+/// Lines of two instances on a content that ended two targets and on one that ran beside it.
+const ENDS: [&str; 2] = [
+    r#"{"msg":"RunBroken","level":"WARN","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"account=one content=beef id=c1 ran_ms=60 state=ended target=t1","event":605}
+{"msg":"RunBroken","level":"WARN","ts":"2026-01-01T00:00:01.001Z","instance":"a","fields":"account=two content=cafe id=c2 ran_ms=900 state=ended target=t1","event":605}
+{"msg":"RunBroken","level":"WARN","ts":"2026-01-01T00:00:01.500Z","instance":"a","fields":"account=two content=cafe id=c3 ran_ms=10 state=lives target=t4","event":605}
+{"msg":"ContentBarred","level":"ERROR","ts":"2026-01-01T00:00:03.000Z","instance":"a","fields":"account=one content=beef ends=3 source=b","event":113}
+{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:04.000Z","instance":"a","fields":"account=one content=beef id=c9 outcome=crashes_targets","event":108}
+"#,
+    r#"{"msg":"RunBroken","level":"WARN","ts":"2026-01-01T00:00:02.000Z","instance":"b","fields":"account=one content=beef id=c4 ran_ms=60 state=ended target=t2","event":605}
+"#,
+];
+
+#[test]
+fn ends_of_targets_are_added_up_by_what_was_asked_for() {
+    // Act
+    let (code, rows, errors) = explain("contents", "contents", &ENDS, &[]);
+
+    // Assert: the one with most ends comes first.
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    let of = |index: usize, name: &str| rows[index][name].clone();
+    assert_eq!(
+        (of(0, "content"), of(1, "content")),
+        ("beef".into(), "cafe".into())
+    );
+    assert_eq!(
+        (of(0, "ended_targets"), of(0, "instances")),
+        (2.into(), 2.into())
+    );
+    assert_eq!(
+        (of(0, "calls"), of(0, "refused_calls")),
+        (2.into(), 1.into())
+    );
+    assert_eq!(of(0, "refused_since"), "2026-01-01T00:00:03.000Z");
+    assert_eq!(
+        (of(1, "ended_targets"), of(1, "broken_else")),
+        (1.into(), 1.into())
+    );
+    assert_eq!(of(1, "refused_since"), "");
+}
+
 #[test]
 fn calls_to_the_store_are_added_up_over_all_runs_of_all_instances() {
     // Act
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -1,6 +1,7 @@
 //! `refusing` answers a call that no target answers.
 
 use damaskstile_core::prelude::*;
+use damaskstile_requests::Fingerprint;
 use http::Response;
 
 use super::{Exchange, refuse};
@@ -11,12 +12,12 @@
 
 impl Exchange {
     /// Returns the refusal of a call for what is known to end its targets, by other attempts too.
-    pub(super) fn barred(&self) -> Option<Refusal> {
-        let refusal = self
-            .gateway
-            .barred(&self.call, self.terms.account.as_deref())?;
-        let has_run = self.attempts.has_run();
-        Some(if has_run {
+    pub(super) fn barred(&mut self) -> Option<Refusal> {
+        let account = self.terms.account.as_deref();
+        let refusal = self.gateway.barred(&self.call, account)?;
+        let content = Fingerprint::of(&self.call.content(account));
+        self.record.add("content", content);
+        Some(if self.attempts.has_run() {
             Refusal::unknown(refusal.code)
         } else {
             refusal
