--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod suspicion;
 pub mod target_ends;
 pub mod target_list;
+mod target_says;
 pub mod target_words;
 
 use std::sync::Arc;
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_core::time::unix_ms;
 use damaskstile_requests::SendEnd;
 use damaskstile_targets::Choice;
 use http::{Request, StatusCode, response};
@@ -20,12 +19,7 @@
 use crate::running::Running;
 use crate::sendable::Sendable;
 use crate::state::Terms;
-use crate::target_list::incarnation_text;
-
-/// Part of a pause by which an instance stays away longer, by chance.
-const PAUSE_SPREAD_PART: u32 = 5;
-/// Pause up to which it is a part of it.
-const PAUSE_SPREAD_OF_MAX: Duration = Duration::from_secs(10);
+use crate::target_says;
 
 /// `Run` is an answer that a target has begun.
 #[derive(Debug)]
@@ -134,58 +128,10 @@
     request
 }
 
-/// Takes in that a target says in an answer that it leaves.
-///
-/// It may not reach the store for long, and neither the list nor peers tell of it until it has. The
-/// word is on the process that the connection leads to, so any answer on it counts, also one that
-/// turns the call away or answers another one, and it counts from its head on: calls that follow
-/// while a stream goes on would reach a target that has left.
-fn heed_leaving(gateway: &Gateway, head: &AnswerHead, target: &TargetIdentity) {
-    let is_own = head.handling != Handling::Misdirected;
-    let now = gateway.now();
-    if head.is_leaving && is_own && gateway.state().book.leave(now, target) {
-        let incarnation = incarnation_text(target.incarnation);
-        let fields = [
-            ("target", target.target.as_str()),
-            ("incarnation", incarnation.as_str()),
-            ("source", "answer"),
-        ];
-        gateway.log(EventCode::TargetLeaving, &fields);
-        gateway.news.notify_one();
-    }
-}
-
-/// Takes in that a target wants nothing from this instance for a time.
-///
-/// Calls sent before it is over are turned away again, each after a way to the target and back, and
-/// keep a target busy that has no room. Instances that were told the same at the same moment come
-/// back some time apart.
-fn heed_pause(gateway: &Gateway, head: &AnswerHead, choice: &Choice) {
-    let Some(pause) = head.pause.filter(|pause| !pause.is_zero()) else {
-        return;
-    };
-    let is_own = head.handling != Handling::Misdirected;
-    if is_own {
-        let now = gateway.now();
-        let mut state = gateway.state();
-        let spread_ms = unix_ms(pause.min(PAUSE_SPREAD_OF_MAX) / PAUSE_SPREAD_PART);
-        let spread = Duration::from_millis(state.random.below(spread_ms));
-        state.book.pause(now, choice, pause.saturating_add(spread));
-        drop(state);
-        let pause_ms = pause.as_millis().to_string();
-        let fields = [
-            ("target", choice.target.as_str()),
-            ("pause_ms", pause_ms.as_str()),
-        ];
-        gateway.log(EventCode::TargetPaused, &fields);
-    }
-}
-
 /// Decides whether an answer is the one to this call and tells of a run.
 fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
     let choice = &run.running.choice;
-    heed_leaving(gateway, &run.head, &choice.identity());
-    heed_pause(gateway, &run.head, choice);
+    target_says::heed(gateway, &run.head, choice);
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
