Cold targets get what they bear of all instances together; emptied data centres nothing; calls stay in their homes

Homes of routes and accounts were not decoded.

Cold targets: 18 instances at most, found by hash of target and instance, may send to one, each so many calls within any second that all together stay at 0.8 of the bound. The rank is among all ever heard of, silent ones too, so both sides of a cut agree; an instance that knows only a part of the fleet counts itself among the few half as often; none sends within 1.1 s of its own start. The place is taken after the connection is made, so what waited for it does not bunch. Told with the list of targets; a data centre that is taken back is cold as a whole, and so is a target at which nothing listened.

Emptied data centres: a third kind that is followed, told in each digest with the store's version; nothing is sent before it is known which are emptied. The follower calls the store only where the deployment says that operators may.

Ruled out: a share of the rate for each instance: at 12 calls a second over 90 instances each has one call in five seconds, and nothing keeps 90 from taking it within the same second.

--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -32,6 +32,8 @@
     Overloaded,
     /// No target of the service is known to take work.
     NoTarget,
+    /// No target of the service takes work in the regions that may run the request.
+    NoTargetInRegion,
     /// Bills waiting for the store fill their bounded buffer.
     BillsBacklog,
     /// The key was used before with another body.
@@ -79,6 +81,7 @@
             Self::BudgetUnreachable => "budget_unreachable",
             Self::Overloaded => "overloaded",
             Self::NoTarget => "no_target",
+            Self::NoTargetInRegion => "no_target_in_region",
             Self::BillsBacklog => "bills_backlog",
             Self::KeyReused => "key_reused",
             Self::ClaimUnavailable => "claim_unavailable",
--- a/crates/damaskstile-core/src/ids.rs
+++ b/crates/damaskstile-core/src/ids.rs
@@ -29,3 +29,5 @@
 pub type Version = u64;
 /// Names a data centre.
 pub type DataCentreId = String;
+/// Names a region, which holds data centres.
+pub type RegionId = String;
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -96,6 +96,9 @@
     TargetUnlisted = 604, "info", "The list no longer shows a target.";
     RunBroken = 605, "warn", "A target's connection broke under a call: what the call asked for, and whether the target has ended.";
     TargetPaused = 606, "info", "A target turned a call away and wants none from this instance for a time.";
+    TargetCold = 607, "info", "A target is cold; all instances together send it no more than it bears.";
+    DataCentreEmptied = 608, "warn", "Nothing more is sent to the targets of a data centre, as the operator asked.";
+    DataCentreTakenBack = 609, "info", "Targets of a data centre may get work again; they are taken to be cold.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
     StopDone = 702, "info", "The instance has handed back what it held.";
--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -54,6 +54,8 @@
         if state == TargetState::Ended {
             let account = terms.account.as_deref().unwrap_or_default();
             gateway.note_end(content, account, self.target.clone());
+            let now = gateway.now();
+            gateway.state().book.note_ended(now, &self.target);
         }
     }
 }
--- a/crates/damaskstile-gateway/src/directory.rs
+++ b/crates/damaskstile-gateway/src/directory.rs
@@ -1,5 +1,6 @@
 //! `directory` is the border to what the platform's store holds of routes and targets.
 
+use damaskstile_core::ids::DataCentreId;
 use damaskstile_routes::Catalogue;
 use damaskstile_targets::Listed;
 
@@ -13,6 +14,9 @@
     /// Kind under which targets are listed.
     fn targets_kind(&self) -> &'static str;
 
+    /// Kind under which operators name emptied data centres.
+    fn emptied_kind(&self) -> &'static str;
+
     /// Reads a catalogue; `None` for objects of the kind that are none.
     ///
     /// # Errors
@@ -26,4 +30,11 @@
     ///
     /// Returns what is wrong with the object.
     fn target(&self, object: &StoredObject) -> Result<Listed, String>;
+
+    /// Reads which data centre is emptied, by the name of the operator's entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the name.
+    fn emptied(&self, name: &str) -> Result<DataCentreId, String>;
 }
--- /dev/null
+++ b/crates/damaskstile-gateway/src/emptied_list.rs
@@ -0,0 +1,72 @@
+//! `emptied_list` takes in which data centres operators have emptied.
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::EmptiedNews;
+
+use crate::gateway::Gateway;
+use crate::objects::{Change, Listing};
+use crate::target_list::log_refused;
+
+/// Takes in all entries as of the listing's version.
+pub(crate) fn take_all(gateway: &Gateway, listing: &Listing) {
+    let names = listing.objects.iter().map(|object| object.name.as_str());
+    let all = names.filter_map(|name| read(gateway, name, listing.version));
+    let all = all.collect();
+    let now = gateway.now();
+    let news = gateway
+        .state()
+        .book
+        .take_emptied(now, listing.version, &all);
+    note(gateway, &news, "store");
+}
+
+/// Takes in what a watch showed up to a version.
+pub(crate) fn take_changes(gateway: &Gateway, changes: &[Change], version: Version) {
+    let changes: Vec<(DataCentreId, bool)> = changes
+        .iter()
+        .filter_map(|change| {
+            let (name, is_emptied) = match change {
+                Change::Put(object) => (&object.name, true),
+                Change::Gone(name) => (name, false),
+            };
+            Some((read(gateway, name, version)?, is_emptied))
+        })
+        .collect();
+    let now = gateway.now();
+    let book = &mut gateway.state().book;
+    let news = book.take_emptied_changes(now, version, &changes);
+    note(gateway, &news, "store");
+}
+
+/// Takes in what a peer knows.
+pub(crate) fn hear(gateway: &Gateway, version: Version, told: &[String], source: &str) {
+    let all = told.iter().cloned().collect();
+    let now = gateway.now();
+    let news = gateway.state().book.take_emptied(now, version, &all);
+    note(gateway, &news, source);
+}
+
+fn read(gateway: &Gateway, name: &str, version: Version) -> Option<DataCentreId> {
+    match gateway.directory.emptied(name) {
+        Ok(data_centre) => Some(data_centre),
+        Err(error) => {
+            log_refused(gateway, name, version, &error);
+            None
+        }
+    }
+}
+
+/// Logs what changed, and has it told to peers at once.
+fn note(gateway: &Gateway, news: &EmptiedNews, source: &str) {
+    if news.is_empty() {
+        return;
+    }
+    let emptied = news.emptied.iter();
+    let emptied = emptied.map(|name| (EventCode::DataCentreEmptied, name));
+    let taken_back = news.taken_back.iter();
+    let taken_back = taken_back.map(|name| (EventCode::DataCentreTakenBack, name));
+    for (code, name) in emptied.chain(taken_back) {
+        gateway.log(code, &[("data_centre", name), ("source", source)]);
+    }
+    gateway.news.notify_one();
+}
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, Next, SendEnd};
+use damaskstile_targets::Work;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -75,7 +76,10 @@
                     headers: parts.headers,
                     body: Bytes::new(),
                     id: head.id,
-                    work: head.work.unwrap_or_default(),
+                    work: Work {
+                        homes: terms.homes.clone(),
+                        ..head.work.unwrap_or_default()
+                    },
                 },
                 terms,
                 record,
@@ -160,6 +164,9 @@
         if let Some(refusal) = self.barred() {
             return self.refuse(&refusal);
         }
+        if let Some(refusal) = self.no_target() {
+            return self.refuse(&refusal);
+        }
         // Known before any tokens are waited for.
         if let Some(wait) = self.targets_pause() {
             let refusal = Refusal::not_run(RefusalCode::NoTarget, Some(wait));
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -5,7 +5,7 @@
 use http::Response;
 
 use super::{Exchange, refuse};
-use crate::reply::{RETRY_SOON, Refusal, ReplyBody};
+use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 
 /// Time in which callers come back after a pause of all targets, by chance.
 const RETURN_SPREAD_MS: u64 = 300;
@@ -40,6 +40,21 @@
         self.refuse(&refusal)
     }
 
+    /// Returns the refusal of a call that no target may get now. Where all that may want a pause,
+    /// the wait is known better.
+    pub(super) fn no_target(&self) -> Option<Refusal> {
+        let now = self.gateway.now();
+        let state = self.gateway.state();
+        let found = state
+            .book
+            .has_target(now, &self.terms.service, &self.call.work);
+        let code = found.err()?;
+        if state.book.paused_for(now, &self.terms.service).is_some() {
+            return None;
+        }
+        Some(Refusal::not_run(code, Some(RETRY_LATER)))
+    }
+
     /// Returns when a caller should come back where all targets of the service want a pause. Those
     /// that were refused all through it come back some time apart.
     pub(super) fn targets_pause(&self) -> Option<Duration> {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -6,6 +6,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::emptied_list;
 use crate::fault::fault;
 use crate::gateway::Gateway;
 use crate::metrics::Stored;
@@ -60,6 +61,8 @@
     Catalogue,
     /// The list of targets.
     Targets,
+    /// Data centres whose targets get nothing.
+    Emptied,
 }
 
 impl Followed {
@@ -74,6 +77,7 @@
         match self {
             Self::Catalogue => "catalogue",
             Self::Targets => "targets",
+            Self::Emptied => "emptied",
         }
     }
 }
@@ -83,6 +87,7 @@
     let kind = match followed {
         Followed::Catalogue => gateway.directory.catalogue_kind(),
         Followed::Targets => gateway.directory.targets_kind(),
+        Followed::Emptied => gateway.directory.emptied_kind(),
     };
     let mut is_due = !is_told_at_start(&gateway).await;
     loop {
@@ -147,7 +152,7 @@
             return true;
         }
         let look = tokio::time::sleep(FOLLOWER_LOOK);
-        if followed == Followed::Targets {
+        if followed != Followed::Catalogue {
             look.await;
             continue;
         }
@@ -204,6 +209,10 @@
 ) {
     note_followed(gateway, followed);
     let is_burst = !changes.is_empty();
+    if followed == Followed::Emptied {
+        emptied_list::take_changes(gateway, &changes, version);
+        return;
+    }
     let mut is_news = false;
     for change in changes {
         is_news |= take_change(gateway, followed, change, version);
@@ -295,6 +304,7 @@
             }
         }
         Followed::Targets => target_list::take_all(gateway, listing),
+        Followed::Emptied => emptied_list::take_all(gateway, listing),
     }
 }
 
@@ -312,6 +322,10 @@
         }
         (Followed::Targets, Change::Put(object)) => target_list::take(gateway, &object),
         (Followed::Targets, Change::Gone(name)) => target_list::take_gone(gateway, &name, version),
+        (Followed::Emptied, change) => {
+            emptied_list::take_changes(gateway, &[change], version);
+            false
+        }
     }
 }
 
@@ -324,6 +338,7 @@
             let prepaid = catalogue.prepaid_tokens();
             let routes = catalogue.route_names();
             let first_rank = catalogue.first_stream_rank();
+            let cold_limits = gateway.options.cold.limits(&catalogue);
             let now = gateway.now();
             let mut state = gateway.state();
             let is_new = state.catalogue.apply(now, catalogue);
@@ -332,6 +347,7 @@
             }
             state.holder.set_prepaid(version, prepaid);
             state.holder.set_first_rank(first_rank);
+            state.book.set_cold_limits(cold_limits);
             state.call_times.retain(|route| routes.contains(route));
             state.stored_catalogue = Some(object.clone());
             drop(state);
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -94,8 +94,8 @@
         log: Logger,
     ) -> (Arc<Self>, mpsc::Receiver<Outgoing>) {
         let (outbox, outbox_out) = mpsc::channel(OUTBOX_RING);
-        let state = Mutex::new(State::new(&options));
         let clock = Clock::start();
+        let state = Mutex::new(State::new(&options, clock.now()));
         let gateway = Arc::new(Self {
             started_at: clock.now(),
             clock,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod call_times;
 pub mod charge;
 pub mod clock;
+pub mod cold_options;
 pub mod contact;
 pub mod counted_store;
 pub mod dialect;
 pub mod directory;
+pub(crate) mod emptied_list;
 pub mod events;
 pub mod exchange;
 pub mod fault;
@@ -88,6 +90,9 @@
 
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
     tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
+    if options.book.empties_data_centres {
+        tokio::spawn(follow(Arc::clone(&gateway), Followed::Emptied));
+    }
     tokio::spawn(proof::keep(Arc::clone(&gateway)));
     tokio::spawn(rounds::keep(Arc::clone(&gateway)));
     tokio::spawn(holdings::keep(Arc::clone(&gateway)));
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -6,6 +6,8 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_targets::BookOptions;
 
+use crate::cold_options::ColdOptions;
+
 /// `GatewayOptions` sets up a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewayOptions {
@@ -38,4 +40,6 @@
     pub escrow: EscrowOptions,
     /// How targets are chosen.
     pub book: BookOptions,
+    /// What a cold target may get beyond the calls a second that it bears.
+    pub cold: ColdOptions,
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -37,6 +37,7 @@
 pub use told_suspect::{ToldEnd, ToldSuspect};
 pub use told_target::ToldTarget;
 
+use crate::emptied_list;
 use crate::gateway::Gateway;
 use crate::member::Member;
 use crate::outgoing::Outgoing;
@@ -239,6 +240,8 @@
             data_centre: self.gateway.options.identity.data_centre.clone(),
             writer: state.best_in_touch(now),
             suspects: suspects.into_iter().map(ToldSuspect::of).collect(),
+            emptied_version: state.book.emptied().version().unwrap_or_default(),
+            emptied: state.book.emptied().names(),
             ..Digest::default()
         };
         digest.with_departures(&state.book.draining(now), &state.vanished(now))
@@ -343,11 +346,15 @@
             from.to_owned(),
             Member::new(incarnation, address, now, digest),
         );
+        state.book.meet(from, digest.known_instances);
         if let Some(word) = &digest.writer {
             state.hear_of(now, word);
         }
         let is_new = is_new.is_none_or(|member| member.incarnation != incarnation);
         drop(state);
+        if digest.emptied_version > 0 {
+            emptied_list::hear(gateway, digest.emptied_version, &digest.emptied, from);
+        }
         if is_new {
             gateway.log(EventCode::MemberJoined, &[("peer", from)]);
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -70,6 +70,12 @@
     /// Contents under which targets ended.
     #[prost(message, repeated, tag = "18")]
     pub suspects: Vec<ToldSuspect>,
+    /// Version of the store as of which the sender knows which data centres are emptied; 0 for none.
+    #[prost(uint64, tag = "19")]
+    pub emptied_version: u64,
+    /// Those data centres.
+    #[prost(string, repeated, tag = "20")]
+    pub emptied: Vec<String>,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 use damaskstile_http::socket::connect;
 use damaskstile_targets::Listed;
 use futures_util::{SinkExt, StreamExt};
@@ -93,6 +94,8 @@
     is_ready: bool,
     #[prost(uint64, optional, tag = "7")]
     started_at_unix_ms: Option<u64>,
+    #[prost(uint64, tag = "8")]
+    cold_for_ms: u64,
 }
 
 /// Pulls from a peer, unless the store was faster.
@@ -206,6 +209,7 @@
                 data_centre: pulled.data_centre,
                 slots_requests: pulled.slots_requests,
                 is_ready: pulled.is_ready,
+                cold_for: Duration::from_millis(pulled.cold_for_ms),
             }))
         })
         .collect();
@@ -268,6 +272,7 @@
             data_centre: listed.data_centre.clone(),
             slots_requests: listed.slots_requests,
             is_ready: listed.is_ready,
+            cold_for_ms: unix_ms(state.book.cold_for(now, &listed.target)),
         });
         return PullAnswer {
             version: state.targets_version,
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! `run` sends a call to one target and follows it there.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -71,15 +72,22 @@
     let choice = &running.choice;
     let identity = choice.identity();
     let leasing = gateway.pool.lease(&identity, choice.address);
-    let Ok(Ok(mut lease)) = timeout_at(until, leasing).await else {
-        running.silent();
-        return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
+    let mut lease = match timeout_at(until, leasing).await {
+        Ok(Ok(lease)) => lease,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            running.ended();
+            return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
+        }
+        Ok(Err(_)) | Err(_) => {
+            running.silent();
+            return Err(NoRun::new(SendEnd::NotSent, "no_connection"));
+        }
     };
     // Making a connection takes up to a few hundred milliseconds over a full link, and what is heard
     // meanwhile may take the target out of use. It would get the call although this instance knows
     // better; nothing of the call was sent yet, so any other target may have it.
     let now = gateway.now();
-    if !gateway.state().book.may_send(now, &choice.identity()) {
+    if !gateway.state().book.claim_send(now, &choice.identity()) {
         return Err(NoRun::new(SendEnd::NotSent, "leaving"));
     }
     let send = SendHead {
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -75,6 +75,14 @@
         }
     }
 
+    /// Notes that nothing takes connections at the target.
+    pub(crate) fn ended(&self) {
+        self.silent();
+        let now = self.gateway.now();
+        let book = &mut self.gateway.state().book;
+        book.note_ended(now, &self.choice.identity());
+    }
+
     /// Notes that the target did not answer at all.
     pub(crate) fn silent(&self) {
         let now = self.gateway.now();
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -56,6 +56,8 @@
     pub service: ServiceId,
     /// Client account; `None` on routes that need none.
     pub account: Option<AccountId>,
+    /// Regions that may run the call; `None` for all.
+    pub homes: Option<Arc<BTreeSet<RegionId>>>,
     /// Rank of the call.
     pub priority: u8,
 }
@@ -125,12 +127,13 @@
 impl State {
     /// Makes the state of an instance that knows nothing yet.
     #[must_use]
-    pub fn new(options: &GatewayOptions) -> Self {
+    pub fn new(options: &GatewayOptions, started_at: Duration) -> Self {
         let identity = options.identity.clone();
         let address = options.peers_address.to_string();
         Self {
             catalogue: CatalogueInForce::default(),
-            book: Book::new(&identity.data_centre, options.book.clone()),
+            book: Book::new(&identity.data_centre, options.book.clone())
+                .of_instance(&identity.instance, started_at),
             random: Random::new(identity.incarnation),
             instance: identity.instance.clone(),
             own: Candidate::new(
@@ -197,6 +200,7 @@
             catalogue_age: self.catalogue.age(now),
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
+            homes: homes(&route, account).map(Arc::new),
             priority,
             route: Arc::clone(&route),
             catalogue: Arc::clone(&catalogue),
@@ -278,6 +282,19 @@
     }
 }
 
+/// Returns the regions that may run a call: where both route and account name some, those of both.
+fn homes(route: &Route, account: Option<&Account>) -> Option<BTreeSet<RegionId>> {
+    let of_account = account.map(|account| &account.homes);
+    let mut named = [Some(&route.homes), of_account]
+        .into_iter()
+        .flatten()
+        .filter(|homes| !homes.is_empty());
+    let first = named.next()?.clone();
+    Some(named.fold(first, |both, homes| {
+        both.intersection(homes).cloned().collect()
+    }))
+}
+
 fn account_of<'a>(
     catalogue: &'a Catalogue,
     route: &Route,
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -1,6 +1,7 @@
 //! `target_list` takes in what the store lists of targets.
 
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 use damaskstile_targets::{Listed, Refused};
 
 use crate::fault::fault;
@@ -40,6 +41,7 @@
     let now = gateway.now();
     let entry = decode(gateway, object);
     let is_ready = matches!(&entry, Ok(listed) if listed.is_ready);
+    let cold_ms = entry.as_ref().map_or(0, |listed| unix_ms(listed.cold_for));
     let incarnation = entry.as_ref().map_or(None, |listed| listed.incarnation);
     let mut state = gateway.state();
     // A watch that is behind may show entries from before what peers know. What cannot be read may
@@ -63,6 +65,11 @@
         note_refused(gateway, &Refused { target, fault }, object.version);
         return true;
     }
+    if cold_ms > 0 {
+        let fields = [("target", &object.name), ("cold_ms", &cold_ms.to_string())];
+        let fields = fields.map(|(name, value)| (name, value.as_str()));
+        gateway.log(EventCode::TargetCold, &fields);
+    }
     let is_ready = is_ready.to_string();
     let version = object.version.to_string();
     let incarnation = incarnation_text(incarnation);
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -51,6 +51,7 @@
         priority: 0,
         attempts_max: 1,
         is_anonymous: true,
+        homes: BTreeSet::new(),
     };
     Terms {
         catalogue: Arc::new(Catalogue::default()),
@@ -58,6 +59,7 @@
         route: Arc::new(route),
         service: SERVICE.to_owned(),
         account: None,
+        homes: None,
         priority: 0,
     }
 }
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::answer::AnswerHead;
 use damaskstile_gateway::call::{CallHead, SendHead};
+use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::dialect::Dialect;
 use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
@@ -60,6 +61,14 @@
         "targets"
     }
 
+    fn emptied_kind(&self) -> &'static str {
+        "emptied"
+    }
+
+    fn emptied(&self, name: &str) -> Result<DataCentreId, String> {
+        Ok(name.to_owned())
+    }
+
     fn catalogue(&self, _object: &StoredObject) -> Result<Option<Catalogue>, String> {
         Ok(None)
     }
@@ -135,6 +144,7 @@
         extra_retries_per_s: 5,
         escrow: EscrowOptions::default(),
         book: BookOptions::default(),
+        cold: ColdOptions::default(),
     };
     let log = Logger::root(Discard, o!());
     Gateway::new(
@@ -156,6 +166,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready: true,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -5,6 +5,7 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
@@ -49,8 +50,9 @@
         extra_retries_per_s: 5,
         escrow: EscrowOptions::default(),
         book: BookOptions::default(),
+        cold: ColdOptions::default(),
     };
-    let mut state = State::new(&options);
+    let mut state = State::new(&options, Duration::ZERO);
     state.contact.answered(at(0));
     state
 }
--- a/crates/damaskstile-routes/src/account.rs
+++ b/crates/damaskstile-routes/src/account.rs
@@ -13,4 +13,6 @@
     pub priority: Option<u8>,
     /// Tokens bought so far; `None` where the account is not prepaid.
     pub prepaid_tokens: Option<u64>,
+    /// Regions that may run the account's calls; empty for all.
+    pub homes: BTreeSet<RegionId>,
 }
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -158,6 +158,11 @@
         self.services.get(name)
     }
 
+    /// Returns the services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the tokens that each prepaid account has bought.
     #[must_use]
     pub fn prepaid_tokens(&self) -> BTreeMap<AccountId, u64> {
--- a/crates/damaskstile-routes/src/route.rs
+++ b/crates/damaskstile-routes/src/route.rs
@@ -36,6 +36,8 @@
     pub attempts_max: usize,
     /// Whether a call needs no key.
     pub is_anonymous: bool,
+    /// Regions that may run the calls; empty for all.
+    pub homes: BTreeSet<RegionId>,
 }
 
 impl Route {
@@ -51,7 +53,7 @@
     ///     name: "r".to_owned(), host: "h".to_owned(), path_prefix: "/".to_owned(),
     ///     kind: RouteKind::Idempotent, shares: vec![share("a", 9), share("b", 1)],
     ///     timeout: Duration::from_secs(1), objective: Duration::from_secs(1),
-    ///     priority: 0, attempts_max: 1, is_anonymous: false,
+    ///     priority: 0, attempts_max: 1, is_anonymous: false, homes: Default::default(),
     /// };
     /// assert_eq!(route.service(8), Some("a"));
     /// assert_eq!(route.service(9), Some("b"));
--- a/crates/damaskstile-routes/tests/catalogue.rs
+++ b/crates/damaskstile-routes/tests/catalogue.rs
@@ -1,5 +1,6 @@
 //! Look-ups in a catalogue, and versions that may not come into force.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -22,6 +23,7 @@
         priority: 0,
         attempts_max: 1,
         is_anonymous: false,
+        homes: BTreeSet::new(),
     }
 }
 
@@ -31,6 +33,7 @@
         keys: vec![key.to_owned()],
         priority: None,
         prepaid_tokens: Some(10),
+        homes: BTreeSet::new(),
     }
 }
 
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -1,15 +1,20 @@
 //! `book` knows the listed targets and chooses one for a call.
 
+mod cold;
 mod list;
 mod long_load;
 mod pause;
+mod place;
 mod weigh;
 
 use damaskstile_core::prelude::*;
 
 use crate::book_options::BookOptions;
 use crate::choice::Choice;
+use crate::cold_limit::ColdLimit;
 use crate::departures::Departures;
+use crate::emptied::Emptied;
+use crate::fleet_view::FleetView;
 use crate::known::Known;
 use crate::reading_speed::ReadingSpeed;
 use crate::work::Work;
@@ -46,6 +51,14 @@
     long_loads: BTreeMap<ServiceId, LongLoad>,
     /// How fast targets read, by service.
     speeds: BTreeMap<ServiceId, ReadingSpeed>,
+    /// Data centres whose targets get nothing.
+    emptied: Emptied,
+    /// What cold targets bear, by service.
+    cold_limits: BTreeMap<ServiceId, ColdLimit>,
+    /// The other instances, by which each knows to which cold targets it may send.
+    fleet: FleetView,
+    /// When the instance started, where that is known.
+    started_at: Option<Duration>,
 }
 
 impl Book {
@@ -62,9 +75,21 @@
             instances: 1,
             long_loads: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            emptied: Emptied::default(),
+            cold_limits: BTreeMap::new(),
+            fleet: FleetView::default(),
+            started_at: None,
         }
     }
 
+    /// Makes the book of an instance that started at a time.
+    #[must_use]
+    pub fn of_instance(mut self, instance: &str, started_at: Duration) -> Self {
+        self.fleet = FleetView::new(instance);
+        self.started_at = Some(started_at);
+        self
+    }
+
     /// Returns the number of targets of a service that may get work.
     #[must_use]
     pub fn usable_targets(&self, now: Duration, service: &str) -> usize {
@@ -90,12 +115,14 @@
         let outlook = self.outlook(now, service, work);
         self.usable(now, service)
             .filter(|known| !tried.contains(&known.listed.target))
+            .filter(|known| self.is_home(known, work) && self.has_place(now, known))
             .map(|known| self.weigh(now, known, &outlook))
             .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
     }
 
     /// Tells whether an incarnation may still get the call that was chosen for it: nothing that came
-    /// since shows that it leaves, is gone, wants a pause or has been followed by another.
+    /// since shows that it leaves, is gone, wants a pause or has been followed by another, and it is
+    /// not cold with all that it bears.
     ///
     /// ```
     /// use std::time::Duration;
@@ -107,7 +134,9 @@
     #[must_use]
     pub fn may_send(&self, now: Duration, identity: &TargetIdentity) -> bool {
         self.targets.get(&identity.target).is_some_and(|known| {
-            known.listed.incarnation == identity.incarnation && self.is_usable(now, known)
+            known.listed.incarnation == identity.incarnation
+                && self.is_usable(now, known)
+                && self.has_place(now, known)
         })
     }
 
@@ -252,6 +281,7 @@
         known.listed.is_ready
             && is_listed
             && self.is_sound(known)
+            && self.is_place_open(known)
             && !self.departures.covers(&known.listed.target)
     }
 
--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -38,14 +38,18 @@
         match self.targets.get_mut(&listed.target) {
             Some(known) if known.listed.incarnation == listed.incarnation => {
                 let was_ready = known.listed.is_ready && known.missing_since.is_none();
-                let is_news = was_refused || was_ready != listed.is_ready;
-                known.missing_since = None;
-                known.listed = listed;
-                is_news
+                let is_ready = listed.is_ready;
+                let is_chilled = known.update(now, listed);
+                if is_chilled {
+                    self.find_cold_sender(&identity.target);
+                }
+                was_refused || was_ready != is_ready || is_chilled
             }
             _ => {
                 // A new incarnation holds nothing of what the one before it held.
-                self.targets.insert(identity.target, Known::new(listed));
+                let known = Known::new(now, listed);
+                self.targets.insert(identity.target.clone(), known);
+                self.find_cold_sender(&identity.target);
                 true
             }
         }
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -92,6 +92,7 @@
     ) -> Option<&'a str> {
         let subject = outlook.work.shared_parts().last()?.name.to_string();
         self.usable(now, service)
+            .filter(|known| self.is_home(known, outlook.work) && !self.is_paced(now, known))
             .map(|known| known.listed.target.as_str())
             .filter(|target| !outlook.kept.contains(target))
             .max_by_key(|target| stable_hash(&[&subject, target]))
@@ -106,6 +107,7 @@
     ) -> Option<(&'a Known, f64)> {
         self.usable(now, service)
             .filter(|known| known.failure_share(now) < FETCH_FAILURES_MAX)
+            .filter(|known| self.is_home(known, outlook.work))
             .map(|known| (known, self.cached(now, known, outlook)))
             .max_by(|(_, one), (_, other)| one.total_cmp(other))
             .filter(|_| self.options.fetch_share < 1.0)
--- a/crates/damaskstile-targets/src/book_options.rs
+++ b/crates/damaskstile-targets/src/book_options.rs
@@ -45,6 +45,10 @@
     pub long_busy: f64,
     /// Time for which a target stays in use after the list lost it around an outage of the list.
     pub lapse_grace: Duration,
+    /// Whether operators may empty data centres. Nothing is sent then before it is known which are.
+    pub empties_data_centres: bool,
+    /// Region of each data centre.
+    pub regions: BTreeMap<DataCentreId, RegionId>,
 }
 
 impl Default for BookOptions {
@@ -62,6 +66,8 @@
             apart_ms: 100.0,
             long_busy: 0.15,
             lapse_grace: Duration::from_millis(1_500),
+            empties_data_centres: false,
+            regions: BTreeMap::new(),
         }
     }
 }
--- /dev/null
+++ b/crates/damaskstile-targets/src/fleet_view.rs
@@ -0,0 +1,111 @@
+//! `fleet_view` is what an instance knows of the others, to find out which of them are to do
+//! something that only few may do.
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
+
+/// How much more often than its share of the fleet an instance may find itself among the few.
+/// Where it knows too few others, its rank among them would say nothing.
+const SHARE_FACTOR: f64 = 2.5;
+
+/// Of how many parts of the fleet all but one must be known for a rank to be taken as it is.
+const KNOWN_PARTS: u64 = 10;
+
+/// `FleetView` is what an instance knows of the others.
+///
+/// Instances that have fallen silent stay in it: were they left out, each side of a cut fleet would
+/// find the full number among its own.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FleetView {
+    own: InstanceId,
+    others: BTreeSet<InstanceId>,
+    /// Most instances that anybody told of.
+    told: u64,
+}
+
+impl FleetView {
+    /// Makes the view of an instance that knows of nobody.
+    #[must_use]
+    pub fn new(own: &str) -> Self {
+        Self {
+            own: own.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes in that there is another instance; returns whether that is news.
+    pub fn meet(&mut self, other: &str) -> bool {
+        other != self.own && !self.others.contains(other) && self.others.insert(other.to_owned())
+    }
+
+    /// Takes in how many instances somebody knows of; returns whether that is news.
+    pub fn hear_count(&mut self, instances: u64) -> bool {
+        let is_more = instances > self.told;
+        self.told = self.told.max(instances);
+        is_more
+    }
+
+    /// Returns the number of instances.
+    #[must_use]
+    pub fn instances(&self) -> u64 {
+        self.known().max(self.told)
+    }
+
+    /// Tells whether this instance is among the few that a subject falls to by hash.
+    ///
+    /// ```
+    /// use damaskstile_targets::FleetView;
+    /// let mut views = ["a", "b", "c"].map(FleetView::new);
+    /// for view in &mut views {
+    ///     for other in ["a", "b", "c"] {
+    ///         view.meet(other);
+    ///     }
+    /// }
+    /// assert_eq!(views.iter().filter(|view| view.is_among(&["t"], 2)).count(), 2);
+    /// ```
+    #[must_use]
+    pub fn is_among(&self, subject: &[&str], count: u64) -> bool {
+        let instances = self.instances();
+        if count >= instances {
+            return true;
+        }
+        let own = rank(subject, &self.own);
+        let better = self
+            .others
+            .iter()
+            .filter(|other| rank(subject, other) < own);
+        let better = u64::try_from(better.count()).unwrap_or(u64::MAX);
+        better < self.places(count) && share(own) * as_f64(instances) < as_f64(count) * SHARE_FACTOR
+    }
+
+    /// Returns the rank among the instances known up to which one is among the few. Where it knows
+    /// only a part of the fleet, others with other parts find the same of themselves, so that about
+    /// so many do by chance; half leaves room for that.
+    fn places(&self, count: u64) -> u64 {
+        let (known, instances) = (self.known(), self.instances());
+        if known * KNOWN_PARTS >= instances * (KNOWN_PARTS - 1) {
+            count
+        } else {
+            count * known / instances / 2
+        }
+    }
+
+    fn known(&self) -> u64 {
+        u64::try_from(self.others.len()).map_or(u64::MAX, |others| others.saturating_add(1))
+    }
+}
+
+fn rank(subject: &[&str], instance: &str) -> u64 {
+    let parts: Vec<&str> = subject.iter().copied().chain([instance]).collect();
+    stable_hash(&parts)
+}
+
+/// Returns where a hash lies between the least and the greatest one.
+fn share(hash: u64) -> f64 {
+    as_f64(hash) / as_f64(u64::MAX)
+}
+
+#[allow(clippy::cast_precision_loss)] // a share, or a count far below 2^52
+fn as_f64(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -20,6 +20,10 @@
 /// Time in which the share of failures falls to about a third without any call, so that a target
 /// that recovered is tried again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
+/// Longest time for which a target is taken to be cold by one word.
+const COLD_MAX: Duration = Duration::from_mins(1);
+/// Span in which calls to a cold target are counted: a second, and what timers may be late.
+const COLD_SPAN: Duration = Duration::from_millis(1_020);
 /// Age at which a report of load counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -42,10 +46,22 @@
     /// Time for which the target is still likely to read prompts that peers told of.
     others_reading: Duration,
     others_reading_at: Duration,
+    /// Until when it is taken to be cold.
+    cold_until: Duration,
+    /// Whether this instance is one of the few that may send to it while it is cold.
+    pub(crate) is_cold_sender: bool,
+    /// When this instance last sent to it while it was cold, oldest first.
+    cold_sends: VecDeque<Duration>,
 }
 
 impl Known {
-    pub(crate) fn new(listed: Listed) -> Self {
+    pub(crate) fn new(now: Duration, listed: Listed) -> Self {
+        let cold_for = listed.cold_for.min(COLD_MAX);
+        let cold_until = if cold_for.is_zero() {
+            Duration::ZERO
+        } else {
+            now + cold_for
+        };
         Self {
             listed,
             missing_since: None,
@@ -60,9 +76,61 @@
             parts: BTreeMap::new(),
             others_reading: Duration::ZERO,
             others_reading_at: Duration::ZERO,
+            cold_until,
+            is_cold_sender: false,
+            cold_sends: VecDeque::new(),
         }
     }
 
+    /// Takes in a newer entry of the same incarnation; returns whether it says of a warm target
+    /// that it is cold.
+    pub(crate) fn update(&mut self, now: Duration, listed: Listed) -> bool {
+        let was_cold = self.is_cold(now);
+        if !listed.cold_for.is_zero() {
+            self.chill(now + listed.cold_for.min(COLD_MAX));
+        }
+        self.missing_since = None;
+        self.listed = listed;
+        !was_cold && self.is_cold(now)
+    }
+
+    /// Notes until when it is cold. Of several words the one that ends last counts.
+    pub(crate) fn chill(&mut self, until: Duration) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Tells whether it is taken to be cold.
+    pub(crate) fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
+    /// Tells whether it was ever taken to be cold.
+    pub(crate) fn was_cold(&self) -> bool {
+        !self.cold_until.is_zero()
+    }
+
+    /// Returns the time for which it is taken to be cold.
+    pub(crate) fn cold_for(&self, now: Duration) -> Duration {
+        self.cold_until.saturating_sub(now)
+    }
+
+    /// Tells whether this instance has sent it fewer than so many calls within the last second.
+    pub(crate) fn has_cold_place(&self, now: Duration, calls: usize) -> bool {
+        let recent = self.cold_sends.iter().rev();
+        let recent = recent.take_while(|at| now.saturating_sub(**at) < COLD_SPAN);
+        recent.count() < calls
+    }
+
+    /// Notes a call that is sent while it is cold.
+    pub(crate) fn note_cold_send(&mut self, now: Duration) {
+        while let Some(at) = self.cold_sends.front()
+            && now.saturating_sub(*at) >= COLD_SPAN
+        {
+            self.cold_sends.pop_front();
+        }
+        self.cold_sends.push_back(now);
+    }
+
     /// Notes that work was sent whose prompt takes so long to read there.
     pub(crate) fn sent(&mut self, now: Duration, work: &Work, read_ms: f64) {
         self.own_running += 1;
--- a/crates/damaskstile-targets/src/listed.rs
+++ b/crates/damaskstile-targets/src/listed.rs
@@ -21,6 +21,8 @@
     pub slots_requests: u64,
     /// Whether it takes new work.
     pub is_ready: bool,
+    /// How much longer it is cold, as it said when it wrote the entry.
+    pub cold_for: Duration,
 }
 
 impl Listed {
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -1,5 +1,9 @@
 //! `work` is what a call asks of a target, as far as the choice goes by it.
 
+use std::sync::Arc;
+
+use damaskstile_core::prelude::*;
+
 /// `Part` is a piece of a prompt that other calls may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Part {
@@ -18,6 +22,8 @@
     pub output_tokens: u64,
     /// Parts of the prompt in their order.
     pub parts: Vec<Part>,
+    /// Regions that may run it; `None` for all.
+    pub homes: Option<Arc<BTreeSet<RegionId>>>,
 }
 
 impl Work {
--- a/crates/damaskstile-targets/tests/book.rs
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -22,6 +22,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -48,6 +49,7 @@
             part(1_000 + subject, SUBJECT_TOKENS),
             part(1_000_000 + own, OWN_TOKENS),
         ],
+        homes: None,
     }
 }
 
--- /dev/null
+++ b/crates/damaskstile-targets/tests/emptied.rs
@@ -0,0 +1,169 @@
+//! Data centres that operators empty, and regions that calls must stay in.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, ColdLimit, Listed, Part, Work};
+
+const SERVICE: &str = "model";
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn listed(target: &str, data_centre: &str) -> Listed {
+    Listed {
+        target: target.to_owned(),
+        incarnation: Some(1),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: data_centre.to_owned(),
+        slots_requests: 64,
+        is_ready: true,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// Makes a book with a target in each of two data centres, which stand in regions of their own.
+fn book() -> Book {
+    let regions = [("north", "upper"), ("south", "lower")];
+    let regions = regions.map(|(place, region)| (place.to_owned(), region.to_owned()));
+    let options = BookOptions {
+        empties_data_centres: true,
+        regions: regions.into(),
+        ..BookOptions::default()
+    };
+    let mut book = Book::new("north", options).of_instance("i", Duration::ZERO);
+    book.list(at(0), listed("n", "north"));
+    book.list(at(0), listed("s", "south"));
+    book
+}
+
+fn names(names: &[&str]) -> BTreeSet<DataCentreId> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn chosen(book: &Book, now: Duration, work: &Work) -> Option<TargetId> {
+    let choice = book.choose(now, SERVICE, work, &[]);
+    choice.map(|choice| choice.target)
+}
+
+fn work_of(homes: &[&str]) -> Work {
+    let homes = homes.iter().map(|home| (*home).to_owned()).collect();
+    Work {
+        homes: Some(Arc::new(homes)),
+        ..Work::default()
+    }
+}
+
+#[test]
+fn nothing_is_sent_before_it_is_known_what_is_emptied() {
+    // Guards against: an instance that starts and sends where it must not before it hears of it.
+
+    // Arrange
+    let mut book = book();
+
+    // Act
+    let before = chosen(&book, at(10), &Work::default());
+    book.take_emptied(at(20), 5, &BTreeSet::new());
+    let after = chosen(&book, at(30), &Work::default());
+
+    // Assert
+    assert_eq!(before, None);
+    assert!(after.is_some());
+}
+
+#[test]
+fn an_older_word_neither_revives_an_entry_nor_takes_it_back() {
+    // Guards against: digests of instances that lag behind.
+
+    // Arrange
+    let mut book = book();
+    book.take_emptied(at(10), 5, &names(&["north"]));
+
+    // Act
+    let older = book.take_emptied(at(20), 4, &BTreeSet::new());
+    let emptied = chosen(&book, at(20), &Work::default());
+    book.take_emptied(at(30), 6, &BTreeSet::new());
+    let late = book.take_emptied_changes(at(40), 6, &[("south".to_owned(), true)]);
+
+    // Assert
+    assert!(older.is_empty());
+    assert_eq!(emptied.as_deref(), Some("s"));
+    assert!(late.is_empty());
+    assert!(!book.emptied().covers("south"));
+}
+
+#[test]
+fn calls_that_wait_and_parts_to_fetch_are_bound_too() {
+    // Guards against: a call whose connection was asked for before the entry came, and a fetch of
+    // cached parts out of an emptied data centre.
+
+    // Arrange
+    let mut book = book();
+    book.take_emptied(at(10), 5, &BTreeSet::new());
+    let part = |name| Part {
+        name,
+        tokens: 4_000,
+    };
+    let work = Work {
+        prompt_tokens: 8_000,
+        parts: vec![part(1), part(2)],
+        ..Work::default()
+    };
+    let choice = book
+        .choose(at(20), SERVICE, &work, &["s".to_owned()])
+        .unwrap();
+    book.sent(at(20), &choice, &work);
+
+    // Act
+    book.take_emptied(at(30), 6, &names(&["north"]));
+    let is_sent = book.claim_send(at(40), &choice.identity());
+    let next = book.choose(at(50), SERVICE, &work, &[]).unwrap();
+
+    // Assert
+    assert!(!is_sent);
+    assert_eq!((next.target.as_str(), next.fetch_from), ("s", None));
+}
+
+#[test]
+fn targets_of_a_data_centre_that_is_taken_back_are_cold() {
+    // Guards against: a whole data centre that returns cold and looks empty to all.
+
+    // Arrange
+    let mut book = book();
+    let limit = ColdLimit {
+        cold_time: at(3_000),
+        calls_per_s: Some(10.0),
+    };
+    book.set_cold_limits([(SERVICE.to_owned(), limit)].into());
+    book.take_emptied(at(10), 5, &names(&["north"]));
+
+    // Act
+    book.take_emptied(at(9_000), 6, &BTreeSet::new());
+
+    // Assert
+    assert_eq!(book.cold_for(at(9_000), "n"), at(3_000));
+    assert_eq!(book.cold_for(at(9_000), "s"), at(0));
+}
+
+#[test]
+fn calls_are_refused_with_the_reason_where_no_region_may_run_them() {
+    // Arrange
+    let mut book = book();
+    book.take_emptied(at(10), 5, &BTreeSet::new());
+
+    // Act
+    let lower = chosen(&book, at(20), &work_of(&["lower"]));
+    let unknown = book.has_target(at(20), SERVICE, &work_of(&["nowhere"]));
+    let none = book.has_target(at(20), SERVICE, &work_of(&[]));
+    book.take_emptied(at(30), 6, &names(&["north", "south", "elsewhere"]));
+    let all_emptied = book.has_target(at(40), SERVICE, &Work::default());
+
+    // Assert
+    assert_eq!(lower.as_deref(), Some("s"));
+    assert_matches!(unknown, Err(RefusalCode::NoTargetInRegion));
+    assert_matches!(none, Err(RefusalCode::NoTargetInRegion));
+    assert_matches!(all_emptied, Err(RefusalCode::NoTarget));
+}
--- a/crates/damaskstile-targets/tests/long_prompts.rs
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -23,6 +23,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready: true,
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -51,6 +52,7 @@
         prompt_tokens: shared_tokens + own_tokens,
         output_tokens: 300,
         parts: vec![part(subject, shared_tokens), part(own, own_tokens)],
+        homes: None,
     }
 }
 
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -26,6 +26,7 @@
         RefusalCode::BudgetUnreachable
         | RefusalCode::BudgetReserved
         | RefusalCode::NoTarget
+        | RefusalCode::NoTargetInRegion
         | RefusalCode::BillsBacklog
         | RefusalCode::ClaimUnavailable
         | RefusalCode::CrashesTargets
