--- a/crates/damaskstile-escrow/tests/reports.rs
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -446,3 +446,45 @@
             .all(|account| fleet.writer.ledger().granted(account) > 0)
     );
 }
+
+/// Returns the tokens of a scarce account that nobody could use, after each member asked for calls
+/// until nobody was served any more.
+fn stranded_tokens(seed: u64) -> u64 {
+    let bought = CALL_TOKENS * 20;
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    let mut random = Random::new(seed);
+    let all = fleet.members.values_mut().chain([&mut fleet.writer]);
+    for one in all {
+        one.set_prepaid(2, BTreeMap::from([(ACCOUNT.to_owned(), bought)]));
+    }
+    fleet.round(0);
+    let mut used = 0;
+    for step in 1..150 {
+        let ms = step * 100;
+        for _ in 0..3 {
+            let index = random.index(INSTANCES - 1);
+            let member = fleet.member(index);
+            member.note_lending(at(ms), ACCOUNT);
+            let tokens = CALL_TOKENS / 2 + random.below(CALL_TOKENS / 2);
+            member.note_demand(at(ms), ACCOUNT, tokens, 0);
+            if member.try_reserve(at(ms), ACCOUNT, tokens, 0).is_ok() {
+                member.release(ACCOUNT, tokens, tokens * 3 / 4);
+                used += tokens * 3 / 4;
+            }
+        }
+        fleet.round(ms);
+    }
+    bought - used
+}
+
+#[test]
+fn the_last_tokens_of_an_account_do_not_strand_in_pieces_that_no_call_fits_into() {
+    // Guards against: parts of a call that each instance keeps while others keep the rest.
+    for seed in 0..8 {
+        // Act
+        let stranded = stranded_tokens(seed);
+
+        // Assert
+        assert!(stranded < CALL_TOKENS, "{stranded} tokens, seed {seed}");
+    }
+}
