Catalogues travel by what differs between their versions

A text is cut after each closing brace. Instances remember the hashes of the pieces of the latest 32 versions, some KB each; whoever has one of these is told which pieces to keep and the bytes that are new, with a hash of the whole. What does not add up is pulled again, or read from the store. Catalogues too large to be pulled whole are still read from the store, but only where the base is not known. Versions of the fleet that know nothing of this ask for, and give, the whole.

Ruled out: compressing the whole, a quarter at best, and each change would still cost what the catalogue does.

--- a/crates/damaskstile-core/src/random.rs
+++ b/crates/damaskstile-core/src/random.rs
@@ -1,5 +1,8 @@
 //! `random` is the seeded source of choices, so that a run can be repeated exactly.
 
+/// Start of every hash.
+const HASH_BASIS: u64 = 0xCBF2_9CE4_8422_2325;
+
 /// `Random` gives a repeatable series of numbers out of a seed (the splitmix64 generator).
 ///
 /// It is not for secrets.
@@ -48,16 +51,31 @@
 /// Hashes bytes the same way on every instance (FNV-1a with a final mix).
 ///
 /// ```
+/// use damaskstile_core::random::stable_hash_of_bytes;
+/// assert_ne!(stable_hash_of_bytes(b"a"), stable_hash_of_bytes(b"b"));
+/// ```
+#[must_use]
+pub fn stable_hash_of_bytes(bytes: &[u8]) -> u64 {
+    Random::new(add_bytes(HASH_BASIS, bytes.iter().copied())).next_u64()
+}
+
+fn add_bytes(hash: u64, bytes: impl Iterator<Item = u8>) -> u64 {
+    bytes.fold(hash, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3)
+    })
+}
+
+/// Hashes texts the same way on every instance (FNV-1a with a final mix).
+///
+/// ```
 /// use damaskstile_core::random::stable_hash;
 /// assert_ne!(stable_hash(&["a", "b"]), stable_hash(&["ab"]));
 /// ```
 #[must_use]
 pub fn stable_hash(parts: &[&str]) -> u64 {
-    let mut hash = 0xCBF2_9CE4_8422_2325_u64;
+    let mut hash = HASH_BASIS;
     for part in parts {
-        for byte in part.bytes().chain(std::iter::once(0xFF)) {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3);
-        }
+        hash = add_bytes(hash, part.bytes().chain(std::iter::once(0xFF)));
     }
     Random::new(hash).next_u64()
 }
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -352,6 +352,9 @@
             state.book.set_cold_limits(cold_limits);
             state.call_times.retain(|route| routes.contains(route));
             state.stored_catalogue = Some(object.clone());
+            state
+                .catalogue_changes
+                .note(object.version, &object.content);
             drop(state);
             gateway.round_wanted.notify_one();
             gateway.news.notify_one();
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod cold_options;
 pub mod contact;
+pub mod content_changes;
 pub mod counted_store;
 pub mod dialect;
 pub mod directory;
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -4,6 +4,7 @@
 //! large for a datagram is pulled over a connection by whoever lacks it.
 
 mod addresses;
+mod catalogue_answer;
 mod datagram;
 mod digest;
 mod gifts;
@@ -49,9 +50,6 @@
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 /// Largest change of the ledger that is told to peers; a larger one is left to the store.
 const CHANGE_BYTES_MAX: usize = 8 * 1024;
-/// Time for which a pulled catalogue may fill a link. Instances that have one hand it on, so all of
-/// some hundreds have it after eight such times, well within the time that a change may take.
-const PULLED_TIME_MAX: Duration = Duration::from_millis(60);
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -291,11 +289,4 @@
                 .await;
         }
     }
-
-    /// Returns the size of the largest catalogue that peers hand on to each other.
-    fn pulled_bytes_max(&self) -> u64 {
-        let link_bytes_per_s = u128::from(self.gateway.options.link_bytes_per_s);
-        let bytes = link_bytes_per_s * PULLED_TIME_MAX.as_millis() / 1000;
-        u64::try_from(bytes).unwrap_or(u64::MAX)
-    }
 }
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -80,11 +80,7 @@
             ];
             gateway.log(EventCode::TargetLeaving, &fields);
         }
-        let is_large_catalogue = digest.catalogue_bytes > self.pulled_bytes_max();
-        if lacks_catalogue && is_follower && !is_store_lost && is_large_catalogue {
-            // It is read faster from the store than from a peer with a narrow link.
-            gateway.catalogue_wanted.notify_one();
-        } else if lacks_catalogue {
+        if lacks_catalogue {
             let delay = if is_store_lost {
                 Duration::ZERO
             } else if is_follower {
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -12,13 +12,11 @@
 use tokio::sync::Semaphore;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::follow::take_catalogue;
 use crate::gateway::Gateway;
 use crate::member::Member;
-use crate::objects::StoredObject;
 
-use super::list_answer;
 use super::pull_messages::{PullAnswer, PullRequest};
+use super::{catalogue_answer, list_answer};
 
 /// Largest frame: a stored object with room for its name.
 const FRAME_BYTES_MAX: usize = 2 * 1024 * 1024;
@@ -34,6 +32,9 @@
 /// Age past which a peer's digest says nothing of what it has: as old as a digest of each peer of
 /// the largest fleet in view may be.
 const SOURCE_AGE_MAX: Duration = Duration::from_secs(15);
+/// Time for which a pulled catalogue may fill a link. Instances that have one hand it on, so all of
+/// some hundreds have it after eight such times, well within the time that a change may take.
+const PULLED_TIME_MAX: Duration = Duration::from_millis(60);
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -69,7 +70,9 @@
         if !lacks(&gateway, wanted) {
             break;
         }
-        pull_once(&gateway, source(&gateway, peer, wanted), wanted).await;
+        if !pull_once(&gateway, source(&gateway, peer, wanted), wanted).await {
+            break;
+        }
         let pause_ms = gateway.state().random.below(PULL_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
@@ -110,30 +113,43 @@
     from.get(index).copied().unwrap_or(peer)
 }
 
-async fn pull_once(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) {
+/// Returns the size of the largest catalogue that is pulled whole. A larger one is read faster from
+/// the store than from a peer with a narrow link.
+fn whole_bytes_max(gateway: &Gateway) -> u64 {
+    if gateway.state().contact.is_lost() {
+        return 0;
+    }
+    let link_bytes_per_s = u128::from(gateway.options.link_bytes_per_s);
+    let bytes = link_bytes_per_s * PULLED_TIME_MAX.as_millis() / 1000;
+    u64::try_from(bytes).unwrap_or(u64::MAX)
+}
+
+/// Pulls from one peer; returns whether another may have what is wanted, should it still lack.
+async fn pull_once(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) -> bool {
     let is_targets = matches!(wanted, Wanted::Targets(_));
-    let since = if is_targets {
-        list_answer::known(&gateway.state())
+    let request = if is_targets {
+        PullRequest {
+            is_targets,
+            since: list_answer::known(&gateway.state()),
+            ..PullRequest::default()
+        }
     } else {
-        0
+        let bytes_max = whole_bytes_max(gateway);
+        catalogue_answer::request(&gateway.state(), bytes_max)
     };
-    let request = PullRequest { is_targets, since };
     let answer = tokio::time::timeout(PULL_LIMIT, fetch(peer, request)).await;
     // A pull that fails is made again, from another.
     let Ok(Ok(answer)) = answer else {
-        return;
+        return true;
     };
+    let is_too_large = !is_targets && answer.version == 0;
     let source = peer.to_string();
     if is_targets {
         list_answer::take(gateway, answer, &source);
     } else {
-        let object = StoredObject {
-            name: answer.name,
-            version: answer.version,
-            content: answer.content,
-        };
-        take_catalogue(gateway, &object, &source);
+        catalogue_answer::take(gateway, answer, &source);
     }
+    !is_too_large
 }
 
 async fn fetch(peer: SocketAddr, request: PullRequest) -> std::io::Result<PullAnswer> {
@@ -178,10 +194,11 @@
     };
     let request = PullRequest::decode(frame?).map_err(std::io::Error::other)?;
     let answer = make_answer(&gateway, &request);
-    let duty = match (request.is_targets, answer.since) {
-        (false, _) => "catalogue",
-        (true, 0) => "list",
-        (true, _) => "list_changes",
+    let duty = match (request.is_targets, answer.since, answer.base) {
+        (false, _, 0) => "catalogue",
+        (false, _, _) => "catalogue_changes",
+        (true, 0, _) => "list",
+        (true, _, _) => "list_changes",
     };
     let bytes = answer.encode_to_vec();
     gateway.sent_bytes.add(duty, bytes.len());
@@ -192,15 +209,7 @@
     if request.is_targets {
         return list_answer::make(gateway, request.since);
     }
-    match &gateway.state().stored_catalogue {
-        Some(object) => PullAnswer {
-            version: object.version,
-            name: object.name.clone(),
-            content: object.content.clone(),
-            ..PullAnswer::default()
-        },
-        None => PullAnswer::default(),
-    }
+    catalogue_answer::make(gateway, request)
 }
 
 fn codec() -> LengthDelimitedCodec {
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use crate::content_changes::ContentPiece;
+
 /// `PullRequest` says what is wanted.
 #[derive(prost::Message, Clone, PartialEq)]
 pub(super) struct PullRequest {
@@ -11,6 +13,12 @@
     /// Version of the list that is known, so that only what changed since is wanted; 0 for all.
     #[prost(uint64, tag = "2")]
     pub(super) since: u64,
+    /// Version of the catalogue's object that is known, so that what differs is enough; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub(super) base: u64,
+    /// Largest catalogue that is wanted whole; 0 for any.
+    #[prost(uint64, tag = "4")]
+    pub(super) whole_bytes_max: u64,
 }
 
 /// `PullAnswer` is the catalogue or a list of targets.
@@ -40,6 +48,12 @@
     /// Hash of the whole list, while it is the same for all that have its version.
     #[prost(uint64, optional, tag = "8")]
     pub(super) content_hash: Option<u64>,
+    /// Version of the catalogue's object that the pieces differ from; 0 where it is whole.
+    #[prost(uint64, tag = "9")]
+    pub(super) base: u64,
+    /// What the catalogue is made of, where it is not whole.
+    #[prost(message, repeated, tag = "10")]
+    pub(super) pieces: Vec<ContentPiece>,
 }
 
 /// `PulledTarget` is an entry of the list of targets.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::call_times::CallTimes;
 use crate::clock::BootTime;
 use crate::contact::Contact;
+use crate::content_changes::ContentChanges;
 use crate::follow::Followed;
 use crate::ledger_fault::LedgerFault;
 use crate::member::Member;
@@ -82,6 +83,8 @@
     pub followed_at: BTreeMap<Followed, Duration>,
     /// The catalogue in force as stored, for peers.
     pub stored_catalogue: Option<StoredObject>,
+    /// How the latest versions of it differ.
+    pub catalogue_changes: ContentChanges,
     /// What is wrong with the catalogue that was refused last, until a sound one comes.
     pub catalogue_fault: Option<String>,
     /// What is wrong with the ledger as stored, while it cannot be used.
@@ -157,6 +160,7 @@
             contact: Contact::default(),
             followed_at: BTreeMap::new(),
             stored_catalogue: None,
+            catalogue_changes: ContentChanges::default(),
             catalogue_fault: None,
             ledger_fault: None,
             targets_version: 0,
