Starts: instances of a large fleet hear what there is before they list it themselves

Cause: after all of 301 instances were killed, with 3,000 targets, all calls were refused as no_target for 3 s (trial on a scratch site, 7.5 to 10.3 s): each of the 301 listed all targets from the store at once, some 240 MB over its link, and all were done at the same moment, at 10.5 s.

All but the seeds now wait up to 0.5 s at a restart (1.2 s at a first start, as before) to hear of peers in touch with the store, and pull from them. Whoever hears of a small fleet, or is told of no seeds, lists at once; what is still unknown after 1.2 s is listed. A peer that has just started is answered at once.

--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! `follow` keeps what the store holds of routes and targets up to date.
 
+mod starting;
 mod watching;
 
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use crate::state::State;
 use crate::target_list;
 
+use self::starting::{is_overdue, is_told_at_start};
 use self::watching::{Watched, watch_once};
 
 /// Time between two lists of an instance that hears of changes from peers, for each instance that
@@ -21,9 +23,6 @@
 const FOLLOWER_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time between two such lists.
 const FOLLOWER_INTERVAL_MIN: Duration = Duration::from_secs(20);
-/// Longest time after a first start until the seeds have listed everything and told of it: two
-/// digests and a list.
-const START_TOLD_WAIT: Duration = Duration::from_millis(1_200);
 /// Time between two looks at whether it must watch itself.
 pub(crate) const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
 /// Pause after changes, so that a burst of them comes with one call. Small beside the two seconds
@@ -117,21 +116,6 @@
     }
 }
 
-/// Tells whether peers say what there is, before anything was listed. When a whole fleet starts for
-/// the first time no caller waits, and hundreds need not list everything: all but the seeds wait a
-/// moment to hear of them. Else an instance has callers to serve and lists at once.
-async fn is_told_at_start(gateway: &Gateway) -> bool {
-    let options = &gateway.options;
-    if !options.is_first_start || options.seeds.contains(&options.peers_address) {
-        return false;
-    }
-    let until = gateway.started_at + START_TOLD_WAIT;
-    while must_watch(gateway) && gateway.now() < until {
-        tokio::time::sleep(FOLLOWER_LOOK / 5).await;
-    }
-    !must_watch(gateway)
-}
-
 /// Waits while an outage goes on that others look out for, in a large fleet.
 async fn until_store_may_be_called(gateway: &Gateway) {
     let mut outages_over = gateway.outages_over.subscribe();
@@ -148,7 +132,7 @@
     let interval = FOLLOWER_INTERVAL * u32::try_from(instances).unwrap_or(u32::MAX);
     let until = gateway.now() + interval.max(FOLLOWER_INTERVAL_MIN);
     while !must_watch(gateway) {
-        if gateway.now() >= until {
+        if gateway.now() >= until || is_overdue(gateway, followed) {
             return true;
         }
         let look = tokio::time::sleep(FOLLOWER_LOOK);
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -50,6 +50,8 @@
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 /// Largest change of the ledger that is told to peers; a larger one is left to the store.
 const CHANGE_BYTES_MAX: usize = 8 * 1024;
+/// Instances that one knows at most that has just started: itself and the seeds.
+const JUST_STARTED_KNOWN_MAX: u64 = 4;
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -275,7 +277,8 @@
 
     /// Tells a peer that has just started what is known here. It knows some seeds and is known to
     /// nobody else, so it would hear of the others by chance, and take itself for their writer. It
-    /// does not know either which contents are refused, and would send them to targets.
+    /// does not know either which contents are refused, and would send them to targets; and it waits
+    /// to hear whether it must list everything itself.
     async fn introduce(&self, digest: &Digest, is_new: bool, address: SocketAddr) {
         let (known, barred) = {
             let state = self.gateway.state();
@@ -283,8 +286,8 @@
             let known = if is_large { state.known_instances() } else { 0 };
             (known, state.suspects.counts().1)
         };
-        let is_unaware = is_new && barred > 0;
-        if is_unaware || digest.known_instances.saturating_mul(2) < known {
+        let knows_few = digest.known_instances <= JUST_STARTED_KNOWN_MAX;
+        if is_new && (knows_few || barred > 0) || digest.known_instances.saturating_mul(2) < known {
             self.send(address, DatagramBody::Digest(self.make_digest()))
                 .await;
         }
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -16,6 +16,8 @@
 /// Longest pause before a list of targets is pulled, so that not all instances of a large fleet
 /// do so at once, and one pull serves several changes.
 const PULL_JITTER_MS: u64 = 250;
+/// The same for an instance that knows no targets yet.
+const PULL_START_JITTER_MS: u64 = 40;
 /// Age of the last word of the store past which a peer's list of targets is better.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
 
@@ -54,7 +56,13 @@
         let lacks_targets = (is_store_lost || is_follower)
             && is_peer_in_touch
             && digest.targets_version > state.targets_version;
-        let pull_jitter = Duration::from_millis(state.random.below(PULL_JITTER_MS));
+        // Callers wait for an instance that has just started.
+        let jitter_ms = if state.targets_version == 0 {
+            PULL_START_JITTER_MS
+        } else {
+            PULL_JITTER_MS
+        };
+        let pull_jitter = Duration::from_millis(state.random.below(jitter_ms));
         let is_new = state.members.insert(
             from.to_owned(),
             Member::new(incarnation, address, now, digest),
