Pieces of a call's tokens are given back where the rest is out of reach

Cause: near its end an account's tokens lay in pieces that no call fits into. An instance whose call lacked tokens was granted what the store still had and kept it, waiting for the rest; so did others, and callers were told to come back.

What a call lacks now counts only where the instance can reach it, with what it holds and what the store has. Else the piece goes back, and whoever comes next is granted a whole call.

Not tried: telling the account that it is spent.

--- a/crates/damaskstile-escrow/src/holder/plan.rs
+++ b/crates/damaskstile-escrow/src/holder/plan.rs
@@ -66,22 +66,20 @@
     /// and all peers can spend only what it holds. A part is divided evenly for accounts that
     /// move, and a part stays in the store for instances that come back with nothing.
     ///
-    /// Where a call lacks more than the instance can reach, it holds nothing: pieces of a call that
+    /// A call that lacks more than the instance can reach counts for nothing: pieces of a call that
     /// many instances keep, each waiting for the rest, pay for none.
     pub(super) fn target_tokens(&self, need: &Need) -> u64 {
-        if need.claim.wanted_tokens > need.reachable_tokens {
-            return 0;
-        }
-        self.wished_tokens(need)
-    }
-
-    fn wished_tokens(&self, need: &Need) -> u64 {
         let Claim {
             demand_tokens_per_s: own,
             call_tokens: call,
             wanted_tokens: wanted,
             ..
         } = need.claim;
+        let wanted = if wanted > need.reachable_tokens {
+            0
+        } else {
+            wanted
+        };
         let all = need.demand_of_all();
         let reserve_percent = self.reserve_percent(need.left_tokens, all);
         let spendable = need.left_tokens * (PERCENT - reserve_percent) / PERCENT;
--- a/crates/damaskstile-targets/tests/cold_fleet.rs
+++ b/crates/damaskstile-targets/tests/cold_fleet.rs
@@ -213,3 +213,48 @@
     // Assert
     assert_eq!(book.cold_for(at(6_000), "t"), at(7_000));
 }
+
+#[test]
+fn an_instance_that_has_just_started_sends_nothing_to_a_cold_target() {
+    // Guards against: what a process and its successor send within the same second.
+
+    // Arrange
+    let started_at = at(10_000);
+    let mut book = Book::new("north", BookOptions::default()).of_instance("i", started_at);
+    let limit = ColdLimit {
+        cold_time: at(3_000),
+        calls_per_s: Some(ALLOWED_PER_S),
+    };
+    book.set_cold_limits([(SERVICE.to_owned(), limit)].into());
+    book.list(started_at, listed("cold", 1, 3_000));
+    let chosen = |ms: u64| book.choose(at(ms), SERVICE, &Work::default(), &[]);
+
+    // Act
+    let at_once = chosen(10_900);
+    let later = chosen(11_200);
+
+    // Assert
+    assert_eq!(at_once, None);
+    assert!(later.is_some());
+}
+
+#[test]
+fn calls_that_wait_for_connections_at_the_same_time_take_one_place_each() {
+    // Guards against: calls that were chosen while there was room, and are sent together.
+
+    // Arrange: one of eighteen senders, with one call a second.
+    let mut book = book(0, 0..18, 18);
+    book.list(at(5_000), listed("cold", 1, 3_000));
+    let choice = book.choose(at(5_000), SERVICE, &Work::default(), &[]);
+    let identity = choice.unwrap().identity();
+
+    // Act
+    let sent: Vec<bool> = (0..4)
+        .map(|ms| book.claim_send(at(5_010 + ms), &identity))
+        .collect();
+    let next = book.claim_send(at(6_040), &identity);
+
+    // Assert
+    assert_eq!(sent, [true, false, false, false]);
+    assert!(next);
+}
