Digests tell the newest departures of targets, not all of them

Cause, from reading: each digest of each instance named every target that left within 15 s. A data centre that is lost takes a thousand of 3,000 targets with it: 28 KB in each digest, 25 of which each of 301 instances sends a second, and more than the 16 KB that receivers take.

At most 32 that drain, 16 that vanished and 16 that lapsed are told, the newest first. What vanished is in the list, which whoever lacks it pulls by its changes.

--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -10,6 +10,8 @@
 use crate::refused::Refused;
 use crate::target_counts::TargetCounts;
 
+/// Targets that lapsed around an outage and are told in one digest.
+const LAPSED_TOLD_MAX: usize = 16;
 /// Fault of an entry that does not state its target's start where others do.
 const FAULT_NO_START: &str = "the start is not stated";
 
@@ -192,7 +194,7 @@
     /// Returns the incarnations that lately began to drain, to tell peers.
     #[must_use]
     pub fn draining(&self, now: Duration) -> Vec<TargetIdentity> {
-        self.departures.told(now, true).collect()
+        self.departures.told(now, true)
     }
 
     /// Returns the incarnations that lately vanished from the list, to tell peers: those that
@@ -206,7 +208,8 @@
             })
         });
         let lapsed = lapsed.map(|known| known.listed.identity());
-        self.departures.told(now, false).chain(lapsed).collect()
+        let vanished = self.departures.told(now, false).into_iter();
+        vanished.chain(lapsed.take(LAPSED_TOLD_MAX)).collect()
     }
 
     /// Counts the targets by what keeps them in or out of use.
@@ -257,9 +260,7 @@
     /// each instance hears at another time.
     #[must_use]
     pub fn content_hash(&self, now: Duration) -> Option<u64> {
-        let is_in_flux = self.departures.told(now, true).next().is_some()
-            || self.departures.told(now, false).next().is_some();
-        if is_in_flux {
+        if self.departures.is_in_flux(now) {
             return None;
         }
         let hashes = self.present().map(|listed| {
--- a/crates/damaskstile-targets/src/departures.rs
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -5,6 +5,11 @@
 /// Time for which peers are told that a target is leaving: longer than an isolation lasts.
 pub(crate) const LEAVING_NEWS: Duration = Duration::from_secs(15);
 
+/// Incarnations that drain and are told in one digest: some 30 bytes each.
+const DRAINING_TOLD_MAX: usize = 32;
+/// The same of those that vanished from the list, which says so itself.
+const VANISHED_TOLD_MAX: usize = 16;
+
 /// How it was learnt that an incarnation is leaving.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
@@ -84,16 +89,34 @@
         self.left.get(target)?.incarnation
     }
 
-    /// Returns the incarnations that lately began to drain, or that lately vanished.
-    pub(crate) fn told(
-        &self,
-        now: Duration,
-        is_final: bool,
-    ) -> impl Iterator<Item = TargetIdentity> {
-        self.left
+    /// Returns the incarnations that lately began to drain, or that lately vanished, the newest first
+    /// and no more than are told. A data centre that is lost takes a thousand targets with it; in each
+    /// digest of each instance they would fill all links. Whoever is in touch with the store, or
+    /// hears from one that is, has them from the list.
+    pub(crate) fn told(&self, now: Duration, is_final: bool) -> Vec<TargetIdentity> {
+        let mut lately: Vec<(Duration, &TargetId, &Departure)> = self
+            .left
             .iter()
-            .filter(move |(_, known)| known.is_final == is_final)
-            .filter(move |(_, known)| now.saturating_sub(known.at) < LEAVING_NEWS)
-            .map(|(target, known)| TargetIdentity::new(target, known.incarnation))
+            .filter(|(_, known)| known.is_final == is_final)
+            .map(|(target, known)| (now.saturating_sub(known.at), target, known))
+            .filter(|(age, _, _)| *age < LEAVING_NEWS)
+            .collect();
+        lately.sort_unstable_by_key(|(age, target, _)| (*age, *target));
+        let told_max = if is_final {
+            DRAINING_TOLD_MAX
+        } else {
+            VANISHED_TOLD_MAX
+        };
+        lately
+            .into_iter()
+            .take(told_max)
+            .map(|(_, target, known)| TargetIdentity::new(target, known.incarnation))
+            .collect()
+    }
+
+    /// Tells whether any incarnation lately began to drain or vanished.
+    pub(crate) fn is_in_flux(&self, now: Duration) -> bool {
+        let mut known = self.left.values();
+        known.any(|known| now.saturating_sub(known.at) < LEAVING_NEWS)
     }
 }
--- /dev/null
+++ b/crates/damaskstile-targets/tests/lost_data_centre.rs
@@ -0,0 +1,54 @@
+//! Words on targets that leave, where a thousand leave at once.
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, Listed};
+
+/// Targets of a data centre of the largest deployment.
+const TARGETS: usize = 1_000;
+/// Words of each kind that a digest may hold.
+const TOLD_MAX: usize = 32;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn listed(index: usize, is_ready: bool) -> Listed {
+    Listed {
+        target: format!("t{index:04}"),
+        incarnation: Some(1),
+        service: "model".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "north".to_owned(),
+        slots_requests: 64,
+        is_ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_data_centre_that_is_lost_does_not_fill_digests() {
+    // Guards against: digests of tens of kilobytes, from each instance to ten others, twice a second.
+
+    // Arrange
+    let mut book = Book::new("north", BookOptions::default());
+    for index in 0..TARGETS {
+        book.list(at(0), listed(index, true));
+    }
+
+    // Act
+    for index in 0..TARGETS {
+        let ms = u64::try_from(index).unwrap();
+        if index % 2 == 0 {
+            book.unlist(at(ms), &format!("t{index:04}"), false);
+        } else {
+            book.list(at(ms), listed(index, false));
+        }
+    }
+
+    // Assert: the newest words are told.
+    let now = at(1_100);
+    let (vanished, draining) = (book.vanished(now), book.draining(now));
+    assert!(vanished.len() <= TOLD_MAX && draining.len() <= TOLD_MAX);
+    assert_eq!(vanished[0].target, "t0998");
+    assert_eq!(draining[0].target, "t0999");
+}
