--- a/crates/damaskstile-gateway/src/emptied_list.rs
+++ b/crates/damaskstile-gateway/src/emptied_list.rs
@@ -3,7 +3,9 @@
 use damaskstile_core::prelude::*;
 use damaskstile_targets::EmptiedNews;
 
+use crate::fault::fault;
 use crate::gateway::Gateway;
+use crate::metrics::Stored;
 use crate::objects::{Change, Listing};
 use crate::target_list::log_refused;
 
@@ -50,12 +52,22 @@
     match gateway.directory.emptied(name) {
         Ok(data_centre) => Some(data_centre),
         Err(error) => {
-            log_refused(gateway, name, version, &error);
+            note_refused(gateway, name, version, &error);
             None
         }
     }
 }
 
+/// Notes that an entry names no data centre, once for each fault.
+fn note_refused(gateway: &Gateway, name: &str, version: Version, error: &str) {
+    let fault = fault(error);
+    let before = gateway.state().emptied_fault.replace(fault.clone());
+    if before.as_ref() != Some(&fault) {
+        gateway.metrics.refused(Stored::Emptied);
+        log_refused(gateway, name, version, &fault);
+    }
+}
+
 /// Logs what changed, and has it told to peers at once.
 fn note(gateway: &Gateway, news: &EmptiedNews, source: &str) {
     if news.is_empty() {
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     Target,
     /// The ledger.
     Ledger,
+    /// The entry of an emptied data centre.
+    Emptied,
 }
 
 /// Labels of refused objects.
@@ -201,6 +203,7 @@
             Stored::Catalogue => "catalogue",
             Stored::Target => "target",
             Stored::Ledger => "ledger",
+            Stored::Emptied => "emptied",
         };
         let labels = StoredLabels { stored };
         self.refused_entries.get_or_create(&labels).inc();
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -87,6 +87,8 @@
     pub catalogue_changes: ContentChanges,
     /// What is wrong with the catalogue that was refused last, until a sound one comes.
     pub catalogue_fault: Option<String>,
+    /// What was last wrong with an entry that names no data centre.
+    pub emptied_fault: Option<String>,
     /// What is wrong with the ledger as stored, while it cannot be used.
     pub ledger_fault: Option<LedgerFault>,
     /// Version of the list of targets.
@@ -162,6 +164,7 @@
             stored_catalogue: None,
             catalogue_changes: ContentChanges::default(),
             catalogue_fault: None,
+            emptied_fault: None,
             ledger_fault: None,
             targets_version: 0,
             target_words: TargetWords::default(),
