Lists are compared by hash each ten seconds; warm targets are not looked up for limits

Each pull of what changed in the list had both sides hash every target, and each choice looked up the limit of its service for every target, though hardly any is cold.

--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -7,29 +7,47 @@
 use crate::gateway::Gateway;
 use crate::state::{State, ToldChanges};
 
-use super::pull_messages::{PullAnswer, PulledTarget};
+use super::pull_messages::{PullAnswer, PullRequest, PulledTarget};
 
-/// Shortest time between two whole lists that are pulled since the own one differs.
-const WHOLE_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest time between two comparisons of the own list with a peer's.
+const COMPARED_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Returns the version of the list since which an instance wants to hear what changed; 0 where it
-/// wants all, since it has none or its own differs from a peer's.
-pub(super) fn known(state: &State) -> Version {
-    if state.wants_whole_list {
+/// Makes the request for what changed in the list; for all of it where none is known, or the own one
+/// differs from a peer's. Now and then the lists are compared by a hash, which takes a look at every
+/// target on both sides.
+pub(super) fn request(state: &mut State, now: Duration) -> PullRequest {
+    let compared_at = state.compared_at.get_or_insert(now);
+    let wants_hash = now.saturating_sub(*compared_at) >= COMPARED_INTERVAL;
+    if wants_hash {
+        *compared_at = now;
+    }
+    let since = if state.wants_whole_list {
         0
     } else {
         state.targets_version
+    };
+    PullRequest {
+        is_targets: true,
+        since,
+        wants_hash,
+        ..PullRequest::default()
     }
 }
 
 /// Makes the answer to whoever knows the list as of a version.
-pub(super) fn make(gateway: &Gateway, since: Version) -> PullAnswer {
+pub(super) fn make(gateway: &Gateway, request: &PullRequest) -> PullAnswer {
     let now = gateway.now();
+    let since = request.since;
     let state = gateway.state();
+    let content_hash = if request.wants_hash {
+        state.book.content_hash(now)
+    } else {
+        None
+    };
     let answer = PullAnswer {
         version: state.targets_version,
         is_around_outage: state.contact.is_around_outage(now),
-        content_hash: state.book.content_hash(now),
+        content_hash,
         ..PullAnswer::default()
     };
     let told = |listed: &Listed| told_target(&state.book, now, listed);
@@ -127,13 +145,9 @@
 /// Has the whole list pulled next where the own one differs from the peer's although their versions
 /// agree: a change was lost on the way.
 fn note_difference(state: &mut State, now: Duration, told: Option<u64>) {
+    let Some(told) = told else {
+        return;
+    };
     let own = state.book.content_hash(now);
-    let is_other = told.is_some() && own.is_some() && told != own;
-    let is_due = state
-        .differed_at
-        .is_none_or(|at| now.saturating_sub(at) >= WHOLE_INTERVAL);
-    if is_other && is_due {
-        state.differed_at = Some(now);
-        state.wants_whole_list = true;
-    }
+    state.wants_whole_list |= own.is_some_and(|own| own != told);
 }
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -128,11 +128,8 @@
 async fn pull_once(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) -> bool {
     let is_targets = matches!(wanted, Wanted::Targets(_));
     let request = if is_targets {
-        PullRequest {
-            is_targets,
-            since: list_answer::known(&gateway.state()),
-            ..PullRequest::default()
-        }
+        let now = gateway.now();
+        list_answer::request(&mut gateway.state(), now)
     } else {
         let bytes_max = whole_bytes_max(gateway);
         catalogue_answer::request(&gateway.state(), bytes_max)
@@ -207,7 +204,7 @@
 
 fn make_answer(gateway: &Gateway, request: &PullRequest) -> PullAnswer {
     if request.is_targets {
-        return list_answer::make(gateway, request.since);
+        return list_answer::make(gateway, request);
     }
     catalogue_answer::make(gateway, request)
 }
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -16,6 +16,9 @@
     /// Version of the catalogue's object that is known, so that what differs is enough; 0 for none.
     #[prost(uint64, tag = "3")]
     pub(super) base: u64,
+    /// Whether the hash of the whole list is wanted, to compare.
+    #[prost(bool, tag = "5")]
+    pub(super) wants_hash: bool,
     /// Largest catalogue that is wanted whole; 0 for any.
     #[prost(uint64, tag = "4")]
     pub(super) whole_bytes_max: u64,
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -99,8 +99,8 @@
     pub list_changes: ListChanges,
     /// Whether the whole list is to be pulled next, since the own one differs from a peer's.
     pub wants_whole_list: bool,
-    /// When a list was last found to differ from a peer's of the same version.
-    pub differed_at: Option<Duration>,
+    /// When the list was last compared with a peer's.
+    pub compared_at: Option<Duration>,
     /// The other instances, from their digests.
     pub members: BTreeMap<InstanceId, Member>,
     /// The fleet's time.
@@ -170,7 +170,7 @@
             target_words: TargetWords::default(),
             list_changes: ListChanges::default(),
             wants_whole_list: false,
-            differed_at: None,
+            compared_at: None,
             members: BTreeMap::new(),
             fleet_clock: FleetClock::default(),
             pulling: BTreeSet::new(),
--- a/crates/damaskstile-targets/src/book/cold.rs
+++ b/crates/damaskstile-targets/src/book/cold.rs
@@ -62,7 +62,11 @@
     /// Tells whether a call may go to a target now: it is warm, or this instance may send to it
     /// and has not sent all that it may.
     pub(super) fn has_place(&self, now: Duration, known: &Known) -> bool {
-        let Some(limit) = self.limit_of(known).filter(|_| known.is_cold(now)) else {
+        // Most targets are warm; each choice looks at all of them.
+        if !known.is_cold(now) {
+            return true;
+        }
+        let Some(limit) = self.limit_of(known) else {
             return true;
         };
         let calls = limit.calls_of_sender(self.fleet.instances());
