Test: a target that came and went between two whole lists is not told as gone

An instance that took in a whole list knows how it differs from the one it had, not what came and went between; it went on telling changes as if it did. A peer with the list in between keeps a target that is gone.

--- a/crates/damaskstile-gateway/tests/list_changes.rs
+++ b/crates/damaskstile-gateway/tests/list_changes.rs
@@ -91,6 +91,40 @@
     state.book.present().map(Listed::identity).collect()
 }
 
+#[test]
+fn a_target_that_came_and_went_between_two_whole_lists_is_told_as_gone() {
+    // Guards against: an instance that never knew a target, and so does not tell that it is gone.
+
+    // Arrange: one knows the list before the target came, one with it, and both hear of a third that
+    // knows only the list without it.
+    let watcher = new_instance();
+    let [early, middle, late] = [(); 3].map(|()| new_instance());
+    let now = Duration::ZERO;
+    watcher.state().take_list(now, 10, Vec::new(), false);
+    pull(&early, &watcher, now);
+    {
+        let mut state = watcher.state();
+        state.book.list(now, entry(5, 1, true));
+        state.targets_version = 12;
+        state.note_changes(12);
+    }
+    pull(&middle, &watcher, now);
+    {
+        let mut state = watcher.state();
+        state.book.unlist(now, "t5", false);
+        state.targets_version = 16;
+        state.note_changes(16);
+    }
+    pull(&late, &watcher, now);
+
+    // Act
+    pull(&early, &late, now);
+    pull(&middle, &early, now);
+
+    // Assert
+    assert_eq!(names(&middle), Vec::new());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
