What came and went before a whole list is not told as known

What callers would have seen: calls to a target that is gone, from an instance that pulled changes from a peer which had taken in a whole list, until the lists are compared or pulled whole.

Cause: after a whole list an instance went on telling changes from versions before it, though it knows only how the list differs from its own of before; and of changes told by a peer it kept only those that changed its own list. Now a whole list begins the memory of changes anew, and all that a peer tells is kept.

--- a/crates/damaskstile-gateway/src/state/targets.rs
+++ b/crates/damaskstile-gateway/src/state/targets.rs
@@ -31,7 +31,8 @@
         let all = self.target_words.take_list(version, all);
         self.targets_version = version;
         let refused = self.book.list_all(now, all, is_around_outage);
-        self.note_changes(version);
+        self.book.take_touched();
+        self.list_changes.restart(version);
         refused
     }
 
@@ -44,6 +45,10 @@
         is_around_outage: bool,
     ) {
         self.targets_version = version;
+        // Also those that were never known here: peers may know them.
+        let listed = changes.listed.iter().map(|listed| &listed.target);
+        let told: Vec<TargetId> = listed.chain(&changes.gone).cloned().collect();
+        self.list_changes.note(version, told);
         for target in changes.gone {
             if self.book.is_named(&target) {
                 self.book.unlist(now, &target, is_around_outage);
--- a/crates/damaskstile-targets/src/list_changes.rs
+++ b/crates/damaskstile-targets/src/list_changes.rs
@@ -15,12 +15,14 @@
 }
 
 impl ListChanges {
+    /// Notes that the whole list was taken in as of a version. What came and went before is not known.
+    pub fn restart(&mut self, version: Version) {
+        self.complete_from = Some(version);
+        self.changed_at.clear();
+    }
+
     /// Notes which entries changed up to a version of the list.
     pub fn note(&mut self, version: Version, targets: impl IntoIterator<Item = TargetId>) {
-        if self.complete_from.is_none() {
-            self.complete_from = Some(version);
-            return;
-        }
         for target in targets {
             let changed_at = self.changed_at.entry(target).or_default();
             *changed_at = version.max(*changed_at);
@@ -35,7 +37,7 @@
     /// ```
     /// use damaskstile_targets::ListChanges;
     /// let mut changes = ListChanges::default();
-    /// changes.note(5, ["a".to_owned()]);
+    /// changes.restart(5);
     /// changes.note(7, ["b".to_owned()]);
     /// assert_eq!(changes.since(5).unwrap(), ["b"]);
     /// assert!(changes.since(7).unwrap().is_empty());
