--- /dev/null
+++ b/crates/damaskstile-targets/tests/cold_cost.rs
@@ -0,0 +1,50 @@
+//! What it costs to know to which cold targets an instance may send.
+
+use std::time::Instant;
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, ColdLimit, Listed, Work};
+
+/// Instances and targets of the largest sweep.
+const INSTANCES: u64 = 300;
+const TARGETS: u64 = 3_000;
+/// Time within which a fleet that starts may get to know itself, in an unoptimised build.
+const LIMIT: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_fleet_that_meets_while_all_targets_are_cold_takes_little_time() {
+    // Guards against: a look at every pair of targets and instances for each instance that is met.
+
+    // Arrange
+    let mut book = Book::new("north", BookOptions::default()).of_instance("i", Duration::ZERO);
+    let limit = ColdLimit {
+        cold_time: Duration::from_secs(3),
+        calls_per_s: Some(23.0),
+    };
+    book.set_cold_limits([("model".to_owned(), limit)].into());
+    for index in 0..TARGETS {
+        let listed = Listed {
+            target: format!("t{index}"),
+            incarnation: Some(1),
+            service: "model".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: "north".to_owned(),
+            slots_requests: 64,
+            is_ready: true,
+            cold_for: Duration::from_secs(3),
+        };
+        book.list(Duration::ZERO, listed);
+    }
+
+    // Act
+    let began_at = Instant::now();
+    for index in 0..INSTANCES {
+        book.meet(&format!("i{index}"), INSTANCES);
+    }
+    let choice = book.choose(Duration::from_secs(2), "model", &Work::default(), &[]);
+    let took = began_at.elapsed();
+
+    // Assert
+    assert!(choice.is_some());
+    assert!(took < LIMIT, "{took:?}");
+}
