Whether an instance may send to a cold target is found out where a call might go there

Cause: for each instance that it met an instance looked at every target that was ever cold and ranked itself among all others for it: 300 x 3,000 x 300 hashes in a start.

Now the answer is kept with the state of the view that it was found by, found out only for a target that is cold where a call might go there, and one hash rules out most.

--- a/crates/damaskstile-gateway/src/follow/starting.rs
+++ b/crates/damaskstile-gateway/src/follow/starting.rs
@@ -12,6 +12,7 @@
 const RESTART_TOLD_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks at whether peers have told.
 const START_LOOK: Duration = Duration::from_millis(25);
+
 /// Tells whether peers say what there is, before anything was listed. Hundreds that start together
 /// and list everything fill the store's link for seconds; all but the seeds wait a moment to hear of
 /// peers in touch with the store. When a fleet starts for the first time no caller waits, so there is
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -57,6 +57,8 @@
     cold_limits: BTreeMap<ServiceId, ColdLimit>,
     /// The other instances, by which each knows to which cold targets it may send.
     fleet: FleetView,
+    /// Counts the changes of that view and of the limits.
+    fleet_state: u64,
     /// When the instance started, where that is known.
     started_at: Option<Duration>,
     /// Targets whose entries changed since that was last asked for.
@@ -80,6 +82,7 @@
             emptied: Emptied::default(),
             cold_limits: BTreeMap::new(),
             fleet: FleetView::default(),
+            fleet_state: 0,
             started_at: None,
             touched: BTreeSet::new(),
         }
--- a/crates/damaskstile-targets/src/book/cold.rs
+++ b/crates/damaskstile-targets/src/book/cold.rs
@@ -18,7 +18,7 @@
     pub fn set_cold_limits(&mut self, limits: BTreeMap<ServiceId, ColdLimit>) {
         if self.cold_limits != limits {
             self.cold_limits = limits;
-            self.find_cold_senders();
+            self.fleet_state += 1;
         }
     }
 
@@ -26,7 +26,7 @@
     pub fn meet(&mut self, instance: &str, instances: u64) {
         let is_new = self.fleet.meet(instance);
         if self.fleet.hear_count(instances) || is_new {
-            self.find_cold_senders();
+            self.fleet_state += 1;
         }
     }
 
@@ -42,7 +42,6 @@
         let cold_time = self.cold_limits.get(&known.listed.service);
         let cold_time = cold_time.map_or(Duration::ZERO, |limit| limit.cold_time);
         known.chill(now + RETURN_UNSEEN + cold_time);
-        self.find_cold_sender(&identity.target);
     }
 
     /// Returns the time for which a target is taken to be cold.
@@ -70,7 +69,9 @@
             return true;
         };
         let calls = limit.calls_of_sender(self.fleet.instances());
-        self.is_past_start(now) && known.is_cold_sender && known.has_cold_place(now, calls)
+        self.is_past_start(now)
+            && self.is_cold_sender(known, limit)
+            && known.has_cold_place(now, calls)
     }
 
     /// Takes the place of a call that is sent to an incarnation now; returns false where it may not
@@ -103,26 +104,19 @@
         limit.filter(|limit| limit.calls_per_s.is_some())
     }
 
-    /// Finds out anew to which targets this instance may send while they are cold.
-    fn find_cold_senders(&mut self) {
-        let targets: Vec<TargetId> = self.targets.keys().cloned().collect();
-        for target in targets {
-            self.find_cold_sender(&target);
-        }
-    }
-
-    pub(super) fn find_cold_sender(&mut self, target: &str) {
-        let Some(known) = self.targets.get(target) else {
-            return;
-        };
-        let is_sender = known.was_cold()
-            && self.limit_of(known).is_some_and(|limit| {
-                let senders = limit.senders(self.fleet.instances());
-                self.fleet.is_among(&["cold", target], senders)
-            });
-        if let Some(known) = self.targets.get_mut(target) {
-            known.is_cold_sender = is_sender;
+    /// Tells whether this instance is one of the few that may send to a target while it is cold. It is
+    /// found out where a call might go there, and again once the view of the fleet has changed.
+    fn is_cold_sender(&self, known: &Known, limit: &ColdLimit) -> bool {
+        if let Some((fleet_state, is_sender)) = known.cold_sender.get()
+            && fleet_state == self.fleet_state
+        {
+            return is_sender;
         }
+        let senders = limit.senders(self.fleet.instances());
+        let target = known.listed.target.as_str();
+        let is_sender = self.fleet.is_among(&["cold", target], senders);
+        known.cold_sender.set(Some((self.fleet_state, is_sender)));
+        is_sender
     }
 
     /// Takes the targets of a data centre for cold: they may have become so while they got nothing.
@@ -135,6 +129,5 @@
                 known.chill(now + limit.cold_time);
             }
         }
-        self.find_cold_senders();
     }
 }
--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -52,15 +52,13 @@
                 let is_chilled = known.update(now, listed);
                 if is_chilled {
                     self.touched.insert(identity.target.clone());
-                    self.find_cold_sender(&identity.target);
                 }
                 was_refused || was_ready != is_ready || is_chilled
             }
             _ => {
                 // A new incarnation holds nothing of what the one before it held.
                 let known = Known::new(now, listed);
-                self.targets.insert(identity.target.clone(), known);
-                self.find_cold_sender(&identity.target);
+                self.targets.insert(identity.target, known);
                 true
             }
         }
--- a/crates/damaskstile-targets/src/fleet_view.rs
+++ b/crates/damaskstile-targets/src/fleet_view.rs
@@ -70,12 +70,16 @@
             return true;
         }
         let own = rank(subject, &self.own);
+        // One hash rules out most, before those of all others are looked at.
+        if share(own) * as_f64(instances) >= as_f64(count) * SHARE_FACTOR {
+            return false;
+        }
         let better = self
             .others
             .iter()
             .filter(|other| rank(subject, other) < own);
         let better = u64::try_from(better.count()).unwrap_or(u64::MAX);
-        better < self.places(count) && share(own) * as_f64(instances) < as_f64(count) * SHARE_FACTOR
+        better < self.places(count)
     }
 
     /// Returns the rank among the instances known up to which one is among the few. Where it knows
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -1,5 +1,7 @@
 //! `known` is what an instance has seen of one listed target.
 
+use std::cell::Cell;
+
 use damaskstile_core::prelude::*;
 
 use crate::listed::Listed;
@@ -48,8 +50,9 @@
     others_reading_at: Duration,
     /// Until when it is taken to be cold.
     cold_until: Duration,
-    /// Whether this instance is one of the few that may send to it while it is cold.
-    pub(crate) is_cold_sender: bool,
+    /// Whether this instance is one of the few that may send to it while it is cold, with the state
+    /// of the fleet's view by which that was found.
+    pub(crate) cold_sender: Cell<Option<(u64, bool)>>,
     /// When this instance last sent to it while it was cold, oldest first.
     cold_sends: VecDeque<Duration>,
 }
@@ -77,7 +80,7 @@
             others_reading: Duration::ZERO,
             others_reading_at: Duration::ZERO,
             cold_until,
-            is_cold_sender: false,
+            cold_sender: Cell::new(None),
             cold_sends: VecDeque::new(),
         }
     }
@@ -104,11 +107,6 @@
         now < self.cold_until
     }
 
-    /// Tells whether it was ever taken to be cold.
-    pub(crate) fn was_cold(&self) -> bool {
-        !self.cold_until.is_zero()
-    }
-
     /// Returns the time for which it is taken to be cold.
     pub(crate) fn cold_for(&self, now: Duration) -> Duration {
         self.cold_until.saturating_sub(now)
