--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -100,6 +100,7 @@
     TargetCold = 607, "info", "A target is cold; all instances together send it no more than it bears.";
     DataCentreEmptied = 608, "warn", "Nothing more is sent to the targets of a data centre, as the operator asked.";
     DataCentreTakenBack = 609, "info", "Targets of a data centre may get work again; they are taken to be cold.";
+    TargetLimited = 610, "info", "A target names a limit of the calls a second that it takes from all instances together, another one, or none any more.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
     StopDone = 702, "info", "The instance has handed back what it held.";
--- a/crates/damaskstile-gateway/src/answer.rs
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -1,6 +1,7 @@
 //! `answer` holds what the decisions need of an answer's head, in the project's own words.
 
 use damaskstile_core::prelude::*;
+use damaskstile_targets::NamedLimit;
 
 use crate::handling::Handling;
 
@@ -26,6 +27,8 @@
     pub is_leaving: bool,
     /// Time for which the target wants nothing from this instance.
     pub pause: Option<Duration>,
+    /// The limit of calls that the target names.
+    pub named_limit: NamedLimit,
     /// The target's load.
     pub load: Option<Load>,
     /// Time for which the connection may be used again; `None` where it may not.
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -284,10 +284,16 @@
         }
     }
 
-    /// Notes how many targets are cold, and how many data centres are emptied.
-    pub fn sample_places(&self, cold_targets: usize, emptied_data_centres: usize) {
+    /// Notes how many targets are cold, how many name a limit, and how many data centres are emptied.
+    pub fn sample_places(
+        &self,
+        cold_targets: usize,
+        limited_targets: usize,
+        emptied_data_centres: usize,
+    ) {
         let all = [
             ("cold", cold_targets),
+            ("limited", limited_targets),
             ("emptied_data_centres", emptied_data_centres),
         ];
         for (state, count) in all {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -123,11 +123,12 @@
     gateway
         .metrics
         .sample_peer_bytes(gateway.sent_bytes.counts());
-    let (cold, emptied) = {
+    let (cold, limited, emptied) = {
         let book = &gateway.state().book;
-        (book.cold_targets(now), book.emptied().names().len())
+        let emptied = book.emptied().names().len();
+        (book.cold_targets(now), book.limited_targets(), emptied)
     };
-    gateway.metrics.sample_places(cold, emptied);
+    gateway.metrics.sample_places(cold, limited, emptied);
     let (made, open) = {
         let lender = &gateway.state().lender;
         (lender.lent_loans(), lender.open_loans())
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -139,7 +139,8 @@
 /// Decides whether an answer is the one to this call and tells of a run.
 fn judge(gateway: &Gateway, call: &Sendable, run: Run) -> Result<Run, NoRun> {
     let choice = &run.running.choice;
-    target_says::heed(gateway, &run.head, choice);
+    let is_own = run.head.id.is_none() || call.id.is_none() || run.head.id == call.id;
+    target_says::heed(gateway, &run.head, &run.running, is_own);
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
@@ -147,7 +148,7 @@
     }
     // An answer to an earlier call may arrive late, where the next one is expected. Passed on,
     // it would give this caller another's answer. The connection is closed with the run.
-    if run.head.id.is_some() && call.id.is_some() && run.head.id != call.id {
+    if !is_own {
         run.running.note(false);
         return Err(NoRun::new(SendEnd::Unknown, "foreign_answer"));
     }
--- a/crates/damaskstile-gateway/src/target_says.rs
+++ b/crates/damaskstile-gateway/src/target_says.rs
@@ -2,11 +2,12 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
-use damaskstile_targets::Choice;
+use damaskstile_targets::{Choice, NamedLimit};
 
 use crate::answer::AnswerHead;
 use crate::gateway::Gateway;
 use crate::handling::Handling;
+use crate::running::Running;
 use crate::target_list::incarnation_text;
 
 /// Part of a pause by which an instance stays away longer, by chance.
@@ -14,8 +15,10 @@
 /// Pause up to which it is a part of it.
 const PAUSE_SPREAD_OF_MAX: Duration = Duration::from_secs(10);
 
-/// Takes in what the target of a call says of itself in the head of an answer.
-pub(crate) fn heed(gateway: &Gateway, head: &AnswerHead, choice: &Choice) {
+/// Takes in what the target of a call says of itself in the head of an answer, to that call or to an
+/// earlier one.
+pub(crate) fn heed(gateway: &Gateway, head: &AnswerHead, running: &Running, is_own: bool) {
+    let choice = &running.choice;
     // There another target speaks.
     if head.handling == Handling::Misdirected {
         return;
@@ -26,6 +29,10 @@
     if let Some(pause) = head.pause.filter(|pause| !pause.is_zero()) {
         heed_pause(gateway, choice, pause);
     }
+    // That an earlier answer names no limit says nothing of now.
+    if is_own || head.named_limit != NamedLimit::Absent {
+        heed_limit(gateway, choice, running.sent_at(), head.named_limit);
+    }
 }
 
 /// Takes in that a target says in an answer that it leaves.
@@ -68,3 +75,33 @@
     ];
     gateway.log(EventCode::TargetPaused, &fields);
 }
+
+/// Takes in whether a target names a limit of the calls that it takes.
+fn heed_limit(gateway: &Gateway, choice: &Choice, sent_at: Duration, named: NamedLimit) {
+    let now = gateway.now();
+    let target = choice.identity();
+    let mut state = gateway.state();
+    let news = state.book.heed_limit(now, &target, sent_at, named);
+    drop(state);
+    if let Some(word) = news {
+        log_limit(gateway, &target, word.calls_per_s, "answer");
+    }
+}
+
+/// Logs that a target names another limit than before, or none any more.
+pub(crate) fn log_limit(
+    gateway: &Gateway,
+    target: &TargetIdentity,
+    calls_per_s: Option<f64>,
+    source: &str,
+) {
+    let calls_per_s = calls_per_s.map_or_else(|| "-".to_owned(), |calls| calls.to_string());
+    let incarnation = incarnation_text(target.incarnation);
+    let fields = [
+        ("target", target.target.as_str()),
+        ("incarnation", incarnation.as_str()),
+        ("calls_per_s", calls_per_s.as_str()),
+        ("source", source),
+    ];
+    gateway.log(EventCode::TargetLimited, &fields);
+}
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -1,6 +1,7 @@
 //! `book` knows the listed targets and chooses one for a call.
 
 mod cold;
+mod limits;
 mod list;
 mod long_load;
 mod pause;
@@ -149,9 +150,13 @@
     /// Returns what is known of the incarnation that a call was sent to; `None` where another has
     /// taken its place, of which the call says nothing.
     fn chosen(&mut self, choice: &Choice) -> Option<&mut Known> {
+        self.of_incarnation(&choice.identity())
+    }
+
+    fn of_incarnation(&mut self, identity: &TargetIdentity) -> Option<&mut Known> {
         self.targets
-            .get_mut(&choice.target)
-            .filter(|known| known.listed.incarnation == choice.incarnation)
+            .get_mut(&identity.target)
+            .filter(|known| known.listed.incarnation == identity.incarnation)
     }
 
     /// Sets how many instances there are, by which each knows the load of all from its own.
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -4,6 +4,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::limit_word::LimitWord;
 use crate::listed::Listed;
 use crate::work::Work;
 
@@ -44,6 +45,8 @@
     failure_at: Duration,
     /// Until when the target wants no work.
     paused_until: Duration,
+    /// The limit of calls that the target names.
+    pub(crate) limit: Option<LimitWord>,
     parts: BTreeMap<u64, Duration>,
     /// Time for which the target is still likely to read prompts that peers told of.
     others_reading: Duration,
@@ -76,6 +79,7 @@
             failure_share: 0.0,
             failure_at: Duration::ZERO,
             paused_until: Duration::ZERO,
+            limit: None,
             parts: BTreeMap::new(),
             others_reading: Duration::ZERO,
             others_reading_at: Duration::ZERO,
