Targets that name a limit of calls get no more of all instances together

What callers saw: nothing at once; two targets in need that had named 1.9 and 1.6 calls a second got 21 and 18 in 4 s, and in the record 23 and 22.

Cause: the word, which comes with answers and from nowhere else, was not read. Ruled out: each instance keeping to the limit by itself (none counted anything), calls chosen before the word (the surplus went on for as long as calls came).

Few senders by hash share the limit, as with cold targets, and digests tell it. Simulated with 3 to 390 instances, limits of 0.4 to 40: never more than calls at just that rate.

--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -18,6 +18,7 @@
 mod reports;
 mod suspects;
 mod tokens;
+mod told_limit;
 mod told_suspect;
 mod told_target;
 
@@ -38,6 +39,7 @@
 pub use pull::{Pulled, serve as serve_pulls};
 pub use reading::Reading;
 pub use tokens::{AskTokens, GiveTokens};
+pub use told_limit::ToldLimit;
 pub use told_suspect::{ToldEnd, ToldSuspect};
 pub use told_target::ToldTarget;
 
@@ -216,6 +218,8 @@
             })
             .filter(|free| free.tokens > 0)
             .collect();
+        let limits = state.book.limits_to_tell(now).into_iter();
+        let limits = limits.map(|(identity, word)| ToldLimit::of(now, identity, word));
         let digest = Digest {
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
@@ -232,6 +236,7 @@
             data_centre: self.gateway.options.identity.data_centre.clone(),
             writer: state.best_in_touch(now),
             suspects: suspects.into_iter().map(ToldSuspect::of).collect(),
+            limits: limits.collect(),
             emptied_version: state.book.emptied().version().unwrap_or_default(),
             emptied: state.book.emptied().names(),
             ..Digest::default()
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
-use super::{PeerWord, ToldSuspect, ToldTarget};
+use super::{PeerWord, ToldLimit, ToldSuspect, ToldTarget};
 
 /// `AccountTokens` are tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -76,6 +76,9 @@
     /// Those data centres.
     #[prost(string, repeated, tag = "20")]
     pub emptied: Vec<String>,
+    /// Limits of calls that targets name, or named until lately.
+    #[prost(message, repeated, tag = "21")]
+    pub limits: Vec<ToldLimit>,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -10,6 +10,7 @@
 use crate::emptied_list;
 use crate::member::Member;
 use crate::target_list::incarnation_text;
+use crate::target_says::log_limit;
 
 /// Time that the own watch is given before a newer catalogue is pulled from a peer.
 const PULL_DELAY: Duration = Duration::from_millis(80);
@@ -68,6 +69,12 @@
             Member::new(incarnation, address, now, digest),
         );
         state.book.meet(from, digest.known_instances);
+        let mut limits = Vec::new();
+        for (target, word) in digest.limits.iter().filter_map(|told| told.word(now)) {
+            if state.book.hear_limit(now, &target, word) {
+                limits.push((target, word));
+            }
+        }
         if let Some(word) = &digest.writer {
             state.hear_of(now, word);
         }
@@ -79,6 +86,9 @@
         if is_new {
             gateway.log(EventCode::MemberJoined, &[("peer", from)]);
         }
+        for (target, word) in limits {
+            log_limit(gateway, &target, word.calls_per_s, from);
+        }
         for target in left {
             let incarnation = incarnation_text(target.incarnation);
             let fields = [
--- a/crates/damaskstile-gateway/src/target_says.rs
+++ b/crates/damaskstile-gateway/src/target_says.rs
@@ -85,6 +85,7 @@
     drop(state);
     if let Some(word) = news {
         log_limit(gateway, &target, word.calls_per_s, "answer");
+        gateway.news.notify_one();
     }
 }
 
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod list;
 mod long_load;
+mod paces;
 mod pause;
 mod place;
 mod weigh;
--- a/crates/damaskstile-targets/src/book/limits.rs
+++ b/crates/damaskstile-targets/src/book/limits.rs
@@ -3,9 +3,18 @@
 use damaskstile_core::prelude::*;
 
 use super::Book;
+use crate::known::Known;
 use crate::limit_word::LimitWord;
 use crate::named_limit::NamedLimit;
 
+/// Time for which peers are told of a limit that was named, or of its end.
+const LIMIT_NEWS: Duration = Duration::from_secs(15);
+/// Limits that are told in one digest: some 40 bytes each.
+const LIMITS_TOLD_MAX: usize = 16;
+/// Age by which a peer's word must be newer to replace one that says the same. The time on the way
+/// is not known, so words that are passed on look newer than they are.
+const SAME_WORD_SLACK: Duration = Duration::from_millis(500);
+
 impl Book {
     /// Takes in what an answer to a call says of its target's limit; returns the limit where that is
     /// news.
@@ -33,9 +42,44 @@
             }
             NamedLimit::Absent | NamedLimit::Unreadable => return None,
         };
-        let is_news = !word.is_like(known.limit.as_ref());
-        known.limit = Some(word);
-        is_news.then_some(word)
+        known.take_limit(now, word).then_some(word)
+    }
+
+    /// Takes in what a peer tells of a target's limit; returns whether it is news.
+    pub fn hear_limit(
+        &mut self,
+        now: Duration,
+        identity: &TargetIdentity,
+        word: LimitWord,
+    ) -> bool {
+        let Some(known) = self.of_incarnation(identity) else {
+            return false;
+        };
+        let is_newer = match known.limit {
+            Some(limit) if word.is_like(&limit) => word.at > limit.at + SAME_WORD_SLACK,
+            Some(limit) => word.at > limit.at,
+            None => word.calls_per_s.is_some(),
+        };
+        is_newer && known.take_limit(now, word)
+    }
+
+    /// Returns the limits to tell peers: those that were named lately, and those that ended, the
+    /// newest first.
+    #[must_use]
+    pub fn limits_to_tell(&self, now: Duration) -> Vec<(TargetIdentity, LimitWord)> {
+        let told = |known: &Known| {
+            let word = known.limit?;
+            let since = match word.calls_per_s {
+                Some(_) => word.at,
+                None => known.limit_since,
+            };
+            let is_news = now.saturating_sub(since) < LIMIT_NEWS;
+            is_news.then(|| (known.listed.identity(), word))
+        };
+        let mut told: Vec<_> = self.targets.values().filter_map(told).collect();
+        told.sort_by_key(|(_, word)| std::cmp::Reverse(word.at));
+        told.truncate(LIMITS_TOLD_MAX);
+        told
     }
 
     /// Returns the number of targets that name a limit.
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/paces.rs
@@ -0,0 +1,103 @@
+//! `paces` keeps what targets that bear few calls get of all instances together within that.
+
+use damaskstile_core::prelude::*;
+
+use super::Book;
+use crate::call_limit::CallLimit;
+use crate::known::Known;
+use crate::sender_turn::SenderTurn;
+
+/// Time after a start in which an instance sends nothing to targets that bear few calls: what its
+/// predecessor sent within the same second counts too, and it knows few of the others yet.
+const OWN_START: Duration = Duration::from_millis(1_100);
+
+impl Book {
+    /// Tells whether a call may go to a target now: it bears any number of them, or this instance
+    /// may send to it and has not sent all that it may.
+    pub(super) fn has_place(&self, now: Duration, known: &Known) -> bool {
+        let (cold, named) = self.paces(now, known);
+        [cold, named].into_iter().flatten().all(|pace| {
+            let calls = pace.limit.calls_of_sender(self.fleet.instances());
+            self.is_past_start(now)
+                && self.is_sender(known, pace)
+                && known.has_paced_place(now, calls, pace.limit.counted_span())
+        })
+    }
+
+    /// Takes the place of a call that is sent to an incarnation now; returns false where it may not
+    /// be sent: what came since it was chosen shows that the target leaves, is gone, wants a pause,
+    /// has been followed by another, or has all the calls that it bears.
+    pub fn claim_send(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
+        if !self.may_send(now, identity) {
+            return false;
+        }
+        let Some(known) = self.targets.get(&identity.target) else {
+            return false;
+        };
+        let (cold, named) = self.paces(now, known);
+        let paces = [cold, named].into_iter().flatten();
+        let span = paces.map(|pace| pace.limit.counted_span()).max();
+        if let Some(span) = span
+            && let Some(known) = self.targets.get_mut(&identity.target)
+        {
+            known.note_paced_send(now, span);
+        }
+        true
+    }
+
+    /// Tells whether a target bears only so many calls.
+    pub(super) fn is_paced(&self, now: Duration, known: &Known) -> bool {
+        let (cold, named) = self.paces(now, known);
+        cold.is_some() || named.is_some()
+    }
+
+    /// Returns what a target bears while it is cold, and what it names as its limit.
+    fn paces(&self, now: Duration, known: &Known) -> (Option<Pace>, Option<Pace>) {
+        // Most targets are neither; each choice looks at all of them.
+        let is_cold = known.is_cold(now);
+        let cold = is_cold.then(|| self.cold_pace(known)).flatten();
+        let named = known.limit.and_then(|word| {
+            let limit = word.limit()?;
+            let turn = word.turn(now);
+            Some(Pace { limit, turn })
+        });
+        (cold, named)
+    }
+
+    fn cold_pace(&self, known: &Known) -> Option<Pace> {
+        let limit = self.cold_limits.get(&known.listed.service)?.calls()?;
+        Some(Pace { limit, turn: 0 })
+    }
+
+    fn is_past_start(&self, now: Duration) -> bool {
+        self.started_at
+            .is_none_or(|started_at| now.saturating_sub(started_at) >= OWN_START)
+    }
+
+    /// Tells whether this instance is one of the few that may send to a target. It is found out where
+    /// a call might go there, and again once the view of the fleet has changed.
+    fn is_sender(&self, known: &Known, pace: Pace) -> bool {
+        let senders = pace.limit.senders(self.fleet.instances());
+        let turn = SenderTurn {
+            fleet_state: self.fleet_state,
+            senders,
+            turn: pace.turn,
+        };
+        if let Some((known_turn, is_sender)) = known.sender.get()
+            && known_turn == turn
+        {
+            return is_sender;
+        }
+        let target = known.listed.target.as_str();
+        let is_sender = self.fleet.is_in_turn(&["cold", target], senders, pace.turn);
+        known.sender.set(Some((turn, is_sender)));
+        is_sender
+    }
+}
+
+/// A limit of a target, and whose turn it is to send.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    limit: CallLimit,
+    turn: u64,
+}
--- a/crates/damaskstile-targets/src/fleet_view.rs
+++ b/crates/damaskstile-targets/src/fleet_view.rs
@@ -74,12 +74,37 @@
         if share(own) * as_f64(instances) >= as_f64(count) * SHARE_FACTOR {
             return false;
         }
-        let better = self
-            .others
-            .iter()
-            .filter(|other| rank(subject, other) < own);
-        let better = u64::try_from(better.count()).unwrap_or(u64::MAX);
-        better < self.places(count)
+        self.better(subject, own) < self.places(count)
+    }
+
+    /// Tells whether this instance is among those that a subject falls to at a turn: at the first
+    /// one those of [`Self::is_among`], then as many others that follow on them by hash, and the
+    /// first ones again after the last.
+    ///
+    /// ```
+    /// use damaskstile_targets::FleetView;
+    /// let mut view = FleetView::new("a");
+    /// view.meet("b");
+    /// let turns = [0, 1, 2].map(|turn| view.is_in_turn(&["t"], 1, turn));
+    /// assert_eq!(turns[0], turns[2]);
+    /// assert_ne!(turns[0], turns[1]);
+    /// ```
+    #[must_use]
+    pub fn is_in_turn(&self, subject: &[&str], count: u64, turn: u64) -> bool {
+        let instances = self.instances();
+        let turn = turn % instances.div_ceil(count.max(1)).max(1);
+        if turn == 0 {
+            return self.is_among(subject, count);
+        }
+        let places = self.places(count);
+        let better = self.better(subject, rank(subject, &self.own));
+        (places * turn..places * (turn + 1)).contains(&better)
+    }
+
+    fn better(&self, subject: &[&str], own: u64) -> u64 {
+        let others = self.others.iter();
+        let better = others.filter(|other| rank(subject, other) < own);
+        u64::try_from(better.count()).unwrap_or(u64::MAX)
     }
 
     /// Returns the rank among the instances known up to which one is among the few. Where it knows
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -6,6 +6,7 @@
 
 use crate::limit_word::LimitWord;
 use crate::listed::Listed;
+use crate::sender_turn::SenderTurn;
 use crate::work::Work;
 
 /// Time after which a part of a prompt that was sent is no longer taken to be cached.
@@ -25,8 +26,6 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Longest time for which a target is taken to be cold by one word.
 const COLD_MAX: Duration = Duration::from_mins(1);
-/// Span in which calls to a cold target are counted: a second, and what timers may be late.
-const COLD_SPAN: Duration = Duration::from_millis(1_020);
 /// Age at which a report of load counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -47,17 +46,18 @@
     paused_until: Duration,
     /// The limit of calls that the target names.
     pub(crate) limit: Option<LimitWord>,
+    /// Since when it says about that.
+    pub(crate) limit_since: Duration,
     parts: BTreeMap<u64, Duration>,
     /// Time for which the target is still likely to read prompts that peers told of.
     others_reading: Duration,
     others_reading_at: Duration,
     /// Until when it is taken to be cold.
     cold_until: Duration,
-    /// Whether this instance is one of the few that may send to it while it is cold, with the state
-    /// of the fleet's view by which that was found.
-    pub(crate) cold_sender: Cell<Option<(u64, bool)>>,
-    /// When this instance last sent to it while it was cold, oldest first.
-    cold_sends: VecDeque<Duration>,
+    /// Whether this instance is one of the few that may send to it, with what that was found by.
+    pub(crate) sender: Cell<Option<(SenderTurn, bool)>>,
+    /// When this instance last sent to it while it bore only so many calls, oldest first.
+    paced_sends: VecDeque<Duration>,
 }
 
 impl Known {
@@ -80,12 +80,13 @@
             failure_at: Duration::ZERO,
             paused_until: Duration::ZERO,
             limit: None,
+            limit_since: Duration::ZERO,
             parts: BTreeMap::new(),
             others_reading: Duration::ZERO,
             others_reading_at: Duration::ZERO,
             cold_until,
-            cold_sender: Cell::new(None),
-            cold_sends: VecDeque::new(),
+            sender: Cell::new(None),
+            paced_sends: VecDeque::new(),
         }
     }
 
@@ -116,21 +117,31 @@
         self.cold_until.saturating_sub(now)
     }
 
-    /// Tells whether this instance has sent it fewer than so many calls within the last second.
-    pub(crate) fn has_cold_place(&self, now: Duration, calls: usize) -> bool {
-        let recent = self.cold_sends.iter().rev();
-        let recent = recent.take_while(|at| now.saturating_sub(**at) < COLD_SPAN);
+    /// Tells whether this instance has sent it fewer than so many calls within a span.
+    pub(crate) fn has_paced_place(&self, now: Duration, calls: usize, span: Duration) -> bool {
+        let recent = self.paced_sends.iter().rev();
+        let recent = recent.take_while(|at| now.saturating_sub(**at) < span);
         recent.count() < calls
     }
 
-    /// Notes a call that is sent while it is cold.
-    pub(crate) fn note_cold_send(&mut self, now: Duration) {
-        while let Some(at) = self.cold_sends.front()
-            && now.saturating_sub(*at) >= COLD_SPAN
+    /// Notes a call that is sent while it bears only so many within a span.
+    pub(crate) fn note_paced_send(&mut self, now: Duration, span: Duration) {
+        while let Some(at) = self.paced_sends.front()
+            && now.saturating_sub(*at) >= span
         {
-            self.cold_sends.pop_front();
+            self.paced_sends.pop_front();
         }
-        self.cold_sends.push_back(now);
+        self.paced_sends.push_back(now);
+    }
+
+    /// Takes in the newest word of its limit; returns whether that is news.
+    pub(crate) fn take_limit(&mut self, now: Duration, word: LimitWord) -> bool {
+        let is_news = !self.limit.is_some_and(|limit| word.is_like(&limit));
+        if is_news {
+            self.limit_since = now;
+        }
+        self.limit = Some(word);
+        is_news
     }
 
     /// Notes that work was sent whose prompt takes so long to read there.
--- a/crates/damaskstile-targets/src/lib.rs
+++ b/crates/damaskstile-targets/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod book;
 pub mod book_options;
+pub mod call_limit;
 pub mod candidate;
 pub mod choice;
 pub mod cold_limit;
@@ -19,12 +20,14 @@
 pub mod registry;
 pub mod registry_options;
 pub mod selector;
+pub(crate) mod sender_turn;
 pub mod target;
 pub mod target_counts;
 pub mod work;
 
 pub use book::Book;
 pub use book_options::BookOptions;
+pub use call_limit::CallLimit;
 pub use candidate::Candidate;
 pub use choice::Choice;
 pub use cold_limit::ColdLimit;
--- /dev/null
+++ b/crates/damaskstile-targets/tests/limited_fleet.rs
@@ -0,0 +1,265 @@
+//! What targets that name a limit get from whole simulated fleets, which share no clock and hear of
+//! each other late.
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, LimitWord, Listed, NamedLimit, Work};
+
+const SERVICE: &str = "model";
+/// Sizes of fleets, the largest that of two years from now.
+const SIZES: [usize; 5] = [3, 9, 90, 295, 390];
+/// Limits that a target names, in calls a second.
+const LIMITS: [f64; 4] = [0.4, 1.5, 6.0, 40.0];
+/// Time between two steps of a simulation.
+const STEP_MS: u64 = 20;
+/// Calls that an instance begins in one step at most, in a thousand.
+const BURST_PER_MILLE: u64 = 100;
+/// Time after the first answer in which the instances are told of the limit.
+const TOLD_MS: u64 = 8_000;
+/// Span in which calls are counted.
+const COUNTED_MS: u64 = 4_000;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn listed(target: &str, start: u64) -> Listed {
+    Listed {
+        target: target.to_owned(),
+        incarnation: Some(start),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "north".to_owned(),
+        slots_requests: 64,
+        is_ready: true,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn identity() -> TargetIdentity {
+    TargetIdentity::new("t", Some(1))
+}
+
+/// A simulated fleet before one target that is best for all of its calls.
+struct Fleet {
+    books: Vec<Book>,
+    /// Instances that have ended.
+    ended: BTreeSet<usize>,
+    random: Random,
+    /// When the target got calls.
+    sent_ms: Vec<u64>,
+    /// The limit that it names.
+    named: NamedLimit,
+}
+
+impl Fleet {
+    fn new(size: usize, seed: u64) -> Self {
+        let name = |index: usize| format!("i{index}");
+        let books = (0..size).map(|own| {
+            let mut book = Book::new("north", BookOptions::default());
+            book = book.of_instance(&name(own), Duration::ZERO);
+            for other in 0..size {
+                book.meet(&name(other), size as u64);
+            }
+            book.list(at(0), listed("t", 1));
+            book
+        });
+        Self {
+            books: books.collect(),
+            ended: BTreeSet::new(),
+            random: Random::new(seed),
+            sent_ms: Vec::new(),
+            named: NamedLimit::Absent,
+        }
+    }
+
+    /// Has all instances call all the time, answers come after a while, and each tell three others
+    /// once a second what it knows of the limit.
+    fn play(&mut self, from_ms: u64, until_ms: u64) {
+        let mut answers: Vec<(u64, usize, u64, NamedLimit)> = Vec::new();
+        for ms in (from_ms..until_ms).step_by(usize::try_from(STEP_MS).unwrap()) {
+            answers.retain(|(due_ms, own, sent_ms, named)| {
+                let is_due = *due_ms <= ms;
+                if is_due {
+                    let book = &mut self.books[*own];
+                    book.heed_limit(at(ms), &identity(), at(*sent_ms), *named);
+                }
+                !is_due
+            });
+            for own in 0..self.books.len() {
+                if self.ended.contains(&own) {
+                    continue;
+                }
+                let begins = self.random.below(1_000) < BURST_PER_MILLE;
+                let choice =
+                    begins.then(|| self.books[own].choose(at(ms), SERVICE, &Work::default(), &[]));
+                if let Some(choice) = choice.flatten()
+                    && self.books[own].claim_send(at(ms), &choice.identity())
+                {
+                    self.sent_ms.push(ms);
+                    answers.push((ms + 40 + self.random.below(200), own, ms, self.named));
+                }
+                if ms % 1_000 == (own as u64 * STEP_MS) % 1_000 {
+                    self.tell(ms, own);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, ms: u64, from: usize) {
+        let told = self.books[from].limits_to_tell(at(ms));
+        for _ in 0..3 {
+            let to = self.random.index(self.books.len());
+            for (target, word) in &told {
+                // The way takes a while that the receiver does not know of.
+                let word = LimitWord {
+                    at: word.at + at(5),
+                    ..*word
+                };
+                self.books[to].hear_limit(at(ms + 5), target, word);
+            }
+        }
+    }
+
+    /// Returns the most calls that the target got within the counted span, from a time on.
+    fn most(&self, from_ms: u64) -> usize {
+        let sent: Vec<u64> = self
+            .sent_ms
+            .iter()
+            .copied()
+            .filter(|ms| *ms >= from_ms)
+            .collect();
+        let within = |from: u64| {
+            let span = from..from + COUNTED_MS;
+            sent.iter().filter(|ms| span.contains(ms)).count()
+        };
+        sent.iter().map(|ms| within(*ms)).max().unwrap_or(0)
+    }
+
+    fn got(&self, from_ms: u64) -> usize {
+        self.sent_ms.iter().filter(|ms| **ms >= from_ms).count()
+    }
+}
+
+/// Returns the calls that fall into the counted span at most where they come at just the limit.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few calls
+fn left_for_span(calls_per_s: f64) -> usize {
+    (calls_per_s * 4.0).ceil() as usize
+}
+
+#[test]
+fn a_target_gets_no_more_than_it_names_at_each_size_and_not_much_less() {
+    // Guards against: instances that each keep to the limit by themselves.
+    for size in SIZES {
+        for calls_per_s in LIMITS {
+            // Arrange
+            let mut fleet = Fleet::new(size, 3);
+            fleet.play(2_000, 3_000);
+            fleet.named = NamedLimit::CallsPerS(calls_per_s);
+
+            // Act
+            fleet.play(3_000, 3_000 + TOLD_MS + 12_000);
+
+            // Assert
+            let most = fleet.most(3_000 + TOLD_MS);
+            let got = fleet.got(3_000 + TOLD_MS);
+            assert!(
+                most <= left_for_span(calls_per_s),
+                "{size}, {calls_per_s}: {most}"
+            );
+            assert!(got > 0, "{size}, {calls_per_s}");
+        }
+    }
+}
+
+#[test]
+fn a_limit_is_over_everywhere_soon_after_the_target_names_none() {
+    // Guards against: words of the limit that go round among instances after its end.
+    for size in SIZES {
+        // Arrange
+        let mut fleet = Fleet::new(size, 5);
+        fleet.named = NamedLimit::CallsPerS(6.0);
+        fleet.play(2_000, 12_000);
+
+        // Act
+        fleet.named = NamedLimit::Absent;
+        fleet.play(12_000, 22_000);
+
+        // Assert
+        let limited = fleet.books.iter().map(Book::limited_targets);
+        assert_eq!(limited.sum::<usize>(), 0, "{size} instances");
+    }
+}
+
+#[test]
+fn others_take_over_where_those_that_may_send_have_ended() {
+    // Guards against: a target that nobody calls any more, so that the end of its limit is not seen.
+    for size in [9, 90] {
+        // Arrange: whoever sent lately has ended.
+        let mut fleet = Fleet::new(size, 7);
+        fleet.named = NamedLimit::CallsPerS(1.5);
+        fleet.play(2_000, 12_000);
+        let may_send = |book: &Book| {
+            let choice = book.choose(at(14_000), SERVICE, &Work::default(), &[]);
+            choice.is_some()
+        };
+        fleet.ended = (0..size)
+            .filter(|own| may_send(&fleet.books[*own]))
+            .collect();
+        assert!(!fleet.ended.is_empty());
+
+        // Act
+        fleet.play(12_000, 60_000);
+
+        // Assert
+        assert!(fleet.got(14_000) > 0, "{size} instances");
+        assert!(fleet.most(14_000) <= left_for_span(1.5), "{size} instances");
+    }
+}
+
+#[test]
+fn an_answer_that_was_on_its_way_before_does_not_end_a_limit() {
+    // Arrange
+    let mut fleet = Fleet::new(1, 1);
+    let book = &mut fleet.books[0];
+    book.heed_limit(
+        at(5_000),
+        &identity(),
+        at(4_900),
+        NamedLimit::CallsPerS(2.0),
+    );
+
+    // Act
+    let late = book.heed_limit(at(5_100), &identity(), at(4_950), NamedLimit::Absent);
+    let unreadable = book.heed_limit(at(5_200), &identity(), at(5_150), NamedLimit::Unreadable);
+    let limited = book.limited_targets();
+    let after = book.heed_limit(at(5_300), &identity(), at(5_250), NamedLimit::Absent);
+
+    // Assert
+    assert_eq!((late, unreadable, limited), (None, None, 1));
+    assert_eq!(after.map(|word| word.calls_per_s), Some(None));
+}
+
+#[test]
+fn a_limit_ends_with_its_incarnation() {
+    // Arrange
+    let mut fleet = Fleet::new(3, 1);
+    let book = &mut fleet.books[0];
+    book.heed_limit(
+        at(5_000),
+        &identity(),
+        at(4_900),
+        NamedLimit::CallsPerS(0.0),
+    );
+
+    // Act
+    book.list(at(6_000), listed("t", 2));
+    let word = LimitWord {
+        calls_per_s: Some(0.0),
+        at: at(6_500),
+    };
+    let is_news = book.hear_limit(at(6_500), &identity(), word);
+
+    // Assert
+    assert!(!is_news);
+    assert_eq!(book.limited_targets(), 0);
+}
