--- a/crates/damaskstile-core/src/ids.rs
+++ b/crates/damaskstile-core/src/ids.rs
@@ -27,6 +27,9 @@
 pub type CallId = u64;
 /// Version of a stored object; 0 stands for "does not exist".
 pub type Version = u64;
+/// Tells the histories of a store from each other: a store that comes back from an older copy goes
+/// on with another one, and the number rises.
+pub type History = u64;
 /// Names a data centre.
 pub type DataCentreId = String;
 /// Names a region, which holds data centres.
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -35,8 +35,9 @@
     pub use crate::explanation::Explanation;
     pub use crate::identity::Identity;
     pub use crate::ids::{
-        AccountId, BudgetId, CallId, DataCentreId, GrantId, Incarnation, InstanceId, RegionId,
-        RequestHandle, RequestKey, RunId, ServiceId, TargetId, TargetIncarnation, Version,
+        AccountId, BudgetId, CallId, DataCentreId, GrantId, History, Incarnation, InstanceId,
+        RegionId, RequestHandle, RequestKey, RunId, ServiceId, TargetId, TargetIncarnation,
+        Version,
     };
     pub use crate::log::{EventCode, LogEvent};
     pub use crate::outcome::{Outcome, Receipt};
--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -91,6 +91,7 @@
     StoreRegained = 507, "info", "The store answers again.";
     WatchUnanswered = 508, "warn", "A watch of the store ended without an answer, or was sent anew after an outage.";
     StoreCallsNoted = 509, "info", "Calls to the store since the start, as call kind/outcome:count.";
+    StoreRestored = 510, "warn", "The store came back from an older copy of itself: what was written there since is gone, and its versions are given out again.";
     TargetLeaving = 601, "info", "A target is leaving and gets no new work.";
     TargetReturned = 602, "info", "A target takes work again.";
     TargetListed = 603, "info", "The list shows a new target, or one whose state changed.";
--- a/crates/damaskstile-gateway/src/counted_store.rs
+++ b/crates/damaskstile-gateway/src/counted_store.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damaskstile_core::ids::Version;
+use damaskstile_core::ids::{History, Version};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
@@ -97,6 +97,10 @@
 }
 
 impl ObjectStore for CountedStore {
+    fn history(&self) -> History {
+        self.store.history()
+    }
+
     fn list<'a>(&'a self, kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>> {
         let answer = self.store.list(kind);
         self.count(format!("list {kind}"), answer).boxed()
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -258,8 +258,26 @@
     );
 }
 
+/// Notes which history the store is in, and says so where that is another one.
+fn note_history(gateway: &Gateway) {
+    let history = gateway.store.history();
+    let known = std::mem::replace(&mut gateway.state().store_history, Some(history));
+    if known.is_some_and(|known| known != history) {
+        let fields = [
+            ("history", &history.to_string()),
+            (
+                "targets_version",
+                &gateway.state().targets_version.to_string(),
+            ),
+        ];
+        let fields = fields.map(|(name, value)| (name, value.as_str()));
+        gateway.log(EventCode::StoreRestored, &fields);
+    }
+}
+
 /// Notes that the store answered.
 pub(crate) fn note_answer(gateway: &Gateway) {
+    note_history(gateway);
     let now = gateway.now();
     if gateway.state().contact.answered(now) {
         gateway.outages_over.send_modify(|count| *count += 1);
@@ -273,7 +291,7 @@
 pub(crate) fn note_failure(gateway: &Gateway, error: &StoreError) {
     let cause = match error {
         // These are answers.
-        StoreError::Outdated | StoreError::Conflict(_) => return,
+        StoreError::Outdated | StoreError::Conflict(_) => return note_history(gateway),
         StoreError::NotDone(cause) | StoreError::Lost(cause) => cause,
     };
     let now = gateway.now();
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -86,6 +86,7 @@
     store_age_ms: Gauge,
     watch_age_ms: Family<WatchLabels, Gauge>,
     catalogue_version: Gauge,
+    store_history: Gauge,
     targets: Family<StateLabels, Gauge>,
     refused_entries: Family<StoredLabels, Counter>,
     open_calls: Gauge,
@@ -112,6 +113,7 @@
         let store_age_ms = Gauge::default();
         let watch_age_ms = Family::default();
         let catalogue_version = Gauge::default();
+        let store_history = Gauge::default();
         let targets = Family::default();
         let refused_entries = Family::default();
         let open_calls = Gauge::default();
@@ -132,6 +134,8 @@
         registry.register("watch_age_ms", help, watch_age_ms.clone());
         let help = "Version of the catalogue in force";
         registry.register("catalogue_version", help, catalogue_version.clone());
+        let help = "History of the store; rises each time that it comes back from an older copy";
+        registry.register("store_history", help, store_history.clone());
         let help = "Targets of the list, by what keeps them in or out of use";
         registry.register("targets", help, targets.clone());
         let help = "Stored objects that could not be used, counted once for each fault";
@@ -154,6 +158,7 @@
             store_age_ms,
             watch_age_ms,
             catalogue_version,
+            store_history,
             targets,
             refused_entries,
             open_calls,
@@ -251,6 +256,12 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Notes which history the store is in.
+    pub fn sample_history(&self, history: History) {
+        self.store_history
+            .set(i64::try_from(history).unwrap_or(i64::MAX));
+    }
+
     /// Notes how long ago a list or a watch of the store was last answered.
     pub fn sample_watch(&self, watch: &'static str, age: Duration) {
         let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/damaskstile-gateway/src/objects.rs
+++ b/crates/damaskstile-gateway/src/objects.rs
@@ -14,6 +14,12 @@
 
 /// `ObjectStore` makes calls to the platform's store.
 pub trait ObjectStore: Send + Sync {
+    /// Returns the number of the history that the store was last seen to be in. It rises each time
+    /// that the store comes back from an older copy of itself; what was written there since is gone.
+    fn history(&self) -> History {
+        0
+    }
+
     /// Lists all objects of a kind.
     fn list<'a>(&'a self, kind: &'a str) -> BoxFuture<'a, StoreResult<Listing>>;
 
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 
 use crate::gateway::Gateway;
+use crate::objects::ObjectStore;
 use crate::phase::Phase;
 
 /// Time after a start in which an instance that holds no tokens yet is not ready: its first write
@@ -118,6 +119,7 @@
     gateway.metrics.count_targets(&counts);
     gateway.metrics.sample_paused(paused);
     gateway.metrics.sample(&free, age, version);
+    gateway.metrics.sample_history(gateway.store.history());
     gateway.metrics.sample_open_calls(gateway.open_calls());
     gateway.metrics.sample_store_calls(gateway.store.counts());
     gateway
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -91,6 +91,8 @@
     pub emptied_fault: Option<String>,
     /// What is wrong with the ledger as stored, while it cannot be used.
     pub ledger_fault: Option<LedgerFault>,
+    /// History that the store was last seen to be in.
+    pub store_history: Option<History>,
     /// Version of the list of targets.
     pub targets_version: Version,
     /// At which versions targets were gone.
@@ -166,6 +168,7 @@
             catalogue_fault: None,
             emptied_fault: None,
             ledger_fault: None,
+            store_history: None,
             targets_version: 0,
             target_words: TargetWords::default(),
             list_changes: ListChanges::default(),
