An emptied data centre stays so where the store came back from a copy without it

The same cause elsewhere: a list from a copy that is older than the operator's word was taken for the word's end, until the operator had written it again. For 2 s after the return a list that lacks known entries is not taken in and read anew; after that it counts.

--- a/crates/damaskstile-gateway/src/emptied_list.rs
+++ b/crates/damaskstile-gateway/src/emptied_list.rs
@@ -6,20 +6,44 @@
 use crate::fault::fault;
 use crate::gateway::Gateway;
 use crate::metrics::Stored;
-use crate::objects::{Change, Listing};
+use crate::objects::{Change, Listing, ObjectStore};
 use crate::target_list::log_refused;
 
-/// Takes in all entries as of the listing's version.
-pub(crate) fn take_all(gateway: &Gateway, listing: &Listing) {
+/// Time after the store came back from an older copy in which entries may be missing that the
+/// operator has yet to write again.
+const RESTORED_WAIT: Duration = Duration::from_secs(2);
+
+/// Takes in all entries as of the listing's version. Returns false, with nothing taken in, where the
+/// store came back from an older copy and may lack entries that hold.
+pub(crate) fn take_all(gateway: &Gateway, listing: &Listing) -> bool {
     let names = listing.objects.iter().map(|object| object.name.as_str());
     let all = names.filter_map(|name| read(gateway, name, listing.version));
-    let all = all.collect();
+    let all: BTreeSet<DataCentreId> = all.collect();
     let now = gateway.now();
+    if !is_settled(gateway, now) {
+        let known = gateway.state().book.emptied().names();
+        if known.iter().any(|name| !all.contains(name)) {
+            return false;
+        }
+    }
     let news = gateway
         .state()
         .book
         .take_emptied(now, listing.version, &all);
     note(gateway, &news, "store");
+    true
+}
+
+/// Tells whether entries that a listing lacks are gone, and not only missing in a copy.
+fn is_settled(gateway: &Gateway, now: Duration) -> bool {
+    let history = gateway.store.history();
+    let mut state = gateway.state();
+    let listed = state.emptied_listed.get_or_insert((history, None));
+    if listed.0 != history {
+        *listed = (history, Some(now));
+    }
+    let restored_at = listed.1;
+    restored_at.is_none_or(|at| now.saturating_sub(at) >= RESTORED_WAIT)
 }
 
 /// Takes in what a watch showed up to a version.
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -101,15 +101,15 @@
             Ok(listing) => {
                 note_followed(&gateway, followed);
                 let version = listing.version;
-                take_all(&gateway, followed, &listing);
-                if must_watch(&gateway) {
+                is_due = !take_all(&gateway, followed, &listing);
+                if !is_due && must_watch(&gateway) {
                     watch(&gateway, followed, kind, version).await;
                 }
             }
             Err(error) => note_failure(&gateway, &error),
         }
         // What peers tell makes up for a list that failed too.
-        if must_watch(&gateway) {
+        if is_due || must_watch(&gateway) {
             let pause = failure_pause(&gateway.state());
             tokio::time::sleep(pause).await;
         }
@@ -302,14 +302,19 @@
     }
 }
 
-fn take_all(gateway: &Gateway, followed: Followed, listing: &Listing) {
+/// Takes in a listing; returns whether it can be relied on, or another one is needed.
+fn take_all(gateway: &Gateway, followed: Followed, listing: &Listing) -> bool {
     match followed {
         Followed::Catalogue => {
             for object in &listing.objects {
                 take_catalogue(gateway, object, "store");
             }
+            true
+        }
+        Followed::Targets => {
+            target_list::take_all(gateway, listing);
+            true
         }
-        Followed::Targets => target_list::take_all(gateway, listing),
         Followed::Emptied => emptied_list::take_all(gateway, listing),
     }
 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -87,6 +87,9 @@
     pub catalogue_changes: ContentChanges,
     /// What is wrong with the catalogue that was refused last, until a sound one comes.
     pub catalogue_fault: Option<String>,
+    /// History in which emptied data centres were last listed, and when they first were after the
+    /// store came back from an older copy.
+    pub emptied_listed: Option<(History, Option<Duration>)>,
     /// What was last wrong with an entry that names no data centre.
     pub emptied_fault: Option<String>,
     /// What is wrong with the ledger as stored, while it cannot be used.
@@ -166,6 +169,7 @@
             stored_catalogue: None,
             catalogue_changes: ContentChanges::default(),
             catalogue_fault: None,
+            emptied_listed: None,
             emptied_fault: None,
             ledger_fault: None,
             store_history: None,
