--- a/crates/damaskstile-targets/src/call_limit.rs
+++ b/crates/damaskstile-targets/src/call_limit.rs
@@ -10,7 +10,7 @@
 const COUNTED_SPAN: Duration = Duration::from_millis(1_020);
 /// Longest such span. A target that names a lower limit still gets a call now and then, without
 /// which nobody would learn that the limit is over.
-const COUNTED_SPAN_MAX: Duration = Duration::from_mins(1);
+const COUNTED_SPAN_MAX: Duration = Duration::from_secs(10);
 
 /// `CallLimit` is a limit of the calls that all instances together may send to one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
