Callers are told when there is a place again where all targets bear only so many calls

Now the wait is that of the sender's next place, or a span where other instances send, longer by up to 0.3 s by chance. Simulated fleets that hear nothing of each other, limits that are lowered, and one of nothing, beside it.

--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -7,7 +7,7 @@
 use super::{Exchange, refuse};
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 
-/// Time in which callers come back after a pause of all targets, by chance.
+/// Time in which callers come back by chance, after what all of them wait for.
 const RETURN_SPREAD_MS: u64 = 300;
 
 impl Exchange {
@@ -52,17 +52,28 @@
         if state.book.paused_for(now, &self.terms.service).is_some() {
             return None;
         }
-        Some(Refusal::not_run(code, Some(RETRY_LATER)))
+        let wait = state.book.place_in(now, &self.terms.service);
+        drop(state);
+        let wait = wait.map_or(RETRY_LATER, |wait| self.spread(wait));
+        Some(Refusal::not_run(code, Some(wait)))
+    }
+
+    /// Returns a wait, longer by chance, so that those that were refused together come back some
+    /// time apart.
+    fn spread(&self, wait: Duration) -> Duration {
+        let spread_ms = self.gateway.state().random.below(RETURN_SPREAD_MS);
+        wait.saturating_add(Duration::from_millis(spread_ms))
     }
 
     /// Returns when a caller should come back where all targets of the service want a pause. Those
     /// that were refused all through it come back some time apart.
     pub(super) fn targets_pause(&self) -> Option<Duration> {
         let now = self.gateway.now();
-        let mut state = self.gateway.state();
-        let left = state.book.paused_for(now, &self.terms.service)?;
-        let spread = Duration::from_millis(state.random.below(RETURN_SPREAD_MS));
-        Some(left.saturating_add(spread))
+        let left = {
+            let state = self.gateway.state();
+            state.book.paused_for(now, &self.terms.service)?
+        };
+        Some(self.spread(left))
     }
 
     pub(super) fn give_up(&mut self, code: RefusalCode, wait: Duration) -> Response<ReplyBody> {
--- a/crates/damaskstile-targets/src/book/paces.rs
+++ b/crates/damaskstile-targets/src/book/paces.rs
@@ -24,6 +24,34 @@
         })
     }
 
+    /// Returns the time until some instance may send to a target of a service again, where all that
+    /// are in use have all the calls that they bear; `None` where one has not, or none is in use.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// let book = Book::new("north", BookOptions::default());
+    /// assert_eq!(book.place_in(Duration::ZERO, "s"), None);
+    /// ```
+    #[must_use]
+    pub fn place_in(&self, now: Duration, service: &str) -> Option<Duration> {
+        let mut shortest: Option<Duration> = None;
+        for known in self.usable(now, service) {
+            if self.has_place(now, known) {
+                return None;
+            }
+            let (cold, named) = self.paces(now, known);
+            let paces = [cold, named].into_iter().flatten();
+            let wait = paces.map(|pace| {
+                let span = pace.limit.counted_span();
+                // What others have sent is not known here; each of them has a place within a span.
+                known.paced_place_in(now, span).unwrap_or(span)
+            });
+            shortest = wait.chain(shortest).min();
+        }
+        shortest
+    }
+
     /// Takes the place of a call that is sent to an incarnation now; returns false where it may not
     /// be sent: what came since it was chosen shows that the target leaves, is gone, wants a pause,
     /// has been followed by another, or has all the calls that it bears.
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -124,6 +124,14 @@
         recent.count() < calls
     }
 
+    /// Returns the time until the first of the calls within a span no longer counts; `None` where
+    /// this instance sent none.
+    pub(crate) fn paced_place_in(&self, now: Duration, span: Duration) -> Option<Duration> {
+        let ends = self.paced_sends.iter().map(|at| *at + span);
+        let ends = ends.filter(|end| *end > now);
+        ends.min().map(|end| end.saturating_sub(now))
+    }
+
     /// Notes a call that is sent while it bears only so many within a span.
     pub(crate) fn note_paced_send(&mut self, now: Duration, span: Duration) {
         while let Some(at) = self.paced_sends.front()
--- a/crates/damaskstile-targets/tests/limited_fleet.rs
+++ b/crates/damaskstile-targets/tests/limited_fleet.rs
@@ -8,7 +8,7 @@
 /// Sizes of fleets, the largest that of two years from now.
 const SIZES: [usize; 5] = [3, 9, 90, 295, 390];
 /// Limits that a target names, in calls a second.
-const LIMITS: [f64; 4] = [0.4, 1.5, 6.0, 40.0];
+const LIMITS: [f64; 7] = [0.2, 0.4, 0.5, 1.5, 6.0, 12.0, 40.0];
 /// Time between two steps of a simulation.
 const STEP_MS: u64 = 20;
 /// Calls that an instance begins in one step at most, in a thousand.
@@ -49,6 +49,8 @@
     sent_ms: Vec<u64>,
     /// The limit that it names.
     named: NamedLimit,
+    /// Whether instances hear nothing of each other.
+    is_deaf: bool,
 }
 
 impl Fleet {
@@ -69,6 +71,7 @@
             random: Random::new(seed),
             sent_ms: Vec::new(),
             named: NamedLimit::Absent,
+            is_deaf: false,
         }
     }
 
@@ -106,6 +109,9 @@
     }
 
     fn tell(&mut self, ms: u64, from: usize) {
+        if self.is_deaf {
+            return;
+        }
         let told = self.books[from].limits_to_tell(at(ms));
         for _ in 0..3 {
             let to = self.random.index(self.books.len());
@@ -171,6 +177,67 @@
     }
 }
 
+#[test]
+fn a_limit_that_is_lowered_holds_as_it_is_named_last() {
+    // Guards against: instances that keep to a limit that a peer told of before.
+    for size in SIZES {
+        // Arrange
+        let mut fleet = Fleet::new(size, 9);
+        fleet.named = NamedLimit::CallsPerS(12.0);
+        fleet.play(2_000, 12_000);
+
+        // Act
+        fleet.named = NamedLimit::CallsPerS(1.5);
+        fleet.play(12_000, 12_000 + TOLD_MS + 12_000);
+
+        // Assert
+        let most = fleet.most(12_000 + TOLD_MS);
+        assert!(most <= left_for_span(1.5), "{size} instances: {most}");
+    }
+}
+
+#[test]
+fn instances_that_hear_nothing_of_each_other_keep_to_a_limit_that_each_was_told() {
+    // Guards against: senders that are found by what is heard, and not by who there is.
+    for size in SIZES {
+        // Arrange: each is told by an answer to a call of its own.
+        let mut fleet = Fleet::new(size, 13);
+        for book in &mut fleet.books {
+            book.heed_limit(
+                at(2_000),
+                &identity(),
+                at(1_900),
+                NamedLimit::CallsPerS(6.0),
+            );
+        }
+        fleet.named = NamedLimit::CallsPerS(6.0);
+        fleet.is_deaf = true;
+
+        // Act: for as long as the first senders have their turn.
+        fleet.play(2_000, 11_000);
+
+        // Assert
+        let most = fleet.most(2_000);
+        assert!(most <= left_for_span(6.0), "{size} instances: {most}");
+        assert!(most > 0);
+    }
+}
+
+#[test]
+fn a_limit_of_nothing_lets_a_call_through_now_and_then_and_no_more() {
+    // Arrange
+    let mut fleet = Fleet::new(9, 15);
+    fleet.named = NamedLimit::CallsPerS(0.0);
+    fleet.play(2_000, 12_000);
+
+    // Act
+    fleet.play(12_000, 52_000);
+
+    // Assert
+    let got = fleet.got(12_000);
+    assert!((1..=4).contains(&got), "{got} calls in 40 s");
+}
+
 #[test]
 fn a_limit_is_over_everywhere_soon_after_the_target_names_none() {
     // Guards against: words of the limit that go round among instances after its end.
@@ -263,3 +330,27 @@
     assert!(!is_news);
     assert_eq!(book.limited_targets(), 0);
 }
+
+#[test]
+fn callers_are_told_when_there_is_a_place_again() {
+    // Arrange: a call in 1.275 s.
+    let mut fleet = Fleet::new(1, 1);
+    let book = &mut fleet.books[0];
+    book.heed_limit(
+        at(5_000),
+        &identity(),
+        at(4_900),
+        NamedLimit::CallsPerS(1.0),
+    );
+    let before = book.place_in(at(5_000), SERVICE);
+
+    // Act
+    let is_sent = book.claim_send(at(5_000), &identity());
+    let after = book.place_in(at(5_275), SERVICE);
+    let later = book.place_in(at(6_300), SERVICE);
+
+    // Assert
+    assert!(is_sent);
+    assert_eq!((before, later), (None, None));
+    assert_eq!(after, Some(at(1_000)));
+}
