Whoever remembers nothing lets those begin the ledger that remember it

The ledger could not be read for 3 s after the store's return, since another writer had spoiled it. A fresh instance had waited 3 s by then, and began it anew from the copy before the two that remembered it. The wait counts from the copy's first reading now. The new test failed before (it wrote at once).

--- a/crates/damaskstile-escrow/src/holder/restoring.rs
+++ b/crates/damaskstile-escrow/src/holder/restoring.rs
@@ -30,11 +30,12 @@
     confirmed: History,
     /// First report that was made in this history.
     confirm_number: Option<u64>,
-    entered_at: Duration,
     /// Newest version of the ledger that any peer said it remembers.
     told_version: Version,
     /// The ledger as the copy has it, with its version there.
     copy: Option<(Version, Ledger)>,
+    /// When it was first seen. Peers that remember a newer one could not write before either.
+    copy_at: Duration,
     looked_at: Duration,
     /// When a ledger of this history was first seen.
     begun_at: Option<Duration>,
@@ -72,7 +73,7 @@
     }
 
     fn may_begin(&self, now: Duration, known_version: Version) -> bool {
-        let waited = now.saturating_sub(self.entered_at);
+        let waited = now.saturating_sub(self.copy_at);
         let is_newest = known_version >= self.told_version;
         (waited >= GATHER_TIME && is_newest) || waited >= GATHER_TIME_MAX
     }
@@ -87,7 +88,7 @@
 
     /// Takes in which history the store is in, by its own word or a peer's; returns whether that is
     /// news.
-    pub fn enter_history(&mut self, now: Duration, history: History) -> bool {
+    pub fn enter_history(&mut self, history: History) -> bool {
         if history <= self.restoring.history {
             return false;
         }
@@ -99,7 +100,6 @@
             } else {
                 history
             },
-            entered_at: now,
             told_version: self.restoring.told_version,
             ..Restoring::default()
         };
@@ -120,6 +120,9 @@
         // Where there is none, a fleet starts for the first time, or the copy is older than that.
         let is_copy = ledger.history < self.restoring.history;
         if is_copy {
+            if self.restoring.copy.is_none() {
+                self.restoring.copy_at = now;
+            }
             self.restoring.copy = Some((version, ledger.clone()));
             self.restoring.looked_at = now;
             self.is_in_doubt = false;
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -84,7 +84,7 @@
         if self.take_copy(now, version, &ledger) {
             return;
         }
-        self.enter_history(now, ledger.history);
+        self.enter_history(ledger.history);
         if version < self.ledger_version {
             return;
         }
--- a/crates/damaskstile-escrow/tests/rewinds.rs
+++ b/crates/damaskstile-escrow/tests/rewinds.rs
@@ -95,7 +95,7 @@
     let identity = Identity::new(instance, incarnation, "north");
     let mut holder = Holder::new(identity, instance, EscrowOptions::default());
     holder.set_prepaid(1, [(ACCOUNT.to_owned(), PREPAID_TOKENS)].into());
-    holder.enter_history(at(0), 1);
+    holder.enter_history(1);
     holder
 }
 
@@ -124,7 +124,7 @@
     let held = one.reserved_tokens(ACCOUNT);
 
     // Act
-    one.enter_history(at(3_000), 2);
+    one.enter_history(2);
     one.observe(at(3_000), version(2, 3), copy);
     let at_once = one.next_round(at(3_100), &stamp(3_100));
     let round = one.next_round(at(4_000), &stamp(4_000)).unwrap();
@@ -148,7 +148,7 @@
 
     // Act
     other.hear_ledger_version(one.ledger_version());
-    other.enter_history(at(3_000), 2);
+    other.enter_history(2);
     other.observe(at(3_000), version(2, 3), copy);
     let early = other.next_round(at(4_000), &stamp(4_000));
     let late = other.next_round(at(6_100), &stamp(6_100));
@@ -168,7 +168,7 @@
     other.observe(at(900), known_version, copy);
     let (known_version, ledger) = write(&mut other, 1_000, 500, version(1, 4));
     one.observe(at(1_100), known_version, ledger.clone());
-    one.enter_history(at(3_000), 2);
+    one.enter_history(2);
     one.observe(at(3_000), version(2, 4), ledger);
     let round = one.next_round(at(4_000), &stamp(4_000)).unwrap();
     let before = round.ledger.granted(ACCOUNT);
@@ -180,7 +180,7 @@
     let _ = one.try_reserve(at(4_200), ACCOUNT, 4_000, 0);
     let closed = one.next_round(at(5_200), &stamp(5_200)).unwrap();
     one.not_written(closed.number);
-    other.enter_history(at(5_300), 2);
+    other.enter_history(2);
     other.observe(at(5_300), version(2, 5), begun);
     let (confirmed_version, confirmed) = write(&mut other, 5_400, 1, version(2, 6));
     one.observe(at(5_500), confirmed_version, confirmed);
@@ -206,7 +206,7 @@
 
     // Act
     let mut successor = holder("one", 7);
-    successor.enter_history(at(5_000), 2);
+    successor.enter_history(2);
     successor.observe(at(5_000), version(2, 3), copy);
     let round = successor.next_round(at(9_000), &stamp(9_000)).unwrap();
 
@@ -218,3 +218,25 @@
         "{settled}"
     );
 }
+
+#[test]
+fn whoever_remembers_nothing_waits_for_others_once_the_ledger_can_be_read() {
+    // Guards against: a fresh instance that has waited all through a time in which none could write.
+
+    // Arrange: one that has heard of a newer ledger, while the stored one cannot be read.
+    let mut one = holder("one", 1);
+    one.observe(at(0), 0, Ledger::default());
+    let (_, copy) = write(&mut one, 800, 500, version(1, 3));
+    let mut fresh = holder("fresh", 2);
+    fresh.enter_history(2);
+    fresh.hear_ledger_version(version(1, 9));
+
+    // Act
+    fresh.observe(at(8_000), version(2, 3), copy);
+    let at_once = fresh.next_round(at(8_100), &stamp(8_100));
+    let later = fresh.next_round(at(11_100), &stamp(11_100));
+
+    // Assert
+    assert!(at_once.is_none());
+    assert!(later.is_some());
+}
--- a/crates/damaskstile-escrow/tests/support/world.rs
+++ b/crates/damaskstile-escrow/tests/support/world.rs
@@ -269,7 +269,7 @@
     fn note_history(&mut self, index: usize) {
         let history = self.store.history;
         self.known_histories[index] = history;
-        self.holders[index].enter_history(self.now, history);
+        self.holders[index].enter_history(history);
     }
 
     /// Has some instances hear what others know of the ledger and the store's history.
@@ -281,7 +281,7 @@
             let version = self.holders[from].ledger_version();
             let history = self.known_histories[from];
             self.holders[to].hear_ledger_version(version);
-            self.holders[to].enter_history(self.now, history);
+            self.holders[to].enter_history(history);
         }
     }
 
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -261,11 +261,10 @@
 /// Notes which history the store is in, and says so where that is another one.
 fn note_history(gateway: &Gateway) {
     let history = gateway.store.history();
-    let now = gateway.now();
     let (is_other, targets_version) = {
         let mut state = gateway.state();
         let known = state.store_history.replace(history);
-        state.holder.enter_history(now, history);
+        state.holder.enter_history(history);
         let is_other = known.is_some_and(|known| known != history);
         (is_other, state.targets_version)
     };
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -70,7 +70,7 @@
         );
         state.book.meet(from, digest.known_instances);
         state.holder.hear_ledger_version(digest.ledger_version);
-        let has_entered = state.holder.enter_history(now, digest.store_history);
+        let has_entered = state.holder.enter_history(digest.store_history);
         let mut limits = Vec::new();
         for (target, word) in digest.limits.iter().filter_map(|told| told.word(now)) {
             if state.book.hear_limit(now, &target, word) {
