A ledger that lists an ended incarnation is not taken for newer than its successor's

Where both were equal in all sums, whoever remembered the older ledger would have begun anew from it, without the successor's grants. The hash of senders is named for what it chooses.

--- a/crates/damaskstile-escrow/src/ledger.rs
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -125,8 +125,18 @@
     pub fn is_after(&self, other: &Self) -> bool {
         let mut settled = other.settled_tokens.iter();
         let has_rounds = |(instance, entry): (&InstanceId, &HolderEntry)| {
-            let own = self.holders.get(instance);
-            own.is_some_and(|own| own.incarnation != entry.incarnation || own.round >= entry.round)
+            self.holders.get(instance).is_some_and(|own| {
+                let is_succeeded = || {
+                    other
+                        .estates
+                        .contains_key(&writer_name(instance, own.incarnation))
+                };
+                if own.incarnation == entry.incarnation {
+                    own.round >= entry.round
+                } else {
+                    !is_succeeded()
+                }
+            })
         };
         settled.all(|(account, tokens)| self.settled(account) >= *tokens)
             && other.holders.iter().all(has_rounds)
--- a/crates/damaskstile-escrow/tests/rewinds.rs
+++ b/crates/damaskstile-escrow/tests/rewinds.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{EscrowOptions, Holder, Ledger};
+use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Stamp};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use support::world::{Fate, INSTANCES, Step, World};
@@ -240,3 +240,23 @@
     assert!(at_once.is_none());
     assert!(later.is_some());
 }
+
+#[test]
+fn a_ledger_that_lists_an_ended_incarnation_is_not_after_one_that_lists_its_successor() {
+    // Arrange
+    let mut one = holder("one", 1);
+    one.observe(at(0), 0, Ledger::default());
+    let (_, before) = write(&mut one, 800, 500, version(1, 3));
+    let mut successor = holder("one", 2);
+    successor.observe(at(2_000), version(1, 3), before.clone());
+    let unknown = Stamp {
+        boot_ms: 1,
+        fleet_late_ms: None,
+        ..stamp(2_100)
+    };
+    let after = successor.next_round(at(2_100), &unknown).unwrap().ledger;
+
+    // Act and assert
+    assert!(after.is_after(&before));
+    assert!(!before.is_after(&after));
+}
--- a/crates/damaskstile-targets/src/book/paces.rs
+++ b/crates/damaskstile-targets/src/book/paces.rs
@@ -117,7 +117,9 @@
             return is_sender;
         }
         let target = known.listed.target.as_str();
-        let is_sender = self.fleet.is_in_turn(&["cold", target], senders, pace.turn);
+        let is_sender = self
+            .fleet
+            .is_in_turn(&["sender", target], senders, pace.turn);
         known.sender.set(Some((turn, is_sender)));
         is_sender
     }
