--- a/crates/damaskstile-escrow/tests/rewinds.rs
+++ b/crates/damaskstile-escrow/tests/rewinds.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Stamp};
+use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Role, Stamp};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use support::world::{Fate, INSTANCES, Step, World};
@@ -160,14 +160,8 @@
 
 #[test]
 fn nothing_more_is_granted_until_all_have_said_what_they_hold() {
-    // Arrange: two holders; one begins the ledger anew.
-    let mut one = holder("one", 1);
-    one.observe(at(0), 0, Ledger::default());
-    let (known_version, copy) = write(&mut one, 800, 500, version(1, 3));
-    let mut other = holder("other", 2);
-    other.observe(at(900), known_version, copy);
-    let (known_version, ledger) = write(&mut other, 1_000, 500, version(1, 4));
-    one.observe(at(1_100), known_version, ledger.clone());
+    // Arrange: one of two holders begins the ledger anew.
+    let (mut one, mut other, ledger) = two_holders();
     one.enter_history(2);
     one.observe(at(3_000), version(2, 4), ledger);
     let round = one.next_round(at(4_000), &stamp(4_000)).unwrap();
@@ -260,3 +254,69 @@
     assert!(after.is_after(&before));
     assert!(!before.is_after(&after));
 }
+
+/// Makes two holders that the ledger lists; returns them with it.
+fn two_holders() -> (Holder, Holder, Ledger) {
+    let mut one = holder("one", 1);
+    one.observe(at(0), 0, Ledger::default());
+    let (known_version, ledger) = write(&mut one, 800, 500, version(1, 3));
+    let mut other = holder("other", 2);
+    other.observe(at(900), known_version, ledger);
+    let (known_version, ledger) = write(&mut other, 1_000, 500, version(1, 4));
+    one.observe(at(1_100), known_version, ledger.clone());
+    (one, other, ledger)
+}
+
+#[test]
+fn grants_that_the_begun_ledger_lacks_stay_with_their_holder_until_it_has_said_so() {
+    // Arrange: the copy is from before the other one was listed, and nobody else is there.
+    let (_, mut other, _) = two_holders();
+    let mut one = holder("one", 1);
+    one.observe(at(0), 0, Ledger::default());
+    let (_, copy) = write(&mut one, 800, 500, version(1, 3));
+    one.enter_history(2);
+    one.observe(at(3_000), version(2, 3), copy);
+    let round = one.next_round(at(4_000), &stamp(4_000)).unwrap();
+
+    // Act
+    let held = other.granted_free_tokens(ACCOUNT);
+    other.enter_history(2);
+    other.observe(at(4_100), version(2, 5), round.ledger);
+    let kept = other.granted_free_tokens(ACCOUNT);
+    let (_, ledger) = write(&mut other, 4_200, 1, version(2, 6));
+
+    // Assert
+    assert!(held > 0);
+    assert_eq!(kept, held);
+    assert!(ledger.holders["other"].grants_tokens[ACCOUNT] > 0);
+}
+
+#[test]
+fn a_report_from_before_the_return_does_not_say_what_its_sender_holds_now() {
+    // Guards against: a late report that opens the pool before its sender was heard.
+
+    // Arrange: a report that is under way as the store returns.
+    let (mut one, mut other, ledger) = two_holders();
+    other.set_role(Role::Member);
+    other.note_demand(at(2_900), ACCOUNT, 3_000, 0);
+    let _ = other.try_reserve(at(2_900), ACCOUNT, 3_000, 0);
+    let late = other.next_report(at(2_950), &stamp(2_950)).unwrap();
+    one.enter_history(2);
+    one.observe(at(3_000), version(2, 4), ledger);
+    let round = one.next_round(at(4_000), &stamp(4_000)).unwrap();
+    one.written(at(4_000), version(2, 5), round);
+
+    // Act
+    one.take_report(at(4_100), late);
+    let with_late = one.next_round(at(5_200), &stamp(5_200)).unwrap();
+    one.not_written(with_late.number);
+    other.enter_history(2);
+    let now = other.next_report(at(5_300), &stamp(5_300)).unwrap();
+    one.take_report(at(5_400), now);
+    one.hurry();
+    let with_both = one.next_round(at(5_500), &stamp(5_500)).unwrap();
+
+    // Assert
+    assert!(with_late.ledger.unconfirmed.contains("other"));
+    assert!(with_both.ledger.unconfirmed.is_empty());
+}
