--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -151,13 +151,17 @@
     /// Returns what is known of the incarnation that a call was sent to; `None` where another has
     /// taken its place, of which the call says nothing.
     fn chosen(&mut self, choice: &Choice) -> Option<&mut Known> {
-        self.of_incarnation(&choice.identity())
+        self.of_incarnation(&choice.target, choice.incarnation)
     }
 
-    fn of_incarnation(&mut self, identity: &TargetIdentity) -> Option<&mut Known> {
+    fn of_incarnation(
+        &mut self,
+        target: &str,
+        incarnation: Option<TargetIncarnation>,
+    ) -> Option<&mut Known> {
         self.targets
-            .get_mut(&identity.target)
-            .filter(|known| known.listed.incarnation == identity.incarnation)
+            .get_mut(target)
+            .filter(|known| known.listed.incarnation == incarnation)
     }
 
     /// Sets how many instances there are, by which each knows the load of all from its own.
--- a/crates/damaskstile-targets/src/book/limits.rs
+++ b/crates/damaskstile-targets/src/book/limits.rs
@@ -28,7 +28,7 @@
         sent_at: Duration,
         named: NamedLimit,
     ) -> Option<LimitWord> {
-        let known = self.of_incarnation(identity)?;
+        let known = self.of_incarnation(&identity.target, identity.incarnation)?;
         let word = match named {
             NamedLimit::CallsPerS(calls_per_s) => LimitWord {
                 calls_per_s: Some(calls_per_s),
@@ -52,7 +52,7 @@
         identity: &TargetIdentity,
         word: LimitWord,
     ) -> bool {
-        let Some(known) = self.of_incarnation(identity) else {
+        let Some(known) = self.of_incarnation(&identity.target, identity.incarnation) else {
             return false;
         };
         let is_newer = match known.limit {
