--- a/crates/damaskstile-targets/src/book/paces.rs
+++ b/crates/damaskstile-targets/src/book/paces.rs
@@ -15,8 +15,7 @@
     /// Tells whether a call may go to a target now: it bears any number of them, or this instance
     /// may send to it and has not sent all that it may.
     pub(super) fn has_place(&self, now: Duration, known: &Known) -> bool {
-        let (cold, named) = self.paces(now, known);
-        [cold, named].into_iter().flatten().all(|pace| {
+        self.paces(now, known).all(|pace| {
             let calls = pace.limit.calls_of_sender(self.fleet.instances());
             self.is_past_start(now)
                 && self.is_sender(known, pace)
@@ -40,9 +39,7 @@
             if self.has_place(now, known) {
                 return None;
             }
-            let (cold, named) = self.paces(now, known);
-            let paces = [cold, named].into_iter().flatten();
-            let wait = paces.map(|pace| {
+            let wait = self.paces(now, known).map(|pace| {
                 let span = pace.limit.counted_span();
                 // What others have sent is not known here; each of them has a place within a span.
                 known.paced_place_in(now, span).unwrap_or(span)
@@ -62,8 +59,7 @@
         let Some(known) = self.targets.get(&identity.target) else {
             return false;
         };
-        let (cold, named) = self.paces(now, known);
-        let paces = [cold, named].into_iter().flatten();
+        let paces = self.paces(now, known);
         let span = paces.map(|pace| pace.limit.counted_span()).max();
         if let Some(span) = span
             && let Some(known) = self.targets.get_mut(&identity.target)
@@ -75,12 +71,11 @@
 
     /// Tells whether a target bears only so many calls.
     pub(super) fn is_paced(&self, now: Duration, known: &Known) -> bool {
-        let (cold, named) = self.paces(now, known);
-        cold.is_some() || named.is_some()
+        self.paces(now, known).next().is_some()
     }
 
     /// Returns what a target bears while it is cold, and what it names as its limit.
-    fn paces(&self, now: Duration, known: &Known) -> (Option<Pace>, Option<Pace>) {
+    fn paces(&self, now: Duration, known: &Known) -> impl Iterator<Item = Pace> + use<> {
         // Most targets are neither; each choice looks at all of them.
         let is_cold = known.is_cold(now);
         let cold = is_cold.then(|| self.cold_pace(known)).flatten();
@@ -89,7 +84,7 @@
             let turn = word.turn(now);
             Some(Pace { limit, turn })
         });
-        (cold, named)
+        cold.into_iter().chain(named)
     }
 
     fn cold_pace(&self, known: &Known) -> Option<Pace> {
