--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -4,6 +4,7 @@
 mod gifts;
 mod lending;
 mod merge;
+mod pending;
 mod plan;
 mod reports;
 mod restoring;
@@ -24,10 +25,10 @@
 use crate::standing::Standing;
 use crate::sums::Sums;
 
+use pending::Pending;
 use reports::Outstanding;
 pub use reports::Role;
 use restoring::Restoring;
-use round::Pending;
 pub use round::Round;
 
 /// `Holder` reserves tokens for calls and says what to write to the ledger.
--- a/crates/damaskstile-escrow/src/holder/reports.rs
+++ b/crates/damaskstile-escrow/src/holder/reports.rs
@@ -7,7 +7,7 @@
 use damaskstile_core::prelude::*;
 
 use super::Holder;
-use super::round::Pending;
+use super::pending::Pending;
 use crate::ledger::Ledger;
 use crate::overview::Overview;
 use crate::receipt::{AccountReceipt, Receipt};
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -4,12 +4,12 @@
 use damaskstile_core::time::unix_ms;
 
 use super::Holder;
+use super::pending::Pending;
 use super::reports::Role;
 use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::ledger_change::LedgerChange;
 use crate::overview::Overview;
-use crate::pace::Pace;
 use crate::purse::Purse;
 use crate::report::Report;
 use crate::settlement::Settlement;
@@ -38,26 +38,6 @@
     pub reported: BTreeMap<InstanceId, String>,
 }
 
-/// `Pending` is a write or a report whose outcome is not known.
-#[derive(Debug, Clone)]
-pub(super) struct Pending {
-    pub number: u64,
-    /// Version that the ledger must have for it to take effect; a report may with any.
-    pub expected_version: Option<Version>,
-    pub made_at: Duration,
-    pub pace: Pace,
-    /// Least that it leaves of each account, should it take effect.
-    pub sums: BTreeMap<AccountId, Sums>,
-}
-
-impl Pending {
-    pub(super) fn allowed(&self, now: Duration, account: &str) -> u64 {
-        let unlocked = self.pace.unlocked(now.saturating_sub(self.made_at));
-        let sums = self.sums.get(account).copied().unwrap_or_default();
-        unlocked.of(sums.ceiling_tokens, sums.allowed_tokens)
-    }
-}
-
 impl Holder {
     /// Takes in the ledger as the store shows it. Version 0 means that there is none.
     pub fn observe(&mut self, now: Duration, version: Version, ledger: Ledger) {
