--- a/crates/damaskstile-escrow/src/entry.rs
+++ b/crates/damaskstile-escrow/src/entry.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Has all of its grants count as spent should it end, whatever time that took.
+    pub(crate) fn count_whole(&mut self) {
+        self.ceilings_tokens.clone_from(&self.grants_tokens);
+    }
+
     /// Returns what the incarnation can have spent of a grant, so long after the write.
     #[must_use]
     pub fn spent_bound(&self, account: &str, unlocked: Unlocked) -> u64 {
--- a/crates/damaskstile-escrow/src/holder/restoring.rs
+++ b/crates/damaskstile-escrow/src/holder/restoring.rs
@@ -139,12 +139,13 @@
         if !self.restoring.may_begin(now, self.ledger_version) {
             return None;
         }
-        let (version, copy) = self.restoring.copy.clone()?;
+        let (version, copy) = self.restoring.copy.as_ref()?;
+        let version = *version;
         let remembers = self.seen_at.is_some();
-        let base = if remembers && self.ledger.is_after(&copy) {
+        let base = if remembers && self.ledger.is_after(copy) {
             &self.ledger
         } else {
-            &copy
+            copy
         };
         if self.catalogue_version < base.catalogue_version {
             return None;
--- a/crates/damaskstile-escrow/src/ledger.rs
+++ b/crates/damaskstile-escrow/src/ledger.rs
@@ -173,7 +173,7 @@
     pub(crate) fn confirm_all(&mut self) {
         for instance in std::mem::take(&mut self.unconfirmed) {
             if let Some(entry) = self.holders.get_mut(&instance) {
-                entry.ceilings_tokens.clone_from(&entry.grants_tokens);
+                entry.count_whole();
             }
         }
     }
@@ -198,7 +198,7 @@
     pub(crate) fn close(&mut self, instance: &str) {
         if let Some(mut entry) = self.holders.remove(instance) {
             if self.unconfirmed.remove(instance) {
-                entry.ceilings_tokens.clone_from(&entry.grants_tokens);
+                entry.count_whole();
             }
             let name = writer_name(instance, entry.incarnation);
             self.estates.insert(name, entry);
