--- a/crates/damaskstile-gateway/tests/lists.rs
+++ b/crates/damaskstile-gateway/tests/lists.rs
@@ -17,7 +17,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use prost::Message;
-use support::{choose, gateway, listed, no_answer, unused_address};
+use support::{SERVICE, choose, gateway, listed, no_answer, unused_address};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 
@@ -235,6 +235,35 @@
     assert_eq!(choose(&gateway, &["t1"]), None);
 }
 
+#[tokio::test]
+async fn a_list_of_any_length_comes_from_a_peer() {
+    // Guards against: a list that does not fit into one message, or not into the time of one, so that
+    // whoever lacks it asks for it again and again.
+
+    // Arrange: twice the targets of the largest fleet in view.
+    const TARGETS: usize = 40_000;
+    let (gateway, address) = hearing(280).await;
+    let listener = TcpListener::bind(unused_address()).await.unwrap();
+    let peer_address = listener.local_addr().unwrap();
+    let (peer, _) = knowing(peer_address, 289);
+    let names: Vec<String> = (0..TARGETS)
+        .map(|index| format!("target-{index:024}"))
+        .collect();
+    let names = names.iter().map(String::as_str).skip(2);
+    let names: Vec<&str> = ["t0", "t1"].into_iter().chain(names).collect();
+    take_list(&peer, 290, &names);
+    let socket = UdpSocket::bind(peer_address).await.unwrap();
+
+    // Act
+    tokio::spawn(serve_pulls(peer, listener));
+    tell(&socket, address, 290, &[]).await;
+    wait_for(|| gateway.state().targets_version == 290).await;
+
+    // Assert
+    let now = gateway.now();
+    assert_eq!(gateway.state().book.usable_targets(now, SERVICE), TARGETS);
+}
+
 /// Makes an instance that knows peers, none of which the store answers.
 async fn instance() -> (Arc<Gateway>, Vec<UdpSocket>) {
     let (gateway, _) = knowing(unused_address(), 280);
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -9,6 +9,8 @@
 mod place;
 mod weigh;
 
+use std::cell::Cell;
+
 use damaskstile_core::prelude::*;
 
 use crate::book_options::BookOptions;
@@ -42,6 +44,8 @@
     options: BookOptions,
     data_centre: String,
     targets: BTreeMap<TargetId, Known>,
+    /// Targets that choices have looked at.
+    looks: Cell<u64>,
     departures: Departures,
     /// Entries that name no target to use, with what is wrong with them.
     refused: BTreeMap<TargetId, String>,
@@ -75,6 +79,7 @@
             options,
             data_centre: data_centre.to_owned(),
             targets: BTreeMap::new(),
+            looks: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
             is_start_stated: false,
@@ -98,6 +103,17 @@
         self
     }
 
+    /// Returns how often choices have looked at a target.
+    ///
+    /// ```
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// assert_eq!(Book::new("north", BookOptions::default()).looks(), 0);
+    /// ```
+    #[must_use]
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     /// Returns the number of targets of a service that may get work.
     #[must_use]
     pub fn usable_targets(&self, now: Duration, service: &str) -> usize {
@@ -283,6 +299,7 @@
     fn in_use<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
         self.targets
             .values()
+            .inspect(|_| self.looks.set(self.looks.get() + 1))
             .filter(move |known| known.listed.service == service && self.is_in_use(now, known))
     }
 
--- /dev/null
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -0,0 +1,202 @@
+//! What a choice costs as the list grows, and where calls go that nothing tells apart.
+
+use std::time::Instant;
+
+use damaskstile_core::prelude::*;
+use damaskstile_targets::{Book, BookOptions, Listed, Part, Work};
+
+const MODEL: &str = "model";
+const PORTAL: &str = "portal";
+const DATA_CENTRES: [&str; 5] = ["c0", "c1", "c2", "c3", "c4"];
+/// Targets of a fleet of today, and of one that is twice as large as any.
+const FEW: usize = 500;
+const MANY: usize = 20_000;
+/// Calls of one instance of a large fleet, one a second.
+const CALLS: u64 = 60;
+/// How much more a choice may cost among many targets than among few.
+const GROWTH_MAX: f64 = 1.5;
+
+fn listed(service: &str, index: usize) -> Listed {
+    Listed {
+        target: format!("{service}-{index}"),
+        incarnation: Some(1),
+        service: service.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
+        slots_requests: 16,
+        is_ready: true,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn book(instance: &str, models: usize, portals: usize) -> Book {
+    let mut book = Book::new("c0", BookOptions::default()).of_instance(instance, Duration::ZERO);
+    for index in 0..models {
+        book.list(Duration::ZERO, listed(MODEL, index));
+    }
+    for index in 0..portals {
+        book.list(Duration::ZERO, listed(PORTAL, index));
+    }
+    book
+}
+
+/// A prompt with a beginning that many share, a subject and an own part.
+fn prompt(subject: u64, call: u64) -> Work {
+    let part = |name, tokens| Part { name, tokens };
+    Work {
+        prompt_tokens: 9_000,
+        output_tokens: 100,
+        parts: vec![
+            part(1, 2_500),
+            part(1_000 + subject, 3_800),
+            part(1_000_000 + call, 2_700),
+        ],
+        homes: None,
+    }
+}
+
+/// Returns how many targets the choices of a minute have looked at.
+fn looks_of_a_minute(targets: usize) -> u64 {
+    let mut book = book("i", targets, targets);
+    let mut random = Random::new(7);
+    let before = book.looks();
+    for call in 0..CALLS {
+        let now = Duration::from_secs(10 + call);
+        let (service, work) = if call % 3 == 0 {
+            (PORTAL, Work::default())
+        } else {
+            (MODEL, prompt(random.below(2_000), call))
+        };
+        book.has_target(now, service, &work).unwrap();
+        let choice = book.choose(now, service, &work, &[]).unwrap();
+        book.sent(now, &choice, &work);
+        book.prefilled(&choice);
+        book.ended(&choice);
+        book.succeeded(now, &choice);
+    }
+    book.looks() - before
+}
+
+#[test]
+fn a_choice_looks_at_as_many_targets_in_a_large_list_as_in_a_small_one() {
+    // Guards against: choices that look at all targets several times, which take an instance with an
+    // eighth of a core tens of milliseconds each.
+
+    // Act
+    let (few, many) = (looks_of_a_minute(FEW), looks_of_a_minute(MANY));
+
+    // Assert
+    #[allow(clippy::cast_precision_loss)] // counts far below 2^52
+    let growth = many as f64 / few as f64;
+    assert!(growth < GROWTH_MAX, "{few}, {many}");
+}
+
+#[test]
+fn an_entry_costs_as_much_in_a_large_list_as_in_a_small_one() {
+    // Guards against: a look at the whole list for each entry that changes, so that a list of ten
+    // thousand entries takes seconds to come in.
+
+    // Arrange
+    let mut books = [book("i", FEW, 0), book("i", MANY, 0)];
+
+    // Act: best of several, since other processes take the processor now and then.
+    let took = books.each_mut().map(|book| {
+        let times = (0..7_u64).map(|round| {
+            let began_at = Instant::now();
+            for index in 0..FEW {
+                let incarnation = Some(2 + round);
+                let entry = listed(MODEL, index);
+                book.list(
+                    Duration::ZERO,
+                    Listed {
+                        incarnation,
+                        ..entry
+                    },
+                );
+            }
+            began_at.elapsed()
+        });
+        times.min().unwrap()
+    });
+
+    // Assert: deeper trees cost some; a look at everything would cost forty times as much.
+    assert!(took[1] < took[0] * 8, "{took:?}");
+}
+
+#[test]
+fn instances_that_know_nothing_of_each_other_spread_their_calls() {
+    // Guards against: a whole fleet that sends to the first target by name, since each instance sees
+    // a call a second and all targets cost it the same.
+
+    // Arrange: the plain targets of one data centre, and instances with a call each.
+    const INSTANCES: usize = 200;
+    const PORTALS: usize = 205;
+    let mut calls: BTreeMap<TargetId, usize> = BTreeMap::new();
+
+    // Act
+    for index in 0..INSTANCES {
+        let book = book(&format!("i{index}"), 0, PORTALS);
+        let choice = book.choose(Duration::from_secs(1), PORTAL, &Work::default(), &[]);
+        *calls.entry(choice.unwrap().target).or_default() += 1;
+    }
+
+    // Assert: some five each; chance alone gives one of them fourteen once in a thousand times.
+    let busiest = calls.values().max().copied().unwrap();
+    assert!(calls.len() >= 35 && busiest <= 14, "{calls:?}");
+}
+
+#[test]
+fn an_idle_instance_goes_on_with_the_target_that_it_has_a_connection_to() {
+    // Guards against: a new connection for each call where all targets are idle.
+
+    // Arrange
+    let mut book = book("i", 0, 205);
+    let mut used = BTreeSet::new();
+
+    // Act
+    for call in 0..CALLS {
+        let now = Duration::from_secs(call);
+        let work = Work::default();
+        let choice = book.choose(now, PORTAL, &work, &[]).unwrap();
+        book.sent(now, &choice, &work);
+        book.ended(&choice);
+        book.succeeded(now, &choice);
+        used.insert(choice.target);
+    }
+
+    // Assert
+    assert_eq!(used.len(), 1);
+}
+
+#[test]
+fn a_choice_is_no_worse_than_one_among_all_targets() {
+    // Guards against: a target that costs less and is not among the few that are weighed.
+
+    // Arrange: a list so short that all of it has been used lately stands for a look at everything.
+    let mut random = Random::new(11);
+    for seed in 0..200 {
+        let mut book = book(&format!("i{seed}"), 40, 0);
+        let mut sends = Vec::new();
+        for call in 0..random.below(60) {
+            let now = Duration::from_millis(call * 20);
+            let work = prompt(random.below(8), call);
+            let choice = book.choose(now, MODEL, &work, &[]).unwrap();
+            book.sent(now, &choice, &work);
+            sends.push(choice);
+        }
+
+        // Act
+        let now = Duration::from_secs(2);
+        let work = prompt(random.below(8), 1_000);
+        let mut tried = Vec::new();
+        let mut costs = Vec::new();
+        while let Some(choice) = book.choose(now, MODEL, &work, &tried) {
+            costs.push(choice.cost_ms);
+            tried.push(choice.target);
+        }
+
+        // Assert: one after the other, all are there, and none that comes later costs less.
+        assert_eq!(tried.len(), 40);
+        assert!(costs.is_sorted(), "{costs:?}");
+    }
+}
