A stream at its last target is waited for, and is answered where no target gives it any event

Cause, first form: a target was given three objectives until the head of its answer, and 1.5 s between events, although the route allowed no other send after it. Now what a target is given goes by whether another may follow the send under way, so the last one has all the time that is left. Second form: the head of the answer was passed on before any event, so that a break after it could only end as a broken connection. Now the head is passed on with the first event; until then a break ends as 502 or 504, which say that the call may have run. Callers measure to the first event, so they wait no longer.

Ruled out: a shorter wait with another send, since none is allowed.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -125,16 +125,21 @@
     refusal.reply(gateway, id)
 }
 
-/// Returns how long a target may take until the head of its answer.
-pub(crate) fn patience(terms: &Terms, left: Duration) -> Duration {
-    let has_other = terms.route.kind.is_repeatable() && terms.route.attempts_max > 1;
-    if has_other {
+/// Returns how long a target may take until the head of its answer, as one that was sent the call
+/// after so many attempts. Where no other may follow it has all the time that is left.
+pub(crate) fn patience(terms: &Terms, attempts: &Attempts, left: Duration) -> Duration {
+    if allows_another(terms, attempts) {
         left.min((terms.route.objective * 3).max(PATIENCE_MIN))
     } else {
         left
     }
 }
 
+/// Tells whether the route allows another send after the one under way.
+pub(crate) fn allows_another(terms: &Terms, attempts: &Attempts) -> bool {
+    attempts.allow_another(terms.route.kind.is_repeatable(), terms.route.attempts_max)
+}
+
 /// Decides what follows a send that brought no answer for the caller.
 pub(crate) fn plan_next(gateway: &Gateway, terms: &Terms, attempts: &Attempts) -> Next {
     let is_repeatable = terms.route.kind.is_repeatable();
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -40,7 +40,7 @@
         }
         let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
         if is_stream {
-            return Ok(self.relay(run, reservation));
+            return Ok(self.relay(run, reservation).await);
         }
         let is_last = self.attempts.sent() + 1 >= self.terms.route.attempts_max;
         let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
@@ -103,11 +103,13 @@
         Ok(Response::from_parts(parts, whole(body)))
     }
 
-    fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
+    /// Passes a stream on, once its first event is there. Until then its caller has been given
+    /// nothing, and is told what became of the call if no target gives any.
+    async fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
         let mut parts = run.parts.clone();
         self.gateway.dialect.dress_answer(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
-        let relay = Relay {
+        let mut relay = Relay {
             gateway: Arc::clone(&self.gateway),
             call: self.call.clone(),
             terms: self.terms.clone(),
@@ -122,8 +124,14 @@
             cutter: EventCutter::default(),
             event_at: None,
             pause_max: Duration::ZERO,
-            is_over: false,
+            first_frame: None,
+            over: None,
         };
+        if let Err(code) = relay.begin().await {
+            let refusal = Refusal::unknown(code);
+            relay.record.add("status", refusal.status().as_u16());
+            return refusal.reply(&self.gateway, self.call.id.as_deref());
+        }
         Response::from_parts(parts, relay.into_body())
     }
 }
--- a/crates/damaskstile-gateway/src/exchange/stopping.rs
+++ b/crates/damaskstile-gateway/src/exchange/stopping.rs
@@ -40,7 +40,7 @@
     /// Returns how long a target may take until the head of its answer. Where a stop leaves no time
     /// for another run after that, a target's silence is waited out.
     pub(super) fn patience(&self, left: Duration) -> Duration {
-        let patience = patience(&self.terms, left);
+        let patience = patience(&self.terms, &self.attempts, left);
         let next_at = self.gateway.now() + patience;
         let route = &self.terms.route.name;
         if self.gateway.is_over_in_time(route, next_at, self.deadline) {
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -10,7 +10,7 @@
 
 use crate::broken_run::BrokenRun;
 use crate::events::{EventCutter, WholeEvent};
-use crate::exchange::{patience, plan_next};
+use crate::exchange::{allows_another, patience, plan_next};
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
 use crate::record::Record;
@@ -56,8 +56,19 @@
     pub event_at: Option<Duration>,
     /// Longest pause between two events.
     pub pause_max: Duration,
-    /// Whether the answer's end was given.
-    pub is_over: bool,
+    /// The first event, while the head of the answer is passed on.
+    pub first_frame: Option<Frame<Bytes>>,
+    /// Whether the stream is over.
+    pub over: Option<Over>,
+}
+
+/// `Over` tells how a stream ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Over {
+    /// With its last event.
+    Whole,
+    /// Broken off.
+    BrokenOff(RefusalCode),
 }
 
 /// How the stream of one run went on.
@@ -82,8 +93,27 @@
         StreamBody::new(Box::pin(stream)).boxed_unsync()
     }
 
+    /// Waits for the first event.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the caller is told where the stream is broken off before that.
+    pub async fn begin(&mut self) -> Result<(), RefusalCode> {
+        self.first_frame = match self.next_frame().await {
+            Some(Ok(frame)) => Some(frame),
+            Some(Err(_)) | None => None,
+        };
+        match self.over {
+            Some(Over::BrokenOff(code)) => Err(code),
+            Some(Over::Whole) | None => Ok(()),
+        }
+    }
+
     async fn next_frame(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
-        if self.is_over {
+        if let Some(frame) = self.first_frame.take() {
+            return Some(Ok(frame));
+        }
+        if self.over.is_some() {
             return None;
         }
         let gateway = Arc::clone(&self.gateway);
@@ -106,17 +136,18 @@
                 Piece::Closed(cause) => {
                     self.note_closed().await;
                     if !self.go_on(cause).await {
-                        return Some(Err(self.break_off(cause)));
+                        return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
                 Piece::Broken(cause) => {
                     if !self.go_on(cause).await {
-                        return Some(Err(self.break_off(cause)));
+                        return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
                 Piece::TooLate => {
                     self.note_time();
-                    return Some(Err(self.break_off("deadline")));
+                    let code = RefusalCode::DeadlineExceeded;
+                    return Some(Err(self.break_off(code, "deadline")));
                 }
             }
         }
@@ -128,7 +159,7 @@
                 return Piece::Event(event);
             }
             let left = self.deadline.saturating_sub(self.gateway.now());
-            let may_go_on = self.may_go_on();
+            let may_go_on = allows_another(&self.terms, &self.attempts) && self.may_go_on();
             let Some(run) = &mut self.run else {
                 return Piece::Broken("no_run");
             };
@@ -177,7 +208,7 @@
 
     /// Ends a stream that a stop cannot wait for.
     fn cut(&mut self) -> std::io::Error {
-        let error = self.break_off("stopping");
+        let error = self.break_off(RefusalCode::Stopping, "stopping");
         self.record.end(EventCode::CallCut, "cut_by_stop");
         error
     }
@@ -191,7 +222,7 @@
     }
 
     async fn end(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
-        self.is_over = true;
+        self.over = Some(Over::Whole);
         self.note_time();
         self.record.add("pause_ms", self.pause_max.as_millis());
         self.record.end(EventCode::CallAnswered, "answered");
@@ -205,8 +236,8 @@
         None
     }
 
-    fn break_off(&mut self, cause: &'static str) -> std::io::Error {
-        self.is_over = true;
+    fn break_off(&mut self, code: RefusalCode, cause: &'static str) -> std::io::Error {
+        self.over = Some(Over::BrokenOff(code));
         self.run = None;
         self.reservation.failed();
         self.record.add("pause_ms", self.pause_max.as_millis());
@@ -270,7 +301,7 @@
                 return false;
             };
             self.note_resumption(cause, &choice.target);
-            let patience = patience(&self.terms, left);
+            let patience = patience(&self.terms, &self.attempts, left);
             let sent = BrokenRun::of(&choice, self.gateway.now());
             let resume_after = self.last_event;
             let started = run::start(
--- a/crates/damaskstile-requests/src/attempts.rs
+++ b/crates/damaskstile-requests/src/attempts.rs
@@ -49,6 +49,21 @@
         self.has_run
     }
 
+    /// Tells whether the route allows another send after the one under way, should that fail. Where
+    /// it does not, giving up on a silent target ends the call.
+    ///
+    /// ```
+    /// use damaskstile_requests::{Attempts, SendEnd};
+    /// let mut attempts = Attempts::default();
+    /// assert!(attempts.allow_another(true, 2));
+    /// attempts.note(SendEnd::Unknown);
+    /// assert!(!attempts.allow_another(true, 2));
+    /// ```
+    #[must_use]
+    pub fn allow_another(&self, is_repeatable: bool, attempts_max: usize) -> bool {
+        is_repeatable && self.sent + 1 < attempts_max
+    }
+
     /// Decides what follows. `may_retry` asks the fleet's budget of retries and is called only
     /// where another send would draw on it.
     ///
