A choice looks at few targets, however many are listed; equal ones are taken in an own order

Cause: each choice went over all 9,800 targets some seven times, hashed each twice, and took the first by name of those that cost the same; each entry of the list counted all entries; each digest looked for limits and lapsed entries among all targets, twice a second all were copied to prune connections.

Now: an index of each service, kept by changes. All targets of which an instance knows no more than the list says cost the same, so the first of each data centre in the instance's own order stands for them; beside it those it knows something of, those kept for long prompts, and the home. The home is the best by hash of the 64 that follow on the subject's place in an order that all share: the same as before where a service has no more. Limits, lapsed entries, departures are kept apart.

Other way weighed: ranking all by integer hashes kept with the targets: 20 us for 20,000, but it grows with the list, and the look at each target's state stays. Next limit: targets kept for long prompts are weighed one by one; they grow with the load of such prompts.

--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -64,7 +64,6 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
-use damaskstile_targets::Listed;
 use tokio::sync::mpsc::Receiver;
 
 use crate::follow::{Followed, follow};
@@ -115,12 +114,7 @@
 async fn prune(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
-        let listed: BTreeSet<TargetIdentity> = gateway
-            .state()
-            .book
-            .listed()
-            .map(Listed::identity)
-            .collect();
-        gateway.pool.prune(|target| listed.contains(target));
+        let state = gateway.state();
+        gateway.pool.prune(|target| state.book.lists(target));
     }
 }
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -1,6 +1,8 @@
 //! `book` knows the listed targets and chooses one for a call.
 
+mod candidates;
 mod cold;
+mod index;
 mod limits;
 mod list;
 mod long_load;
@@ -12,6 +14,7 @@
 use std::cell::Cell;
 
 use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
 
 use crate::book_options::BookOptions;
 use crate::choice::Choice;
@@ -22,6 +25,7 @@
 use crate::known::Known;
 use crate::reading_speed::ReadingSpeed;
 use crate::work::Work;
+use index::ServiceIndex;
 use long_load::LongLoad;
 use weigh::{own_read_ms, tokens};
 
@@ -44,6 +48,16 @@
     options: BookOptions,
     data_centre: String,
     targets: BTreeMap<TargetId, Known>,
+    /// The same by service, in the orders in which choices look at them.
+    indexes: BTreeMap<ServiceId, ServiceIndex>,
+    /// Where this instance begins in its own order of targets.
+    own_seed: u64,
+    /// Listed targets that state their starts.
+    stated: usize,
+    /// Targets that the list stopped showing around an outage, some of which it shows again.
+    lapsed: BTreeSet<TargetId>,
+    /// Targets that named a limit.
+    limited: BTreeSet<TargetId>,
     /// Targets that choices have looked at.
     looks: Cell<u64>,
     departures: Departures,
@@ -79,6 +93,11 @@
             options,
             data_centre: data_centre.to_owned(),
             targets: BTreeMap::new(),
+            indexes: BTreeMap::new(),
+            own_seed: 0,
+            stated: 0,
+            lapsed: BTreeSet::new(),
+            limited: BTreeSet::new(),
             looks: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
@@ -100,6 +119,7 @@
     pub fn of_instance(mut self, instance: &str, started_at: Duration) -> Self {
         self.fleet = FleetView::new(instance);
         self.started_at = Some(started_at);
+        self.own_seed = stable_hash(&["order", instance]);
         self
     }
 
@@ -136,12 +156,19 @@
         work: &Work,
         tried: &[TargetId],
     ) -> Option<Choice> {
-        let outlook = self.outlook(now, service, work);
-        self.usable(now, service)
-            .filter(|known| !tried.contains(&known.listed.target))
-            .filter(|known| self.is_home(known, work) && self.has_place(now, known))
+        let index = self.indexes.get(service)?;
+        let outlook = self.outlook(now, index, service, work);
+        let candidates = self.candidates(now, index, &outlook, tried);
+        candidates
+            .into_iter()
             .map(|known| self.weigh(now, known, &outlook))
-            .min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))
+            .min_by(|one, other| {
+                let by_cost = one.cost_ms.total_cmp(&other.cost_ms);
+                by_cost.then_with(|| {
+                    let place = |choice: &Choice| index.own_place(&choice.target);
+                    place(one).cmp(&place(other))
+                })
+            })
     }
 
     /// Tells whether an incarnation may still get the call that was chosen for it: nothing that came
@@ -175,9 +202,12 @@
         target: &str,
         incarnation: Option<TargetIncarnation>,
     ) -> Option<&mut Known> {
-        self.targets
-            .get_mut(target)
-            .filter(|known| known.listed.incarnation == incarnation)
+        let known = self.targets.get_mut(target);
+        let known = known.filter(|known| known.listed.incarnation == incarnation)?;
+        if let Some(index) = self.indexes.get_mut(&known.listed.service) {
+            index.mark(target);
+        }
+        Some(known)
     }
 
     /// Sets how many instances there are, by which each knows the load of all from its own.
@@ -188,6 +218,7 @@
     /// Notes that a call was sent to its choice.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
         self.note_long(now, choice, work);
+        self.sweep(now, &choice.target);
         if let Some(known) = self.chosen(choice) {
             known.sent(now, work, choice.read_ms);
         }
@@ -216,9 +247,8 @@
 
     /// Takes in that a peer sent a prompt to a target that takes so long to read there.
     pub fn hear_reading(&mut self, now: Duration, identity: &TargetIdentity, time: Duration) {
-        let known = self.targets.get_mut(&identity.target);
-        let of_incarnation = known.filter(|known| known.listed.identity() == *identity);
-        if let Some(known) = of_incarnation {
+        self.sweep(now, &identity.target);
+        if let Some(known) = self.of_incarnation(&identity.target, identity.incarnation) {
             known.hear_reading(now, time);
         }
     }
@@ -297,10 +327,17 @@
 
     /// Returns the targets of a service that may get work, now or after a pause.
     fn in_use<'a>(&'a self, now: Duration, service: &'a str) -> impl Iterator<Item = &'a Known> {
-        self.targets
-            .values()
-            .inspect(|_| self.looks.set(self.looks.get() + 1))
-            .filter(move |known| known.listed.service == service && self.is_in_use(now, known))
+        let index = self.indexes.get(service).into_iter();
+        self.known_of(index.flat_map(ServiceIndex::all))
+            .filter(move |known| self.is_in_use(now, known))
+    }
+
+    fn known_of<'a>(
+        &'a self,
+        targets: impl Iterator<Item = &'a TargetId>,
+    ) -> impl Iterator<Item = &'a Known> {
+        let known = targets.filter_map(|target| self.targets.get(target));
+        known.inspect(|_| self.looks.set(self.looks.get() + 1))
     }
 
     fn is_usable(&self, now: Duration, known: &Known) -> bool {
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/candidates.rs
@@ -0,0 +1,101 @@
+//! `candidates` finds the few targets among which a choice weighs.
+
+use damaskstile_core::prelude::*;
+
+use super::Book;
+use super::index::ServiceIndex;
+use super::weigh::Outlook;
+use crate::known::Known;
+
+/// Time between two looks at which targets have nothing left that tells them from others.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Book {
+    /// Returns the targets that may get a call, without those that cost the same as another one in
+    /// the same data centre that comes before them.
+    ///
+    /// All targets of which this instance knows no more than the list says cost the same, but for
+    /// the data centre and whether they are kept for long prompts. So one of each kind stands for
+    /// all, and what a choice costs does not grow with the list.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        now: Duration,
+        index: &'a ServiceIndex,
+        outlook: &Outlook<'a>,
+        tried: &[TargetId],
+    ) -> Vec<&'a Known> {
+        let may_get = |known: &&Known| {
+            self.is_usable(now, known)
+                && !tried.contains(&known.listed.target)
+                && self.is_home(known, outlook.work)
+                && self.has_place(now, known)
+        };
+        let is_kept = |known: &&Known| outlook.kept.contains(known.listed.target.as_str());
+        let home = outlook.home.into_iter();
+        let home = home.filter_map(|target| self.targets.get(target));
+        let marked = self.known_of(index.marked());
+        let mut candidates: Vec<&Known> = home.chain(marked).filter(may_get).collect();
+        let of_kept = outlook.kept.iter();
+        let of_kept = of_kept.filter_map(|target| self.targets.get(*target));
+        candidates.extend(of_kept.filter(may_get));
+        for (_, targets) in index.in_own_order() {
+            let unmarked = targets.filter(|target| !index.is_marked(target));
+            let mut others = self.known_of(unmarked).filter(|known| !is_kept(known));
+            candidates.extend(others.find(may_get));
+        }
+        candidates
+    }
+
+    /// Forgets now and then which targets of the same service had something that told them from
+    /// others and have nothing any more.
+    pub(super) fn sweep(&mut self, now: Duration, target: &str) {
+        let Some(known) = self.targets.get(target) else {
+            return;
+        };
+        let Some(index) = self.indexes.get_mut(&known.listed.service) else {
+            return;
+        };
+        if now.saturating_sub(index.swept_at) < SWEEP_INTERVAL {
+            return;
+        }
+        index.swept_at = now;
+        let targets = &self.targets;
+        index.sweep(|target| {
+            let known = targets.get(target);
+            known.is_some_and(|known| !known.is_as_listed(now))
+        });
+    }
+
+    /// Puts what is known of a target in its place.
+    pub(super) fn insert_known(&mut self, now: Duration, known: Known) {
+        let listed = &known.listed;
+        let own_seed = self.own_seed;
+        let index = self.indexes.entry(listed.service.clone());
+        let index = index.or_insert_with(|| ServiceIndex::new(own_seed));
+        index.insert(&listed.target, &listed.data_centre);
+        if !known.is_as_listed(now) {
+            index.mark(&listed.target);
+        }
+        self.stated += usize::from(listed.incarnation.is_some());
+        if known.missing_since.is_some() {
+            self.lapsed.insert(listed.target.clone());
+        }
+        if known.limit.is_some() {
+            self.limited.insert(listed.target.clone());
+        }
+        self.targets.insert(listed.target.clone(), known);
+    }
+
+    /// Takes out what is known of a target.
+    pub(super) fn remove_known(&mut self, target: &str) -> Option<Known> {
+        let known = self.targets.remove(target)?;
+        let listed = &known.listed;
+        if let Some(index) = self.indexes.get_mut(&listed.service) {
+            index.remove(target, &listed.data_centre);
+        }
+        self.stated -= usize::from(listed.incarnation.is_some());
+        self.lapsed.remove(target);
+        self.limited.remove(target);
+        Some(known)
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/index.rs
@@ -0,0 +1,134 @@
+//! `index` keeps the targets of a service in the orders in which choices look at them.
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
+
+/// Odd factor that takes the keys of an order into another, and the one that takes them back.
+const SCATTER: u64 = 0x9E37_79B9_7F4A_7C15;
+const GATHER: u64 = 0xF1DE_83E1_9937_733D;
+/// Bits by which keys are turned for the order of the targets kept for long prompts.
+const TURNED_BITS: u32 = 32;
+
+/// `ServiceIndex` keeps the targets of one service in the orders in which choices look at them, so
+/// that a choice looks at few of them, however many there are.
+///
+/// Each order is one of keys that follow from a hash of the target's name. All instances share the
+/// first two; the third is the instance's own, so that a fleet of instances that know nothing of
+/// each other's calls does not send them all to the same target.
+#[derive(Debug)]
+pub(super) struct ServiceIndex {
+    ring: BTreeMap<u64, TargetId>,
+    kept_order: BTreeSet<u64>,
+    own_order: BTreeMap<DataCentreId, BTreeSet<u64>>,
+    own_seed: u64,
+    /// Targets of which this instance knows more than the list says.
+    marked: BTreeSet<TargetId>,
+    pub(super) swept_at: Duration,
+}
+
+impl ServiceIndex {
+    pub(super) fn new(own_seed: u64) -> Self {
+        Self {
+            ring: BTreeMap::new(),
+            kept_order: BTreeSet::new(),
+            own_order: BTreeMap::new(),
+            own_seed,
+            marked: BTreeSet::new(),
+            swept_at: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn insert(&mut self, target: &str, data_centre: &str) {
+        let key = self.key(target);
+        self.ring.insert(key, target.to_owned());
+        self.kept_order.insert(key.rotate_left(TURNED_BITS));
+        let own_key = self.own_key(key);
+        let of_place = self.own_order.entry(data_centre.to_owned()).or_default();
+        of_place.insert(own_key);
+    }
+
+    pub(super) fn remove(&mut self, target: &str, data_centre: &str) {
+        let key = self.key(target);
+        self.marked.remove(target);
+        self.ring.remove(&key);
+        self.kept_order.remove(&key.rotate_left(TURNED_BITS));
+        let own_key = self.own_key(key);
+        if let Some(of_place) = self.own_order.get_mut(data_centre) {
+            of_place.remove(&own_key);
+            if of_place.is_empty() {
+                self.own_order.remove(data_centre);
+            }
+        }
+    }
+
+    /// Notes that this instance knows more of a target than the list says.
+    pub(super) fn mark(&mut self, target: &str) {
+        if !self.marked.contains(target) {
+            self.marked.insert(target.to_owned());
+        }
+    }
+
+    /// Keeps the marks of those targets only of which that is still so.
+    pub(super) fn sweep(&mut self, is_marked: impl Fn(&TargetId) -> bool) {
+        self.marked.retain(is_marked);
+    }
+
+    pub(super) fn is_marked(&self, target: &str) -> bool {
+        self.marked.contains(target)
+    }
+
+    pub(super) fn marked(&self) -> impl Iterator<Item = &TargetId> {
+        self.marked.iter()
+    }
+
+    pub(super) fn all(&self) -> impl Iterator<Item = &TargetId> {
+        self.ring.values()
+    }
+
+    /// Returns all targets in the order that all instances share, from a subject's place on.
+    pub(super) fn after_place_of(&self, subject: &str) -> impl Iterator<Item = &TargetId> {
+        let place = stable_hash(&[subject]);
+        let before = self.ring.range(..place);
+        let from = self.ring.range(place..);
+        from.chain(before).map(|(_, target)| target)
+    }
+
+    /// Returns all targets in the order in which they are kept for long prompts.
+    pub(super) fn in_kept_order(&self) -> impl Iterator<Item = &TargetId> {
+        let keys = self.kept_order.iter();
+        keys.filter_map(|key| self.ring.get(&key.rotate_right(TURNED_BITS)))
+    }
+
+    /// Returns the targets of each data centre in this instance's own order.
+    pub(super) fn in_own_order(
+        &self,
+    ) -> impl Iterator<Item = (&DataCentreId, impl Iterator<Item = &TargetId>)> {
+        self.own_order.iter().map(|(data_centre, keys)| {
+            let keys = keys.iter().map(|own_key| self.key_of_own(*own_key));
+            let targets = keys.filter_map(|key| self.ring.get(&key));
+            (data_centre, targets)
+        })
+    }
+
+    /// Returns a target's place in this instance's own order.
+    pub(super) fn own_place(&self, target: &str) -> u64 {
+        self.own_key(self.key(target))
+    }
+
+    /// Returns the key of a name: its hash, or the next one that no other name has.
+    fn key(&self, target: &str) -> u64 {
+        let mut key = stable_hash(&["target", target]);
+        while self.ring.get(&key).is_some_and(|other| other != target) {
+            key = key.wrapping_add(1);
+        }
+        key
+    }
+
+    fn own_key(&self, key: u64) -> u64 {
+        (key ^ self.own_seed).wrapping_mul(SCATTER)
+    }
+
+    fn key_of_own(&self, own_key: u64) -> u64 {
+        own_key.wrapping_mul(GATHER) ^ self.own_seed
+    }
+}
--- a/crates/damaskstile-targets/src/book/limits.rs
+++ b/crates/damaskstile-targets/src/book/limits.rs
@@ -42,7 +42,9 @@
             }
             NamedLimit::Absent | NamedLimit::Unreadable => return None,
         };
-        known.take_limit(now, word).then_some(word)
+        let is_news = known.take_limit(now, word);
+        self.limited.insert(identity.target.clone());
+        is_news.then_some(word)
     }
 
     /// Takes in what a peer tells of a target's limit; returns whether it is news.
@@ -60,7 +62,12 @@
             Some(limit) => word.at > limit.at,
             None => word.calls_per_s.is_some(),
         };
-        is_newer && known.take_limit(now, word)
+        if !is_newer {
+            return false;
+        }
+        let is_news = known.take_limit(now, word);
+        self.limited.insert(identity.target.clone());
+        is_news
     }
 
     /// Returns the limits to tell peers: those that were named lately, and those that ended, the
@@ -76,7 +83,9 @@
             let is_news = now.saturating_sub(since) < LIMIT_NEWS;
             is_news.then(|| (known.listed.identity(), word))
         };
-        let mut told: Vec<_> = self.targets.values().filter_map(told).collect();
+        let limited = self.limited.iter();
+        let limited = limited.filter_map(|target| self.targets.get(target));
+        let mut told: Vec<_> = limited.filter_map(told).collect();
         told.sort_by_key(|(_, word)| std::cmp::Reverse(word.at));
         told.truncate(LIMITS_TOLD_MAX);
         told
@@ -85,7 +94,8 @@
     /// Returns the number of targets that name a limit.
     #[must_use]
     pub fn limited_targets(&self) -> usize {
-        let known = self.targets.values();
+        let known = self.limited.iter();
+        let known = known.filter_map(|target| self.targets.get(target));
         let limits = known.filter_map(|known| known.limit?.calls_per_s);
         limits.count()
     }
--- a/crates/damaskstile-targets/src/book/list.rs
+++ b/crates/damaskstile-targets/src/book/list.rs
@@ -45,25 +45,34 @@
         } else {
             self.departures.leave(now, &identity);
         }
-        match self.targets.get_mut(&listed.target) {
-            Some(known) if known.listed.incarnation == listed.incarnation => {
+        if is_same && let Some(known) = self.targets.get_mut(&listed.target) {
+            let is_chilled = known.update(now, listed);
+            return self.note_chilled(is_chilled, &identity) || was_refused;
+        }
+        // Its place in the orders may be another.
+        match self.remove_known(&listed.target) {
+            Some(mut known) if known.listed.incarnation == listed.incarnation => {
                 let was_ready = known.listed.is_ready && known.missing_since.is_none();
                 let is_ready = listed.is_ready;
                 let is_chilled = known.update(now, listed);
-                if is_chilled {
-                    self.touched.insert(identity.target.clone());
-                }
-                was_refused || was_ready != is_ready || is_chilled
+                self.insert_known(now, known);
+                self.note_chilled(is_chilled, &identity) || was_refused || was_ready != is_ready
             }
             _ => {
                 // A new incarnation holds nothing of what the one before it held.
-                let known = Known::new(now, listed);
-                self.targets.insert(identity.target, known);
+                self.insert_known(now, Known::new(now, listed));
                 true
             }
         }
     }
 
+    fn note_chilled(&mut self, is_chilled: bool, identity: &TargetIdentity) -> bool {
+        if is_chilled {
+            self.touched.insert(identity.target.clone());
+        }
+        is_chilled
+    }
+
     /// Takes in an entry that names no target to use; returns whether that is news.
     ///
     /// What was listed under its name is out of use until the next sound entry. That is no drain:
@@ -105,9 +114,10 @@
             let known = self.targets.get(target);
             let incarnation = known.and_then(|known| known.listed.incarnation);
             self.vanish(now, &TargetIdentity::new(target, incarnation));
-            self.targets.remove(target);
+            self.remove_known(target);
         } else if let Some(known) = self.targets.get_mut(target) {
             known.missing_since.get_or_insert(now);
+            self.lapsed.insert(target.to_owned());
         }
         self.look_at_starts();
     }
@@ -180,8 +190,7 @@
     /// Finds out whether targets state their starts: at least as many as do not. One stray entry
     /// must not decide that for all others.
     fn look_at_starts(&mut self) {
-        let has_start = |known: &&Known| known.listed.incarnation.is_some();
-        let stated = self.targets.values().filter(has_start).count();
+        let stated = self.stated;
         self.is_start_stated = stated > 0 && stated * 2 >= self.targets.len();
     }
 
@@ -199,7 +208,9 @@
     /// lapsed around an outage too, once they are no longer waited for.
     #[must_use]
     pub fn vanished(&self, now: Duration) -> Vec<TargetIdentity> {
-        let lapsed = self.targets.values().filter(|known| {
+        let lapsed = self.lapsed.iter();
+        let lapsed = lapsed.filter_map(|target| self.targets.get(target));
+        let lapsed = lapsed.filter(|known| {
             known.missing_since.is_some_and(|since| {
                 let age = now.saturating_sub(since);
                 age >= self.options.lapse_grace && age < LEAVING_NEWS
@@ -269,9 +280,18 @@
         Some(hashes.fold(0, |all, hash| all ^ hash))
     }
 
-    /// Returns the targets of the list with what it says of them.
-    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
-        self.targets.values().map(|known| &known.listed)
+    /// Tells whether the list names an incarnation, or named it until lately.
+    ///
+    /// ```
+    /// use damaskstile_core::prelude::TargetIdentity;
+    /// use damaskstile_targets::{Book, BookOptions};
+    /// let book = Book::new("north", BookOptions::default());
+    /// assert!(!book.lists(&TargetIdentity::new("unknown", None)));
+    /// ```
+    #[must_use]
+    pub fn lists(&self, identity: &TargetIdentity) -> bool {
+        let known = self.targets.get(&identity.target);
+        known.is_some_and(|known| known.listed.incarnation == identity.incarnation)
     }
 
     /// Tells whether the list names a target now.
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -4,6 +4,7 @@
 use damaskstile_core::random::stable_hash;
 
 use super::Book;
+use super::index::ServiceIndex;
 use crate::choice::Choice;
 use crate::known::Known;
 use crate::reading_speed::ReadingSpeed;
@@ -16,18 +17,21 @@
 const FETCH_FAILURES_MAX: f64 = 0.1;
 /// Part of the targets that are kept for long prompts at most.
 const LONG_PART_MAX: usize = 3;
+/// Targets that follow on a subject's place and are ranked for its home. More would spread subjects
+/// no better than chance does, and each is a hash for each call.
+const HOME_WINDOW: usize = 64;
 
 /// `Outlook` is what the targets of a service have in common for one call.
 #[derive(Debug)]
 pub(super) struct Outlook<'a> {
-    work: &'a Work,
+    pub(super) work: &'a Work,
     /// How fast the targets read.
     speed: ReadingSpeed,
     is_long: bool,
     /// Targets kept for long prompts.
-    kept: BTreeSet<&'a str>,
+    pub(super) kept: BTreeSet<&'a str>,
     /// Target that the subject of the prompt hashes to.
-    home: Option<&'a str>,
+    pub(super) home: Option<&'a str>,
     /// Target that is likely to keep most of the prompt, and how much.
     source: Option<(&'a Known, f64)>,
 }
@@ -36,12 +40,13 @@
     pub(super) fn outlook<'a>(
         &'a self,
         now: Duration,
-        service: &'a str,
+        index: &'a ServiceIndex,
+        service: &str,
         work: &'a Work,
     ) -> Outlook<'a> {
         let speed = self.speed(service);
         let is_long = self.is_long(&speed, work);
-        let kept = self.kept_for_long(now, service);
+        let kept = self.kept_for_long(now, index, service);
         let mut outlook = Outlook {
             work,
             speed,
@@ -50,8 +55,8 @@
             home: None,
             source: None,
         };
-        outlook.home = self.home(now, service, &outlook);
-        outlook.source = self.source(now, service, &outlook);
+        outlook.home = self.home(now, index, &outlook);
+        outlook.source = self.source(now, index, &outlook);
         outlook
     }
 
@@ -63,22 +68,27 @@
     /// Returns the targets that are kept for long prompts, the same on every instance that sees
     /// the same load: as many as read them a given part of their time, in the order of a hash. Where
     /// that is less than half of one, a target would stand idle for a prompt now and then.
-    fn kept_for_long<'a>(&'a self, now: Duration, service: &'a str) -> BTreeSet<&'a str> {
+    fn kept_for_long<'a>(
+        &'a self,
+        now: Duration,
+        index: &'a ServiceIndex,
+        service: &str,
+    ) -> BTreeSet<&'a str> {
         let Some(load) = self.long_loads.get(service) else {
             return BTreeSet::new();
         };
         let instances = u32::try_from(self.instances.max(1)).unwrap_or(u32::MAX);
         let busy = load.busy_targets(now) * f64::from(instances);
-        let mut ranked: Vec<(u64, &str)> = self
-            .usable(now, service)
-            .map(|known| known.listed.target.as_str())
-            .map(|target| (stable_hash(&["long", target]), target))
-            .collect();
-        ranked.sort_unstable();
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few targets
         let wanted = (busy / self.options.long_busy).round() as usize;
-        let count = wanted.min(ranked.len() / LONG_PART_MAX);
-        ranked[..count].iter().map(|(_, target)| *target).collect()
+        let usable: Vec<&str> = self
+            .known_of(index.in_kept_order())
+            .filter(|known| self.is_usable(now, known))
+            .map(|known| known.listed.target.as_str())
+            .take(wanted.saturating_mul(LONG_PART_MAX))
+            .collect();
+        let count = usable.len() / LONG_PART_MAX;
+        usable.into_iter().take(count).collect()
     }
 
     /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
@@ -87,25 +97,32 @@
     fn home<'a>(
         &'a self,
         now: Duration,
-        service: &'a str,
+        index: &'a ServiceIndex,
         outlook: &Outlook<'a>,
     ) -> Option<&'a str> {
         let subject = outlook.work.shared_parts().last()?.name.to_string();
-        self.usable(now, service)
+        self.known_of(index.after_place_of(&subject))
+            .filter(|known| self.is_usable(now, known))
             .filter(|known| self.is_home(known, outlook.work) && !self.is_paced(now, known))
             .map(|known| known.listed.target.as_str())
             .filter(|target| !outlook.kept.contains(target))
+            .take(HOME_WINDOW)
             .max_by_key(|target| stable_hash(&[&subject, target]))
     }
 
-    /// Returns the target that is likely to keep most of a prompt.
+    /// Returns the target that is likely to keep most of a prompt: its home, or one that this
+    /// instance sent parts of it to.
     fn source<'a>(
         &'a self,
         now: Duration,
-        service: &'a str,
+        index: &'a ServiceIndex,
         outlook: &Outlook<'a>,
     ) -> Option<(&'a Known, f64)> {
-        self.usable(now, service)
+        let home = outlook.home.into_iter();
+        let home = home.filter_map(|target| self.targets.get(target));
+        self.known_of(index.marked())
+            .chain(home)
+            .filter(|known| self.is_usable(now, known))
             .filter(|known| known.failure_share(now) < FETCH_FAILURES_MAX)
             .filter(|known| self.is_home(known, outlook.work))
             .map(|known| (known, self.cached(now, known, outlook)))
--- a/crates/damaskstile-targets/src/departures.rs
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct Departures {
     left: BTreeMap<TargetId, Departure>,
+    /// The same by the time of the departure.
+    by_time: BTreeSet<(Duration, TargetId)>,
 }
 
 impl Departures {
@@ -63,9 +65,17 @@
             at: now,
             is_final,
         };
+        self.remove(&identity.target);
+        self.by_time.insert((now, identity.target.clone()));
         self.left.insert(identity.target.clone(), departure);
     }
 
+    fn remove(&mut self, target: &str) {
+        if let Some(departure) = self.left.remove(target) {
+            self.by_time.remove(&(departure.at, target.to_owned()));
+        }
+    }
+
     /// Takes in that the list shows an incarnation as ready, which ends any departure but a drain
     /// of this or a newer one.
     pub(crate) fn listed_ready(&mut self, identity: &TargetIdentity) {
@@ -74,7 +84,7 @@
             known.incarnation < identity.incarnation || (is_same && !known.is_final)
         });
         if ends {
-            self.left.remove(&identity.target);
+            self.remove(&identity.target);
         }
     }
 
@@ -94,29 +104,24 @@
     /// digest of each instance they would fill all links. Whoever is in touch with the store, or
     /// hears from one that is, has them from the list.
     pub(crate) fn told(&self, now: Duration, is_final: bool) -> Vec<TargetIdentity> {
-        let mut lately: Vec<(Duration, &TargetId, &Departure)> = self
-            .left
-            .iter()
-            .filter(|(_, known)| known.is_final == is_final)
-            .map(|(target, known)| (now.saturating_sub(known.at), target, known))
-            .filter(|(age, _, _)| *age < LEAVING_NEWS)
-            .collect();
-        lately.sort_unstable_by_key(|(age, target, _)| (*age, *target));
         let told_max = if is_final {
             DRAINING_TOLD_MAX
         } else {
             VANISHED_TOLD_MAX
         };
+        let lately = self.by_time.iter().rev();
         lately
-            .into_iter()
+            .take_while(|(at, _)| now.saturating_sub(*at) < LEAVING_NEWS)
+            .filter_map(|(_, target)| Some((target, self.left.get(target)?)))
+            .filter(|(_, known)| known.is_final == is_final)
             .take(told_max)
-            .map(|(_, target, known)| TargetIdentity::new(target, known.incarnation))
+            .map(|(target, known)| TargetIdentity::new(target, known.incarnation))
             .collect()
     }
 
     /// Tells whether any incarnation lately began to drain or vanished.
     pub(crate) fn is_in_flux(&self, now: Duration) -> bool {
-        let mut known = self.left.values();
-        known.any(|known| now.saturating_sub(known.at) < LEAVING_NEWS)
+        let newest = self.by_time.last();
+        newest.is_some_and(|(at, _)| now.saturating_sub(*at) < LEAVING_NEWS)
     }
 }
--- a/crates/damaskstile-targets/src/known.rs
+++ b/crates/damaskstile-targets/src/known.rs
@@ -26,6 +26,10 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Longest time for which a target is taken to be cold by one word.
 const COLD_MAX: Duration = Duration::from_mins(1);
+/// Share of failures, or calls likely to run, that make no difference to a choice.
+const NOTHING: f64 = 0.001;
+/// Time of reading that makes none.
+const NOTHING_MS: f64 = 0.001;
 /// Age at which a report of load counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -248,6 +252,20 @@
         (self.others_running + self.others_waiting) as f64 * 0.5_f64.powf(halvings)
     }
 
+    /// Tells whether nothing that this instance knows of it makes a call there cost more or less than
+    /// the list says.
+    pub(crate) fn is_as_listed(&self, now: Duration) -> bool {
+        self.own_running == 0
+            && self.own_reading_ms < NOTHING_MS
+            && self.others(now) < NOTHING
+            && self.failure_share(now) < NOTHING
+            && self.others_reading(now).is_zero()
+            && !self
+                .parts
+                .values()
+                .any(|at| now.saturating_sub(*at) < PART_MEMORY)
+    }
+
     /// Returns the tokens at the beginning of a prompt that this instance has sent there lately.
     pub(crate) fn cached_tokens(&self, now: Duration, work: &Work) -> u64 {
         work.parts
