--- a/crates/damaskstile-escrow/src/entry.rs
+++ b/crates/damaskstile-escrow/src/entry.rs
@@ -51,6 +51,15 @@
         ]
     }
 
+    /// Returns the tokens asked for in a second of each account, and the part of the most urgent calls.
+    pub(crate) fn demands(&self) -> Vec<(AccountId, u64, u64)> {
+        let urgent = |account| self.urgent_tokens_per_s.get(account).copied().unwrap_or(0);
+        let demands = self.demand_tokens_per_s.iter();
+        demands
+            .map(|(account, all)| (account.clone(), *all, urgent(account)))
+            .collect()
+    }
+
     /// Returns what the incarnation may spend of an account, since its start.
     #[must_use]
     pub fn sums(&self, account: &str) -> Sums {
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -55,8 +55,6 @@
     inbox: BTreeMap<InstanceId, (Duration, Report)>,
     /// The own report that has no answer yet.
     outstanding: Option<Outstanding>,
-    /// When the ledger was last read or told of.
-    directory_at: Option<Duration>,
     /// Newest version of the ledger that a receipt or the ledger itself told of.
     receipt_version: Version,
     /// What is known of the store's return from an older copy.
@@ -103,7 +101,6 @@
             role: Role::default(),
             inbox: BTreeMap::new(),
             outstanding: None,
-            directory_at: None,
             receipt_version: 0,
             restoring: Restoring::default(),
             follows: 0,
--- a/crates/damaskstile-escrow/src/holder/merge.rs
+++ b/crates/damaskstile-escrow/src/holder/merge.rs
@@ -51,19 +51,40 @@
             data_centre: report.data_centre.clone(),
             ..HolderEntry::default()
         };
-        for (account, prepaid) in &self.prepaid_tokens {
+        for (account, prepaid) in self.accounts_to_enter(&before, report) {
             self.enter_account(
                 (ledger, totals),
                 (&before, &mut entry),
                 report,
                 account,
-                *prepaid,
+                prepaid,
             );
         }
         ledger.holders.insert(report.instance.clone(), entry);
         settlements
     }
 
+    /// Returns the accounts that a report changes anything of, with what they have bought. In a large
+    /// fleet that is what it tells of and what stands for its sender; in a small one each instance
+    /// gets a part of all.
+    fn accounts_to_enter<'a>(
+        &'a self,
+        before: &'a HolderEntry,
+        report: &'a Report,
+    ) -> Vec<(&'a AccountId, u64)> {
+        if !self.is_large_fleet() {
+            let all = self.prepaid_tokens.iter();
+            return all.map(|(account, prepaid)| (account, *prepaid)).collect();
+        }
+        let of_entry = before.token_sums().into_iter().flat_map(BTreeMap::keys);
+        let named: BTreeSet<&AccountId> = of_entry.chain(report.claims.keys()).collect();
+        let known = named.into_iter();
+        known
+            .filter_map(|account| self.prepaid_tokens.get_key_value(account))
+            .map(|(account, prepaid)| (account, *prepaid))
+            .collect()
+    }
+
     fn enter_account(
         &self,
         (ledger, totals): (&mut Ledger, &mut Overview),
@@ -159,6 +180,7 @@
             data_centre: self.identity.data_centre.clone(),
             is_stopping: self.is_stopping,
             history: self.restoring.history,
+            takes_short_receipts: true,
             hops: 0,
             claims,
         }
--- a/crates/damaskstile-escrow/src/holder/reports.rs
+++ b/crates/damaskstile-escrow/src/holder/reports.rs
@@ -8,10 +8,12 @@
 
 use super::Holder;
 use super::pending::Pending;
+use crate::entry::HolderEntry;
 use crate::ledger::Ledger;
 use crate::overview::Overview;
 use crate::receipt::{AccountReceipt, Receipt};
 use crate::report::Report;
+use crate::reported::Reported;
 use crate::stamp::Stamp;
 use crate::sums::Sums;
 
@@ -61,7 +63,6 @@
     /// would only begin its unlocking anew.
     pub fn next_report(&mut self, now: Duration, stamp: &Stamp) -> Option<Report> {
         self.note_stamp(now, stamp);
-        self.seen_at?;
         if let Some(outstanding) = &mut self.outstanding {
             let age = now.saturating_sub(outstanding.made_at);
             let is_urgent = outstanding.report.is_urgent();
@@ -120,7 +121,7 @@
         });
         if is_entered {
             let totals = Overview::of_ledger(&self.ledger, "");
-            return Some(self.receipt(&totals, &report.instance));
+            return Some(self.receipt(&totals, &report.instance, &Reported::of(&report)));
         }
         let is_newer = self.inbox.get(&report.instance).is_none_or(|(_, before)| {
             before.incarnation != report.incarnation || before.number < report.number
@@ -134,17 +135,26 @@
 
     /// Returns the receipts of the instances whose reports a write entered, with their addresses.
     #[must_use]
-    pub fn receipts(&self, reported: &BTreeMap<InstanceId, String>) -> Vec<(String, Receipt)> {
+    pub fn receipts(&self, reported: &BTreeMap<InstanceId, Reported>) -> Vec<(String, Receipt)> {
         let totals = Overview::of_ledger(&self.ledger, "");
         reported
             .iter()
-            .map(|(instance, address)| (address.clone(), self.receipt(&totals, instance)))
+            .map(|(instance, of)| (of.address.clone(), self.receipt(&totals, instance, of)))
             .collect()
     }
 
-    fn receipt(&self, totals: &Overview, instance: &str) -> Receipt {
+    /// Makes a receipt on the accounts that an instance reported on or has a part of. On all accounts
+    /// it would weigh as much as there are, times the instances that report in a second.
+    fn receipt(&self, totals: &Overview, instance: &str, reported: &Reported) -> Receipt {
         let entry = self.ledger.holders.get(instance);
-        let accounts = self.prepaid_tokens.keys().map(|account| {
+        let is_predecessor = entry.is_some_and(|entry| entry.incarnation != reported.incarnation);
+        let of_entry = entry.into_iter().flat_map(HolderEntry::token_sums);
+        let of_entry = of_entry.flat_map(BTreeMap::keys);
+        let accounts: BTreeSet<&AccountId> = match &reported.accounts {
+            Some(accounts) => of_entry.chain(accounts).collect(),
+            None => self.prepaid_tokens.keys().collect(),
+        };
+        let accounts = accounts.into_iter().map(|account| {
             let of = |sums: &BTreeMap<AccountId, u64>| sums.get(account).copied().unwrap_or(0);
             let view = totals.account(account);
             let own_demand = entry.map_or(0, |entry| of(&entry.demand_tokens_per_s));
@@ -159,6 +169,8 @@
                 others_urgent_tokens_per_s: view
                     .others_urgent_tokens_per_s
                     .saturating_sub(own_urgent),
+                left_tokens_per_s: if is_predecessor { own_demand } else { 0 },
+                left_urgent_tokens_per_s: if is_predecessor { own_urgent } else { 0 },
             };
             (account.clone(), receipt)
         });
@@ -178,11 +190,15 @@
         }
         self.receipt_version = receipt.version;
         self.overview = Overview::of_receipt(receipt);
+        let is_first = self.seen_at.is_none();
         self.seen_at = Some(now);
         self.touched_at = Some(now);
         if receipt.incarnation != self.identity.incarnation {
             // The report named another predecessor than is listed; the next one names this.
             self.follows = receipt.incarnation;
+            if is_first {
+                self.inherit_demand(now, receipt.left_demands());
+            }
             self.outstanding = None;
             self.is_in_doubt = false;
             return true;
@@ -196,11 +212,12 @@
             self.outstanding = None;
             self.is_in_doubt = false;
         }
-        let sums = receipt
-            .accounts
-            .iter()
-            .map(|(account, receipt)| (account.clone(), receipt.own.unwrap_or_default()));
-        self.commit(now, receipt.number, sums.collect());
+        // Of what a receipt does not name nothing stands for this instance.
+        let own = |account: &AccountId| receipt.accounts.get(account)?.own;
+        let accounts = self.purses.keys().chain(receipt.accounts.keys());
+        let sums = accounts.map(|account| (account.clone(), own(account).unwrap_or_default()));
+        let sums = sums.collect();
+        self.commit(now, receipt.number, sums);
         true
     }
 
--- a/crates/damaskstile-escrow/src/holder/round.rs
+++ b/crates/damaskstile-escrow/src/holder/round.rs
@@ -12,6 +12,7 @@
 use crate::overview::Overview;
 use crate::purse::Purse;
 use crate::report::Report;
+use crate::reported::Reported;
 use crate::settlement::Settlement;
 use crate::stamp::Stamp;
 use crate::sums::Sums;
@@ -20,9 +21,6 @@
 /// instance write in every round.
 const WORTH_PART: u64 = 8;
 
-/// Time between two looks of a member at who there is, while it knows too few.
-const DIRECTORY_INTERVAL: Duration = Duration::from_secs(2);
-
 /// `Round` is one conditional write to the ledger.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Round {
@@ -34,8 +32,8 @@
     pub ledger: Ledger,
     /// What it writes off of ended incarnations.
     pub settlements: Vec<Settlement>,
-    /// Addresses of the peers whose reports it enters.
-    pub reported: BTreeMap<InstanceId, String>,
+    /// The peers whose reports it enters.
+    pub reported: BTreeMap<InstanceId, Reported>,
 }
 
 impl Holder {
@@ -60,7 +58,6 @@
     }
 
     fn take_ledger(&mut self, now: Duration, version: Version, ledger: Ledger) {
-        self.directory_at = Some(now);
         if self.take_copy(now, version, &ledger) {
             return;
         }
@@ -97,7 +94,8 @@
         } else {
             self.follows = entry.map_or(0, |entry| entry.incarnation);
             if is_first {
-                self.inherit_demand(now, entry);
+                let left = entry.map(HolderEntry::demands).unwrap_or_default();
+                self.inherit_demand(now, left);
             }
             // Nothing of this incarnation stands there: what it was granted is void, unless the
             // store has lost it.
@@ -115,19 +113,16 @@
             .retain(|pending| pending.expected_version.is_none_or(|on| on >= version));
     }
 
-    /// Begins with the demand that the predecessor wrote to the ledger.
+    /// Begins with the demand that the predecessor wrote to the ledger: of each account, all of it and
+    /// that of its most urgent calls.
     ///
     /// Where all instances end together nobody knows what is asked for. Accounts seem to have plenty
     /// then, and the first calls to come, long ones that could wait among them, take the last
     /// tokens: of a day's requests that came 12 s after such an end fewer than a quarter were served.
-    fn inherit_demand(&mut self, now: Duration, entry: Option<&HolderEntry>) {
-        let Some(entry) = entry else {
-            return;
-        };
-        for (account, all) in &entry.demand_tokens_per_s {
-            let urgent = entry.urgent_tokens_per_s.get(account).copied().unwrap_or(0);
-            let purse = self.purses.entry(account.clone()).or_default();
-            purse.inherit(now, *all, urgent, self.first_rank);
+    pub(super) fn inherit_demand(&mut self, now: Duration, left: Vec<(AccountId, u64, u64)>) {
+        for (account, all, urgent) in left {
+            let purse = self.purses.entry(account).or_default();
+            purse.inherit(now, all, urgent, self.first_rank);
         }
     }
 
@@ -152,8 +147,10 @@
     /// Tells whether the host should read the ledger before it asks for a write.
     #[must_use]
     pub fn needs_read(&self, now: Duration) -> bool {
+        // A member goes by receipts. Were it to read the ledger, which has a line for each instance, a
+        // fleet that starts together would fill the store's link with it.
         if self.role == Role::Member {
-            return self.seen_at.is_none() || self.lacks_directory(now);
+            return false;
         }
         if self.restoring.needs_look(now) {
             return true;
@@ -163,16 +160,6 @@
         self.seen_at.is_none() || self.is_in_doubt || (self.is_short && is_old)
     }
 
-    /// Tells whether a member knows too few of the instances that receipts speak of. Digests reach
-    /// only whom their senders know, and without them the fleet's time stays unknown.
-    fn lacks_directory(&self, now: Duration) -> bool {
-        let listed = u64::try_from(self.ledger.holders.len()).unwrap_or(u64::MAX);
-        let is_due = self
-            .directory_at
-            .is_none_or(|at| now.saturating_sub(at) >= DIRECTORY_INTERVAL);
-        is_due && listed < self.overview.instances * 3 / 4
-    }
-
     /// Tells whether the fleet is so large that one instance writes for all.
     #[must_use]
     pub fn is_large_fleet(&self) -> bool {
@@ -343,7 +330,8 @@
             let waited = now.saturating_sub(*received_at);
             let report = with_fleet_time(report.clone(), stamp, waited);
             settlements.extend(self.merge(&mut ledger, &mut totals, &report));
-            reported.insert(report.instance, report.address);
+            let of = Reported::of(&report);
+            reported.insert(report.instance, of);
         }
         let entry = ledger.holders.get(&self.identity.instance);
         let sums = entry.map_or_else(BTreeMap::new, |entry| {
--- a/crates/damaskstile-escrow/src/report.rs
+++ b/crates/damaskstile-escrow/src/report.rs
@@ -50,6 +50,10 @@
     /// History of the store in which it was made.
     #[prost(uint64, tag = "14")]
     pub history: History,
+    /// Whether the sender takes a receipt that names only the accounts of which something stands for
+    /// it, or that it reported on. One of an earlier version would go on with what stood before.
+    #[prost(bool, tag = "15")]
+    pub takes_short_receipts: bool,
     /// Peers that have passed it on.
     #[prost(uint32, tag = "13")]
     pub hops: u32,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod target_list;
 mod target_says;
 pub mod target_words;
+pub mod wanted;
 
 use std::sync::Arc;
 
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -4,10 +4,14 @@
 
 use damaskstile_core::ids::DataCentreId;
 use damaskstile_core::prelude::*;
+use damaskstile_core::time::unix_ms;
 
-use crate::peers::Digest;
+use crate::peers::{Digest, PeerWord};
 
-/// `Member` is what is known of a peer from its last digest.
+/// Time for which peers are told of an instance that was not heard of again.
+const TOLD_LIFE: Duration = Duration::from_mins(2);
+
+/// `Member` is what is known of a peer from its last digest, or from another one's word.
 #[derive(Debug, Clone)]
 pub struct Member {
     /// Its incarnation.
@@ -24,14 +28,18 @@
     pub targets_version: Version,
     /// Instances that it knows of.
     pub known_instances: u64,
+    /// Instances that it has heard of by name.
+    pub heard_instances: u64,
     /// Whether it is being stopped.
     pub is_stopping: bool,
     /// Part of a core that it has, in percent.
     pub capacity_percent: u64,
     /// Age of the store's last word to it.
     pub store_age: Duration,
-    /// When the digest came.
+    /// When the digest came, here or at whoever told of it.
     pub heard_at: Duration,
+    /// Whether no digest of it came here yet.
+    pub is_told: bool,
     /// Tokens that it could reserve at once.
     pub free_tokens: BTreeMap<AccountId, u64>,
 }
@@ -58,11 +66,50 @@
             catalogue_version: digest.catalogue_version,
             targets_version: digest.targets_version,
             known_instances: digest.known_instances,
+            heard_instances: digest.heard_instances,
             is_stopping: digest.is_stopping,
             capacity_percent: digest.capacity_percent,
             store_age: Duration::from_millis(digest.store_age_ms),
             heard_at: now,
+            is_told: false,
             free_tokens,
         }
     }
+
+    /// Makes a member from what a peer says of it: where it is, and nothing of what it knows.
+    /// `None` where its address cannot be read, or all is too old to say that it is there.
+    #[must_use]
+    pub fn told(now: Duration, word: &PeerWord) -> Option<Self> {
+        let heard_age = Duration::from_millis(word.heard_age_ms);
+        if heard_age > TOLD_LIFE {
+            return None;
+        }
+        let digest = Digest {
+            data_centre: word.data_centre.clone(),
+            capacity_percent: word.capacity_percent,
+            store_age_ms: u64::MAX,
+            ..Digest::default()
+        };
+        let address = word.address.parse().ok()?;
+        Some(Self {
+            heard_at: now.saturating_sub(heard_age),
+            is_told: true,
+            ..Self::new(word.incarnation, address, now, &digest)
+        })
+    }
+
+    /// Returns what to tell a peer of it; `None` where it was not heard of for long.
+    #[must_use]
+    pub fn word(&self, now: Duration, instance: &str) -> Option<PeerWord> {
+        let heard_age = now.saturating_sub(self.heard_at);
+        (heard_age <= TOLD_LIFE).then(|| PeerWord {
+            instance: instance.to_owned(),
+            incarnation: self.incarnation,
+            address: self.address.to_string(),
+            data_centre: self.data_centre.clone(),
+            capacity_percent: self.capacity_percent,
+            store_age_ms: unix_ms(self.store_age),
+            heard_age_ms: unix_ms(heard_age),
+        })
+    }
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -11,6 +11,7 @@
 mod hearing;
 mod list_answer;
 mod loans;
+mod member_answer;
 mod peer_word;
 mod pull;
 mod pull_messages;
@@ -36,7 +37,7 @@
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use peer_word::PeerWord;
-pub use pull::{Pulled, serve as serve_pulls};
+pub use pull::serve as serve_pulls;
 pub use reading::Reading;
 pub use tokens::{AskTokens, GiveTokens};
 pub use told_limit::ToldLimit;
@@ -48,6 +49,9 @@
 
 /// Time between two digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
+/// Time in which an instance of a large fleet gathers news before it tells them: those that come one
+/// after the other while targets are replaced go to all peers together.
+const NEWS_GATHER: Duration = Duration::from_millis(100);
 /// Largest datagram.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 /// Largest change of the ledger that is told to peers; a larger one is left to the store.
@@ -87,6 +91,10 @@
             // Either news or the passing of time brings the next digest.
             let _ = tokio::time::timeout(pause, changed).await;
             pause = DIGEST_INTERVAL;
+            let is_large = self.gateway.state().is_large_fleet();
+            if is_large {
+                tokio::time::sleep(NEWS_GATHER).await;
+            }
             let digest = self.make_digest();
             for address in self.addresses() {
                 let body = DatagramBody::Digest(digest.clone());
@@ -231,6 +239,7 @@
             free,
             is_stopping: state.is_stopping,
             known_instances: state.known_instances(),
+            heard_instances: state.heard_instances(),
             is_watcher: state.is_watcher(now),
             capacity_percent: self.gateway.options.capacity_percent,
             data_centre: self.gateway.options.identity.data_centre.clone(),
@@ -287,14 +296,13 @@
     /// does not know either which contents are refused, and would send them to targets; and it waits
     /// to hear whether it must list everything itself.
     async fn introduce(&self, digest: &Digest, is_new: bool, address: SocketAddr) {
-        let (known, barred) = {
+        let known = {
             let state = self.gateway.state();
             let is_large = state.is_large_fleet();
-            let known = if is_large { state.known_instances() } else { 0 };
-            (known, state.suspects.counts().1)
+            if is_large { state.known_instances() } else { 0 }
         };
         let knows_few = digest.known_instances <= JUST_STARTED_KNOWN_MAX;
-        if is_new && (knows_few || barred > 0) || digest.known_instances.saturating_mul(2) < known {
+        if is_new && knows_few || digest.known_instances.saturating_mul(2) < known {
             self.send(address, DatagramBody::Digest(self.make_digest()))
                 .await;
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -85,6 +85,9 @@
     /// History that the store is in, by its word to the sender or to another.
     #[prost(uint64, tag = "23")]
     pub store_history: u64,
+    /// Instances that it has heard of by name, itself among them.
+    #[prost(uint64, tag = "24")]
+    pub heard_instances: u64,
     /// Whether the sender is being stopped.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -5,12 +5,13 @@
 
 use damaskstile_core::prelude::*;
 
-use super::pull::{self, Wanted};
+use super::pull;
 use super::{Digest, Peers};
 use crate::emptied_list;
 use crate::member::Member;
 use crate::target_list::incarnation_text;
 use crate::target_says::log_limit;
+use crate::wanted::Wanted;
 
 /// Time that the own watch is given before a newer catalogue is pulled from a peer.
 const PULL_DELAY: Duration = Duration::from_millis(80);
@@ -80,7 +81,9 @@
         if let Some(word) = &digest.writer {
             state.hear_of(now, word);
         }
-        let is_new = is_new.is_none_or(|member| member.incarnation != incarnation);
+        let is_new =
+            is_new.is_none_or(|member| member.incarnation != incarnation || member.is_told);
+        let lacks_members = state.lacks_members();
         drop(state);
         if digest.emptied_version > 0 {
             emptied_list::hear(gateway, digest.emptied_version, &digest.emptied, from);
@@ -103,6 +106,7 @@
             ];
             gateway.log(EventCode::TargetLeaving, &fields);
         }
+        let mut wanted = Vec::new();
         if lacks_catalogue {
             let delay = if is_store_lost {
                 Duration::ZERO
@@ -111,23 +115,22 @@
             } else {
                 PULL_DELAY
             };
-            let version = digest.catalogue_version;
-            tokio::spawn(pull::pull(
-                Arc::clone(gateway),
-                address,
-                Wanted::Catalogue(version),
-                delay,
-            ));
+            wanted.push((Wanted::Catalogue(digest.catalogue_version), delay));
         }
         if lacks_targets {
-            let wanted = Wanted::Targets(digest.targets_version);
-            tokio::spawn(pull::pull(
-                Arc::clone(gateway),
-                address,
-                wanted,
-                pull_jitter,
-            ));
+            wanted.push((Wanted::Targets(digest.targets_version), pull_jitter));
         }
+        if lacks_members {
+            wanted.push((Wanted::Members, pull_jitter));
+        }
+        self.pull_from(address, wanted);
         is_new
     }
+    /// Pulls what the sender of a digest has and this instance lacks, each after a pause.
+    fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
+        for (wanted, pause) in wanted {
+            let gateway = Arc::clone(&self.gateway);
+            tokio::spawn(pull::pull(gateway, peer, wanted, pause));
+        }
+    }
 }
--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -30,6 +30,7 @@
         is_targets: true,
         since,
         wants_hash,
+        takes_parts: true,
         ..PullRequest::default()
     }
 }
--- a/crates/damaskstile-gateway/src/peers/peer_word.rs
+++ b/crates/damaskstile-gateway/src/peers/peer_word.rs
@@ -1,6 +1,7 @@
 //! `peer_word` is what an instance says of another.
 
-/// `PeerWord` is what an instance says of another one that may write for all.
+/// `PeerWord` is what an instance says of another one: of the one that may write for all, or where it
+/// is.
 ///
 /// In a large fleet an instance hears a peer itself every ten seconds. With what others say of it,
 /// all know the same writer within a few digests, also at a start, when each knows some seeds only.
@@ -24,4 +25,7 @@
     /// Milliseconds since the store last answered it.
     #[prost(uint64, tag = "6")]
     pub store_age_ms: u64,
+    /// Milliseconds since it was last heard.
+    #[prost(uint64, tag = "7")]
+    pub heard_age_ms: u64,
 }
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -10,17 +10,19 @@
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::gateway::Gateway;
-use crate::member::Member;
+use crate::wanted::{Pulled, Wanted};
 
-use super::pull_messages::{PullAnswer, PullRequest};
-use super::{catalogue_answer, list_answer};
+use super::pull_messages::{PullAnswer, PullRequest, PulledTarget};
+use super::{catalogue_answer, list_answer, member_answer};
 
 /// Largest frame: a stored object with room for its name.
 const FRAME_BYTES_MAX: usize = 2 * 1024 * 1024;
-/// Time that a pull may take: 100 KB for each of ten peers at once over 10 Mbit/s, with room.
+/// Time that a part of a pull may take: 100 KB for each of ten peers at once over 10 Mbit/s, with
+/// room.
 const PULL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pulls that are tried until one brings what is wanted. Then a peer's next digest brings more.
 const PULLS_MAX: usize = 4;
@@ -29,48 +31,35 @@
 /// Pulls that are answered at once. More would share the link until all of them take too long;
 /// whoever is refused asks another.
 const ANSWERS_MAX: usize = 6;
-/// Age past which a peer's digest says nothing of what it has: as old as a digest of each peer of
-/// the largest fleet in view may be.
-const SOURCE_AGE_MAX: Duration = Duration::from_secs(15);
+/// Targets in one part of a list: some 80 KB.
+const PART_TARGETS: usize = 1_000;
 /// Time for which a pulled catalogue may fill a link. Instances that have one hand it on, so all of
 /// some hundreds have it after eight such times, well within the time that a change may take.
 const PULLED_TIME_MAX: Duration = Duration::from_millis(60);
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// `Pulled` is what can be pulled from a peer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Pulled {
-    /// The catalogue.
-    Catalogue,
-    /// The list of targets.
-    Targets,
-}
-
-/// `Wanted` is what an instance lacks, with the version that the peer has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Wanted {
-    Catalogue(Version),
-    Targets(Version),
-}
-
 /// Pulls from a peer, unless the store was faster.
 pub(super) async fn pull(gateway: Arc<Gateway>, peer: SocketAddr, wanted: Wanted, delay: Duration) {
-    let pulled = match wanted {
-        Wanted::Catalogue(_) => Pulled::Catalogue,
-        Wanted::Targets(_) => Pulled::Targets,
-    };
+    let pulled = wanted.pulled();
     // One at a time: many digests tell of the same version, and pulls beside each other would
     // only share the peers' links until all of them take too long.
     if !gateway.state().pulling.insert(pulled) {
         return;
     }
     tokio::time::sleep(delay).await;
-    for _ in 0..PULLS_MAX {
+    for pulls_left in (0..PULLS_MAX).rev() {
         if !lacks(&gateway, wanted) {
             break;
         }
-        if !pull_once(&gateway, source(&gateway, peer, wanted), wanted).await {
+        // Whoever told of it has all of it.
+        let source = if pulls_left == 0 {
+            peer
+        } else {
+            let now = gateway.now();
+            gateway.state().source(now, wanted).unwrap_or(peer)
+        };
+        if !pull_once(&gateway, source, wanted).await {
             break;
         }
         let pause_ms = gateway.state().random.below(PULL_PAUSE_MS);
@@ -83,34 +72,7 @@
 }
 
 fn lacks(gateway: &Gateway, wanted: Wanted) -> bool {
-    let state = gateway.state();
-    match wanted {
-        Wanted::Catalogue(version) => state.catalogue.version() < version,
-        Wanted::Targets(version) => state.targets_version < version,
-    }
-}
-
-/// Returns the peer to pull from: any that has what is wanted, in the own data centre if there is
-/// one. If all pulled from the few that have it first, those would be busy for seconds.
-fn source(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) -> SocketAddr {
-    let now = gateway.now();
-    let own = &gateway.options.identity.data_centre;
-    let mut state = gateway.state();
-    let has_it = |member: &&Member| {
-        let is_there = now.saturating_sub(member.heard_at) < SOURCE_AGE_MAX;
-        is_there
-            && match wanted {
-                Wanted::Catalogue(version) => member.catalogue_version >= version,
-                Wanted::Targets(version) => member.targets_version >= version,
-            }
-    };
-    let all: Vec<&Member> = state.members.values().filter(has_it).collect();
-    let near = all.iter().filter(|member| member.data_centre == *own);
-    let near: Vec<SocketAddr> = near.map(|member| member.address).collect();
-    let all: Vec<SocketAddr> = all.iter().map(|member| member.address).collect();
-    let from = if near.is_empty() { all } else { near };
-    let index = state.random.index(from.len());
-    from.get(index).copied().unwrap_or(peer)
+    gateway.state().lacks(wanted)
 }
 
 /// Returns the size of the largest catalogue that is pulled whole. A larger one is read faster from
@@ -126,37 +88,54 @@
 
 /// Pulls from one peer; returns whether another may have what is wanted, should it still lack.
 async fn pull_once(gateway: &Gateway, peer: SocketAddr, wanted: Wanted) -> bool {
-    let is_targets = matches!(wanted, Wanted::Targets(_));
-    let request = if is_targets {
-        let now = gateway.now();
-        list_answer::request(&mut gateway.state(), now)
-    } else {
-        let bytes_max = whole_bytes_max(gateway);
-        catalogue_answer::request(&gateway.state(), bytes_max)
+    let request = match wanted {
+        Wanted::Targets(_) => {
+            let now = gateway.now();
+            list_answer::request(&mut gateway.state(), now)
+        }
+        Wanted::Catalogue(_) => {
+            let bytes_max = whole_bytes_max(gateway);
+            catalogue_answer::request(&gateway.state(), bytes_max)
+        }
+        Wanted::Members => member_answer::request(),
     };
-    let answer = tokio::time::timeout(PULL_LIMIT, fetch(peer, request)).await;
     // A pull that fails is made again, from another.
-    let Ok(Ok(answer)) = answer else {
+    let Ok(answer) = fetch(peer, request).await else {
         return true;
     };
-    let is_too_large = !is_targets && answer.version == 0;
     let source = peer.to_string();
-    if is_targets {
-        list_answer::take(gateway, answer, &source);
-    } else {
-        catalogue_answer::take(gateway, answer, &source);
+    match wanted {
+        Wanted::Targets(_) => list_answer::take(gateway, answer, &source),
+        Wanted::Members => member_answer::take(gateway, &answer.members),
+        Wanted::Catalogue(_) if answer.version == 0 => return false,
+        Wanted::Catalogue(_) => catalogue_answer::take(gateway, answer, &source),
     }
-    !is_too_large
+    true
 }
 
+/// Fetches an answer, part by part. Each part has the time of a pull: a list grows with the targets
+/// that there are, and a link that others use too brings it all the same.
 async fn fetch(peer: SocketAddr, request: PullRequest) -> std::io::Result<PullAnswer> {
-    let mut frames = Framed::new(connect(peer).await?, codec());
-    frames.send(Bytes::from(request.encode_to_vec())).await?;
-    let frame = frames
-        .next()
-        .await
-        .ok_or(std::io::ErrorKind::UnexpectedEof)??;
-    PullAnswer::decode(frame).map_err(std::io::Error::other)
+    let begin = async {
+        let mut frames = Framed::new(connect(peer).await?, codec());
+        frames.send(Bytes::from(request.encode_to_vec())).await?;
+        std::io::Result::Ok(frames)
+    };
+    let mut frames = timeout(PULL_LIMIT, begin).await??;
+    let mut whole: Option<PullAnswer> = None;
+    loop {
+        let frame = timeout(PULL_LIMIT, frames.next()).await?;
+        let frame = frame.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+        let part = PullAnswer::decode(frame).map_err(std::io::Error::other)?;
+        let has_more = part.has_more;
+        match &mut whole {
+            Some(whole) => whole.targets.extend(part.targets),
+            None => whole = Some(part),
+        }
+        if !has_more {
+            return whole.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
 }
 
 /// Answers pulls until the process ends.
@@ -171,7 +150,7 @@
                 let answering = answer(Arc::clone(&gateway), stream);
                 tokio::spawn(async move {
                     // Whoever does not get its answer pulls again.
-                    let _ = tokio::time::timeout(PULL_LIMIT, answering).await;
+                    let _ = answering.await;
                     drop(place);
                 });
             }
@@ -186,27 +165,60 @@
 
 async fn answer(gateway: Arc<Gateway>, stream: TcpStream) -> std::io::Result<()> {
     let mut frames = Framed::new(stream, codec());
-    let Some(frame) = frames.next().await else {
+    let Some(frame) = timeout(PULL_LIMIT, frames.next()).await? else {
         return Ok(());
     };
     let request = PullRequest::decode(frame?).map_err(std::io::Error::other)?;
     let answer = make_answer(&gateway, &request);
-    let duty = match (request.is_targets, answer.since, answer.base) {
-        (false, _, 0) => "catalogue",
-        (false, _, _) => "catalogue_changes",
-        (true, 0, _) => "list",
-        (true, _, _) => "list_changes",
+    let duty = match (&request, answer.since, answer.base) {
+        (PullRequest { is_members, .. }, _, _) if *is_members => "members",
+        (PullRequest { is_targets, .. }, 0, _) if *is_targets => "list",
+        (PullRequest { is_targets, .. }, _, _) if *is_targets => "list_changes",
+        (_, _, 0) => "catalogue",
+        (_, _, _) => "catalogue_changes",
+    };
+    let parts = if request.takes_parts {
+        in_parts(answer)
+    } else {
+        vec![answer]
     };
-    let bytes = answer.encode_to_vec();
-    gateway.sent_bytes.add(duty, bytes.len());
-    frames.send(Bytes::from(bytes)).await
+    for part in parts {
+        let bytes = part.encode_to_vec();
+        gateway.sent_bytes.add(duty, bytes.len());
+        timeout(PULL_LIMIT, frames.send(Bytes::from(bytes))).await??;
+    }
+    Ok(())
 }
 
 fn make_answer(gateway: &Gateway, request: &PullRequest) -> PullAnswer {
-    if request.is_targets {
-        return list_answer::make(gateway, request);
+    if request.is_members {
+        member_answer::make(gateway)
+    } else if request.is_targets {
+        list_answer::make(gateway, request)
+    } else {
+        catalogue_answer::make(gateway, request)
+    }
+}
+
+/// Cuts a list of targets into parts that any link brings in the time of a pull.
+fn in_parts(mut answer: PullAnswer) -> Vec<PullAnswer> {
+    let targets = std::mem::take(&mut answer.targets);
+    let mut targets = targets.into_iter();
+    answer.targets = targets.by_ref().take(PART_TARGETS).collect();
+    let mut parts = vec![answer];
+    loop {
+        let next: Vec<PulledTarget> = targets.by_ref().take(PART_TARGETS).collect();
+        if next.is_empty() {
+            return parts;
+        }
+        if let Some(last) = parts.last_mut() {
+            last.has_more = true;
+        }
+        parts.push(PullAnswer {
+            targets: next,
+            ..PullAnswer::default()
+        });
     }
-    catalogue_answer::make(gateway, request)
 }
 
 fn codec() -> LengthDelimitedCodec {
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::PeerWord;
 use crate::content_changes::ContentPiece;
 
 /// `PullRequest` says what is wanted.
@@ -19,6 +20,13 @@
     /// Whether the hash of the whole list is wanted, to compare.
     #[prost(bool, tag = "5")]
     pub(super) wants_hash: bool,
+    /// Whether the instances that there are are wanted, and neither list nor catalogue.
+    #[prost(bool, tag = "6")]
+    pub(super) is_members: bool,
+    /// Whether the answer may come in parts. An instance of an earlier version would take the first
+    /// for all there is.
+    #[prost(bool, tag = "7")]
+    pub(super) takes_parts: bool,
     /// Largest catalogue that is wanted whole; 0 for any.
     #[prost(uint64, tag = "4")]
     pub(super) whole_bytes_max: u64,
@@ -57,6 +65,12 @@
     /// What the catalogue is made of, where it is not whole.
     #[prost(message, repeated, tag = "10")]
     pub(super) pieces: Vec<ContentPiece>,
+    /// Whether another part follows, with more targets.
+    #[prost(bool, tag = "12")]
+    pub(super) has_more: bool,
+    /// The instances that there are.
+    #[prost(message, repeated, tag = "11")]
+    pub(super) members: Vec<PeerWord>,
 }
 
 /// `PulledTarget` is an entry of the list of targets.
--- a/crates/damaskstile-gateway/src/rounds.rs
+++ b/crates/damaskstile-gateway/src/rounds.rs
@@ -62,8 +62,7 @@
     if writer.is_none() && !gateway.state().may_call_store(now) {
         return;
     }
-    let is_first = gateway.state().holder.ledger_age(now).is_none();
-    if writer.is_none() && !is_first && must_wait_for_peers(gateway) {
+    if writer.is_none() && must_wait_for_peers(gateway) && may_go_by_peers(gateway) {
         return;
     }
     if must_read(gateway) {
@@ -161,6 +160,20 @@
     (state.is_large_fleet() || is_first_start) && alone_for < wait
 }
 
+/// Tells whether peers may make this instance's first look at the ledger needless: those of a large
+/// fleet do, and before any was heard it may be one. An instance that others turn to first looks at
+/// once.
+fn may_go_by_peers(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let state = gateway.state();
+    if state.holder.ledger_age(now).is_some() || state.is_large_fleet() {
+        return true;
+    }
+    let seeds = &gateway.options.seeds;
+    let is_seed = seeds.is_empty() || seeds.contains(&gateway.options.peers_address);
+    state.members.is_empty() && !is_seed
+}
+
 /// Sends what there is to write to the instance that writes for this one.
 fn report(gateway: &Gateway, address: SocketAddr) {
     let now = gateway.now();
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -3,6 +3,7 @@
 mod collectors;
 mod lenders;
 mod roles;
+mod sources;
 mod targets;
 
 use std::net::SocketAddr;
@@ -27,9 +28,9 @@
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
-use crate::peers::Pulled;
 use crate::pressure::Pressure;
 use crate::target_words::TargetWords;
+use crate::wanted::Pulled;
 
 use lenders::Lenders;
 pub use lenders::LendersToAsk;
@@ -298,7 +299,7 @@
     }
 
     fn retry_budget(&mut self, now: Duration, service: &str) -> &mut RetryBudget {
-        let instances = self.holder.instances();
+        let instances = self.known_instances();
         let (percent, extra) = (self.retry_percent, self.extra_retries);
         self.retries
             .entry(service.to_owned())
--- a/crates/damaskstile-gateway/src/state/roles.rs
+++ b/crates/damaskstile-gateway/src/state/roles.rs
@@ -19,6 +19,13 @@
 /// call to the store.
 const TOLD_AGE_MAX: Duration = Duration::from_millis(1_800);
 
+/// Time that an instance of a large fleet leaves each better suited one to take a role that nobody
+/// has: some ten begin to before all have heard of the first.
+const TURN: Duration = Duration::from_millis(15);
+/// Instances that are waited for so. All these turns, with [`TOLD_AGE_MAX`], are a part of the time
+/// within which a change must be in force.
+const TURNS_MAX: u32 = 100;
+
 /// Instances that ask for signs of life in an outage, as far as each hears. Each hears a part of
 /// the others, so there are some more, in every part of the fleet that hears itself.
 const SCOUTS_MAX: usize = 3;
@@ -32,23 +39,68 @@
     #[must_use]
     pub fn is_large_fleet(&self) -> bool {
         // At the first start an instance knows only some peers, and those know the others.
-        let told = self.members.values().map(|member| member.known_instances);
-        let known = told.chain([self.known_instances()]).max();
-        known.is_some_and(|known| known > self.small_fleet)
+        let mut told = self.members.values().map(|member| member.known_instances);
+        self.known_instances() > self.small_fleet || told.any(|known| known > self.small_fleet)
     }
 
     /// Returns the number of instances that this one knows of, itself among them.
     #[must_use]
     pub fn known_instances(&self) -> u64 {
-        let heard = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
-        heard.saturating_add(1).max(self.holder.instances())
+        self.heard_instances().max(self.holder.instances())
     }
 
     /// Tells whether this instance watches the store for others: all of a small fleet do, and of
     /// a large one those to which few better ones are in touch with the store.
     #[must_use]
     pub fn is_watcher(&self, now: Duration) -> bool {
-        !self.is_large_fleet() || self.better_members(now).count() < WATCHERS_MAX
+        if !self.is_large_fleet() {
+            return true;
+        }
+        let is_free = self.better_members(now).count() < WATCHERS_MAX;
+        is_free && now >= self.uncovered_at(now) + self.turn(now)
+    }
+
+    /// Returns when too few better suited instances were left that are in touch with the store, or
+    /// when the store answered this one again.
+    fn uncovered_at(&self, now: Duration) -> Duration {
+        let mut ends: Vec<Duration> = self
+            .better_ranked()
+            .filter(|(_, member)| !member.is_told)
+            .filter_map(|(_, member)| {
+                Some(member.heard_at + TOLD_AGE_MAX.checked_sub(member.store_age)?)
+            })
+            .collect();
+        ends.sort_unstable_by_key(|end| Reverse(*end));
+        let covered_until = ends.get(WATCHERS_MAX - 1).copied().unwrap_or_default();
+        let regained_at = self.contact.regained_at().unwrap_or_default();
+        covered_until.min(now).max(regained_at)
+    }
+
+    /// Returns how long this instance waits for better ones to take a role that nobody has: the
+    /// longer the more of them there are. If all took it at once, hundreds of lists would keep the
+    /// store from answering any.
+    fn turn(&self, now: Duration) -> Duration {
+        let better = self.better_present(now);
+        if better < WATCHERS_MAX {
+            return Duration::ZERO;
+        }
+        let turns = u32::try_from(better).unwrap_or(u32::MAX);
+        TURN * turns.min(TURNS_MAX)
+    }
+
+    fn better_ranked(&self) -> impl Iterator<Item = (&InstanceId, &Member)> {
+        let own_rank = rank(&self.instance, self.capacity_percent);
+        let members = self.members.iter();
+        members.filter(move |(name, member)| rank(name, member.capacity_percent) < own_rank)
+    }
+
+    /// Counts the better suited instances that were heard of lately, in touch with the store or not.
+    fn better_present(&self, now: Duration) -> usize {
+        let present = self.better_ranked().filter(|(_, member)| {
+            let is_there = now.saturating_sub(member.heard_at) < SCOUT_AGE_MAX;
+            is_there && !member.is_stopping
+        });
+        present.count()
     }
 
     /// Tells whether this instance's news go to all peers: in a small fleet, and from an instance
@@ -110,13 +162,7 @@
     /// that hear of few that rank better. Which ones are in touch does not count, since nobody is.
     #[must_use]
     pub fn is_scout(&self, now: Duration) -> bool {
-        let own_rank = rank(&self.instance, self.capacity_percent);
-        let better = self.members.iter().filter(|(name, member)| {
-            let is_there = now.saturating_sub(member.heard_at) < SCOUT_AGE_MAX;
-            let is_better = rank(name, member.capacity_percent) < own_rank;
-            is_there && is_better && !member.is_stopping
-        });
-        !self.is_large_fleet() || better.count() < SCOUTS_MAX
+        !self.is_large_fleet() || self.better_present(now) < SCOUTS_MAX
     }
 
     /// Returns the peer that writes for this instance, as others should know it; `None` where it
@@ -133,6 +179,7 @@
             data_centre: member.data_centre.clone(),
             capacity_percent: member.capacity_percent,
             store_age_ms: unix_ms(store_age),
+            heard_age_ms: 0,
         })
     }
 
@@ -176,11 +223,18 @@
     /// not heard lately from a peer that does and that the store answers.
     #[must_use]
     pub fn must_watch(&self, now: Duration) -> bool {
-        let is_told = self.members.values().any(|member| {
-            member.is_watcher
-                && now.saturating_sub(member.heard_at) + member.store_age < TOLD_AGE_MAX
-        });
-        !is_told || self.is_watcher(now)
+        if self.is_watcher(now) {
+            return true;
+        }
+        let watchers = self.members.values().filter(|member| member.is_watcher);
+        let told_until = watchers
+            .filter_map(|member| {
+                Some(member.heard_at + TOLD_AGE_MAX.checked_sub(member.store_age)?)
+            })
+            .max()
+            .unwrap_or_default();
+        let regained_at = self.contact.regained_at().unwrap_or_default();
+        now >= told_until.max(regained_at) + self.turn(now)
     }
 }
 
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -0,0 +1,345 @@
+//! How hundreds of instances meet, and who of them acts for all where nobody does. No network: each
+//! message arrives a step after it was sent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::Random;
+use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::member::Member;
+use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::peers::{Digest, PeerWord};
+use damaskstile_gateway::state::State;
+use damaskstile_gateway::wanted::Wanted;
+use damaskstile_targets::BookOptions;
+
+/// Fleets that are compared: what holds in the first must hold in the second.
+const FLEETS: [usize; 2] = [250, 1_000];
+const DATA_CENTRES: usize = 5;
+/// Instances that all others know at their start.
+const SEEDS: usize = 3;
+/// Instances with more than a small part of a core.
+const LARGE: usize = 10;
+/// Time from one step to the next, in which a message arrives.
+const STEP_MS: u64 = 100;
+/// Steps between two digests of an instance, and peers that one goes to.
+const DIGEST_STEPS: u64 = 4;
+const FANOUT: usize = 10;
+/// Steps until a pull begins.
+const PULL_STEPS: u64 = 2;
+/// Peers whose clocks must be heard to know the fleet's time, and steps in which they are.
+const CLOCKS: usize = 12;
+const CLOCK_STEPS: u64 = 20;
+/// Bytes of an instance in an answer, and bytes that a narrow link carries in a step.
+const WORD_BYTES: usize = 75;
+const LINK_BYTES: usize = 250_000;
+
+fn name(index: usize) -> String {
+    format!("front-{index:04}")
+}
+
+fn address(index: usize) -> SocketAddr {
+    let (high, low) = (index / 200, index % 200 + 1);
+    format!("10.0.{high}.{low}:7200").parse().unwrap()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("another kind of address");
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 200 + usize::from(low) - 1
+}
+
+fn data_centre(index: usize) -> String {
+    format!("c{}", index % DATA_CENTRES)
+}
+
+fn capacity_percent(index: usize) -> u64 {
+    if index % 100 < LARGE { 100 } else { 12 }
+}
+
+fn state(index: usize) -> State {
+    let identity = Identity::new(&name(index), 1, &data_centre(index));
+    let options = GatewayOptions {
+        identity,
+        capacity_percent: capacity_percent(index),
+        link_bytes_per_s: 2_500_000,
+        callers_address: address(index),
+        readiness_address: address(index),
+        metrics_address: address(index),
+        peers_address: address(index),
+        seeds: (0..SEEDS).map(address).collect(),
+        is_first_start: true,
+        stop_limit: Duration::from_secs(8),
+        retry_percent: 20,
+        extra_retries_per_s: 5,
+        escrow: EscrowOptions::default(),
+        book: BookOptions::default(),
+        cold: ColdOptions::default(),
+    };
+    State::new(&options, Duration::ZERO)
+}
+
+fn digest(state: &State, index: usize, now: Duration) -> Digest {
+    let store_age = state.contact.age(now);
+    Digest {
+        known_instances: state.known_instances(),
+        heard_instances: state.heard_instances(),
+        is_watcher: state.is_watcher(now),
+        store_age_ms: store_age.map_or(u64::MAX, damaskstile_core::time::unix_ms),
+        capacity_percent: capacity_percent(index),
+        data_centre: data_centre(index),
+        ..Digest::default()
+    }
+}
+
+fn hear(state: &mut State, now: Duration, from: usize, digest: &Digest) {
+    let member = Member::new(1, address(from), now, digest);
+    state.members.insert(name(from), member);
+}
+
+/// A fleet whose instances start at once and know the seeds.
+struct Meeting {
+    states: Vec<State>,
+    pulls_at: BTreeMap<usize, u64>,
+    random: Random,
+}
+
+impl Meeting {
+    fn new(instances: usize) -> Self {
+        Self {
+            states: (0..instances).map(state).collect(),
+            pulls_at: BTreeMap::new(),
+            random: Random::new(5),
+        }
+    }
+
+    fn step(&mut self, step: u64) {
+        let now = Duration::from_millis(step * STEP_MS);
+        let mut mail = Vec::new();
+        for index in 0..self.states.len() {
+            if step % DIGEST_STEPS == index as u64 % DIGEST_STEPS {
+                let told = digest(&self.states[index], index, now);
+                mail.extend(
+                    self.peers_of(index)
+                        .into_iter()
+                        .map(|to| (index, to, told.clone())),
+                );
+            }
+        }
+        for (from, to, told) in mail {
+            hear(&mut self.states[to], now, from, &told);
+            // Whoever knows fewer than half is told by return.
+            let known = self.states[to].known_instances();
+            if told.known_instances * 2 < known {
+                let answer = digest(&self.states[to], to, now);
+                hear(&mut self.states[from], now, to, &answer);
+            }
+        }
+        for (index, state) in self.states.iter().enumerate() {
+            if state.lacks_members() {
+                self.pulls_at.entry(index).or_insert(step + PULL_STEPS);
+            }
+        }
+        self.pull(step, now);
+    }
+
+    fn peers_of(&mut self, index: usize) -> Vec<usize> {
+        let members = self.states[index].members.values();
+        let mut peers: Vec<usize> = members.map(|member| index_of(member.address)).collect();
+        if peers.is_empty() {
+            peers = (0..SEEDS).filter(|seed| *seed != index).collect();
+        }
+        while peers.len() > FANOUT {
+            let left_out = self.random.index(peers.len());
+            peers.swap_remove(left_out);
+        }
+        peers
+    }
+
+    /// Answers the pulls that are due, as far as the links of those who are asked carry them.
+    fn pull(&mut self, step: u64, now: Duration) {
+        let mut sent: BTreeMap<usize, usize> = BTreeMap::new();
+        let due = self.pulls_at.iter().filter(|(_, at)| **at <= step);
+        let due: Vec<usize> = due.map(|(index, _)| *index).collect();
+        for index in due {
+            let Some(source) = self.states[index].source(now, Wanted::Members) else {
+                self.pulls_at.remove(&index);
+                continue;
+            };
+            let source = index_of(source);
+            let words: Vec<PeerWord> = {
+                let members = self.states[source].members.iter();
+                members
+                    .filter_map(|(name, member)| member.word(now, name))
+                    .collect()
+            };
+            let sent = sent.entry(source).or_default();
+            *sent += words.len() * WORD_BYTES;
+            if *sent > LINK_BYTES {
+                continue;
+            }
+            let state = &mut self.states[index];
+            for word in words {
+                if let Some(member) = Member::told(now, &word) {
+                    state.members.entry(word.instance).or_insert(member);
+                }
+            }
+            self.pulls_at.remove(&index);
+        }
+    }
+
+    fn have_met(&self) -> bool {
+        self.states.iter().all(|state| !state.lacks_members())
+    }
+
+    /// Returns how many others the instance that heard fewest has heard itself so lately that it knows
+    /// what their clocks show.
+    fn least_heard(&self, step: u64) -> usize {
+        let now = Duration::from_millis(step * STEP_MS);
+        let is_recent = |member: &&Member| {
+            !member.is_told && now.saturating_sub(member.heard_at) < Duration::from_secs(2)
+        };
+        let heard = self.states.iter();
+        let heard = heard.map(|state| state.members.values().filter(is_recent).count());
+        heard.min().unwrap_or_default()
+    }
+
+    /// Returns the part of the fleet that the instance with the fewest acquaintances knows.
+    fn least_known(&self) -> usize {
+        let known = self.states.iter().map(|state| state.members.len() + 1);
+        known.min().unwrap_or_default()
+    }
+}
+
+/// Returns the milliseconds until all instances of a fleet know most of the others.
+fn met_after_ms(instances: usize) -> u64 {
+    let mut fleet = Meeting::new(instances);
+    for step in 0..200 {
+        fleet.step(step);
+        if step > 0 && fleet.have_met() {
+            assert!(fleet.least_known() * 4 >= instances * 3);
+            for after in 1..=CLOCK_STEPS {
+                fleet.step(step + after);
+            }
+            // Without the fleet's time all grants of machines that lose power count as spent.
+            assert!(fleet.least_heard(step + CLOCK_STEPS) >= CLOCKS);
+            return step * STEP_MS;
+        }
+    }
+    panic!("the least known are {} of {instances}", fleet.least_known());
+}
+
+#[test]
+fn a_fleet_that_starts_knows_itself_in_seconds_whatever_its_size() {
+    // Guards against: instances that hear of all others one by one, for longer the more there are,
+    // or that all read the ledger for it, which fills the store's link.
+
+    // Act
+    let took_ms = FLEETS.map(met_after_ms);
+
+    // Assert: callers come seconds after a start, and twice the fleet takes a round more.
+    assert!(took_ms[1] <= 3_000, "{took_ms:?}");
+    assert!(took_ms[1] <= took_ms[0] + 1_500, "{took_ms:?}");
+}
+
+/// Returns how many instances list everything once the store is back from an outage that all met,
+/// and after what time all hear of it.
+fn lists_after_outage(instances: usize) -> (usize, u64) {
+    const TOLD_AFTER_MS: u64 = 150;
+    const FINE_STEP_MS: u64 = 10;
+    let mut states: Vec<State> = (0..instances).map(state).collect();
+    let heard_at = Duration::from_secs(9);
+    let lost = Digest {
+        known_instances: instances as u64,
+        store_age_ms: 8_000,
+        ..Digest::default()
+    };
+    for (index, state) in states.iter_mut().enumerate() {
+        state.contact.answered(Duration::from_secs(1));
+        state.contact.failed(Duration::from_secs(2));
+        for other in (0..instances).filter(|other| *other != index) {
+            let told = Digest {
+                capacity_percent: capacity_percent(other),
+                data_centre: data_centre(other),
+                ..lost.clone()
+            };
+            hear(state, heard_at, other, &told);
+        }
+        state.contact.answered(Duration::from_secs(10));
+    }
+    let mut listed: BTreeMap<usize, u64> = BTreeMap::new();
+    for ms in (10_000..16_000).step_by(usize::try_from(FINE_STEP_MS).unwrap()) {
+        let now = Duration::from_millis(ms);
+        let news: Vec<usize> = {
+            let told = listed.iter().filter(|(_, at)| **at + TOLD_AFTER_MS == ms);
+            told.map(|(index, _)| *index).collect()
+        };
+        for from in news {
+            let told = Digest {
+                is_watcher: true,
+                store_age_ms: 0,
+                capacity_percent: capacity_percent(from),
+                ..lost.clone()
+            };
+            for (index, state) in states.iter_mut().enumerate() {
+                if index != from {
+                    hear(state, now, from, &told);
+                }
+            }
+        }
+        for (index, state) in states.iter().enumerate() {
+            if !listed.contains_key(&index) && state.must_watch(now) {
+                listed.insert(index, ms);
+            }
+        }
+        if ms >= 10_000 + 2 * TOLD_AFTER_MS {
+            return (listed.len(), ms - 10_000);
+        }
+    }
+    unreachable!("the loop ends with its answer");
+}
+
+#[test]
+fn few_instances_list_everything_when_the_store_is_back_whatever_the_size() {
+    // Guards against: all instances of a fleet that list everything the moment an outage ends, since
+    // nobody is known yet to do it for them. The store's link is full then, and all lose it again.
+
+    // Act
+    let lists = FLEETS.map(lists_after_outage);
+
+    // Assert: some take their turn before they have heard of the first.
+    for (count, _) in lists {
+        assert!((1..=20).contains(&count), "{lists:?}");
+    }
+}
+
+#[test]
+fn where_all_better_instances_are_silent_the_next_one_watches_in_time() {
+    // Guards against: instances that wait for others that have ended.
+
+    // Arrange: the last instance heard of all others, and then of nobody.
+    let instances = FLEETS[1];
+    let mut last = state(instances - 1);
+    for other in 0..instances - 1 {
+        let told = Digest {
+            known_instances: instances as u64,
+            is_watcher: other < SEEDS,
+            store_age_ms: 0,
+            capacity_percent: capacity_percent(other),
+            ..Digest::default()
+        };
+        hear(&mut last, Duration::from_secs(1), other, &told);
+    }
+    last.contact.answered(Duration::from_secs(1));
+
+    // Act
+    let is_watching = |ms| last.must_watch(Duration::from_millis(ms));
+
+    // Assert: within two thirds of the least time that a change may take.
+    assert!(!is_watching(2_500));
+    assert!(is_watching(4_400));
+}
