--- a/crates/damaskstile-gateway/src/contact.rs
+++ b/crates/damaskstile-gateway/src/contact.rs
@@ -25,6 +25,7 @@
     lost_at: Option<Duration>,
     failed_at: Option<Duration>,
     outage_ended_at: Option<Duration>,
+    regained_at: Option<Duration>,
     /// Length that outages have, the later ones weighing most.
     outage_length: Option<Duration>,
 }
@@ -37,6 +38,7 @@
         let Some(lost_at) = self.lost_at.take() else {
             return false;
         };
+        self.regained_at = Some(now);
         let length = now.saturating_sub(lost_at);
         if length >= OUTAGE_MIN {
             self.outage_ended_at = Some(now);
@@ -88,6 +90,12 @@
         self.outage_ended_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns when the store last answered after a call without an answer.
+    #[must_use]
+    pub fn regained_at(&self) -> Option<Duration> {
+        self.regained_at
+    }
+
     /// Returns how long the outage under way is likely to go on, by those that were seen; `None`
     /// where the store answers.
     ///
--- a/crates/damaskstile-gateway/src/follow/starting.rs
+++ b/crates/damaskstile-gateway/src/follow/starting.rs
@@ -8,7 +8,10 @@
 /// Longest time after a first start until the seeds have listed everything and told of it: two
 /// digests and a list.
 const START_TOLD_WAIT: Duration = Duration::from_millis(1_200);
-/// The same where instances start while callers wait.
+/// Time after a first start until an instance that was told that peers have everything reads it
+/// itself. A fleet hands on what there is from one to the other in some rounds.
+const FIRST_START_PATIENCE: Duration = Duration::from_secs(5);
+/// Longest time until peers are heard where instances start while callers wait.
 const RESTART_TOLD_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks at whether peers have told.
 const START_LOOK: Duration = Duration::from_millis(25);
@@ -53,5 +56,10 @@
             Followed::Emptied => state.book.emptied().version().is_none(),
         }
     };
-    is_unknown && gateway.now() >= gateway.started_at + START_TOLD_WAIT
+    let wait = if gateway.options.is_first_start {
+        FIRST_START_PATIENCE
+    } else {
+        START_TOLD_WAIT
+    };
+    is_unknown && gateway.now() >= gateway.started_at + wait
 }
--- a/crates/damaskstile-gateway/src/proof.rs
+++ b/crates/damaskstile-gateway/src/proof.rs
@@ -52,6 +52,10 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let is_lost = state.contact.is_lost();
+    // At a start other duties call the store, or peers make that needless.
+    if !is_lost && state.contact.age(now).is_none() {
+        return None;
+    }
     if !state.may_call_store(now) {
         let jitter_ms = state.random.below(LARGE_LOST_JITTER_MS);
         let interval = LARGE_LOST_INTERVAL + Duration::from_millis(jitter_ms);
