A silent target is given up only where another could follow it

Cause: the route allowed another send, but no other target was to be had, or no retry was left, so giving up the run under way ended the stream. Now that is asked first, and where nothing could follow the silence is waited out; the same holds before the head of an answer.

--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -124,6 +124,7 @@
             cutter: EventCutter::default(),
             event_at: None,
             pause_max: Duration::ZERO,
+            is_waited_out: false,
             first_frame: None,
             over: None,
         };
--- a/crates/damaskstile-gateway/src/exchange/stopping.rs
+++ b/crates/damaskstile-gateway/src/exchange/stopping.rs
@@ -37,9 +37,18 @@
         self.gateway.is_over_in_time(route, now, self.deadline)
     }
 
-    /// Returns how long a target may take until the head of its answer. Where a stop leaves no time
-    /// for another run after that, a target's silence is waited out.
+    /// Returns how long a target may take until the head of its answer. Where no other could follow,
+    /// or a stop leaves no time for another run after that, a target's silence is waited out.
     pub(super) fn patience(&self, left: Duration) -> Duration {
+        let now = self.gateway.now();
+        let (service, work) = (&self.terms.service, &self.call.work);
+        let has_successor = {
+            let mut state = self.gateway.state();
+            state.has_successor(now, service, work, &self.tried)
+        };
+        if !has_successor {
+            return left;
+        }
         let patience = patience(&self.terms, &self.attempts, left);
         let next_at = self.gateway.now() + patience;
         let route = &self.terms.route.name;
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -56,6 +56,8 @@
     pub event_at: Option<Duration>,
     /// Longest pause between two events.
     pub pause_max: Duration,
+    /// Whether the run under way is waited out, since no other could follow it when it paused.
+    pub is_waited_out: bool,
     /// The first event, while the head of the answer is passed on.
     pub first_frame: Option<Frame<Bytes>>,
     /// Whether the stream is over.
@@ -77,6 +79,8 @@
     End,
     /// The connection ended before the stream.
     Closed(&'static str),
+    /// No event came for long.
+    Stalled,
     /// The run is of no more use.
     Broken(&'static str),
     TooLate,
@@ -139,6 +143,13 @@
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
+                Piece::Stalled if !self.has_successor() => self.is_waited_out = true,
+                Piece::Stalled => {
+                    if !self.go_on("stalled").await {
+                        let code = RefusalCode::TargetLost;
+                        return Some(Err(self.break_off(code, "stalled")));
+                    }
+                }
                 Piece::Broken(cause) => {
                     if !self.go_on(cause).await {
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
@@ -159,7 +170,8 @@
                 return Piece::Event(event);
             }
             let left = self.deadline.saturating_sub(self.gateway.now());
-            let may_go_on = allows_another(&self.terms, &self.attempts) && self.may_go_on();
+            let allows_another = allows_another(&self.terms, &self.attempts);
+            let may_go_on = allows_another && !self.is_waited_out && self.may_go_on();
             let Some(run) = &mut self.run else {
                 return Piece::Broken("no_run");
             };
@@ -174,7 +186,7 @@
                 Ok(None) if self.cutter.is_empty() => return Piece::End,
                 Ok(None) => return Piece::Closed("half_event"),
                 Err(_) if left <= patience => return Piece::TooLate,
-                Err(_) => return Piece::Broken("stalled"),
+                Err(_) => return Piece::Stalled,
             };
             if let Ok(bytes) = frame.into_data()
                 && !self.cutter.push(&bytes)
@@ -257,6 +269,15 @@
         route.kind.is_repeatable() && is_over_in_time()
     }
 
+    /// Tells whether another target could go on where the one that is silent is given up. Where none
+    /// could, giving it up would only break the stream off.
+    fn has_successor(&self) -> bool {
+        let now = self.gateway.now();
+        let (service, work) = (&self.terms.service, &self.call.work);
+        let mut state = self.gateway.state();
+        state.has_successor(now, service, work, &self.tried)
+    }
+
     /// Tells whether the call asks for what is known to end its targets, by other attempts too.
     fn is_barred(&self) -> bool {
         let account = self.terms.account.as_deref();
@@ -315,6 +336,7 @@
             );
             match started.await {
                 Ok(run) if run.parts.status.is_success() => {
+                    self.is_waited_out = false;
                     self.run = Some(run);
                     return true;
                 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -16,7 +16,7 @@
 use damaskstile_loans::{Borrower, Candidate, Lender};
 use damaskstile_requests::{RetryBudget, Suspects};
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
-use damaskstile_targets::{Book, ListChanges};
+use damaskstile_targets::{Book, ListChanges, Work};
 
 use crate::call::CallHead;
 use crate::call_times::CallTimes;
@@ -298,6 +298,18 @@
         self.retry_budget(now, service).try_retry(now)
     }
 
+    /// Tells whether a call could go on at another target than those tried: there is one, and a retry.
+    pub fn has_successor(
+        &mut self,
+        now: Duration,
+        service: &str,
+        work: &Work,
+        tried: &[TargetId],
+    ) -> bool {
+        self.retry_budget(now, service).can_retry(now)
+            && self.book.choose(now, service, work, tried).is_some()
+    }
+
     fn retry_budget(&mut self, now: Duration, service: &str) -> &mut RetryBudget {
         let instances = self.known_instances();
         let (percent, extra) = (self.retry_percent, self.extra_retries);
--- a/crates/damaskstile-requests/src/retries.rs
+++ b/crates/damaskstile-requests/src/retries.rs
@@ -77,6 +77,24 @@
     /// assert_eq!(allowed, 10);
     /// ```
     pub fn try_retry(&mut self, now: Duration) -> bool {
+        if !self.can_retry(now) {
+            return false;
+        }
+        self.parts -= PARTS;
+        true
+    }
+
+    /// Tells whether there is a retry to take.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_requests::retries::RetryBudget;
+    /// let mut budget = RetryBudget::new(10, Duration::ZERO);
+    /// assert!(budget.can_retry(Duration::ZERO));
+    /// while budget.try_retry(Duration::ZERO) {}
+    /// assert!(!budget.can_retry(Duration::ZERO));
+    /// ```
+    pub fn can_retry(&mut self, now: Duration) -> bool {
         if self.percent == 0 {
             return false;
         }
@@ -86,11 +104,7 @@
             let saved = whole_seconds.saturating_mul(self.parts_per_s);
             self.parts = self.parts.saturating_add(saved).min(self.parts_max());
         }
-        if self.parts < PARTS {
-            return false;
-        }
-        self.parts -= PARTS;
-        true
+        self.parts >= PARTS
     }
 
     /// Returns the most that can be saved up; at least one retry, or a share could never add up.
