A busy instance chooses as cheaply as an idle one; lists by the clock are spread; a late processor counts as overload

At -2 s 100 of 122 instances lost the store. All had listed everything 20 s after their start, when each reckoned its pause from the few instances it knew then, in place of one list a second by all together. Now the pause goes by how many there are as it ends, and each draws its part of it. The refusals for tokens of the first three seconds follow from it (298 of 569 budget_unreachable by members in doubt).

A choice weighed the 700 targets that it had sent to within ten seconds with three look-ups each, and copied their names. Weighing copies nothing now, and whether a target may get the call is looked up for the best ones only; so is the source of cached parts.

Its readiness went by its link alone. Now what it does every 250 ms and comes to 250 ms late, three times in a row, counts as overload as a full link does: no new connections, and callers move once the balancer knows. One late look may be a pause of its machine and counts for nothing.

No test ran this whole: tests hold the spread of lists, the cost of a busy instance's choice against an idle one's, and the three looks.

--- a/crates/damaskstile-gateway/src/exchange/stopping.rs
+++ b/crates/damaskstile-gateway/src/exchange/stopping.rs
@@ -3,7 +3,7 @@
 use damaskstile_core::prelude::*;
 use http::Response;
 
-use super::{Exchange, patience};
+use super::{Exchange, allows_another, patience};
 use crate::phase::Phase;
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, Refusal, ReplyBody};
 
@@ -40,6 +40,9 @@
     /// Returns how long a target may take until the head of its answer. Where no other could follow,
     /// or a stop leaves no time for another run after that, a target's silence is waited out.
     pub(super) fn patience(&self, left: Duration) -> Duration {
+        if !allows_another(&self.terms, &self.attempts) {
+            return left;
+        }
         let now = self.gateway.now();
         let (service, work) = (&self.terms.service, &self.call.work);
         let has_successor = {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -21,6 +21,8 @@
 /// Time between two lists of an instance that hears of changes from peers, for each instance that
 /// there is: all together make one call a second for each kind, whatever their number.
 const FOLLOWER_INTERVAL: Duration = Duration::from_secs(1);
+/// Numbers of which an instance draws one for its part of that time.
+pub const DRAWS: u64 = 1_000;
 /// Shortest time between two such lists.
 const FOLLOWER_INTERVAL_MIN: Duration = Duration::from_secs(20);
 /// Time between two looks at whether it must watch itself.
@@ -125,14 +127,33 @@
     }
 }
 
+/// Returns the pause of an instance that hears of changes from peers until it lists, by a number below
+/// [`DRAWS`] that it drew. Instances that started together list at any time, and not together.
+///
+/// ```
+/// use std::time::Duration;
+/// use damaskstile_gateway::follow::{DRAWS, list_pause};
+/// assert_eq!(list_pause(1_000, 0), Duration::from_secs(20));
+/// assert!(list_pause(1_000, DRAWS - 1) > Duration::from_secs(1_000));
+/// ```
+#[must_use]
+pub fn list_pause(instances: u64, draw: u64) -> Duration {
+    let all = FOLLOWER_INTERVAL * u32::try_from(instances).unwrap_or(u32::MAX);
+    let part = u32::try_from(draw.min(DRAWS)).unwrap_or(u32::MAX);
+    let parts = u32::try_from(DRAWS).unwrap_or(u32::MAX);
+    FOLLOWER_INTERVAL_MIN + all / parts * part
+}
+
 /// Waits, as an instance of a large fleet that hears of changes from peers. Returns whether a list
 /// is due: now and then, in case that it hears of nobody, or since peers know of a newer catalogue.
 async fn rest(gateway: &Gateway, followed: Followed) -> bool {
-    let instances = gateway.state().known_instances();
-    let interval = FOLLOWER_INTERVAL * u32::try_from(instances).unwrap_or(u32::MAX);
-    let until = gateway.now() + interval.max(FOLLOWER_INTERVAL_MIN);
+    let began_at = gateway.now();
+    let draw = gateway.state().random.below(DRAWS);
     while !must_watch(gateway) {
-        if gateway.now() >= until || is_overdue(gateway, followed) {
+        // How many instances there are is known only a while after a start.
+        let instances = gateway.state().known_instances();
+        let is_due = gateway.now() >= began_at + list_pause(instances, draw);
+        if is_due || is_overdue(gateway, followed) {
             return true;
         }
         let look = tokio::time::sleep(FOLLOWER_LOOK);
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -75,6 +75,9 @@
 /// Time between two looks at the kept connections.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two looks at how late the instance comes to them.
+const LATENESS_LOOK: Duration = Duration::from_millis(250);
+
 /// Serves until the process is told to stop, and stops without cutting off a call.
 ///
 /// # Errors
@@ -106,12 +109,24 @@
     tokio::spawn(Arc::clone(&peers).send_out(outbox));
     tokio::spawn(peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
+    tokio::spawn(look_at_lateness(Arc::clone(&gateway)));
     tokio::spawn(front::accept(Arc::clone(&gateway), callers));
     stop::run(Arc::clone(&gateway)).await?;
     drop((readiness, metrics));
     Ok(())
 }
 
+/// Finds out how late the instance comes to what it has to do, until the process ends.
+async fn look_at_lateness(gateway: Arc<Gateway>) {
+    loop {
+        let due_at = gateway.now() + LATENESS_LOOK;
+        tokio::time::sleep(LATENESS_LOOK).await;
+        let now = gateway.now();
+        let lateness = now.saturating_sub(due_at);
+        gateway.state().pressure.note_lateness(now, lateness);
+    }
+}
+
 async fn prune(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -9,6 +9,9 @@
 
 use super::pull_messages::{PullAnswer, PullRequest, PulledTarget};
 
+/// Targets in one part of a list: some 80 KB, which a narrow link brings in a part of the time of a
+/// pull.
+const PART_TARGETS: u64 = 1_000;
 /// Shortest time between two comparisons of the own list with a peer's.
 const COMPARED_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -30,7 +33,7 @@
         is_targets: true,
         since,
         wants_hash,
-        takes_parts: true,
+        part_targets: PART_TARGETS,
         ..PullRequest::default()
     }
 }
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -31,8 +31,6 @@
 /// Pulls that are answered at once. More would share the link until all of them take too long;
 /// whoever is refused asks another.
 const ANSWERS_MAX: usize = 6;
-/// Targets in one part of a list: some 80 KB.
-const PART_TARGETS: usize = 1_000;
 /// Time for which a pulled catalogue may fill a link. Instances that have one hand it on, so all of
 /// some hundreds have it after eight such times, well within the time that a change may take.
 const PULLED_TIME_MAX: Duration = Duration::from_millis(60);
@@ -177,11 +175,7 @@
         (_, _, 0) => "catalogue",
         (_, _, _) => "catalogue_changes",
     };
-    let parts = if request.takes_parts {
-        in_parts(answer)
-    } else {
-        vec![answer]
-    };
+    let parts = in_parts(answer, request.part_targets);
     for part in parts {
         let bytes = part.encode_to_vec();
         gateway.sent_bytes.add(duty, bytes.len());
@@ -200,14 +194,17 @@
     }
 }
 
-/// Cuts a list of targets into parts that any link brings in the time of a pull.
-fn in_parts(mut answer: PullAnswer) -> Vec<PullAnswer> {
-    let targets = std::mem::take(&mut answer.targets);
-    let mut targets = targets.into_iter();
-    answer.targets = targets.by_ref().take(PART_TARGETS).collect();
+/// Cuts a list of targets into parts of so many; 0 for all in one.
+fn in_parts(mut answer: PullAnswer, part_targets: u64) -> Vec<PullAnswer> {
+    let part_targets = usize::try_from(part_targets).unwrap_or(usize::MAX);
+    if part_targets == 0 {
+        return vec![answer];
+    }
+    let mut targets = std::mem::take(&mut answer.targets).into_iter();
+    answer.targets = targets.by_ref().take(part_targets).collect();
     let mut parts = vec![answer];
     loop {
-        let next: Vec<PulledTarget> = targets.by_ref().take(PART_TARGETS).collect();
+        let next: Vec<PulledTarget> = targets.by_ref().take(part_targets).collect();
         if next.is_empty() {
             return parts;
         }
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -23,10 +23,10 @@
     /// Whether the instances that there are are wanted, and neither list nor catalogue.
     #[prost(bool, tag = "6")]
     pub(super) is_members: bool,
-    /// Whether the answer may come in parts. An instance of an earlier version would take the first
-    /// for all there is.
-    #[prost(bool, tag = "7")]
-    pub(super) takes_parts: bool,
+    /// Targets in one part of the answer; 0 where it must come as a whole. An instance of an earlier
+    /// version would take the first part for all there is.
+    #[prost(uint64, tag = "7")]
+    pub(super) part_targets: u64,
     /// Largest catalogue that is wanted whole; 0 for any.
     #[prost(uint64, tag = "4")]
     pub(super) whole_bytes_max: u64,
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -1,13 +1,15 @@
-//! `pressure` tells when an instance carries more than its link does.
+//! `pressure` tells when an instance carries more than its link or its processor does.
 
 use damaskstile_core::prelude::*;
 
 /// Part of the link that calls may fill, in percent; the rest is for headers, acknowledgements
 /// and what instances tell each other.
 const USABLE_PERCENT: u64 = 80;
-/// Delay on the link from which on an instance is overloaded. A quarter of a second is half of
+/// Delay on the link, or of what the processor has to do, from which on an instance is overloaded. A quarter of a second is half of
 /// the shortest objective for a first token in view.
 const DELAY_LIMIT: Duration = Duration::from_millis(250);
+/// Looks in a row that are so late until the processor counts as overloaded.
+const LATE_LOOKS: u32 = 3;
 /// Time without overload after which an instance takes new connections again. Callers that moved
 /// stay with their new instance; much shorter, and they would come back before the queue is gone.
 const CALM: Duration = Duration::from_secs(4);
@@ -15,7 +17,7 @@
 /// that are sent away sooner come back to the same instance.
 const NOTICE: Duration = Duration::from_millis(2_200);
 
-/// `Pressure` tells when an instance carries more than its link does.
+/// `Pressure` tells when an instance carries more than its link or its processor does.
 ///
 /// A balancer that chooses by a hash of the caller may give one instance many times the share of
 /// another. Its queue then delays all of its calls until they time out, while its neighbours are
@@ -28,6 +30,7 @@
     at: Duration,
     since: Option<Duration>,
     last: Duration,
+    late_looks: u32,
 }
 
 impl Pressure {
@@ -42,6 +45,7 @@
             at: Duration::ZERO,
             since: None,
             last: Duration::ZERO,
+            late_looks: 0,
         }
     }
 
@@ -60,13 +64,42 @@
         self.queued_bytes = self.queued_bytes.saturating_add(bytes);
         let limit_ms = u64::try_from(DELAY_LIMIT.as_millis()).unwrap_or(u64::MAX);
         if self.queued_bytes.saturating_mul(1000) > self.bytes_per_s.saturating_mul(limit_ms) {
-            if !self.is_high(now) {
-                self.since = Some(now);
-            }
-            self.last = now;
+            self.note_overload(now);
         }
     }
 
+    /// Notes how late the instance came to something that it does now and then. Once may be a pause of
+    /// its machine; several times in a row it has less processor time than its calls take.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_gateway::pressure::Pressure;
+    /// let mut pressure = Pressure::new(1_000_000);
+    /// let looks = [1, 2, 3].map(Duration::from_secs);
+    /// let high = looks.map(|now| {
+    ///     pressure.note_lateness(now, Duration::from_millis(400));
+    ///     pressure.is_high(now)
+    /// });
+    /// assert_eq!(high, [false, false, true]);
+    /// ```
+    pub fn note_lateness(&mut self, now: Duration, lateness: Duration) {
+        if lateness < DELAY_LIMIT {
+            self.late_looks = 0;
+            return;
+        }
+        self.late_looks += 1;
+        if self.late_looks >= LATE_LOOKS {
+            self.note_overload(now);
+        }
+    }
+
+    fn note_overload(&mut self, now: Duration) {
+        if !self.is_high(now) {
+            self.since = Some(now);
+        }
+        self.last = now;
+    }
+
     /// Tells whether the instance was overloaded lately and should get no new connections.
     #[must_use]
     pub fn is_high(&self, now: Duration) -> bool {
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -1,26 +1,29 @@
 //! `relay` passes a target's stream on to its caller, event by event.
 
+mod going_on;
+mod over;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_requests::{Attempts, Next, SendEnd};
+use damaskstile_requests::Attempts;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
-use crate::broken_run::BrokenRun;
 use crate::events::{EventCutter, WholeEvent};
-use crate::exchange::{allows_another, patience, plan_next};
+use crate::exchange::allows_another;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
 use crate::record::Record;
 use crate::reply::ReplyBody;
 use crate::reservation::Reservation;
-use crate::run::{self, Run};
-use crate::send;
+use crate::run::Run;
 use crate::sendable::Sendable;
 use crate::state::Terms;
 
+pub use over::Over;
+
 /// Pause of a stream after which it goes on at another target, where it may. Callers give up
 /// after two seconds or more, and a preempted run pauses for less than a second.
 const STALL_LIMIT: Duration = Duration::from_millis(1_500);
@@ -64,15 +67,6 @@
     pub over: Option<Over>,
 }
 
-/// `Over` tells how a stream ended for its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Over {
-    /// With its last event.
-    Whole,
-    /// Broken off.
-    BrokenOff(RefusalCode),
-}
-
 /// How the stream of one run went on.
 enum Piece {
     Event(WholeEvent),
@@ -257,122 +251,4 @@
         self.record.end(EventCode::CallFailed, "broken_off");
         std::io::Error::other(cause)
     }
-
-    /// Tells whether the stream may go on at another target: the route allows it, and no stop
-    /// would cut it off there. While it may not, a target's silence is waited out.
-    fn may_go_on(&self) -> bool {
-        let (route, began_at) = (&self.terms.route, self.record.began_at());
-        let is_over_in_time = || {
-            self.gateway
-                .is_over_in_time(&route.name, began_at, self.deadline)
-        };
-        route.kind.is_repeatable() && is_over_in_time()
-    }
-
-    /// Tells whether another target could go on where the one that is silent is given up. Where none
-    /// could, giving it up would only break the stream off.
-    fn has_successor(&self) -> bool {
-        let now = self.gateway.now();
-        let (service, work) = (&self.terms.service, &self.call.work);
-        let mut state = self.gateway.state();
-        state.has_successor(now, service, work, &self.tried)
-    }
-
-    /// Tells whether the call asks for what is known to end its targets, by other attempts too.
-    fn is_barred(&self) -> bool {
-        let account = self.terms.account.as_deref();
-        self.gateway.barred(&self.call, account).is_some()
-    }
-
-    /// Finds out what became of a target that closed the connection in the middle of the stream.
-    async fn note_closed(&mut self) {
-        let Some(run) = &self.run else {
-            return;
-        };
-        let sent = BrokenRun::of(&run.running.choice, run.running.sent_at());
-        sent.follow_up(&self.gateway, &self.call, &self.terms).await;
-    }
-
-    /// Goes on at another target after a broken run, if the route allows it.
-    async fn go_on(&mut self, cause: &'static str) -> bool {
-        if let Some(run) = self.run.take() {
-            run.running.note(false);
-        }
-        self.cutter = EventCutter::default();
-        self.attempts.note(SendEnd::Unknown);
-        let mut cause = cause;
-        loop {
-            if !self.may_go_on() || self.is_barred() {
-                return false;
-            }
-            let next = plan_next(&self.gateway, &self.terms, &self.attempts);
-            let left = self.deadline.saturating_sub(self.gateway.now());
-            if next != Next::Again || left.is_zero() {
-                return false;
-            }
-            let choice = send::choose(
-                &self.gateway,
-                &self.terms.service,
-                &self.call,
-                &mut self.tried,
-                &mut self.record,
-                &mut self.reservation,
-            );
-            let Some(choice) = choice else {
-                return false;
-            };
-            self.note_resumption(cause, &choice.target);
-            let patience = patience(&self.terms, &self.attempts, left);
-            let sent = BrokenRun::of(&choice, self.gateway.now());
-            let resume_after = self.last_event;
-            let started = run::start(
-                &self.gateway,
-                &self.call,
-                &self.terms,
-                choice,
-                self.deadline,
-                patience,
-                resume_after,
-            );
-            match started.await {
-                Ok(run) if run.parts.status.is_success() => {
-                    self.is_waited_out = false;
-                    self.run = Some(run);
-                    return true;
-                }
-                Ok(run) => {
-                    run.running.note(false);
-                    self.attempts.note(SendEnd::Failed);
-                    cause = "failed";
-                }
-                Err(no_run) => {
-                    match no_run.end {
-                        SendEnd::NotSent | SendEnd::NotRun => self.reservation.not_run(),
-                        SendEnd::Broken => {
-                            sent.follow_up(&self.gateway, &self.call, &self.terms).await;
-                        }
-                        SendEnd::Unknown | SendEnd::Failed => {}
-                    }
-                    self.attempts.note(no_run.end);
-                    cause = no_run.cause;
-                }
-            }
-        }
-    }
-
-    fn note_resumption(&self, cause: &str, target: &str) {
-        let id = self.call.id.as_deref().unwrap_or("-");
-        let after = self
-            .last_event
-            .map_or_else(String::new, |id| id.to_string());
-        self.gateway.log(
-            EventCode::SendRetried,
-            &[
-                ("id", id),
-                ("cause", cause),
-                ("after_event", &after),
-                ("target", target),
-            ],
-        );
-    }
 }
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -8,6 +8,7 @@
 use damaskstile_core::random::Random;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::follow::{DRAWS, list_pause};
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::{Digest, PeerWord};
@@ -343,3 +344,25 @@
     assert!(!is_watching(2_500));
     assert!(is_watching(4_400));
 }
+
+#[test]
+fn instances_that_started_together_do_not_list_together() {
+    // Guards against: a whole fleet that lists everything twenty seconds after its start, since each
+    // instance reckoned its pause while it knew only a few others.
+
+    // Arrange: pauses as they are once all know how many there are.
+    let mut random = Random::new(9);
+
+    // Act
+    let lists = FLEETS.map(|instances| {
+        let mut lists: BTreeMap<u64, usize> = BTreeMap::new();
+        for _ in 0..instances {
+            let pause = list_pause(instances as u64, random.below(DRAWS));
+            *lists.entry(pause.as_secs()).or_default() += 1;
+        }
+        lists.into_values().max().unwrap_or_default()
+    });
+
+    // Assert: one a second on average.
+    assert!(lists.iter().all(|most| *most <= 8), "{lists:?}");
+}
--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -9,9 +9,12 @@
 mod paces;
 mod pause;
 mod place;
+mod speeds;
 mod weigh;
+mod weighed;
 
 use std::cell::Cell;
+use std::cmp::Ordering;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
@@ -27,10 +30,7 @@
 use crate::work::Work;
 use index::ServiceIndex;
 use long_load::LongLoad;
-use weigh::{own_read_ms, tokens};
-
-/// Time for which a target may read other prompts for a first token still to tell how fast it reads.
-const AHEAD_MAX_MS: f64 = 2.0;
+use weighed::{Weighed, first_passing};
 
 /// Instances up to which all prompts are told that are worth it. Each is told to all, so what one
 /// instance hears grows with the fleet: 64 instances tell each other some twenty a second. In a
@@ -158,17 +158,18 @@
     ) -> Option<Choice> {
         let index = self.indexes.get(service)?;
         let outlook = self.outlook(now, index, service, work);
-        let candidates = self.candidates(now, index, &outlook, tried);
-        candidates
-            .into_iter()
-            .map(|known| self.weigh(now, known, &outlook))
-            .min_by(|one, other| {
-                let by_cost = one.cost_ms.total_cmp(&other.cost_ms);
-                by_cost.then_with(|| {
-                    let place = |choice: &Choice| index.own_place(&choice.target);
-                    place(one).cmp(&place(other))
-                })
-            })
+        let candidates = self.candidates(now, index, &outlook, tried).into_iter();
+        let weighed = candidates.map(|known| self.weigh(now, known, &outlook));
+        let place = |weighed: &Weighed<'_>| index.own_place(&weighed.known.listed.target);
+        let is_less =
+            |one: &Weighed<'_>, other: &Weighed<'_>| match one.cost_ms.total_cmp(&other.cost_ms) {
+                Ordering::Less => true,
+                Ordering::Greater => false,
+                Ordering::Equal => place(one) < place(other),
+            };
+        let may_get = |weighed: &Weighed<'_>| self.may_get(now, weighed.known, work, tried);
+        let first = first_passing(weighed.collect(), is_less, may_get)?;
+        Some(first.choice())
     }
 
     /// Tells whether an incarnation may still get the call that was chosen for it: nothing that came
@@ -224,18 +225,6 @@
         }
     }
 
-    fn note_long(&mut self, now: Duration, choice: &Choice, work: &Work) {
-        let Some(known) = self.targets.get(&choice.target) else {
-            return;
-        };
-        let service = known.listed.service.clone();
-        let speed = self.speed(&service);
-        if self.is_long(&speed, work) {
-            let load = self.long_loads.entry(service).or_default();
-            load.add(now, own_read_ms(&speed, work));
-        }
-    }
-
     /// Returns how long the prompt of a call takes to read at its target, if that is worth telling
     /// the peers.
     #[must_use]
@@ -253,31 +242,6 @@
         }
     }
 
-    /// Takes in the time from the send of a call to its first token, to learn from it.
-    pub fn first_token(&mut self, choice: &Choice, work: &Work, took: Duration) {
-        let is_alone = choice.ahead_ms < AHEAD_MAX_MS && choice.fetch_from.is_none();
-        let Some(known) = self.targets.get(&choice.target) else {
-            return;
-        };
-        if !self.options.is_learning || !is_alone || work.prompt_tokens == 0 {
-            return;
-        }
-        let service = known.listed.service.clone();
-        let uncached = tokens(choice.uncached_tokens);
-        let cached = tokens(work.prompt_tokens) - uncached;
-        let start = self.options.prefill_tokens_per_ms;
-        let speed = self.speeds.entry(service);
-        let speed = speed.or_insert_with(|| ReadingSpeed::new(start));
-        speed.learn(uncached, cached, took.as_secs_f64() * 1_000.0);
-    }
-
-    /// Returns how fast the targets of a service are known to read.
-    #[must_use]
-    pub fn speed(&self, service: &str) -> ReadingSpeed {
-        let known = self.speeds.get(service).cloned();
-        known.unwrap_or_else(|| ReadingSpeed::new(self.options.prefill_tokens_per_ms))
-    }
-
     /// Notes that the first token came, or that the call ended before it.
     pub fn prefilled(&mut self, choice: &Choice) {
         if let Some(known) = self.chosen(choice) {
--- a/crates/damaskstile-targets/src/book/candidates.rs
+++ b/crates/damaskstile-targets/src/book/candidates.rs
@@ -6,12 +6,13 @@
 use super::index::ServiceIndex;
 use super::weigh::Outlook;
 use crate::known::Known;
+use crate::work::Work;
 
 /// Time between two looks at which targets have nothing left that tells them from others.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Book {
-    /// Returns the targets that may get a call, without those that cost the same as another one in
+    /// Returns the targets to weigh for a call, some of which may not get it, without those that cost the same as another one in
     /// the same data centre that comes before them.
     ///
     /// All targets of which this instance knows no more than the list says cost the same, but for
@@ -24,20 +25,14 @@
         outlook: &Outlook<'a>,
         tried: &[TargetId],
     ) -> Vec<&'a Known> {
-        let may_get = |known: &&Known| {
-            self.is_usable(now, known)
-                && !tried.contains(&known.listed.target)
-                && self.is_home(known, outlook.work)
-                && self.has_place(now, known)
-        };
+        let may_get = |known: &&Known| self.may_get(now, known, outlook.work, tried);
         let is_kept = |known: &&Known| outlook.kept.contains(known.listed.target.as_str());
         let home = outlook.home.into_iter();
         let home = home.filter_map(|target| self.targets.get(target));
         let marked = self.known_of(index.marked());
-        let mut candidates: Vec<&Known> = home.chain(marked).filter(may_get).collect();
         let of_kept = outlook.kept.iter();
         let of_kept = of_kept.filter_map(|target| self.targets.get(*target));
-        candidates.extend(of_kept.filter(may_get));
+        let mut candidates: Vec<&Known> = home.chain(marked).chain(of_kept).collect();
         for (_, targets) in index.in_own_order() {
             let unmarked = targets.filter(|target| !index.is_marked(target));
             let mut others = self.known_of(unmarked).filter(|known| !is_kept(known));
@@ -46,6 +41,20 @@
         candidates
     }
 
+    /// Tells whether a target may get a call.
+    pub(super) fn may_get(
+        &self,
+        now: Duration,
+        known: &Known,
+        work: &Work,
+        tried: &[TargetId],
+    ) -> bool {
+        self.is_usable(now, known)
+            && !tried.contains(&known.listed.target)
+            && self.is_home(known, work)
+            && self.has_place(now, known)
+    }
+
     /// Forgets now and then which targets of the same service had something that told them from
     /// others and have nothing any more.
     pub(super) fn sweep(&mut self, now: Duration, target: &str) {
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/speeds.rs
@@ -0,0 +1,51 @@
+//! `speeds` learns how fast targets read, and how much of it they do.
+
+use damaskstile_core::prelude::*;
+
+use super::Book;
+use super::weigh::{own_read_ms, tokens};
+use crate::choice::Choice;
+use crate::reading_speed::ReadingSpeed;
+use crate::work::Work;
+
+/// Time for which a target may read other prompts for a first token still to tell how fast it reads.
+const AHEAD_MAX_MS: f64 = 2.0;
+
+impl Book {
+    /// Takes in the time from the send of a call to its first token, to learn from it.
+    pub fn first_token(&mut self, choice: &Choice, work: &Work, took: Duration) {
+        let is_alone = choice.ahead_ms < AHEAD_MAX_MS && choice.fetch_from.is_none();
+        let Some(known) = self.targets.get(&choice.target) else {
+            return;
+        };
+        if !self.options.is_learning || !is_alone || work.prompt_tokens == 0 {
+            return;
+        }
+        let service = known.listed.service.clone();
+        let uncached = tokens(choice.uncached_tokens);
+        let cached = tokens(work.prompt_tokens) - uncached;
+        let start = self.options.prefill_tokens_per_ms;
+        let speed = self.speeds.entry(service);
+        let speed = speed.or_insert_with(|| ReadingSpeed::new(start));
+        speed.learn(uncached, cached, took.as_secs_f64() * 1_000.0);
+    }
+
+    /// Returns how fast the targets of a service are known to read.
+    #[must_use]
+    pub fn speed(&self, service: &str) -> ReadingSpeed {
+        let known = self.speeds.get(service).cloned();
+        known.unwrap_or_else(|| ReadingSpeed::new(self.options.prefill_tokens_per_ms))
+    }
+
+    pub(super) fn note_long(&mut self, now: Duration, choice: &Choice, work: &Work) {
+        let Some(known) = self.targets.get(&choice.target) else {
+            return;
+        };
+        let service = known.listed.service.clone();
+        let speed = self.speed(&service);
+        if self.is_long(&speed, work) {
+            let load = self.long_loads.entry(service).or_default();
+            load.add(now, own_read_ms(&speed, work));
+        }
+    }
+}
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -5,7 +5,7 @@
 
 use super::Book;
 use super::index::ServiceIndex;
-use crate::choice::Choice;
+use super::weighed::{Weighed, first_passing};
 use crate::known::Known;
 use crate::reading_speed::ReadingSpeed;
 use crate::work::Work;
@@ -120,14 +120,22 @@
     ) -> Option<(&'a Known, f64)> {
         let home = outlook.home.into_iter();
         let home = home.filter_map(|target| self.targets.get(target));
-        self.known_of(index.marked())
-            .chain(home)
-            .filter(|known| self.is_usable(now, known))
-            .filter(|known| known.failure_share(now) < FETCH_FAILURES_MAX)
-            .filter(|known| self.is_home(known, outlook.work))
+        if self.options.fetch_share >= 1.0 {
+            return None;
+        }
+        let all = self.known_of(index.marked()).chain(home);
+        let with_parts = all
             .map(|known| (known, self.cached(now, known, outlook)))
-            .max_by(|(_, one), (_, other)| one.total_cmp(other))
-            .filter(|_| self.options.fetch_share < 1.0)
+            .filter(|(_, cached)| *cached >= FETCH_MIN_TOKENS);
+        first_passing(
+            with_parts.collect(),
+            |(_, one), (_, other)| one > other,
+            |(known, _)| {
+                self.is_usable(now, known)
+                    && known.failure_share(now) < FETCH_FAILURES_MAX
+                    && self.is_home(known, outlook.work)
+            },
+        )
     }
 
     /// Returns the tokens of a prompt that a target is likely to keep.
@@ -140,7 +148,12 @@
         seen.max(shared * self.options.home_share)
     }
 
-    pub(super) fn weigh(&self, now: Duration, known: &Known, outlook: &Outlook<'_>) -> Choice {
+    pub(super) fn weigh<'a>(
+        &self,
+        now: Duration,
+        known: &'a Known,
+        outlook: &Outlook<'_>,
+    ) -> Weighed<'a> {
         let options = &self.options;
         let work = outlook.work;
         let target = known.listed.target.as_str();
@@ -167,14 +180,10 @@
             + failures * failures * options.failure_ms
             + f64::from(u8::from(is_apart)) * options.apart_ms
             + f64::from(u8::from(is_far)) * options.distance_ms;
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let uncached_tokens = uncached as u64;
-        Choice {
-            target: known.listed.target.clone(),
-            incarnation: known.listed.incarnation,
-            address: known.listed.address,
+        Weighed {
+            known,
             cost_ms,
-            uncached_tokens,
+            uncached,
             fetch_from: fetched.map(|(address, _)| address),
             read_ms,
             ahead_ms,
--- /dev/null
+++ b/crates/damaskstile-targets/src/book/weighed.rs
@@ -0,0 +1,59 @@
+//! `weighed` is what a call would cost at one target.
+
+use std::net::SocketAddr;
+
+use crate::choice::Choice;
+use crate::known::Known;
+
+/// `Weighed` is what a call would cost at one target.
+#[derive(Debug)]
+pub(super) struct Weighed<'a> {
+    pub known: &'a Known,
+    pub cost_ms: f64,
+    pub uncached: f64,
+    pub fetch_from: Option<SocketAddr>,
+    pub read_ms: f64,
+    pub ahead_ms: f64,
+    pub running: f64,
+}
+
+impl Weighed<'_> {
+    pub(super) fn choice(&self) -> Choice {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+        let uncached_tokens = self.uncached as u64;
+        let listed = &self.known.listed;
+        Choice {
+            target: listed.target.clone(),
+            incarnation: listed.incarnation,
+            address: listed.address,
+            cost_ms: self.cost_ms,
+            uncached_tokens,
+            fetch_from: self.fetch_from,
+            read_ms: self.read_ms,
+            ahead_ms: self.ahead_ms,
+            running: self.running,
+        }
+    }
+}
+
+/// Returns the first of those that pass, in an order in which less comes first. To look whether one
+/// passes costs more than to find the first, so few are looked at.
+pub(super) fn first_passing<T>(
+    mut all: Vec<T>,
+    is_less: impl Fn(&T, &T) -> bool,
+    passes: impl Fn(&T) -> bool,
+) -> Option<T> {
+    while !all.is_empty() {
+        let mut first = 0;
+        for index in 1..all.len() {
+            if is_less(&all[index], &all[first]) {
+                first = index;
+            }
+        }
+        let one = all.swap_remove(first);
+        if passes(&one) {
+            return Some(one);
+        }
+    }
+    None
+}
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -200,3 +200,35 @@
         assert!(costs.is_sorted(), "{costs:?}");
     }
 }
+
+#[test]
+fn a_busy_instance_chooses_as_cheaply_as_an_idle_one() {
+    // Guards against: an instance that gets ten times the calls of its neighbours and pays ten times
+    // as much for each, so that its processor is full and its answers wait for seconds.
+
+    // Arrange: seventy calls a second for ten seconds, each about another subject.
+    let mut book = book("i", 10_000, 0);
+    let mut calls = 0;
+    let mut call = |book: &mut Book, now: Duration| {
+        calls += 1;
+        let work = prompt(calls, calls);
+        let choice = book.choose(now, MODEL, &work, &[]).unwrap();
+        book.sent(now, &choice, &work);
+        book.prefilled(&choice);
+        book.ended(&choice);
+    };
+    let mut time = |book: &mut Book, from_ms: u64| {
+        let began_at = Instant::now();
+        for index in 0..50 {
+            call(book, Duration::from_millis(from_ms + index * 14));
+        }
+        began_at.elapsed()
+    };
+    let idle = time(&mut book, 0);
+
+    // Act
+    let busy = (1..14).map(|round| time(&mut book, round * 700)).min();
+
+    // Assert: 700 targets that it remembers something of are weighed, and few are looked at closer.
+    assert!(busy.unwrap() < idle * 20, "{busy:?}, {idle:?}");
+}
