--- a/crates/damaskstile-gateway/src/state/roles.rs
+++ b/crates/damaskstile-gateway/src/state/roles.rs
@@ -214,6 +214,7 @@
         let heard = self
             .members
             .values()
+            .filter(|member| !member.is_told)
             .filter(|member| now.saturating_sub(member.heard_at) < TOLD_AGE_MAX);
         let (stopping, serving): (Vec<_>, Vec<_>) = heard.partition(|member| member.is_stopping);
         stopping.len() > serving.len()
--- a/crates/damaskstile-targets/src/book/candidates.rs
+++ b/crates/damaskstile-targets/src/book/candidates.rs
@@ -12,8 +12,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Book {
-    /// Returns the targets to weigh for a call, some of which may not get it, without those that cost the same as another one in
-    /// the same data centre that comes before them.
+    /// Returns the targets to weigh for a call, some of which may not get it, without those that cost
+    /// the same as another one in the same data centre that comes before them.
     ///
     /// All targets of which this instance knows no more than the list says cost the same, but for
     /// the data centre and whether they are kept for long prompts. So one of each kind stands for
