A silent run is let go only once its successor is chosen

Cause: the wait for the next event is bounded by the stall limit while the stream may go on elsewhere. When it ran out only has_successor was asked; go_on dropped the run and then asked for the stop, barred contents, attempts, a choice. Each of its early returns broke a stream off that might have gone on. The same before the head of an answer: patience was fixed when the call was sent, and a call whose target was silent at the order of a stop was told that its outcome is unknown (502) while the target still worked on it.

Two ways: (1) choose the successor before the run is let go; (2) keep the run until its successor's head is there. (2) has two targets at work on one call for as long as the second needs, which the users count as a second run after 400 ms; not built. (1) has no wait between the choice and the end of the run.

How long a target is waited for is decided in one place (Patience) for first sends and for streams that go on; it is asked again when the patience is over.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::broken_run::BrokenRun;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
+use crate::patience::Patience;
 use crate::phase::Phase;
 use crate::record::Record;
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
@@ -30,9 +31,6 @@
 
 use admission::admit;
 
-/// Shortest time that a target is given before a repeatable call goes to another one. Below it a
-/// long prompt ahead in the batch would be taken for silence.
-const PATIENCE_MIN: Duration = Duration::from_secs(1);
 /// Time past its limit after which a call is answered whatever it waits for. The waits inside it
 /// have limits of their own, which end it first and say more of the cause; callers are promised an
 /// answer within half a second.
@@ -125,21 +123,6 @@
     refusal.reply(gateway, id)
 }
 
-/// Returns how long a target may take until the head of its answer, as one that was sent the call
-/// after so many attempts. Where no other may follow it has all the time that is left.
-pub(crate) fn patience(terms: &Terms, attempts: &Attempts, left: Duration) -> Duration {
-    if allows_another(terms, attempts) {
-        left.min((terms.route.objective * 3).max(PATIENCE_MIN))
-    } else {
-        left
-    }
-}
-
-/// Tells whether the route allows another send after the one under way.
-pub(crate) fn allows_another(terms: &Terms, attempts: &Attempts) -> bool {
-    attempts.allow_another(terms.route.kind.is_repeatable(), terms.route.attempts_max)
-}
-
 /// Decides what follows a send that brought no answer for the caller.
 pub(crate) fn plan_next(gateway: &Gateway, terms: &Terms, attempts: &Attempts) -> Next {
     let is_repeatable = terms.route.kind.is_repeatable();
@@ -216,8 +199,7 @@
         mut reservation: Reservation,
     ) -> (Response<ReplyBody>, Option<Reservation>) {
         loop {
-            let left = self.left();
-            if left.is_zero() {
+            if self.left().is_zero() {
                 return (self.too_late(), Some(reservation));
             }
             if !self.is_over_in_time() {
@@ -241,18 +223,9 @@
                 return (response, Some(reservation));
             };
             self.is_sending = true;
-            let patience = self.patience(left);
             let sent = BrokenRun::of(&choice, self.gateway.now());
-            let started = run::start(
-                &self.gateway,
-                &self.call,
-                &self.terms,
-                choice,
-                self.deadline,
-                patience,
-                None,
-            );
-            let no_run = match started.await {
+            let patience = self.patience();
+            let no_run = match run::start(&self.gateway, &patience, choice, None).await {
                 Ok(run) => match self.answer(run, reservation).await {
                     Ok(response) => return (response, None),
                     Err((no_run, kept)) => {
@@ -288,6 +261,18 @@
         }
     }
 
+    fn patience(&self) -> Patience<'_> {
+        Patience {
+            gateway: &self.gateway,
+            call: &self.call,
+            terms: &self.terms,
+            attempts: &self.attempts,
+            tried: &self.tried,
+            deadline: self.deadline,
+            goes_on_from: None,
+        }
+    }
+
     fn note_retry(&self, cause: &str) {
         let id = self.call.id.as_deref().unwrap_or("-");
         self.gateway
--- a/crates/damaskstile-gateway/src/exchange/stopping.rs
+++ b/crates/damaskstile-gateway/src/exchange/stopping.rs
@@ -3,7 +3,7 @@
 use damaskstile_core::prelude::*;
 use http::Response;
 
-use super::{Exchange, allows_another, patience};
+use super::Exchange;
 use crate::phase::Phase;
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, Refusal, ReplyBody};
 
@@ -37,31 +37,6 @@
         self.gateway.is_over_in_time(route, now, self.deadline)
     }
 
-    /// Returns how long a target may take until the head of its answer. Where no other could follow,
-    /// or a stop leaves no time for another run after that, a target's silence is waited out.
-    pub(super) fn patience(&self, left: Duration) -> Duration {
-        if !allows_another(&self.terms, &self.attempts) {
-            return left;
-        }
-        let now = self.gateway.now();
-        let (service, work) = (&self.terms.service, &self.call.work);
-        let has_successor = {
-            let mut state = self.gateway.state();
-            state.has_successor(now, service, work, &self.tried)
-        };
-        if !has_successor {
-            return left;
-        }
-        let patience = patience(&self.terms, &self.attempts, left);
-        let next_at = self.gateway.now() + patience;
-        let route = &self.terms.route.name;
-        if self.gateway.is_over_in_time(route, next_at, self.deadline) {
-            patience
-        } else {
-            left
-        }
-    }
-
     /// Answers a call that a stop cannot wait for. A caller without an answer would not know
     /// whether it may ask again.
     pub(super) fn cut(&mut self) -> Response<ReplyBody> {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod operators;
 pub mod options;
 pub mod outgoing;
+mod patience;
 pub mod peers;
 pub mod phase;
 pub mod pool;
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -7,14 +7,14 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
-use damaskstile_requests::Attempts;
+use damaskstile_requests::{Attempts, SendEnd};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
 use crate::events::{EventCutter, WholeEvent};
-use crate::exchange::allows_another;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
+use crate::patience::allows_another;
 use crate::record::Record;
 use crate::reply::ReplyBody;
 use crate::reservation::Reservation;
@@ -133,19 +133,25 @@
                 Piece::End => return self.end().await,
                 Piece::Closed(cause) => {
                     self.note_closed().await;
-                    if !self.go_on(cause).await {
+                    let next = self.choose_next(SendEnd::Unknown);
+                    if !self.go_on(cause, next).await {
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
-                Piece::Stalled if !self.has_successor() => self.is_waited_out = true,
                 Piece::Stalled => {
-                    if !self.go_on("stalled").await {
+                    // Let go before its successor is chosen, a run would be lost that may go on.
+                    let Some(next) = self.choose_next(SendEnd::Unknown) else {
+                        self.is_waited_out = true;
+                        continue;
+                    };
+                    if !self.go_on("stalled", Some(next)).await {
                         let code = RefusalCode::TargetLost;
                         return Some(Err(self.break_off(code, "stalled")));
                     }
                 }
                 Piece::Broken(cause) => {
-                    if !self.go_on(cause).await {
+                    let next = self.choose_next(SendEnd::Unknown);
+                    if !self.go_on(cause, next).await {
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
--- a/crates/damaskstile-gateway/src/relay/going_on.rs
+++ b/crates/damaskstile-gateway/src/relay/going_on.rs
@@ -2,11 +2,13 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Next, SendEnd};
+use damaskstile_targets::Choice;
 
 use super::Relay;
 use crate::broken_run::BrokenRun;
 use crate::events::EventCutter;
-use crate::exchange::{patience, plan_next};
+use crate::exchange::plan_next;
+use crate::patience::Patience;
 use crate::run;
 use crate::send;
 
@@ -22,15 +24,6 @@
         route.kind.is_repeatable() && is_over_in_time()
     }
 
-    /// Tells whether another target could go on where the one that is silent is given up. Where none
-    /// could, giving it up would only break the stream off.
-    pub(super) fn has_successor(&self) -> bool {
-        let now = self.gateway.now();
-        let (service, work) = (&self.terms.service, &self.call.work);
-        let mut state = self.gateway.state();
-        state.has_successor(now, service, work, &self.tried)
-    }
-
     /// Tells whether the call asks for what is known to end its targets, by other attempts too.
     fn is_barred(&self) -> bool {
         let account = self.terms.account.as_deref();
@@ -46,48 +39,41 @@
         sent.follow_up(&self.gateway, &self.call, &self.terms).await;
     }
 
-    /// Goes on at another target after a broken run, if the route allows it.
-    pub(super) async fn go_on(&mut self, cause: &'static str) -> bool {
+    /// Chooses the target at which the stream goes on once a run has ended so; `None` where it may go
+    /// on nowhere, and nothing is changed.
+    pub(super) fn choose_next(&mut self, end: SendEnd) -> Option<Choice> {
+        if !self.may_go_on() || self.is_barred() || self.left().is_zero() {
+            return None;
+        }
+        let mut attempts = self.attempts.clone();
+        attempts.note(end);
+        if plan_next(&self.gateway, &self.terms, &attempts) != Next::Again {
+            return None;
+        }
+        let choice = send::choose(
+            &self.gateway,
+            &self.terms.service,
+            &self.call,
+            &mut self.tried,
+            &mut self.record,
+            &mut self.reservation,
+        )?;
+        self.attempts = attempts;
+        Some(choice)
+    }
+
+    /// Lets the run under way go, and goes on at the target that was chosen for that.
+    pub(super) async fn go_on(&mut self, cause: &'static str, next: Option<Choice>) -> bool {
         if let Some(run) = self.run.take() {
             run.running.note(false);
         }
         self.cutter = EventCutter::default();
-        self.attempts.note(SendEnd::Unknown);
-        let mut cause = cause;
-        loop {
-            if !self.may_go_on() || self.is_barred() {
-                return false;
-            }
-            let next = plan_next(&self.gateway, &self.terms, &self.attempts);
-            let left = self.deadline.saturating_sub(self.gateway.now());
-            if next != Next::Again || left.is_zero() {
-                return false;
-            }
-            let choice = send::choose(
-                &self.gateway,
-                &self.terms.service,
-                &self.call,
-                &mut self.tried,
-                &mut self.record,
-                &mut self.reservation,
-            );
-            let Some(choice) = choice else {
-                return false;
-            };
+        let (mut cause, mut next) = (cause, next);
+        while let Some(choice) = next {
             self.note_resumption(cause, &choice.target);
-            let patience = patience(&self.terms, &self.attempts, left);
             let sent = BrokenRun::of(&choice, self.gateway.now());
-            let resume_after = self.last_event;
-            let started = run::start(
-                &self.gateway,
-                &self.call,
-                &self.terms,
-                choice,
-                self.deadline,
-                patience,
-                resume_after,
-            );
-            match started.await {
+            let (patience, resume_after) = (self.patience(), self.last_event);
+            let end = match run::start(&self.gateway, &patience, choice, resume_after).await {
                 Ok(run) if run.parts.status.is_success() => {
                     self.is_waited_out = false;
                     self.run = Some(run);
@@ -95,8 +81,8 @@
                 }
                 Ok(run) => {
                     run.running.note(false);
-                    self.attempts.note(SendEnd::Failed);
                     cause = "failed";
+                    SendEnd::Failed
                 }
                 Err(no_run) => {
                     match no_run.end {
@@ -106,10 +92,28 @@
                         }
                         SendEnd::Unknown | SendEnd::Failed => {}
                     }
-                    self.attempts.note(no_run.end);
                     cause = no_run.cause;
+                    no_run.end
                 }
-            }
+            };
+            next = self.choose_next(end);
+        }
+        false
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.gateway.now())
+    }
+
+    fn patience(&self) -> Patience<'_> {
+        Patience {
+            gateway: &self.gateway,
+            call: &self.call,
+            terms: &self.terms,
+            attempts: &self.attempts,
+            tried: &self.tried,
+            deadline: self.deadline,
+            goes_on_from: Some(self.record.began_at()),
         }
     }
 
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! `run` sends a call to one target and follows it there.
 
 use std::io::ErrorKind;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -17,9 +18,9 @@
 use crate::gateway::Gateway;
 use crate::handling::Handling;
 use crate::lease::{Lease, SendError};
+use crate::patience::Patience;
 use crate::running::Running;
 use crate::sendable::Sendable;
-use crate::state::Terms;
 use crate::target_says;
 
 /// `Run` is an answer that a target has begun.
@@ -52,22 +53,22 @@
     }
 }
 
-/// Sends a call to one target and waits for the head of its answer, until `patience` is over. The
-/// time that its connection takes counts: left out, it came on top of the route's time-out.
+/// Sends a call to one target and waits for the head of its answer, until `patience` is over and
+/// another target could follow. The time that its connection takes counts: left out, it came on top
+/// of the route's time-out.
 ///
 /// # Errors
 ///
 /// Returns what the failed send proves.
-pub async fn start(
+pub(crate) async fn start(
     gateway: &Arc<Gateway>,
-    call: &Sendable,
-    terms: &Terms,
+    patience: &Patience<'_>,
     choice: Choice,
-    deadline: Duration,
-    patience: Duration,
     resume_after: Option<u64>,
 ) -> Result<Run, NoRun> {
-    let until = Instant::now() + patience;
+    let (call, terms) = (patience.call, patience.terms);
+    let instant = |at: Duration| Instant::now() + at.saturating_sub(gateway.now());
+    let until = instant(patience.until());
     let running = Running::new(gateway, choice, &call.work);
     let choice = &running.choice;
     let identity = choice.identity();
@@ -93,13 +94,22 @@
     let send = SendHead {
         target: &choice.target,
         account: terms.account.as_deref(),
-        time_left: deadline.saturating_sub(gateway.now()),
+        time_left: patience.deadline.saturating_sub(gateway.now()),
         priority: terms.priority,
         fetch_from: choice.fetch_from,
         resume_after,
     };
     let request = build(gateway, call, &send);
-    let answer = match timeout_at(until, lease.send(request)).await {
+    let answer = {
+        let mut sending = pin!(lease.send(request));
+        match timeout_at(until, sending.as_mut()).await {
+            Err(_) if !patience.is_followed_now() => {
+                timeout_at(instant(patience.deadline), sending).await
+            }
+            answer => answer,
+        }
+    };
+    let answer = match answer {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::NotSent)) => return Err(NoRun::new(SendEnd::NotSent, "closed_before")),
         Ok(Err(SendError::Broken(_))) => {
