Sight: what a loaded instance is busy with, how long connections take, readiness

ReadinessChanged (704) names the cause; InstanceLoaded (705, at most one line a second, only while overloaded or late) has the time by duty, the longest connection, body and blocked write of the second, lateness and the estimated queue. Gauges readiness and busy_ms.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -106,6 +106,8 @@
     StopBegan = 701, "info", "The instance takes no new work and finishes what runs.";
     StopDone = 702, "info", "The instance has handed back what it held.";
     StopCutShort = 703, "error", "The store did not take in time what the instance handed back at its stop.";
+    ReadinessChanged = 704, "info", "The instance takes new connections, or does not any more, and why.";
+    InstanceLoaded = 705, "warn", "The instance carries more than its link or processor does, or comes late to what it has to do: what it was busy with, and how long things took.";
     HostFailed = 801, "error", "An input or output of the host failed.";
 }
 
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -174,7 +174,10 @@
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let limit = self.terms.catalogue.limits().body_bytes;
         let reading = Limited::new(body, limit).collect();
-        match tokio::time::timeout(self.left(), reading).await {
+        let read = tokio::time::timeout(self.left(), reading).await;
+        let took = self.gateway.now().saturating_sub(self.record.began_at());
+        self.gateway.link_times.note("body", took);
+        match read {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
                 Err(Refusal::not_run(RefusalCode::BodyTooLarge, None))
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -12,6 +12,8 @@
 
 use crate::exchange::serve;
 use crate::gateway::Gateway;
+use crate::spawn_counted;
+use crate::watched_stream::WatchedStream;
 
 /// Smallest buffer for a head that the HTTP library takes, in bytes.
 const HEAD_BYTES_MIN: usize = 8 * 1024;
@@ -45,7 +47,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(converse(Arc::clone(&gateway), stream));
+                spawn_counted(&gateway, "callers", converse(Arc::clone(&gateway), stream));
             }
             Err(error) => {
                 let error = error.to_string();
@@ -78,7 +80,14 @@
         // longer of the two limits is the one that can be set.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(WatchedStream::new(
+                stream,
+                &gateway.link_times,
+                "write_to_caller",
+            )),
+            service,
+        );
     let mut connection = pin!(connection);
     let mut ending = pin!(gateway.cut());
     let mut is_ending = false;
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -7,10 +7,12 @@
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 
+use crate::busy_times::BusyTimes;
 use crate::clock::Clock;
 use crate::counted_store::CountedStore;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::link_times::LinkTimes;
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::objects::ObjectStore;
@@ -50,6 +52,10 @@
     pub metrics: Metrics,
     /// Bytes sent to peers.
     pub sent_bytes: SentBytes,
+    /// Time spent on each duty.
+    pub busy_times: Arc<BusyTimes>,
+    /// How long what passes the link takes.
+    pub link_times: Arc<LinkTimes>,
     /// Numbered events.
     pub log: Logger,
     /// Wakes the duty that writes to the ledger.
@@ -98,6 +104,7 @@
     ) -> (Arc<Self>, mpsc::Receiver<Outgoing>) {
         let (outbox, outbox_out) = mpsc::channel(OUTBOX_RING);
         let clock = Clock::start();
+        let (link_times, busy_times) = (Arc::default(), Arc::default());
         let state = Mutex::new(State::new(&options, clock.now()));
         let gateway = Arc::new(Self {
             started_at: clock.now(),
@@ -105,7 +112,9 @@
             dialect,
             directory,
             store: CountedStore::new(store),
-            pool: Pool::new(),
+            pool: Pool::new(&link_times, &busy_times),
+            busy_times,
+            link_times,
             ends: TargetEnds::default(),
             metrics: Metrics::new(),
             sent_bytes: SentBytes::default(),
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 mod broken_run;
+pub mod busy_times;
 pub mod call;
 pub mod call_times;
 pub mod charge;
@@ -27,6 +28,8 @@
 pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
+pub mod link_times;
+mod load;
 pub mod loan;
 pub mod logs;
 pub mod member;
@@ -43,6 +46,7 @@
 pub mod pool;
 pub mod pressure;
 pub mod proof;
+pub mod readiness;
 pub mod record;
 pub mod relay;
 pub mod reply;
@@ -62,6 +66,7 @@
 mod target_says;
 pub mod target_words;
 pub mod wanted;
+mod watched_stream;
 
 use std::sync::Arc;
 
@@ -76,9 +81,6 @@
 /// Time between two looks at the kept connections.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time between two looks at how late the instance comes to them.
-const LATENESS_LOOK: Duration = Duration::from_millis(250);
-
 /// Serves until the process is told to stop, and stops without cutting off a call.
 ///
 /// # Errors
@@ -94,38 +96,38 @@
     let data_centre = options.identity.data_centre.clone();
     gateway.log(EventCode::Started, &[("data_centre", &data_centre)]);
 
-    tokio::spawn(follow(Arc::clone(&gateway), Followed::Catalogue));
-    tokio::spawn(follow(Arc::clone(&gateway), Followed::Targets));
+    let following = |followed| follow(Arc::clone(&gateway), followed);
+    spawn_counted(&gateway, "follow", following(Followed::Catalogue));
+    spawn_counted(&gateway, "follow", following(Followed::Targets));
     if options.book.empties_data_centres {
-        tokio::spawn(follow(Arc::clone(&gateway), Followed::Emptied));
+        spawn_counted(&gateway, "follow", following(Followed::Emptied));
     }
     tokio::spawn(proof::keep(Arc::clone(&gateway)));
-    tokio::spawn(rounds::keep(Arc::clone(&gateway)));
+    spawn_counted(&gateway, "rounds", rounds::keep(Arc::clone(&gateway)));
     tokio::spawn(holdings::keep(Arc::clone(&gateway)));
     tokio::spawn(serve_pulls(Arc::clone(&gateway), pulls));
-    tokio::spawn(Arc::clone(&peers).tell());
+    spawn_counted(&gateway, "tell", Arc::clone(&peers).tell());
     tokio::spawn(Arc::clone(&peers).beg());
     tokio::spawn(Arc::clone(&peers).end_loans());
     tokio::spawn(Arc::clone(&peers).lend_later());
-    tokio::spawn(Arc::clone(&peers).send_out(outbox));
-    tokio::spawn(peers.hear());
+    spawn_counted(&gateway, "send_out", Arc::clone(&peers).send_out(outbox));
+    spawn_counted(&gateway, "hear", peers.hear());
     tokio::spawn(prune(Arc::clone(&gateway)));
-    tokio::spawn(look_at_lateness(Arc::clone(&gateway)));
+    tokio::spawn(load::watch(Arc::clone(&gateway)));
     tokio::spawn(front::accept(Arc::clone(&gateway), callers));
     stop::run(Arc::clone(&gateway)).await?;
     drop((readiness, metrics));
     Ok(())
 }
 
-/// Finds out how late the instance comes to what it has to do, until the process ends.
-async fn look_at_lateness(gateway: Arc<Gateway>) {
-    loop {
-        let due_at = gateway.now() + LATENESS_LOOK;
-        tokio::time::sleep(LATENESS_LOOK).await;
-        let now = gateway.now();
-        let lateness = now.saturating_sub(due_at);
-        gateway.state().pressure.note_lateness(now, lateness);
-    }
+/// Spawns a duty whose time is counted.
+pub(crate) fn spawn_counted(
+    gateway: &Arc<Gateway>,
+    duty: &'static str,
+    future: impl Future<Output = ()> + Send + 'static,
+) {
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move { gateway.busy_times.count(duty, future).await });
 }
 
 async fn prune(gateway: Arc<Gateway>) {
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::readiness::Readiness;
+
 /// Labels of what is measured for a client account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AccountLabels {
@@ -94,6 +96,8 @@
     peer_bytes: Family<DutyLabels, Gauge>,
     loans: Family<StateLabels, Gauge>,
     contents: Family<StateLabels, Gauge>,
+    readiness: Family<StateLabels, Gauge>,
+    busy_ms: Family<DutyLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -121,6 +125,8 @@
         let peer_bytes = Family::default();
         let loans = Family::default();
         let contents = Family::default();
+        let readiness = Family::default();
+        let busy_ms = Family::default();
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -149,6 +155,10 @@
         registry.register("loans", help, loans.clone());
         let help = "Contents under which targets ended: all that are remembered, and those refused";
         registry.register("contents", help, contents.clone());
+        let help = "1 for whether the instance takes new connections, and why not";
+        registry.register("readiness", help, readiness.clone());
+        let help = "Milliseconds spent on each duty since the start";
+        registry.register("busy_ms", help, busy_ms.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -166,6 +176,8 @@
             peer_bytes,
             loans,
             contents,
+            readiness,
+            busy_ms,
         }
     }
 
@@ -333,6 +345,21 @@
         }
     }
 
+    /// Notes whether the instance takes new connections, and why not.
+    pub fn sample_readiness(&self, readiness: Readiness) {
+        self.readiness.clear();
+        let state = readiness.as_str();
+        self.readiness.get_or_create(&StateLabels { state }).set(1);
+    }
+
+    /// Notes the time spent on each duty so far.
+    pub fn sample_busy(&self, times: BTreeMap<&'static str, Duration>) {
+        for (duty, time) in times {
+            let ms = i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+            self.busy_ms.get_or_create(&DutyLabels { duty }).set(ms);
+        }
+    }
+
     /// Gives all metrics in the customary text form.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use dropshot::{
     ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, HttpServerStarter, RequestContext,
@@ -13,12 +12,7 @@
 
 use crate::gateway::Gateway;
 use crate::objects::ObjectStore;
-use crate::phase::Phase;
-
-/// Time after a start in which an instance that holds no tokens yet is not ready: its first write
-/// waits for peers that may write for it. After that it may be the store that is away, and what
-/// needs no tokens is served without it.
-const TOKENS_PATIENCE: Duration = Duration::from_secs(2);
+use crate::readiness::Readiness;
 
 type Server = HttpServer<Arc<Gateway>>;
 type Answer = Result<Response<Body>, HttpError>;
@@ -71,17 +65,8 @@
 /// Tells the balancer whether to send new connections here.
 #[endpoint { method = GET, path = "/v1/readiness" }]
 async fn get_readiness(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
-    let gateway = rqctx.context();
-    let is_serving = *gateway.phase.borrow() == Phase::Serving;
-    let now = gateway.now();
-    let state = gateway.state();
-    let has_catalogue = state.catalogue.get().is_some();
-    let is_overloaded = state.pressure.is_high(now);
-    let is_waiting_for_tokens =
-        !state.holder.is_listed() && now.saturating_sub(gateway.started_at) < TOKENS_PATIENCE;
-    drop(state);
-    let is_ready = has_catalogue && !is_waiting_for_tokens && !is_overloaded;
-    let status = if is_serving && is_ready {
+    let is_ready = Readiness::of(rqctx.context()) == Readiness::Ready;
+    let status = if is_ready {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
@@ -119,6 +104,9 @@
     gateway.metrics.count_targets(&counts);
     gateway.metrics.sample_paused(paused);
     gateway.metrics.sample(&free, age, version);
+    let readiness = Readiness::of(gateway);
+    gateway.metrics.sample_readiness(readiness);
+    gateway.metrics.sample_busy(gateway.busy_times.counts());
     gateway.metrics.sample_history(gateway.store.history());
     gateway.metrics.sample_open_calls(gateway.open_calls());
     gateway.metrics.sample_store_calls(gateway.store.counts());
--- a/crates/damaskstile-gateway/src/peers/hearing.rs
+++ b/crates/damaskstile-gateway/src/peers/hearing.rs
@@ -9,6 +9,7 @@
 use super::{Digest, Peers};
 use crate::emptied_list;
 use crate::member::Member;
+use crate::spawn_counted;
 use crate::target_list::incarnation_text;
 use crate::target_says::log_limit;
 use crate::wanted::Wanted;
@@ -130,7 +131,8 @@
     fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
         for (wanted, pause) in wanted {
             let gateway = Arc::clone(&self.gateway);
-            tokio::spawn(pull::pull(gateway, peer, wanted, pause));
+            let pulling = pull::pull(Arc::clone(&gateway), peer, wanted, pause);
+            spawn_counted(&gateway, "pull", pulling);
         }
     }
 }
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -14,6 +14,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::gateway::Gateway;
+use crate::spawn_counted;
 use crate::wanted::{Pulled, Wanted};
 
 use super::pull_messages::{PullAnswer, PullRequest, PulledTarget};
@@ -146,11 +147,12 @@
                     continue;
                 };
                 let answering = answer(Arc::clone(&gateway), stream);
-                tokio::spawn(async move {
+                let answering = async move {
                     // Whoever does not get its answer pulls again.
                     let _ = answering.await;
                     drop(place);
-                });
+                };
+                spawn_counted(&gateway, "answer_pulls", answering);
             }
             Err(error) => {
                 let error = error.to_string();
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -11,7 +11,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use crate::busy_times::BusyTimes;
 use crate::lease::Lease;
+use crate::link_times::LinkTimes;
+use crate::watched_stream::WatchedStream;
 
 /// Connections kept for one target.
 const KEPT_MAX: usize = 64;
@@ -30,13 +33,19 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     kept: Mutex<BTreeMap<TargetIdentity, Vec<Kept>>>,
+    link_times: Arc<LinkTimes>,
+    busy_times: Arc<BusyTimes>,
 }
 
 impl Pool {
     /// Makes an empty pool.
     #[must_use]
-    pub fn new() -> Arc<Self> {
-        Arc::new(Self::default())
+    pub fn new(link_times: &Arc<LinkTimes>, busy_times: &Arc<BusyTimes>) -> Arc<Self> {
+        Arc::new(Self {
+            link_times: Arc::clone(link_times),
+            busy_times: Arc::clone(busy_times),
+            ..Self::default()
+        })
     }
 
     /// Returns a kept connection to a target, or makes one.
@@ -52,13 +61,17 @@
         if let Some(kept) = self.take(target) {
             return Ok(Lease::new(self, target, kept.sender, kept.task, true));
         }
-        let stream = connect(address).await?;
+        let began_at = std::time::Instant::now();
+        let stream = connect(address).await;
+        self.link_times.note("connect", began_at.elapsed());
+        let stream = WatchedStream::new(stream?, &self.link_times, "write_to_target");
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
+        let busy_times = Arc::clone(&self.busy_times);
         let task = tokio::spawn(async move {
             // How the connection ends shows in the answer that was read from it.
-            let _ = connection.await;
+            let _ = busy_times.count("targets", connection).await;
         });
         Ok(Lease::new(self, target, sender, task.abort_handle(), false))
     }
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -113,6 +113,14 @@
         self.is_high(now) && self.since.is_some_and(is_noticed)
     }
 
+    /// Returns how long what was noted takes to pass the link.
+    #[must_use]
+    pub fn delay(&mut self, now: Duration) -> Duration {
+        self.drain(now);
+        let delay_us = u128::from(self.queued_bytes) * 1_000_000 / u128::from(self.bytes_per_s);
+        Duration::from_micros(u64::try_from(delay_us).unwrap_or(u64::MAX))
+    }
+
     fn drain(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.at);
         self.at = self.at.max(now);
