A call whose caller has left is not sent

Callers saw: nothing; targets worked for nobody.

Cause: that a caller closed its connection is learned with the next round of events. A process that comes late to its events (it stood still, or one pass over what is ready takes long) first finishes what is ready, and that is to send calls that it has read. So the connection itself is asked just before a call is sent; one system call a send.

Ruled out: waiting for a round of events before each send, which costs every call a pass of the loop at the instance that is late.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::broken_run::BrokenRun;
+use crate::caller_link::CallerLink;
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
 use crate::patience::Patience;
@@ -48,13 +49,18 @@
     _open: OpenCall,
     attempts: Attempts,
     tried: Vec<TargetId>,
+    caller: CallerLink,
     last_event: Option<u64>,
     /// Whether a target may be at work on it.
     is_sending: bool,
 }
 
 /// Serves one call.
-pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    caller: CallerLink,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
     let open = gateway.open_call();
     let (parts, body) = request.into_parts();
     let head = gateway.dialect.read_call(&parts);
@@ -228,7 +234,8 @@
             self.is_sending = true;
             let sent = BrokenRun::of(&choice, self.gateway.now());
             let patience = self.patience();
-            let no_run = match run::start(&self.gateway, &patience, choice, None).await {
+            let started = run::start(&self.gateway, &self.caller, &patience, choice, None);
+            let no_run = match started.await {
                 Ok(run) => match self.answer(run, reservation).await {
                     Ok(response) => return (response, None),
                     Err((no_run, kept)) => {
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -121,6 +121,7 @@
             run: Some(run),
             open: self.gateway.open_call(),
             last_event: self.last_event,
+            caller: self.caller.clone(),
             cutter: EventCutter::default(),
             event_at: None,
             pause_max: Duration::ZERO,
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller_link::CallerLink;
 use crate::exchange::serve;
 use crate::gateway::Gateway;
 use crate::spawn_counted;
@@ -70,9 +71,12 @@
         .get()
         .map(|catalogue| *catalogue.limits())
         .unwrap_or_default();
+    let stream = Arc::new(stream);
+    let caller = CallerLink::new(&stream);
+    let stream = WatchedStream::new(&stream, &gateway.link_times, "write_to_caller");
     let service = service_fn(|request| {
-        let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(serve(gateway, request).await) }
+        let (gateway, caller) = (Arc::clone(&gateway), caller.clone());
+        async move { Ok::<_, Infallible>(serve(gateway, caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -80,14 +84,7 @@
         // longer of the two limits is the one that can be set.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(
-            TokioIo::new(WatchedStream::new(
-                stream,
-                &gateway.link_times,
-                "write_to_caller",
-            )),
-            service,
-        );
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut ending = pin!(gateway.cut());
     let mut is_ending = false;
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call_times;
 pub mod charge;
 pub mod clock;
+pub mod caller_link;
 pub mod cold_options;
 pub mod contact;
 pub mod content_changes;
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -64,7 +64,7 @@
         let began_at = std::time::Instant::now();
         let stream = connect(address).await;
         self.link_times.note("connect", began_at.elapsed());
-        let stream = WatchedStream::new(stream?, &self.link_times, "write_to_target");
+        let stream = WatchedStream::new(&Arc::new(stream?), &self.link_times, "write_to_target");
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
+use crate::caller_link::CallerLink;
 use crate::events::{EventCutter, WholeEvent};
 use crate::gateway::Gateway;
 use crate::open_call::OpenCall;
@@ -51,6 +52,8 @@
     pub run: Option<Run>,
     /// Counts the call as open.
     pub open: OpenCall,
+    /// The caller's connection.
+    pub caller: CallerLink,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     /// Cuts the stream into events.
--- a/crates/damaskstile-gateway/src/relay/going_on.rs
+++ b/crates/damaskstile-gateway/src/relay/going_on.rs
@@ -73,7 +73,9 @@
             self.note_resumption(cause, &choice.target);
             let sent = BrokenRun::of(&choice, self.gateway.now());
             let (patience, resume_after) = (self.patience(), self.last_event);
-            let end = match run::start(&self.gateway, &patience, choice, resume_after).await {
+            let (gateway, caller) = (&self.gateway, &self.caller);
+            let started = run::start(gateway, caller, &patience, choice, resume_after);
+            let end = match started.await {
                 Ok(run) if run.parts.status.is_success() => {
                     self.is_waited_out = false;
                     self.run = Some(run);
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::AnswerHead;
 use crate::call::SendHead;
+use crate::caller_link::CallerLink;
 use crate::gateway::Gateway;
 use crate::handling::Handling;
 use crate::lease::{Lease, SendError};
@@ -62,6 +63,7 @@
 /// Returns what the failed send proves.
 pub(crate) async fn start(
     gateway: &Arc<Gateway>,
+    caller: &CallerLink,
     patience: &Patience<'_>,
     choice: Choice,
     resume_after: Option<u64>,
@@ -91,6 +93,10 @@
     if !gateway.state().book.claim_send(now, &choice.identity()) {
         return Err(NoRun::new(SendEnd::NotSent, "leaving"));
     }
+    if caller.has_left() {
+        // The connection's task drops the call as soon as it sees that.
+        std::future::pending::<()>().await;
+    }
     let send = SendHead {
         target: &choice.target,
         account: terms.account.as_deref(),
--- a/crates/damaskstile-gateway/src/watched_stream.rs
+++ b/crates/damaskstile-gateway/src/watched_stream.rs
@@ -1,12 +1,14 @@
 //! `watched_stream` is a connection that notes how long its writes wait for room.
 
-use std::io::{IoSlice, Result};
+use std::io::{ErrorKind, IoSlice, Read, Result};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::link_times::LinkTimes;
@@ -14,28 +16,47 @@
 /// `WatchedStream` is a connection that notes how long its writes wait for room.
 #[derive(Debug)]
 pub(crate) struct WatchedStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     times: Arc<LinkTimes>,
     what: &'static str,
     waiting: Option<(Instant, u64, &'static str)>,
 }
 
 impl WatchedStream {
-    pub(crate) fn new(stream: TcpStream, times: &Arc<LinkTimes>, what: &'static str) -> Self {
+    pub(crate) fn new(stream: &Arc<TcpStream>, times: &Arc<LinkTimes>, what: &'static str) -> Self {
         Self {
-            stream,
+            stream: Arc::clone(stream),
             times: Arc::clone(times),
             what,
             waiting: None,
         }
     }
 
-    fn note(&mut self, poll: &Poll<Result<usize>>) {
-        if poll.is_pending() {
-            if self.waiting.is_none() {
-                self.waiting = Some(self.times.wait(self.what));
+    /// Writes once there is room.
+    fn poll_with(
+        &mut self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> Result<usize>,
+    ) -> Poll<Result<usize>> {
+        loop {
+            if self.stream.poll_write_ready(context)?.is_pending() {
+                if self.waiting.is_none() {
+                    self.waiting = Some(self.times.wait(self.what));
+                }
+                return Poll::Pending;
             }
-        } else if let Some(waiting) = self.waiting.take() {
+            match write(&self.stream) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => {
+                    self.end_wait();
+                    return Poll::Ready(written);
+                }
+            }
+        }
+    }
+
+    fn end_wait(&mut self) {
+        if let Some(waiting) = self.waiting.take() {
             self.times.end_wait(waiting);
         }
     }
@@ -43,19 +64,42 @@
 
 impl Drop for WatchedStream {
     fn drop(&mut self) {
-        if let Some(waiting) = self.waiting.take() {
-            self.times.end_wait(waiting);
-        }
+        self.end_wait();
     }
 }
 
+/// Reads what is there. Less than there is room for is all that there is, and the connection counts as
+/// read without another look at it.
+fn read_at_once(stream: &TcpStream, buffer: &mut [u8]) -> Result<usize> {
+    let mut read = Err(ErrorKind::WouldBlock.into());
+    // The outcome is in `read`; what is returned says whether there may be more.
+    let _ = stream.try_io(Interest::READABLE, || {
+        read = (&*SockRef::from(stream)).read(buffer);
+        match &read {
+            Ok(bytes) if (1..buffer.len()).contains(bytes) => Err(ErrorKind::WouldBlock.into()),
+            Ok(_) => Ok(()),
+            Err(error) => Err(error.kind().into()),
+        }
+    });
+    read
+}
+
 impl AsyncRead for WatchedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match read_at_once(&self.stream, buffer.initialize_unfilled()) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => {
+                    buffer.advance(read?);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
     }
 }
 
@@ -65,9 +109,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.note(&poll);
-        poll
+        self.poll_with(context, |stream| stream.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -75,20 +117,18 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        self.note(&poll);
-        poll
+        self.poll_with(context, |stream| stream.try_write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
