What a link or a processor does not bear is refused at once, and callers do not swing

Mend: - A call that would wait for the link or the processor longer than its objective (250 ms at least) is refused as not run, at once, with the connection and without a wait: the next try reaches another instance. What a call takes of the processor is learned; a pause of the machine does not count. - Callers that can be served stay; all were sent away before. - The calm after an overload is 16 s, and four times that where the next overload comes soon after it (64 s at most); an instance whose link or processor is half in use is not ready yet. - Bytes of answers and of messages to peers count, each way apart.

Refuted on the way: kept connections hold a caller's calls. Most calls of these clients come on new ones, so readiness moves an account whole, and the swing ends only once an instance that bears it has it.

--- /dev/null
+++ b/crates/damaskstile-gateway/src/backlog.rs
@@ -0,0 +1,70 @@
+//! `backlog` is what waits to be done at a steady rate.
+
+use damaskstile_core::prelude::*;
+
+/// Time over which the share of the rate that is in use is taken.
+const SHARE_SPAN: Duration = Duration::from_secs(2);
+
+/// `Backlog` is what waits to be done at a steady rate: bytes for a link, work for a processor.
+#[derive(Debug, Clone)]
+pub struct Backlog {
+    per_s: f64,
+    waiting: f64,
+    /// What was added lately; what is older counts less.
+    recent: f64,
+    at: Duration,
+}
+
+impl Backlog {
+    /// Makes an empty backlog of what is done at a rate.
+    #[must_use]
+    pub fn new(per_s: f64) -> Self {
+        Self {
+            per_s: per_s.max(f64::MIN_POSITIVE),
+            waiting: 0.0,
+            recent: 0.0,
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Adds to it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_gateway::backlog::Backlog;
+    /// let mut backlog = Backlog::new(1_000.0);
+    /// backlog.add(Duration::ZERO, 500.0);
+    /// assert_eq!(backlog.delay(Duration::ZERO), Duration::from_millis(500));
+    /// assert_eq!(backlog.delay(Duration::from_millis(200)), Duration::from_millis(300));
+    /// ```
+    pub fn add(&mut self, now: Duration, amount: f64) {
+        self.pass(now);
+        self.waiting += amount;
+        self.recent += amount;
+    }
+
+    /// Has it be done at another rate from now on.
+    pub fn set_rate(&mut self, now: Duration, per_s: f64) {
+        self.pass(now);
+        self.per_s = per_s.max(f64::MIN_POSITIVE);
+    }
+
+    /// Returns how long what waits takes.
+    pub fn delay(&mut self, now: Duration) -> Duration {
+        self.pass(now);
+        Duration::try_from_secs_f64(self.waiting / self.per_s).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the share of the rate that was in use lately.
+    pub fn share(&mut self, now: Duration) -> f64 {
+        self.pass(now);
+        self.recent / (self.per_s * SHARE_SPAN.as_secs_f64())
+    }
+
+    fn pass(&mut self, now: Duration) {
+        let passed_s = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.waiting = (self.waiting - self.per_s * passed_s).max(0.0);
+        self.recent *= (-passed_s / SHARE_SPAN.as_secs_f64()).exp();
+    }
+}
--- a/crates/damaskstile-gateway/src/caller_link.rs
+++ b/crates/damaskstile-gateway/src/caller_link.rs
@@ -15,7 +15,9 @@
 pub struct CallerLink(Arc<TcpStream>);
 
 impl CallerLink {
-    pub(crate) fn new(stream: &Arc<TcpStream>) -> Self {
+    /// Makes a look at a connection.
+    #[must_use]
+    pub fn new(stream: &Arc<TcpStream>) -> Self {
         Self(Arc::clone(stream))
     }
 
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -36,9 +36,6 @@
 /// have limits of their own, which end it first and say more of the cause; callers are promised an
 /// answer within half a second.
 const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
-/// Bytes of a call's head, with those of the packets that carry it.
-const HEAD_BYTES: usize = 1_000;
-
 /// `Exchange` is one call on its way.
 struct Exchange {
     gateway: Arc<Gateway>,
@@ -49,10 +46,10 @@
     _open: OpenCall,
     attempts: Attempts,
     tried: Vec<TargetId>,
-    caller: CallerLink,
     last_event: Option<u64>,
     /// Whether a target may be at work on it.
     is_sending: bool,
+    caller: CallerLink,
 }
 
 /// Serves one call.
@@ -93,6 +90,7 @@
                 tried: Vec::new(),
                 last_event: head.last_event,
                 is_sending: false,
+                caller,
             };
             let time_is_up = tokio::time::sleep(limit + TIME_LIMIT_SLACK);
             tokio::select! {
@@ -104,9 +102,7 @@
         }
         Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
     };
-    let now = gateway.now();
-    let is_moving = gateway.state().pressure.should_move_callers(now);
-    if is_moving || *gateway.phase.borrow() != Phase::Serving {
+    if *gateway.phase.borrow() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -142,10 +138,9 @@
     async fn go(&mut self, body: Incoming) -> Response<ReplyBody> {
         match self.read_body(body).await {
             Ok(body) => {
-                let now = self.gateway.now();
-                let bytes = body.len() + HEAD_BYTES;
-                self.gateway.state().pressure.add(now, bytes);
                 self.call.body = body;
+                let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
+                self.gateway.state().pressure.note_received(now, bytes);
             }
             Err(refusal) => return self.refuse(&refusal),
         }
@@ -155,6 +150,9 @@
             let refusal = self.stopping();
             return self.refuse(&refusal);
         }
+        if let Some(response) = self.overloaded() {
+            return response;
+        }
         if let Some(refusal) = self.barred() {
             return self.refuse(&refusal);
         }
@@ -284,6 +282,8 @@
     }
 
     fn note_retry(&self, cause: &str) {
+        let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
+        self.gateway.state().pressure.note_sent(now, bytes);
         let id = self.call.id.as_deref().unwrap_or("-");
         self.gateway
             .log(EventCode::SendRetried, &[("id", id), ("cause", cause)]);
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -81,6 +81,7 @@
             }
             Err(_) => return Err((NoRun::new(SendEnd::Failed, "body_late"), reservation)),
         };
+        self.gateway.note_passed(body.len());
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
         if parts.status.is_success() {
@@ -120,8 +121,8 @@
             deadline: self.deadline,
             run: Some(run),
             open: self.gateway.open_call(),
-            last_event: self.last_event,
             caller: self.caller.clone(),
+            last_event: self.last_event,
             cutter: EventCutter::default(),
             event_at: None,
             pause_max: Duration::ZERO,
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -2,10 +2,10 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_requests::Fingerprint;
-use http::Response;
+use http::{HeaderValue, Response, header};
 
 use super::{Exchange, refuse};
-use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
+use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 
 /// Time in which callers come back by chance, after what all of them wait for.
 const RETURN_SPREAD_MS: u64 = 300;
@@ -29,6 +29,25 @@
         refuse(&self.gateway, &mut self.record, refusal, id.as_deref())
     }
 
+    /// Returns the answer to a call that this instance cannot serve in time. Its connection is closed,
+    /// so that its caller reaches another one, now and later.
+    pub(super) fn overloaded(&mut self) -> Option<Response<ReplyBody>> {
+        let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
+        let objective = self.terms.route.objective;
+        let is_admitted = {
+            let pressure = &mut self.gateway.state().pressure;
+            pressure.admit(now, bytes, objective)
+        };
+        if is_admitted {
+            return None;
+        }
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(RETRY_AT_ONCE));
+        let mut response = self.refuse(&refusal);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        Some(response)
+    }
+
     pub(super) fn too_late(&mut self) -> Response<ReplyBody> {
         let code = RefusalCode::DeadlineExceeded;
         let refusal = if self.is_sending || self.attempts.has_run() {
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -154,6 +154,14 @@
         logs::write(&self.log, &LogEvent::new(code, fields));
     }
 
+    /// Notes bytes of an answer that came from a target and go on to a caller.
+    pub(crate) fn note_passed(&self, bytes: usize) {
+        let now = self.now();
+        let pressure = &mut self.state().pressure;
+        pressure.note_received(now, bytes);
+        pressure.note_sent(now, bytes);
+    }
+
     /// Tells whether a call that began at some time can be expected to be over before a stop would
     /// cut it off; always, while no stop was ordered.
     pub fn is_over_in_time(&self, route: &str, began_at: Duration, deadline: Duration) -> bool {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -5,13 +5,15 @@
 //! [`Directory`](directory::Directory) and [`ObjectStore`](objects::ObjectStore).
 
 pub mod answer;
+pub mod backlog;
 mod broken_run;
 pub mod busy_times;
 pub mod call;
+pub mod call_cost;
 pub mod call_times;
+pub mod caller_link;
 pub mod charge;
 pub mod clock;
-pub mod caller_link;
 pub mod cold_options;
 pub mod contact;
 pub mod content_changes;
@@ -33,6 +35,7 @@
 mod load;
 pub mod loan;
 pub mod logs;
+pub mod look;
 pub mod member;
 pub mod metrics;
 pub mod objects;
@@ -41,7 +44,7 @@
 pub mod operators;
 pub mod options;
 pub mod outgoing;
-mod patience;
+pub mod patience;
 pub mod peers;
 pub mod phase;
 pub mod pool;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 
 use crate::gateway::Gateway;
+use crate::look::Look;
 use crate::readiness::Readiness;
 
 /// Time between two looks at how late the instance comes to them.
@@ -15,10 +16,35 @@
 /// Lateness from which on such lines are written.
 const LATE: Duration = Duration::from_millis(100);
 
+/// Duties that serve calls.
+const CALL_DUTIES: [&str; 2] = ["callers", "targets"];
+
+/// Time spent on calls and on all else, since the start.
+#[derive(Debug, Clone, Copy)]
+struct Busy {
+    with_calls: Duration,
+    otherwise: Duration,
+}
+
+impl Busy {
+    fn of(gateway: &Gateway) -> Self {
+        let counts = gateway.busy_times.counts();
+        let is_of_calls = |duty: &&'static str| CALL_DUTIES.contains(duty);
+        let (calls, others): (Vec<_>, Vec<_>) =
+            counts.into_iter().partition(|(duty, _)| is_of_calls(duty));
+        Self {
+            with_calls: calls.into_iter().map(|(_, time)| time).sum(),
+            otherwise: others.into_iter().map(|(_, time)| time).sum(),
+        }
+    }
+}
+
 /// Looks at what the instance carries until the process ends.
 pub async fn watch(gateway: Arc<Gateway>) {
     let mut readiness = Readiness::Starting;
     let mut busy_before = gateway.busy_times.counts();
+    let mut busy_at_look = Busy::of(&gateway);
+    let mut looked_at = gateway.now();
     let mut line_at = gateway.now();
     let mut longest_lateness = Duration::ZERO;
     loop {
@@ -26,7 +52,15 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
         let now = gateway.now();
         let lateness = now.saturating_sub(due_at);
-        gateway.state().pressure.note_lateness(now, lateness);
+        let busy = Busy::of(&gateway);
+        let look = Look {
+            span: now.saturating_sub(looked_at),
+            lateness,
+            busy_with_calls: busy.with_calls.saturating_sub(busy_at_look.with_calls),
+            busy_otherwise: busy.otherwise.saturating_sub(busy_at_look.otherwise),
+        };
+        gateway.state().pressure.look(now, &look);
+        (busy_at_look, looked_at) = (busy, now);
         longest_lateness = longest_lateness.max(lateness);
         let found = Readiness::of(&gateway);
         if found != readiness {
@@ -59,13 +93,15 @@
         let _ = write!(longest, "{separator}{what}:{}", took.as_millis());
     }
     let now = gateway.now();
-    let queue_ms = gateway.state().pressure.delay(now).as_millis();
+    let delays = gateway.state().pressure.delays(now);
+    let [received_ms, sent_ms, work_ms] = delays.map(|delay| delay.as_millis());
+    let waits_ms = format!("in:{received_ms},out:{sent_ms},processor:{work_ms}");
     let fields = [
         ("span_ms", span.as_millis().to_string()),
         ("late_ms", lateness.as_millis().to_string()),
         ("busy_ms", busy.to_owned()),
         ("longest_ms", longest),
-        ("queue_ms", queue_ms.to_string()),
+        ("waits_ms", waits_ms),
         ("calls", gateway.open_calls().to_string()),
         ("connections", gateway.open_connections().to_string()),
     ];
--- a/crates/damaskstile-gateway/src/patience.rs
+++ b/crates/damaskstile-gateway/src/patience.rs
@@ -14,9 +14,12 @@
 /// `Patience` tells how long a silent target is waited for: as long as the call has time, unless
 /// another target could follow.
 #[derive(Debug)]
-pub(crate) struct Patience<'a> {
+pub struct Patience<'a> {
+    /// What is shared by all duties.
     pub gateway: &'a Gateway,
+    /// The call.
     pub call: &'a Sendable,
+    /// What holds for it.
     pub terms: &'a Terms,
     /// The sends before the one under way.
     pub attempts: &'a Attempts,
@@ -31,7 +34,8 @@
 
 impl Patience<'_> {
     /// Returns until when the target may be silent before anything else is thought of.
-    pub(crate) fn until(&self) -> Duration {
+    #[must_use]
+    pub fn until(&self) -> Duration {
         let now = self.gateway.now();
         let until = now + (self.terms.route.objective * 3).max(PATIENCE_MIN);
         if until < self.deadline && self.is_followed(until) {
@@ -43,7 +47,8 @@
 
     /// Tells whether another target could follow now. Asked when the patience is over: what held
     /// when the call was sent may not hold any more, and giving the target up would end the call.
-    pub(crate) fn is_followed_now(&self) -> bool {
+    #[must_use]
+    pub fn is_followed_now(&self) -> bool {
         self.is_followed(self.gateway.now())
     }
 
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -58,6 +58,8 @@
 const CHANGE_BYTES_MAX: usize = 8 * 1024;
 /// Instances that one knows at most that has just started: itself and the seeds.
 const JUST_STARTED_KNOWN_MAX: u64 = 4;
+/// Bytes of a packet beside what it carries.
+const PACKET_BYTES: usize = 28;
 /// Pause after a failure to receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -209,6 +211,9 @@
         };
         let bytes = datagram.encode_to_vec();
         self.gateway.sent_bytes.add(duty, bytes.len());
+        let now = self.gateway.now();
+        let link_bytes = bytes.len() + PACKET_BYTES;
+        self.gateway.state().pressure.note_sent(now, link_bytes);
         // A datagram may get lost at any time; the next digest says the same.
         let _ = self.socket.send_to(&bytes, address).await;
     }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -205,7 +205,7 @@
         let now = self.gateway.now();
         let before = self.event_at.replace(now).unwrap_or(now);
         self.pause_max = self.pause_max.max(now.saturating_sub(before));
-        self.gateway.state().pressure.add(now, event.bytes.len());
+        self.gateway.note_passed(event.bytes.len());
         if let Some(run) = &mut self.run {
             run.running.event();
         }
--- a/crates/damaskstile-gateway/src/relay/going_on.rs
+++ b/crates/damaskstile-gateway/src/relay/going_on.rs
@@ -120,6 +120,8 @@
     }
 
     fn note_resumption(&self, cause: &str, target: &str) {
+        let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
+        self.gateway.state().pressure.note_sent(now, bytes);
         let id = self.call.id.as_deref().unwrap_or("-");
         let after = self
             .last_event
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -61,7 +61,7 @@
 /// # Errors
 ///
 /// Returns what the failed send proves.
-pub(crate) async fn start(
+pub async fn start(
     gateway: &Arc<Gateway>,
     caller: &CallerLink,
     patience: &Patience<'_>,
--- a/crates/damaskstile-gateway/src/sendable.rs
+++ b/crates/damaskstile-gateway/src/sendable.rs
@@ -5,6 +5,9 @@
 use damaskstile_targets::Work;
 use http::{HeaderMap, Method, Uri, header};
 
+/// Bytes of a call's head, with those of the packets that carry it.
+const HEAD_BYTES: usize = 1_000;
+
 /// `Sendable` is a call as it goes to any target.
 #[derive(Debug, Clone)]
 pub struct Sendable {
@@ -23,6 +26,12 @@
 }
 
 impl Sendable {
+    /// Returns about how many bytes it takes on a link.
+    #[must_use]
+    pub fn link_bytes(&self) -> usize {
+        self.body.len() + HEAD_BYTES
+    }
+
     /// Returns what it asks for, for a client account.
     #[must_use]
     pub fn content<'a>(&'a self, account: Option<&'a str>) -> Content<'a> {
--- a/crates/damaskstile-gateway/tests/pressure.rs
+++ b/crates/damaskstile-gateway/tests/pressure.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use damaskstile_gateway::look::Look;
 use damaskstile_gateway::pressure::Pressure;
 
 /// Link of a small instance: 10 Mbit/s.
@@ -9,14 +10,20 @@
 /// Body and head of a long prompt.
 const CALL_BYTES: usize = 10_000;
 
-/// Sends so many long prompts a second, evenly, for some time.
-fn load(pressure: &mut Pressure, calls_per_s: u64, from: Duration, span: Duration) {
+/// Time within which calls are to be begun.
+const WITHIN: Duration = Duration::from_millis(250);
+
+/// Sends so many long prompts a second, evenly, for some time; returns how many are refused.
+fn load(pressure: &mut Pressure, calls_per_s: u64, from: Duration, span: Duration) -> usize {
     let gap = Duration::from_secs(1) / u32::try_from(calls_per_s).unwrap();
     let mut now = from;
+    let mut refused = 0;
     while now < from + span {
-        pressure.add(now, CALL_BYTES);
+        pressure.note_received(now, CALL_BYTES);
+        refused += usize::from(!pressure.admit(now, CALL_BYTES, WITHIN));
         now += gap;
     }
+    refused
 }
 
 #[test]
@@ -31,11 +38,11 @@
     let span = Duration::from_secs(3);
 
     // Act
-    load(&mut pressure, 200, Duration::ZERO, span);
+    let refused = load(&mut pressure, 200, Duration::ZERO, span);
 
-    // Assert
+    // Assert: half of them go elsewhere, but for those that wait a quarter of a second.
     assert!(pressure.is_high(span));
-    assert!(pressure.should_move_callers(span));
+    assert!((250..=300).contains(&refused), "{refused}");
 }
 
 #[test]
@@ -46,24 +53,225 @@
 
     // Act: nine calls a second are an even share; twenty at once take a fifth of a second.
     load(&mut pressure, 9, Duration::ZERO, span);
-    (0..20).for_each(|_| pressure.add(span, CALL_BYTES));
+    (0..20).for_each(|_| pressure.note_received(span, CALL_BYTES));
 
     // Assert
     assert!(!pressure.is_high(span));
 }
 
 #[test]
-fn callers_move_only_once_the_balancer_knows_and_come_back_after_a_calm() {
+fn callers_are_given_up_only_while_there_are_too_many_and_come_back_after_a_calm() {
     // Arrange
     let mut pressure = Pressure::new(LINK_BYTES_PER_S);
     let ms = Duration::from_millis;
 
+    // Act and assert: twice as many as it bears.
+    let refused = load(&mut pressure, 200, Duration::ZERO, ms(4_000));
+    assert!((300..400).contains(&refused), "{refused}");
+
+    // As many as it bears: they stay, and no others are asked for.
+    let refused = load(&mut pressure, 60, ms(5_000), ms(6_000));
+    assert_eq!(refused, 0);
+    pressure.look(ms(11_000), &Look::default());
+    assert!(pressure.is_high(ms(11_000)));
+
+    // Nearly none: it asks for others after a calm.
+    assert!(pressure.is_high(ms(26_000)));
+    assert!(!pressure.is_high(ms(28_000)));
+}
+
+#[test]
+fn a_call_that_would_wait_too_long_is_refused_at_once() {
+    // Guards against: calls that wait seconds in sockets for the way out, where another instance has
+    // room.
+
+    // Arrange
+    let mut pressure = Pressure::new(LINK_BYTES_PER_S);
+
+    // Act: two hundred at once, where some hundred a second have room.
+    let admitted = (0..200).filter(|_| pressure.admit(Duration::ZERO, CALL_BYTES, WITHIN));
+    let admitted = admitted.count();
+
+    // Assert: a quarter of a second of the usable link.
+    assert!((20..=30).contains(&admitted), "{admitted}");
+    assert!(pressure.is_high(Duration::ZERO));
+    assert!(pressure.admit(Duration::from_secs(1), CALL_BYTES, WITHIN));
+}
+
+#[test]
+fn a_processor_that_calls_take_whole_refuses_what_it_cannot_serve() {
+    // Guards against: the same where calls wait for the processor, with the link nearly idle.
+
+    // Arrange: ten milliseconds for each of a hundred calls a second.
+    let mut pressure = Pressure::new(LINK_BYTES_PER_S);
+    let ms = Duration::from_millis;
+    let span = ms(250);
+
+    // Act
+    let mut admitted = [0; 20];
+    for (index, admitted) in admitted.iter_mut().enumerate() {
+        let from = span * u32::try_from(index).unwrap();
+        for call in 0..25 {
+            let now = from + ms(10) * call;
+            *admitted += u32::from(pressure.admit(now, 10, WITHIN));
+        }
+        let look = Look {
+            span,
+            busy_with_calls: ms(10) * *admitted + ms(2) * (25 - *admitted),
+            ..Look::default()
+        };
+        pressure.look(from + span, &look);
+    }
+
+    // Assert: what is left is what it bears, beside its own work and the refusals.
+    let last: u32 = admitted[12..].iter().sum();
+    assert!((8 * 12..=8 * 20).contains(&last), "{admitted:?}");
+    assert!(pressure.is_high(span * 20));
+}
+
+#[test]
+fn a_pause_of_the_machine_is_not_taken_for_work() {
+    // Guards against: calls refused after a pause, since the pause was taken for what they cost.
+
+    // Arrange
+    let mut pressure = Pressure::new(LINK_BYTES_PER_S);
+    let pause = Duration::from_secs(5);
+    (0..50).for_each(|_| {
+        pressure.admit(Duration::ZERO, 10, WITHIN);
+    });
+
     // Act
-    load(&mut pressure, 200, Duration::ZERO, ms(1_000));
+    let look = Look {
+        span: pause,
+        lateness: pause,
+        busy_with_calls: pause,
+        ..Look::default()
+    };
+    pressure.look(pause, &look);
 
     // Assert
-    assert!(pressure.is_high(ms(1_000)));
-    assert!(!pressure.should_move_callers(ms(1_000)));
-    assert!(pressure.should_move_callers(ms(4_000)));
-    assert!(!pressure.is_high(ms(9_000)));
+    let admitted = (0..50)
+        .filter(|_| pressure.admit(pause, 10, WITHIN))
+        .count();
+    assert_eq!(admitted, 50);
+}
+
+/// A balancer that sends new connections to the first instance that was ready in one of its last
+/// two looks, and callers that each keep a connection.
+struct Swarm {
+    instances: Vec<Pressure>,
+    misses: Vec<u32>,
+    /// The instance that each caller is connected to.
+    callers: Vec<usize>,
+    /// Whether they keep their connections.
+    is_keeping: bool,
+    refused: usize,
+    /// Times that an instance became overloaded.
+    overloads: usize,
+}
+
+impl Swarm {
+    /// Makes one of instances with these links, in the order in which the balancer takes them.
+    fn new(links_bytes_per_s: &[u64], callers: usize, is_keeping: bool) -> Self {
+        let links = links_bytes_per_s.iter();
+        Self {
+            instances: links.map(|link| Pressure::new(*link)).collect(),
+            misses: vec![0; links_bytes_per_s.len()],
+            callers: vec![0; callers],
+            is_keeping,
+            refused: 0,
+            overloads: 0,
+        }
+    }
+
+    fn first_in_rotation(&self) -> usize {
+        self.misses.iter().position(|misses| *misses < 2).unwrap()
+    }
+
+    /// Lets all callers call once, one after the other, within some time.
+    fn pass(&mut self, from: Duration, span: Duration) {
+        let count = u32::try_from(self.callers.len()).unwrap();
+        for index in 0..self.callers.len() {
+            let now = from + span * u32::try_from(index).unwrap() / count;
+            if !self.is_keeping {
+                self.callers[index] = self.first_in_rotation();
+            }
+            let at = self.callers[index];
+            let pressure = &mut self.instances[at];
+            let was_high = pressure.is_high(now);
+            pressure.note_received(now, CALL_BYTES);
+            let is_admitted = pressure.admit(now, CALL_BYTES, WITHIN);
+            self.overloads += usize::from(!was_high && pressure.is_high(now));
+            self.refused += usize::from(!is_admitted);
+            if !is_admitted {
+                self.callers[index] = self.first_in_rotation();
+            }
+        }
+    }
+
+    fn look(&mut self, now: Duration) {
+        for (pressure, misses) in self.instances.iter_mut().zip(&mut self.misses) {
+            let span = Duration::from_secs(1);
+            pressure.look(
+                now,
+                &Look {
+                    span,
+                    ..Look::default()
+                },
+            );
+            *misses = if pressure.is_high(now) {
+                *misses + 1
+            } else {
+                0
+            };
+        }
+    }
+}
+
+#[test]
+fn an_account_that_no_instance_bears_alone_does_not_swing_between_two() {
+    // Guards against: instances that give up all callers at once and get all of them back after a
+    // calm, so that each is overloaded and empty in turn.
+
+    // Arrange: 180 calls a second, where an instance bears 100.
+    let mut swarm = Swarm::new(&[LINK_BYTES_PER_S; 4], 180, true);
+    let second = Duration::from_secs(1);
+
+    // Act
+    for index in 0..20 {
+        swarm.pass(second * index, second);
+        swarm.look(second * (index + 1));
+    }
+    let (refused_first, callers_first) = (swarm.refused, swarm.callers.clone());
+    for index in 20..60 {
+        swarm.pass(second * index, second);
+        swarm.look(second * (index + 1));
+    }
+
+    // Assert: they have found their places, and most stay there.
+    let moved = swarm.callers.iter().zip(&callers_first);
+    let moved = moved.filter(|(now, before)| now != before).count();
+    assert!(moved < 60, "{moved} moved");
+    let refused = swarm.refused - refused_first;
+    assert!(refused < 7_200 / 50, "{refused} of 7,200 refused");
+}
+
+#[test]
+fn callers_that_connect_anew_for_each_call_come_to_an_instance_that_bears_them() {
+    // Guards against: the same where a balancer moves all calls of an account at once. Two narrow
+    // instances that are ready again after seconds had all of them in turn, for ever.
+
+    // Arrange
+    let links = [LINK_BYTES_PER_S, LINK_BYTES_PER_S, 20 * LINK_BYTES_PER_S];
+    let mut swarm = Swarm::new(&links, 180, false);
+    let second = Duration::from_secs(1);
+
+    // Act
+    for index in 0..120 {
+        swarm.pass(second * index, second);
+        swarm.look(second * (index + 1));
+    }
+
+    // Assert: each narrow one tried it once, and once or twice again.
+    assert!(swarm.overloads <= 6, "{} overloads", swarm.overloads);
 }
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
+use damaskstile_gateway::caller_link::CallerLink;
 use damaskstile_gateway::gateway::Gateway;
+use damaskstile_gateway::patience::Patience;
 use damaskstile_gateway::run::{self, NoRun};
 use damaskstile_gateway::sendable::Sendable;
 use damaskstile_gateway::state::Terms;
@@ -72,6 +74,15 @@
     bytes
 }
 
+/// Makes the connection of a caller that is there, with the caller's end of it.
+async fn caller() -> (CallerLink, TcpStream) {
+    let listener = TcpListener::bind(unused_address()).await.unwrap();
+    let connecting = TcpStream::connect(listener.local_addr().unwrap());
+    let (connected, accepted) = tokio::join!(connecting, listener.accept());
+    let (accepted, _) = accepted.unwrap();
+    (CallerLink::new(&Arc::new(accepted)), connected.unwrap())
+}
+
 /// Sends a call for which a target was chosen, and runs `meanwhile` while the call waits for its
 /// connection. Returns how the send ended and what the target read.
 async fn send_with(meanwhile: impl FnOnce(&Gateway)) -> (Option<NoRun>, Vec<u8>) {
@@ -82,17 +93,19 @@
     gateway.state().book.list(now, listed("t0", address));
     let (call, terms) = (sendable(), terms());
     let choice = choose(&gateway, &[]).unwrap();
-    let deadline = now + LIMIT;
     let reading = tokio::spawn(read_all(listener));
-    let mut sending = Box::pin(run::start(
-        &gateway,
-        &call,
-        &terms,
-        choice,
-        deadline,
-        LIMIT / 4,
-        None,
-    ));
+    let (caller, _stream) = caller().await;
+    let attempts = Attempts::default();
+    let patience = Patience {
+        gateway: &gateway,
+        call: &call,
+        terms: &terms,
+        attempts: &attempts,
+        tried: &[],
+        deadline: now + LIMIT / 4,
+        goes_on_from: None,
+    };
+    let mut sending = Box::pin(run::start(&gateway, &caller, &patience, choice, None));
     assert!(poll!(sending.as_mut()).is_pending());
     meanwhile(&gateway);
     let no_run = sending.await.err();
@@ -173,15 +186,26 @@
     gateway.state().book.list(now, listed("t0", address));
     let (call, terms) = (sendable(), terms());
     let choice = choose(&gateway, &[]).unwrap();
-    let patience = Duration::from_millis(100);
+    let (caller, _stream) = caller().await;
+    let attempts = Attempts::default();
     tokio::time::pause();
+    let left = Duration::from_millis(100);
+    let patience = Patience {
+        gateway: &gateway,
+        call: &call,
+        terms: &terms,
+        attempts: &attempts,
+        tried: &[],
+        deadline: gateway.now() + left,
+        goes_on_from: None,
+    };
     let began_at = Instant::now();
 
     // Act
-    let sending = run::start(&gateway, &call, &terms, choice, now + LIMIT, patience, None);
+    let sending = run::start(&gateway, &caller, &patience, choice, None);
     let no_run = sending.await.err();
 
     // Assert
-    assert!(began_at.elapsed() <= patience + TIMER_STEP);
+    assert!(began_at.elapsed() <= left + TIMER_STEP);
     assert_eq!(no_run.map(|no_run| no_run.end), Some(SendEnd::NotSent));
 }
--- a/crates/damaskstile-gateway/tests/target_words.rs
+++ b/crates/damaskstile-gateway/tests/target_words.rs
@@ -1,5 +1,6 @@
 //! What is kept of targets beside the book: connections, and counts for operators.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use damaskstile_core::prelude::TargetIdentity;
@@ -20,7 +21,7 @@
     // Arrange
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let pool = Pool::new();
+    let pool = Pool::new(&Arc::default(), &Arc::default());
     let before = TargetIdentity::new("t0", Some(5));
     let next = TargetIdentity::new("t0", Some(9));
     let lease = pool.lease(&before, address).await.unwrap();
