An overloaded instance tells no readings and hands out no lists

A word on a long prompt goes to all peers, 80 datagrams of 90 bytes: as much of the link as the prompt itself (3.8 MB in 35 s at one instance, up to 444 ms of a second of its processor). While the instance is overloaded none is told, and whoever pulls a list of targets or of members asks another; catalogues are handed out as before.

--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -169,6 +169,11 @@
         return Ok(());
     };
     let request = PullRequest::decode(frame?).map_err(std::io::Error::other)?;
+    let is_long = request.is_targets || request.is_members;
+    if is_long && gateway.state().pressure.is_high(gateway.now()) {
+        // Whoever is refused asks another, and calls here wait for the same link.
+        return Ok(());
+    }
     let answer = make_answer(&gateway, &request);
     let duty = match (&request, answer.since, answer.base) {
         (PullRequest { is_members, .. }, _, _) if *is_members => "members",
@@ -181,6 +186,8 @@
     for part in parts {
         let bytes = part.encode_to_vec();
         gateway.sent_bytes.add(duty, bytes.len());
+        let now = gateway.now();
+        gateway.state().pressure.note_sent(now, bytes.len());
         timeout(PULL_LIMIT, frames.send(Bytes::from(bytes))).await??;
     }
     Ok(())
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -23,9 +23,12 @@
 impl Running {
     pub(crate) fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
         let reading = {
-            let book = &mut gateway.state().book;
-            book.sent(gateway.now(), &choice, work);
-            book.reading_to_tell(&choice)
+            let now = gateway.now();
+            let mut state = gateway.state();
+            state.book.sent(now, &choice, work);
+            // A word to all peers takes as much of the link as the prompt itself.
+            let has_room = !state.pressure.is_high(now);
+            state.book.reading_to_tell(&choice).filter(|_| has_room)
         };
         if let Some(time) = reading {
             // Peers that are not told choose as if they had not heard.
