--- a/crates/damaskctl/src/explain.rs
+++ b/crates/damaskctl/src/explain.rs
@@ -7,6 +7,7 @@
 mod latency;
 mod lenders;
 mod lines;
+mod load;
 mod places;
 mod store;
 mod traffic;
@@ -53,6 +54,12 @@
         #[arg(required = true)]
         logs: Vec<PathBuf>,
     },
+    /// Which instances got more than they bear, for how long, and what they were busy with.
+    Load {
+        /// Files with the logs of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Which data centres were emptied, since when, and which targets were cold.
     Places {
         /// Files with the logs of instances.
@@ -90,6 +97,7 @@
             Some(ExplainTable::Budgets { logs }) => budgets::run(context, logs),
             Some(ExplainTable::Contents { logs }) => contents::run(context, logs),
             Some(ExplainTable::Lenders { logs }) => lenders::run(context, logs),
+            Some(ExplainTable::Load { logs }) => load::run(context, logs),
             Some(ExplainTable::Places { logs }) => places::run(context, logs),
             Some(ExplainTable::Traffic { logs }) => traffic::run(context, logs),
             Some(ExplainTable::Store { logs }) => store::run(context, logs),
--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -249,3 +249,39 @@
         ("lost".into(), 4.into())
     );
 }
+
+/// Lines of an instance that was overloaded twice, and of one that never was.
+const LOADED: [&str; 2] = [
+    r#"{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"before=ready now=overloaded","event":704}
+{"msg":"InstanceLoaded","level":"WARN","ts":"2026-01-01T00:00:02.000Z","instance":"a","fields":"busy_ms=callers:600,hear:30 calls=90 longest_ms=body:12,connect:410 late_ms=40 span_ms=1000 waits_ms=in:0,out:250,processor:0","event":705}
+{"msg":"InstanceLoaded","level":"WARN","ts":"2026-01-01T00:00:03.000Z","instance":"a","fields":"busy_ms=callers:300,hear:40 calls=50 longest_ms=connect:90 late_ms=3 span_ms=1000 waits_ms=in:0,out:0,processor:0","event":705}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:18.000Z","instance":"a","fields":"before=overloaded now=ready","event":704}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:20.000Z","instance":"a","fields":"before=ready now=overloaded","event":704}
+"#,
+    r#"{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"b","fields":"before=starting now=ready","event":704}
+{"msg":"Started","level":"INFO","ts":"2026-01-01T00:00:24.000Z","instance":"b","fields":"data_centre=north","event":700}
+"#,
+];
+
+#[test]
+fn instances_that_got_too_much_are_told_with_what_they_were_busy_with() {
+    // Act
+    let (code, rows, errors) = explain("load", "load", &LOADED, &[]);
+
+    // Assert: one that is overloaded still counts until the logs end.
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    assert_eq!(rows.as_array().map(Vec::len), Some(1));
+    let row = &rows[0];
+    assert_eq!(
+        (&row["overloads"], &row["overloaded_ms"]),
+        (&2.into(), &21_000.into())
+    );
+    assert_eq!(
+        (&row["late_ms_max"], &row["connect_ms_max"]),
+        (&40.into(), &410.into())
+    );
+    assert_eq!(
+        (&row["busiest"], &row["busiest_ms"]),
+        (&"callers".into(), &900.into())
+    );
+}
