Many targets kept for long prompts are told by a key, and few of them weighed

Cause: an instance takes its own load of long prompts for that of each of the others. One with twenty times the mean of calls wants a multiple of all targets kept for long prompts; each choice then looked at all 9,795, built a set of a third of them, and weighed each for each call.

Mend: up to 64 kept targets are named as before; more are those up to a key of the order, which are hashes, and 64 of them are weighed for a call, from the instance's own place on. Small and grown sites have no more than 64 of them. Ways: a set kept for a second was left out, since what it names may leave in between and a refresh still costs milliseconds.

Test: 400 calls among 500 and 20,000 targets; looks 259,407 and 2,025,173 before (bound: 1.5 times), passes now. Open: that an instance with many calls takes them for those of all remains; it now costs no time.

--- a/crates/damaskstile-targets/src/book.rs
+++ b/crates/damaskstile-targets/src/book.rs
@@ -3,6 +3,7 @@
 mod candidates;
 mod cold;
 mod index;
+mod kept;
 mod limits;
 mod list;
 mod long_load;
--- a/crates/damaskstile-targets/src/book/candidates.rs
+++ b/crates/damaskstile-targets/src/book/candidates.rs
@@ -4,10 +4,14 @@
 
 use super::Book;
 use super::index::ServiceIndex;
+use super::kept::FEW;
 use super::weigh::Outlook;
 use crate::known::{Known, PART_MEMORY};
 use crate::work::Work;
 
+/// Targets kept for long prompts that are weighed for one call, besides those of which this instance
+/// knows more than the list says.
+const KEPT_WEIGHED: usize = FEW;
 /// Time between two looks at which targets have nothing left that tells them from others.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -31,8 +35,8 @@
         let home = home.filter_map(|target| self.targets.get(target));
         let marked = self.known_of(index.marked());
         let with_parts = self.known_of(with_parts(index, outlook.work));
-        let of_kept = outlook.kept.iter();
-        let of_kept = of_kept.filter_map(|target| self.targets.get(*target));
+        let of_kept = outlook.kept.targets().take(KEPT_WEIGHED);
+        let of_kept = of_kept.filter_map(|target| self.targets.get(target));
         let mut candidates: Vec<&Known> = home
             .chain(marked)
             .chain(with_parts)
--- a/crates/damaskstile-targets/src/book/index.rs
+++ b/crates/damaskstile-targets/src/book/index.rs
@@ -126,6 +126,25 @@
         keys.filter_map(|key| self.ring.get(&key.rotate_right(TURNED_BITS)))
     }
 
+    /// Returns the targets up to a key of the order in which they are kept for long prompts, from this
+    /// instance's own place on.
+    pub(super) fn kept_from_own_place(&self, below: u64) -> impl Iterator<Item = &TargetId> {
+        let place = self.own_seed % below.max(1);
+        let keys = self.kept_order.range(place..=below.max(place));
+        let keys = keys.chain(self.kept_order.range(..place));
+        keys.filter_map(|key| self.ring.get(&key.rotate_right(TURNED_BITS)))
+    }
+
+    /// Returns a target's key in the order in which they are kept for long prompts.
+    pub(super) fn kept_key(&self, target: &str) -> u64 {
+        self.key(target).rotate_left(TURNED_BITS)
+    }
+
+    /// Returns the number of targets.
+    pub(super) fn len(&self) -> usize {
+        self.ring.len()
+    }
+
     /// Returns the targets of each data centre in this instance's own order.
     pub(super) fn in_own_order(
         &self,
--- a/crates/damaskstile-targets/src/book/weigh.rs
+++ b/crates/damaskstile-targets/src/book/weigh.rs
@@ -6,6 +6,7 @@
 use super::Book;
 use super::candidates::with_parts;
 use super::index::ServiceIndex;
+use super::kept::{FEW, Kept};
 use super::weighed::{Weighed, first_passing};
 use crate::known::Known;
 use crate::reading_speed::ReadingSpeed;
@@ -30,7 +31,7 @@
     speed: ReadingSpeed,
     is_long: bool,
     /// Targets kept for long prompts.
-    pub(super) kept: BTreeSet<&'a str>,
+    pub(super) kept: Kept<'a>,
     /// Target that the subject of the prompt hashes to.
     pub(super) home: Option<&'a str>,
     /// Target that is likely to keep most of the prompt, and how much.
@@ -74,14 +75,18 @@
         now: Duration,
         index: &'a ServiceIndex,
         service: &str,
-    ) -> BTreeSet<&'a str> {
+    ) -> Kept<'a> {
         let Some(load) = self.long_loads.get(service) else {
-            return BTreeSet::new();
+            return Kept::none();
         };
         let instances = u32::try_from(self.instances.max(1)).unwrap_or(u32::MAX);
         let busy = load.busy_targets(now) * f64::from(instances);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // a few targets
         let wanted = (busy / self.options.long_busy).round() as usize;
+        let most = index.len() / LONG_PART_MAX;
+        if wanted.min(most) > FEW {
+            return Kept::many(index, wanted.min(most));
+        }
         let usable: Vec<&str> = self
             .known_of(index.in_kept_order())
             .filter(|known| self.is_usable(now, known))
@@ -89,7 +94,7 @@
             .take(wanted.saturating_mul(LONG_PART_MAX))
             .collect();
         let count = usable.len() / LONG_PART_MAX;
-        usable.into_iter().take(count).collect()
+        Kept::Few(usable.into_iter().take(count).collect())
     }
 
     /// Returns the target that a prompt's subject hashes to, the same on every instance, so that
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -13,6 +13,12 @@
 const MANY: usize = 20_000;
 /// Calls of one instance of a large fleet, one a second.
 const CALLS: u64 = 60;
+/// Calls of an instance that gets forty a second, the time between two, and those open at once.
+const BUSY_CALLS: u64 = 400;
+const BUSY_GAP: Duration = Duration::from_millis(25);
+const OPEN_CALLS: usize = 30;
+/// Tokens beyond those of other prompts in a long one.
+const LONG_TOKENS: u64 = 25_000;
 /// How much more a choice may cost among many targets than among few.
 const GROWTH_MAX: f64 = 1.5;
 
@@ -91,6 +97,49 @@
     assert!(growth < GROWTH_MAX, "{few}, {many}");
 }
 
+/// Returns how many targets the choices of a busy instance of a large fleet have looked at, one call in
+/// twenty a long one.
+fn looks_beside_long_prompts(targets: usize) -> u64 {
+    let mut book = book("i", targets, 0);
+    book.set_instances(1_000);
+    let mut open = VecDeque::new();
+    for call in 0..BUSY_CALLS {
+        let now = Duration::from_secs(10) + BUSY_GAP * u32::try_from(call).unwrap();
+        let mut work = prompt(call % 100, call);
+        if call % 20 == 0 {
+            work.prompt_tokens += LONG_TOKENS;
+            work.parts[2].tokens += LONG_TOKENS;
+        }
+        let choice = book.choose(now, MODEL, &work, &[]).unwrap();
+        book.sent(now, &choice, &work);
+        open.push_back(choice);
+        if open.len() > OPEN_CALLS {
+            let choice = open.pop_front().unwrap();
+            book.prefilled(&choice);
+            book.ended(&choice);
+            book.succeeded(now, &choice);
+        }
+    }
+    book.looks()
+}
+
+#[test]
+fn long_prompts_at_a_busy_instance_make_no_choice_dearer_in_a_large_list() {
+    // Guards against: an instance that takes its own load for that of each of a thousand, keeps a
+    // third of ten thousand targets for long prompts, and weighs all of these for each call.
+
+    // Act
+    let (few, many) = (
+        looks_beside_long_prompts(FEW),
+        looks_beside_long_prompts(MANY),
+    );
+
+    // Assert
+    #[allow(clippy::cast_precision_loss)] // counts far below 2^52
+    let growth = many as f64 / few as f64;
+    assert!(growth < GROWTH_MAX, "{few}, {many}");
+}
+
 #[test]
 fn an_entry_costs_as_much_in_a_large_list_as_in_a_small_one() {
     // Guards against: a look at the whole list for each entry that changes, so that a list of ten
