An instance that comes late three times in a row refuses until it is on time

The model of what the processor bears counts calls as they are read. Lateness that already takes the instance out of rotation now refuses calls too, for as long as it lasts. Test added; fails without the change by construction (calls were refused by the model alone).

--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -53,6 +53,8 @@
     last: Duration,
     calm: Duration,
     late_looks: u32,
+    /// How late the last look came.
+    lateness: Duration,
     /// Whether the processor had little rest up to the last look.
     is_busy: bool,
 }
@@ -73,6 +75,7 @@
             last: Duration::ZERO,
             calm: CALM_MIN,
             late_looks: 0,
+            lateness: Duration::ZERO,
             is_busy: false,
         }
     }
@@ -121,7 +124,8 @@
         if is_late || self.sent.delay(now) > DELAY_LIMIT {
             self.note_overload(now);
         }
-        let has_time = !self.is_busy || of_work <= limit;
+        let is_behind = self.late_looks >= LATE_LOOKS && self.lateness > limit;
+        let has_time = !is_behind && (!self.is_busy || of_work <= limit);
         let has_room = has_time && self.sent.delay(now) <= limit;
         let cost_s = self.call_cost.of_call_s();
         if has_room {
@@ -162,6 +166,7 @@
             let busy = look.busy_with_calls + look.busy_otherwise;
             self.is_busy = busy.as_secs_f64() >= BUSY_SHARE * look.span.as_secs_f64();
         }
+        self.lateness = look.lateness;
         if look.lateness < DELAY_LIMIT {
             self.late_looks = 0;
         } else {
--- a/crates/damaskstile-gateway/tests/pressure.rs
+++ b/crates/damaskstile-gateway/tests/pressure.rs
@@ -156,6 +156,29 @@
     assert_eq!(admitted, 50);
 }
 
+#[test]
+fn an_instance_that_comes_late_to_everything_refuses_until_it_is_on_time() {
+    // Guards against: calls taken one after the other by an instance that is seconds behind, for which
+    // their callers do not wait.
+
+    // Arrange
+    let mut pressure = Pressure::new(LINK_BYTES_PER_S);
+    let second = Duration::from_secs(1);
+    let late = Look {
+        lateness: Duration::from_millis(600),
+        ..Look::default()
+    };
+
+    // Act and assert: once or twice late may be a pause of the machine.
+    pressure.look(second, &late);
+    pressure.look(second * 2, &late);
+    assert!(pressure.admit(second * 2, 10, WITHIN));
+    pressure.look(second * 3, &late);
+    assert!(!pressure.admit(second * 3, 10, WITHIN));
+    pressure.look(second * 4, &Look::default());
+    assert!(pressure.admit(second * 4, 10, WITHIN));
+}
+
 /// A balancer that sends new connections to the first instance that was ready in one of its last
 /// two looks, and callers that each keep a connection.
 struct Swarm {
