--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -15,7 +15,6 @@
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Lateness from which on such lines are written.
 const LATE: Duration = Duration::from_millis(100);
-
 /// Duties that serve calls.
 const CALL_DUTIES: [&str; 2] = ["callers", "targets"];
 
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -35,6 +35,7 @@
 const CALM_GROWTH: u32 = 4;
 /// Use from which on an instance that was overloaded has no room for new connections yet.
 const FULL_SHARE: f64 = 0.5;
+
 /// `Pressure` tells how much of its link and of its processor an instance uses.
 ///
 /// A balancer that chooses by a hash of the caller may give one instance many times the share of
@@ -49,8 +50,9 @@
     call_cost: CallCost,
     /// Calls since the last look.
     calls: f64,
-    since: Option<Duration>,
-    last: Duration,
+    /// When it was last overloaded.
+    overloaded_at: Option<Duration>,
+    /// Time without overload until it takes new connections again.
     calm: Duration,
     late_looks: u32,
     /// How late the last look came.
@@ -71,8 +73,7 @@
             work: Backlog::new(USABLE),
             call_cost: CallCost::default(),
             calls: 0.0,
-            since: None,
-            last: Duration::ZERO,
+            overloaded_at: None,
             calm: CALM_MIN,
             late_looks: 0,
             lateness: Duration::ZERO,
@@ -176,14 +177,15 @@
             }
         }
         if self.is_high(now) && self.share(now) >= FULL_SHARE {
-            self.last = now;
+            self.overloaded_at = Some(now);
         }
     }
 
     /// Tells whether the instance was overloaded lately and should get no new connections.
     #[must_use]
     pub fn is_high(&self, now: Duration) -> bool {
-        self.since.is_some() && now.saturating_sub(self.last) < self.calm
+        let is_recent = |at| now.saturating_sub(at) < self.calm;
+        self.overloaded_at.is_some_and(is_recent)
     }
 
     /// Returns how long what waits takes: on the way in, on the way out, and at the processor.
@@ -211,15 +213,13 @@
 
     fn note_overload(&mut self, now: Duration) {
         if !self.is_high(now) {
-            let took_callers_for = now.saturating_sub(self.last.saturating_add(self.calm));
-            let is_soon = self.since.is_some() && took_callers_for < self.calm;
-            self.calm = if is_soon {
+            let is_soon = |at| now.saturating_sub(at) < self.calm * 2;
+            self.calm = if self.overloaded_at.is_some_and(is_soon) {
                 (self.calm * CALM_GROWTH).min(CALM_MAX)
             } else {
                 CALM_MIN
             };
-            self.since = Some(now);
         }
-        self.last = now;
+        self.overloaded_at = Some(now);
     }
 }
--- a/crates/damaskstile-gateway/src/relay/going_on.rs
+++ b/crates/damaskstile-gateway/src/relay/going_on.rs
@@ -40,7 +40,7 @@
     }
 
     /// Chooses the target at which the stream goes on once a run has ended so; `None` where it may go
-    /// on nowhere, and nothing is changed.
+    /// on nowhere. A run under way stays.
     pub(super) fn choose_next(&mut self, end: SendEnd) -> Option<Choice> {
         if !self.may_go_on() || self.is_barred() || self.left().is_zero() {
             return None;
