--- a/crates/damaskstile-gateway/src/answer.rs
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -1,19 +1,10 @@
 //! Head of a target's answer, independent of the dialect of its headers.
 
 use damaskstile_core::prelude::*;
-use damaskstile_targets::AdvertisedLimit;
+use damaskstile_targets::{AdvertisedLimit, ReportedLoad};
 
 use crate::handling::Handling;
 
-/// Load of a target as it reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Load {
-    /// Calls being executed.
-    pub running: u64,
-    /// Calls queued.
-    pub waiting: u64,
-}
-
 /// What the headers of a target's answer say.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerHead {
@@ -30,7 +21,7 @@
     /// Rate limit that the target advertises.
     pub advertised_limit: AdvertisedLimit,
     /// The target's load.
-    pub load: Option<Load>,
+    pub load: Option<ReportedLoad>,
     /// Time for which the connection may be reused; `None` if it must be closed.
     pub reuse_for: Option<Duration>,
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -79,6 +79,7 @@
                     id: head.id,
                     work: Work {
                         home_regions: terms.home_regions.clone(),
+                        yields: terms.yields,
                         ..head.work.unwrap_or_default()
                     },
                 },
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -168,9 +168,7 @@
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
-        state
-            .target_table
-            .report(now, choice, load.running, load.waiting);
+        state.target_table.report(now, choice, load);
     }
     // A late answer to an earlier call may arrive where the next one is expected. Passing it on
     // would give this caller another caller's answer. The connection is closed with the run.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -63,6 +63,8 @@
     pub home_regions: Option<Arc<BTreeSet<RegionId>>>,
     /// Priority rank of the call.
     pub priority: u8,
+    /// Whether the call gives way to more urgent streams of the same service.
+    pub yields: bool,
 }
 
 /// `State` holds everything that the decisions of one instance are based on.
@@ -222,7 +224,9 @@
         let priority = account
             .and_then(|account| account.priority)
             .unwrap_or(route.priority);
+        let class = route.class(priority);
         let terms = Terms {
+            yields: route.kind.is_stream() && catalogue.yields_to_stream(service, &class),
             catalogue_age: self.catalogue.age(now),
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
--- a/crates/damaskstile-gateway/tests/charges.rs
+++ b/crates/damaskstile-gateway/tests/charges.rs
@@ -18,7 +18,7 @@
         prompt_tokens: PROMPT_TOKENS,
         output_tokens: OUTPUT_TOKENS,
         parts: Vec::new(),
-        home_regions: None,
+        ..Work::default()
     };
     Reservation::try_new(&gateway, Some("account"), Some(&work), TOKENS_PER_EVENT, 0).unwrap()
 }
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -51,6 +51,7 @@
         shares: Vec::new(),
         timeout: LIMIT,
         objective: LIMIT,
+        pause_limit: None,
         priority: 0,
         attempts_max: 1,
         is_anonymous: true,
@@ -64,6 +65,7 @@
         account: None,
         home_regions: None,
         priority: 0,
+        yields: false,
     }
 }
 
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -5,6 +5,7 @@
 use damaskstile_core::prelude::*;
 
 use crate::account::Account;
+use crate::call_class::CallClass;
 use crate::errors::{Error, Result};
 use crate::limits::Limits;
 use crate::route::Route;
@@ -18,6 +19,8 @@
     /// Routes by host, then by path prefix.
     routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
     services: BTreeMap<ServiceId, Service>,
+    /// Classes of the streaming routes of each service.
+    stream_classes: BTreeMap<ServiceId, BTreeSet<CallClass>>,
     accounts: BTreeMap<AccountId, Account>,
     account_of_key: BTreeMap<String, AccountId>,
 }
@@ -71,6 +74,15 @@
                 return Err(Error::UnknownService(share.service.clone()));
             }
         }
+        if route.kind.is_stream() {
+            for share in &route.shares {
+                let classes = self
+                    .stream_classes
+                    .entry(share.service.clone())
+                    .or_default();
+                classes.insert(route.class(route.priority));
+            }
+        }
         let routes_of_host = self.routes.entry(route.host.clone()).or_default();
         if routes_of_host.contains_key(&route.path_prefix) {
             return Err(Error::DuplicateRoute(route.name));
@@ -141,6 +153,13 @@
         streams.map(|route| route.priority).min().unwrap_or(0)
     }
 
+    /// Returns whether calls of a class give way to a more urgent stream of the same service.
+    #[must_use]
+    pub fn yields_to_stream(&self, service: &str, class: &CallClass) -> bool {
+        let others = self.stream_classes.get(service).into_iter().flatten();
+        others.into_iter().any(|other| class.yields_to(other))
+    }
+
     /// Returns the account that a bearer key belongs to.
     #[must_use]
     pub fn account_of_key(&self, key: &str) -> Option<&Account> {
--- a/crates/damaskstile-routes/src/lib.rs
+++ b/crates/damaskstile-routes/src/lib.rs
@@ -2,6 +2,7 @@
 //! apply to a call.
 
 pub mod account;
+pub mod call_class;
 pub mod catalogue;
 pub mod errors;
 pub mod in_force;
@@ -11,6 +12,7 @@
 pub mod service;
 
 pub use account::Account;
+pub use call_class::CallClass;
 pub use catalogue::Catalogue;
 pub use errors::{Error, Result};
 pub use in_force::CatalogueInForce;
--- a/crates/damaskstile-routes/src/route.rs
+++ b/crates/damaskstile-routes/src/route.rs
@@ -2,6 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::call_class::CallClass;
 use crate::kind::RouteKind;
 
 /// `Share` is the fraction of a route's calls that goes to one service.
@@ -30,6 +31,9 @@
     pub timeout: Duration,
     /// Latency objective: time within which an answer is of full use to the caller.
     pub objective: Duration,
+    /// Longest pause between two events for which a stream is on time; `None` if the operator
+    /// declares none.
+    pub pause_limit: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of sends of one call that may reach a target.
@@ -53,7 +57,7 @@
     ///     name: "r".to_owned(), host: "h".to_owned(), path_prefix: "/".to_owned(),
     ///     kind: RouteKind::Idempotent, shares: vec![share("a", 9), share("b", 1)],
     ///     timeout: Duration::from_secs(1), objective: Duration::from_secs(1),
-    ///     priority: 0, attempts_max: 1, is_anonymous: false, home_regions: Default::default(),
+    ///     pause_limit: None, priority: 0, attempts_max: 1, is_anonymous: false, home_regions: Default::default(),
     /// };
     /// assert_eq!(route.service(8), Some("a"));
     /// assert_eq!(route.service(9), Some("b"));
@@ -73,4 +77,15 @@
         }
         None
     }
+
+    /// Returns the class of the route's calls at the priority in force, which an account may
+    /// override.
+    #[must_use]
+    pub fn class(&self, priority: u8) -> CallClass {
+        CallClass {
+            priority,
+            objective: self.objective,
+            pause_limit: self.pause_limit.filter(|_| self.kind.is_stream()),
+        }
+    }
 }
--- a/crates/damaskstile-routes/src/service.rs
+++ b/crates/damaskstile-routes/src/service.rs
@@ -11,6 +11,8 @@
     pub connections_max: usize,
     /// Maximum number of tokens in one event of a stream; `None` for services without a model.
     pub tokens_per_event: Option<u64>,
+    /// Whether targets can copy the memory of a run to another target while it runs.
+    pub allows_copies: bool,
     /// Time for which a target is cold after its start.
     pub cold_time: Duration,
     /// Maximum rate of calls from all instances together to a cold target, per second; `None` for
@@ -26,6 +28,7 @@
             name: name.to_owned(),
             connections_max,
             tokens_per_event: None,
+            allows_copies: false,
             cold_time: Duration::ZERO,
             cold_calls_per_s: None,
         }
--- a/crates/damaskstile-routes/tests/catalogue.rs
+++ b/crates/damaskstile-routes/tests/catalogue.rs
@@ -20,6 +20,7 @@
         }],
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        pause_limit: None,
         priority: 0,
         attempts_max: 1,
         is_anonymous: false,
--- a/crates/damaskstile-targets/src/target_state.rs
+++ b/crates/damaskstile-targets/src/target_state.rs
@@ -6,6 +6,7 @@
 
 use crate::limit_report::LimitReport;
 use crate::listed::Listed;
+use crate::reported_load::ReportedLoad;
 use crate::sender_turn::SenderTurn;
 use crate::work::Work;
 
@@ -180,9 +181,9 @@
         self.own_running = self.own_running.saturating_sub(1);
     }
 
-    pub(crate) fn report(&mut self, now: Duration, running: u64, waiting: u64) {
-        self.others_running = running.saturating_sub(self.own_running);
-        self.others_waiting = waiting;
+    pub(crate) fn report(&mut self, now: Duration, load: ReportedLoad) {
+        self.others_running = load.running.saturating_sub(self.own_running);
+        self.others_waiting = load.waiting;
         self.reported_at = now;
     }
 
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -26,6 +26,7 @@
 use crate::evacuations::Evacuations;
 use crate::fleet_view::FleetView;
 use crate::prefill_speed::PrefillSpeed;
+use crate::reported_load::ReportedLoad;
 use crate::target_state::TargetState;
 use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
@@ -271,9 +272,9 @@
     }
 
     /// Applies a load report that a target sent with the answer to a call.
-    pub fn report(&mut self, now: Duration, choice: &Choice, running: u64, waiting: u64) {
+    pub fn report(&mut self, now: Duration, choice: &Choice, load: ReportedLoad) {
         if let Some(state) = self.chosen(choice) {
-            state.report(now, running, waiting);
+            state.report(now, load);
         }
     }
 
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -22,6 +22,8 @@
     pub output_tokens: u64,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
+    /// Whether the call gives way to more urgent streams of the same service.
+    pub yields: bool,
     /// Home regions, which may run the call; `None` for all regions.
     pub home_regions: Option<Arc<BTreeSet<RegionId>>>,
 }
--- a/crates/damaskstile-targets/tests/book.rs
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -49,7 +49,7 @@
             part(1_000 + prefix, PREFIX_TOKENS),
             part(1_000_000 + own, OWN_TOKENS),
         ],
-        home_regions: None,
+        ..Work::default()
     }
 }
 
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -58,7 +58,7 @@
             part(1_000 + prefix, 3_800),
             part(1_000_000 + call, 2_700),
         ],
-        home_regions: None,
+        ..Work::default()
     }
 }
 
--- a/crates/damaskstile-targets/tests/long_prompts.rs
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -52,7 +52,7 @@
         prompt_tokens: shared_tokens + own_tokens,
         output_tokens: 300,
         parts: vec![part(prefix, shared_tokens), part(own, own_tokens)],
-        home_regions: None,
+        ..Work::default()
     }
 }
 
--- a/crates/damaskstile-targets/tests/restarts.rs
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -4,7 +4,8 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_targets::{
-    Choice, Listed, Part, Refused, TargetCounts, TargetTable, TargetTableOptions, Work,
+    Choice, Listed, Part, Refused, ReportedLoad, TargetCounts, TargetTable, TargetTableOptions,
+    Work,
 };
 
 use support::{Model, SERVICE, listed, refused};
@@ -18,6 +19,14 @@
 /// Longest delay of a message.
 const DELAY_MS_MAX: u64 = 1_500;
 
+fn load(running: u64, waiting: u64) -> ReportedLoad {
+    ReportedLoad {
+        running,
+        waiting,
+        ..ReportedLoad::default()
+    }
+}
+
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -77,7 +86,7 @@
     let fresh_cost_ms = old.cost_ms;
     table.sent(at(0), &old, &work);
     table.failed(at(10), &old);
-    table.report(at(10), &old, 40, 40);
+    table.report(at(10), &old, load(40, 40));
 
     // Act
     table.list(at(20), listed("t0", Some(9), true));
@@ -87,7 +96,7 @@
     table.prefilled(&old);
     table.ended(&old);
     table.unanswered(at(30), &old);
-    table.report(at(30), &old, 40, 40);
+    table.report(at(30), &old, load(40, 40));
 
     // Assert
     let after = choose(&table, at(30), "t0", &work).unwrap();
@@ -271,7 +280,7 @@
             match random.below(4) {
                 0 => self.table.failed(now, &choice),
                 1 => self.table.unanswered(now, &choice),
-                2 => self.table.report(now, &choice, 9, 9),
+                2 => self.table.report(now, &choice, load(9, 9)),
                 _ => self.table.succeeded(now, &choice),
             }
             self.table.ended(&choice);
