Load sharing: instances leave and return to rotation by their load relative to their data centre

Cause: a balancer that hashes by caller sends an account to one instance. It left rotation only when it was overloaded, for 16 to 64 s, so a small instance refused most of its calls, then the next one did, while the large ones were idle. Digests now carry load, rotation and the busiest account; an instance leaves early, keeps its open connections, and stays out while an account needs more than it has and a larger instance has room. Refused callers are told to come back when the balancer has noticed. Lenders of the data centre prepare tokens for accounts that are about to move.

--- a/crates/damaskctl/src/explain/load.rs
+++ b/crates/damaskctl/src/explain/load.rs
@@ -23,6 +23,10 @@
     /// Start of the current overload, if any.
     overloaded_since_ms: Option<u64>,
     overloaded_ms: u64,
+    /// Times at which the instance left rotation because it had more load than its neighbours.
+    sheddings: u64,
+    shedding_since_ms: Option<u64>,
+    shedding_ms: u64,
     /// Longest scheduling delay of the event loop.
     late_ms_max: u64,
     /// Longest time to establish a connection to a target.
@@ -40,6 +44,12 @@
         } else if let Some(since_ms) = self.overloaded_since_ms.take() {
             self.overloaded_ms += at_ms.saturating_sub(since_ms);
         }
+        if line.field("now") == Some("shedding") {
+            self.sheddings += 1;
+            self.shedding_since_ms = Some(at_ms);
+        } else if let Some(since_ms) = self.shedding_since_ms.take() {
+            self.shedding_ms += at_ms.saturating_sub(since_ms);
+        }
     }
 
     fn add_load(&mut self, line: &Line) {
@@ -89,14 +99,19 @@
         if let Some(since_ms) = load.overloaded_since_ms.take() {
             load.overloaded_ms += last_ms.saturating_sub(since_ms);
         }
+        if let Some(since_ms) = load.shedding_since_ms.take() {
+            load.shedding_ms += last_ms.saturating_sub(since_ms);
+        }
     }
-    loads.retain(|_, load| load.overloads > 0 || load.late_ms_max > 0);
+    loads.retain(|_, load| load.overloads + load.sheddings > 0 || load.late_ms_max > 0);
     let mut loads: Vec<_> = loads.into_iter().collect();
-    loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.overloaded_ms));
+    loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.overloaded_ms + load.shedding_ms));
     let mut table = Table::new(&[
         "instance",
         "overloads",
         "overloaded_ms",
+        "sheddings",
+        "shedding_ms",
         "late_ms_max",
         "connect_ms_max",
         "busiest",
@@ -109,6 +124,8 @@
             instance,
             &load.overloads,
             &load.overloaded_ms,
+            &load.sheddings,
+            &load.shedding_ms,
             &load.late_ms_max,
             &load.connect_ms_max,
             &busiest,
@@ -116,7 +133,8 @@
         ]);
         json_rows.push(serde_json::json!({
             "instance": instance, "overloads": load.overloads,
-            "overloaded_ms": load.overloaded_ms, "late_ms_max": load.late_ms_max,
+            "overloaded_ms": load.overloaded_ms, "sheddings": load.sheddings,
+            "shedding_ms": load.shedding_ms, "late_ms_max": load.late_ms_max,
             "connect_ms_max": load.connect_ms_max, "busiest": busiest, "busiest_ms": busiest_ms,
         }));
     }
--- a/crates/damaskstile-escrow/src/holder/lending.rs
+++ b/crates/damaskstile-escrow/src/holder/lending.rs
@@ -17,6 +17,22 @@
         balance.is_some_and(|balance| !self.is_borrower(&self.demand_claim(now, balance)))
     }
 
+    /// Returns the rate at which calls of an account request tokens here, in tokens per second.
+    #[must_use]
+    pub fn demand_tokens_per_s(&self, now: Duration, account: &str) -> u64 {
+        let balance = self.balances.get(account);
+        balance.map_or(0, |balance| balance.demand.tokens_per_s(now))
+    }
+
+    /// Prepares for calls of an account that now reach another instance and are likely to borrow
+    /// here soon: holds tokens for others as if they already requested that rate.
+    pub fn expect_lending(&mut self, now: Duration, account: &str, tokens_per_s: u64) {
+        self.note_lending(now, account);
+        if let Some(balance) = self.balances.get_mut(account) {
+            balance.demand.begin_with(now, tokens_per_s);
+        }
+    }
+
     /// Records that this instance lends tokens of an account to others. It then holds tokens of the
     /// account for them, however few calls of its own there are.
     pub fn note_lending(&mut self, now: Duration, account: &str) {
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -141,7 +141,12 @@
             Ok(body) => {
                 self.call.body = body;
                 let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
-                self.gateway.state().pressure.note_received(now, bytes);
+                let mut state = self.gateway.state();
+                state.pressure.note_received(now, bytes);
+                if let Some(account) = &self.terms.account {
+                    let needs_s = state.pressure.needs_s(bytes);
+                    state.load_sharing.add_call(now, account, needs_s);
+                }
             }
             Err(refusal) => return self.refuse(&refusal),
         }
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -43,7 +43,8 @@
         if is_admitted {
             return None;
         }
-        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(RETRY_AT_ONCE));
+        let wait = self.gateway.state().load_sharing.notice_left(now);
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(wait.max(RETRY_AT_ONCE)));
         let mut response = self.refuse(&refusal);
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -5,10 +5,12 @@
 //! [`Dialect`](dialect::Dialect), [`Directory`](directory::Directory) and
 //! [`ObjectStore`](objects::ObjectStore).
 
+pub mod account_demand;
 pub mod answer;
 mod answer_signals;
 pub mod backlog;
 mod broken_run;
+pub mod busiest_account;
 pub mod busy_times;
 pub mod call;
 pub mod call_cost;
@@ -37,10 +39,12 @@
 pub mod link_times;
 mod load;
 pub mod load_sample;
+pub mod load_sharing;
 pub mod loan;
 pub mod logs;
 pub mod member;
 pub mod metrics;
+pub mod neighbours;
 pub mod objects;
 pub mod open_call;
 pub mod open_connection;
@@ -48,6 +52,7 @@
 pub mod options;
 pub mod outbound_call;
 pub mod outgoing;
+pub mod peer_load;
 pub mod peers;
 pub mod phase;
 pub mod pool;
@@ -57,11 +62,14 @@
 pub mod relay;
 pub mod reply;
 pub mod reservation;
+pub mod rotation;
+pub mod rotation_options;
 pub mod rounds;
 pub mod run;
 pub mod running;
 mod send;
 pub mod sent_bytes;
+pub mod served_accounts;
 pub mod state;
 pub mod stop;
 pub mod stop_times;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -58,20 +58,26 @@
             busy_with_calls: busy.with_calls.saturating_sub(busy_at_sample.with_calls),
             busy_with_other: busy.with_other.saturating_sub(busy_at_sample.with_other),
         };
-        gateway.state().pressure.sample(now, &sample);
+        {
+            let mut state = gateway.state();
+            state.pressure.sample(now, &sample);
+            if state.update_rotation(now) {
+                gateway.gossip_wanted.notify_one();
+            }
+        }
         (busy_at_sample, sampled_at) = (busy, now);
         longest_scheduling_delay = longest_scheduling_delay.max(scheduling_delay);
         let found = Readiness::of(&gateway);
         if found != readiness {
-            let fields = [("now", found.as_str()), ("before", readiness.as_str())];
-            gateway.log(EventCode::ReadinessChanged, &fields);
+            log_readiness(&gateway, found, readiness);
             readiness = found;
         }
         let span = now.saturating_sub(line_at);
         if span < LINE_INTERVAL {
             continue;
         }
-        if longest_scheduling_delay >= SCHEDULING_DELAY_LOGGED || readiness == Readiness::Overloaded
+        if longest_scheduling_delay >= SCHEDULING_DELAY_LOGGED
+            || matches!(readiness, Readiness::Overloaded | Readiness::Shedding)
         {
             let busy = gateway.busy_times.summary_since(&busy_before);
             log_load(&gateway, span, longest_scheduling_delay, &busy);
@@ -84,6 +90,30 @@
     }
 }
 
+/// Logs a change of readiness, with the utilisation of this instance and of its neighbours.
+fn log_readiness(gateway: &Gateway, found: Readiness, before: Readiness) {
+    let now = gateway.now();
+    let (share, neighbours) = {
+        let mut state = gateway.state();
+        (state.pressure.share(now), *state.load_sharing.neighbours())
+    };
+    let fields = [
+        ("now", found.as_str().to_owned()),
+        ("before", before.as_str().to_owned()),
+        ("share_percent", format!("{:.0}", share * 100.0)),
+        (
+            "mean_percent",
+            format!("{:.0}", neighbours.mean_share * 100.0),
+        ),
+        ("peers", neighbours.count.to_string()),
+        ("peers_out", neighbours.out.to_string()),
+    ];
+    let fields = fields
+        .each_ref()
+        .map(|(name, value)| (*name, value.as_str()));
+    gateway.log(EventCode::ReadinessChanged, &fields);
+}
+
 /// Logs the processor time by task and the longest network operations of the last interval.
 fn log_load(gateway: &Gateway, span: Duration, scheduling_delay: Duration, busy: &str) {
     let mut longest = String::new();
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
 
+use crate::peer_load::PeerLoad;
 use crate::peers::{Digest, PeerReport};
 
 /// Time after its last digest during which an instance is still reported to peers.
@@ -34,6 +35,8 @@
     pub is_stopping: bool,
     /// Its processor capacity, in percent of a core.
     pub capacity_percent: u64,
+    /// Its load; `None` if it reports none.
+    pub load: Option<PeerLoad>,
     /// Time between the store's last answer to it and its digest.
     pub store_age: Duration,
     /// When its digest was received, by this instance or by the peer that reported it.
@@ -69,6 +72,7 @@
             discovered_instances: digest.discovered_instances,
             is_stopping: digest.is_stopping,
             capacity_percent: digest.capacity_percent,
+            load: digest.load(),
             store_age: Duration::from_millis(digest.store_age_ms),
             received_at: now,
             is_reported: false,
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -98,6 +98,7 @@
     contents: Family<StateLabels, Gauge>,
     readiness: Family<StateLabels, Gauge>,
     busy_ms: Family<DutyLabels, Gauge>,
+    load_percent: Family<StateLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -159,6 +160,9 @@
         registry.register("readiness", help, readiness.clone());
         let help = "Milliseconds spent on each duty since the start";
         registry.register("busy_ms", help, busy_ms.clone());
+        let load_percent = Family::default();
+        let help = "Share in use of the capacity for calls: here, and the mean of the data centre's others";
+        registry.register("load_percent", help, load_percent.clone());
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -178,6 +182,7 @@
             contents,
             readiness,
             busy_ms,
+            load_percent,
         }
     }
 
@@ -355,6 +360,17 @@
         self.readiness.get_or_create(&StateLabels { state }).set(1);
     }
 
+    /// Sets the utilisation of this instance and the mean of its neighbours.
+    #[allow(clippy::cast_possible_truncation)] // a few hundred percent
+    pub fn sample_load(&self, share: f64, mean_share: f64) {
+        for (state, share) in [("own", share), ("neighbours", mean_share)] {
+            let percent = (share * 100.0) as i64;
+            self.load_percent
+                .get_or_create(&StateLabels { state })
+                .set(percent);
+        }
+    }
+
     /// Sets the time spent on each background task.
     pub fn sample_busy(&self, times: BTreeMap<&'static str, Duration>) {
         for (duty, time) in times {
--- /dev/null
+++ b/crates/damaskstile-gateway/src/neighbours.rs
@@ -0,0 +1,103 @@
+//! Load of the other instances of a data centre.
+
+use damaskstile_core::prelude::*;
+
+use crate::member::Member;
+use crate::peer_load::PeerLoad;
+
+/// Age up to which a peer's report of its load counts. Digests reach an instance of a large fleet
+/// every few seconds.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(6);
+
+/// Age up to which a peer's report of an account's load counts. An account moves between instances
+/// within seconds, and older reports would count its load twice.
+const DEMAND_AGE_MAX: Duration = Duration::from_secs(3);
+/// Factor over this instance's capacity from which on an instance counts as much larger.
+const LARGER_FACTOR: u64 = 2;
+/// Utilisation up to which an instance has room for an account's calls.
+const ROOM_SHARE_MAX: f64 = 0.8;
+
+/// Load of the other instances of a data centre, as last reported.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Neighbours {
+    /// Number of instances that reported their load.
+    pub count: usize,
+    /// Number of those that are out of rotation.
+    pub out: usize,
+    /// Mean utilisation of those instances.
+    pub mean_share: f64,
+    /// Ratio of the largest to the smallest processor capacity, this instance included.
+    pub capacity_ratio: f64,
+    /// Processor capacity of this instance over the mean of those instances.
+    pub relative_capacity: f64,
+    /// Whether one of them is much larger than this instance and has room.
+    pub has_larger: bool,
+}
+
+impl Neighbours {
+    /// Sums up the reports of the members in a data centre.
+    #[must_use]
+    pub fn of<'a>(
+        now: Duration,
+        data_centre: &str,
+        capacity_percent: u64,
+        members: impl Iterator<Item = &'a Member>,
+    ) -> Self {
+        let (mut count, mut out, mut sum, mut capacities) = (0_u32, 0, 0.0, 0);
+        let mut has_larger = false;
+        let (mut least, mut most) = (capacity_percent.max(1), capacity_percent.max(1));
+        for (member, load) in reports(now, data_centre, members, REPORT_AGE_MAX) {
+            count += 1;
+            out += usize::from(!load.is_in_rotation);
+            sum += load.share;
+            let capacity = member.capacity_percent.max(1);
+            capacities += capacity;
+            let is_larger = capacity >= capacity_percent.saturating_mul(LARGER_FACTOR);
+            has_larger |= is_larger && load.share < ROOM_SHARE_MAX;
+            (least, most) = (least.min(capacity), most.max(capacity));
+        }
+        #[allow(clippy::cast_precision_loss)] // percents of a core
+        Self {
+            count: usize::try_from(count).unwrap_or(usize::MAX),
+            out,
+            mean_share: sum / f64::from(count.max(1)),
+            capacity_ratio: most as f64 / least as f64,
+            relative_capacity: capacity_percent as f64 * f64::from(count)
+                / capacities.max(1) as f64,
+            has_larger,
+        }
+    }
+
+    /// Returns the load that the calls of an account would need that reach other instances of the
+    /// data centre, as a share of this instance's capacity.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // percents of a core
+    pub fn demand<'a>(
+        now: Duration,
+        data_centre: &str,
+        capacity_percent: u64,
+        account: &str,
+        members: impl Iterator<Item = &'a Member>,
+    ) -> f64 {
+        let reports = reports(now, data_centre, members, DEMAND_AGE_MAX);
+        let of_account = reports.filter_map(|(member, load)| {
+            let busiest = load.busiest.as_ref()?;
+            let capacity = member.capacity_percent as f64;
+            (busiest.account == account).then_some(busiest.share * capacity)
+        });
+        of_account.sum::<f64>() / capacity_percent.max(1) as f64
+    }
+}
+
+/// Returns the fresh reports of the members in a data centre.
+pub(crate) fn reports<'a>(
+    now: Duration,
+    data_centre: &str,
+    members: impl Iterator<Item = &'a Member>,
+    age_max: Duration,
+) -> impl Iterator<Item = (&'a Member, &'a PeerLoad)> {
+    members
+        .filter(move |member| member.data_centre == data_centre && !member.is_stopping)
+        .filter(move |member| now.saturating_sub(member.received_at) <= age_max)
+        .filter_map(|member| Some((member, member.load.as_ref()?)))
+}
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -106,6 +106,12 @@
     gateway.metrics.sample(&free, age, version);
     let readiness = Readiness::of(gateway);
     gateway.metrics.sample_readiness(readiness);
+    let (share, mean_share) = {
+        let mut state = gateway.state();
+        let mean_share = state.load_sharing.neighbours().mean_share;
+        (state.pressure.share(now), mean_share)
+    };
+    gateway.metrics.sample_load(share, mean_share);
     gateway.metrics.sample_busy(gateway.busy_times.counts());
     gateway.metrics.sample_history(gateway.store.history());
     gateway.metrics.sample_open_calls(gateway.open_calls());
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -7,6 +7,7 @@
 use damaskstile_targets::TargetTableOptions;
 
 use crate::cold_options::ColdOptions;
+use crate::rotation_options::RotationOptions;
 
 /// Configuration of a gateway.
 #[derive(Debug, Clone)]
@@ -41,6 +42,8 @@
     pub escrow: EscrowOptions,
     /// Options of target selection.
     pub target_table: TargetTableOptions,
+    /// When the instance leaves rotation by its relative load.
+    pub rotation: RotationOptions,
     /// Rate of calls that a cold target may get.
     pub cold: ColdOptions,
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -225,7 +225,7 @@
 
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
-        let state = self.gateway.state();
+        let mut state = self.gateway.state();
         let suspects = state.suspects.reports(now);
         let free = state
             .holder
@@ -238,7 +238,19 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+        let percent = |share: f64| (share * 100.0) as u64;
+        let load_percent = percent(state.pressure.share(now));
+        let busiest = state.load_sharing.busiest(now);
+        let busiest = busiest.map(|(account, share)| (account.to_owned(), percent(share)));
+        let (busiest_account, busiest_percent) = busiest.unwrap_or_default();
+        let busiest_tokens_per_s = state.holder.demand_tokens_per_s(now, &busiest_account);
         let digest = Digest {
+            load_percent: Some(load_percent),
+            is_in_rotation: state.load_sharing.is_in_rotation(),
+            busiest_account,
+            busiest_percent,
+            busiest_tokens_per_s,
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
             catalogue_bytes: state.stored_catalogue.as_ref().map_or(0, |object| {
--- a/crates/damaskstile-gateway/src/peers/addresses.rs
+++ b/crates/damaskstile-gateway/src/peers/addresses.rs
@@ -13,7 +13,8 @@
 impl Peers {
     /// Returns the addresses of the peers that a digest is sent to. In a small fleet these are all
     /// peers. In a large fleet they are a random subset, except that the instances that watch the
-    /// store and write for others send to all.
+    /// store and write for others send to all, and that an instance whose load concerns the
+    /// rotation of the others also sends to its data centre.
     pub(super) fn digest_recipients(&self) -> Vec<SocketAddr> {
         let gateway = &self.gateway;
         let now = gateway.now();
@@ -23,12 +24,18 @@
             known.extend(&gateway.options.seeds);
             known.remove(&gateway.options.peers_address);
         }
-        let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
+        let mut addresses: Vec<SocketAddr> = known.iter().copied().collect();
         let is_to_all = state.must_send_to_all(now);
         while !is_to_all && addresses.len() > DIGEST_FANOUT {
             let index = state.random.index(addresses.len());
             addresses.swap_remove(index);
         }
+        if state.load_sharing.must_report(now) {
+            let neighbours = state.members_of_data_centre();
+            addresses.extend(neighbours.filter(|address| known.contains(address)));
+            addresses.sort_unstable();
+            addresses.dedup();
+        }
         addresses
     }
 
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -3,6 +3,12 @@
 use damaskstile_core::prelude::*;
 
 use super::{LimitReport, PeerReport, SuspectReport, TargetReport};
+use crate::busiest_account::BusiestAccount;
+use crate::peer_load::PeerLoad;
+
+/// Upper bound on a reported load. A single wrong report must not hide the load of all others in
+/// their mean.
+const LOAD_PERCENT_MAX: u64 = 1_000;
 
 /// `AccountTokens` is a number of tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -93,6 +99,22 @@
     /// Whether the sender is stopping.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
+    /// Share in use of the capacity that the sender's calls may use, of its link or processor,
+    /// whichever is higher, in percent.
+    #[prost(uint64, optional, tag = "25")]
+    pub load_percent: Option<u64>,
+    /// Whether the sender accepts new connections.
+    #[prost(bool, tag = "26")]
+    pub is_in_rotation: bool,
+    /// Account whose calls would need most of the sender.
+    #[prost(string, tag = "30")]
+    pub busiest_account: String,
+    /// Share of that capacity that these calls would need, in percent.
+    #[prost(uint64, tag = "31")]
+    pub busiest_percent: u64,
+    /// Rate at which these calls request tokens, in tokens per second.
+    #[prost(uint64, tag = "32")]
+    pub busiest_tokens_per_s: u64,
 }
 
 impl Digest {
@@ -117,6 +139,25 @@
         self
     }
 
+    /// Returns the load of the sender; `None` if it reports none.
+    #[must_use]
+    pub fn load(&self) -> Option<PeerLoad> {
+        let share = |percent: u64| {
+            let percent = u32::try_from(percent.min(LOAD_PERCENT_MAX));
+            f64::from(percent.unwrap_or_default()) / 100.0
+        };
+        let busiest = BusiestAccount {
+            account: self.busiest_account.clone(),
+            share: share(self.busiest_percent),
+            tokens_per_s: self.busiest_tokens_per_s,
+        };
+        Some(PeerLoad {
+            share: share(self.load_percent?),
+            is_in_rotation: self.is_in_rotation,
+            busiest: Some(busiest).filter(|busiest| !busiest.account.is_empty()),
+        })
+    }
+
     /// Returns the targets that are draining or have ended.
     #[must_use]
     pub fn all_leaving(&self) -> Vec<TargetIdentity> {
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -207,6 +207,19 @@
         link.max(self.work.share(now))
     }
 
+    /// Returns what a call takes of the incoming link, the outgoing link and the processor, in
+    /// seconds of the capacity that calls may use. `bytes` is its size on each link.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // sizes of messages
+    pub fn needs_s(&self, bytes: usize) -> [f64; 3] {
+        let bytes = bytes as f64;
+        [
+            bytes / self.received.per_s(),
+            bytes / self.sent.per_s(),
+            self.call_cost.per_call_s() / self.work.per_s(),
+        ]
+    }
+
     fn check_link_delay(&mut self, now: Duration) {
         if self.received.delay(now).max(self.sent.delay(now)) > DELAY_LIMIT {
             self.note_overload(now);
--- a/crates/damaskstile-gateway/src/readiness.rs
+++ b/crates/damaskstile-gateway/src/readiness.rs
@@ -23,6 +23,8 @@
     WithoutTokens,
     /// The link or the processor is overloaded.
     Overloaded,
+    /// The instance has more load than the others of its data centre.
+    Shedding,
 }
 
 impl Readiness {
@@ -39,6 +41,12 @@
             Self::Starting
         } else if is_young && !state.holder.is_listed() {
             Self::WithoutTokens
+        } else if state.load_sharing.applies() {
+            if state.load_sharing.is_in_rotation() {
+                Self::Ready
+            } else {
+                Self::Shedding
+            }
         } else if state.pressure.is_overloaded(now) {
             Self::Overloaded
         } else {
@@ -60,6 +68,7 @@
             Self::Starting => "starting",
             Self::WithoutTokens => "without_tokens",
             Self::Overloaded => "overloaded",
+            Self::Shedding => "shedding",
         }
     }
 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::delisted_targets::DelistedTargets;
 use crate::follow::Followed;
 use crate::ledger_fault::LedgerFault;
+use crate::load_sharing::LoadSharing;
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
@@ -130,6 +131,8 @@
     pub call_times: CallTimes,
     /// Load of the link and the processor.
     pub pressure: Pressure,
+    /// This instance's part in sharing load with its data centre.
+    pub load_sharing: LoadSharing,
     /// Source of random choices.
     pub random: Random,
     /// Whether a stop has begun.
@@ -192,6 +195,11 @@
             suspects: Suspects::default(),
             call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
+            load_sharing: LoadSharing::new(
+                &options.identity.data_centre,
+                options.capacity_percent,
+                options.rotation,
+            ),
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
@@ -240,6 +248,23 @@
         Ok(terms)
     }
 
+    /// Updates whether this instance is in the load balancer's rotation; returns whether that
+    /// changed.
+    pub fn update_rotation(&mut self, now: Duration) -> bool {
+        self.expect_borrowers(now);
+        let share = self.pressure.share(now);
+        self.load_sharing.update(now, share, &self.members)
+    }
+
+    /// Returns the addresses of the other instances of the data centre.
+    pub fn members_of_data_centre(&self) -> impl Iterator<Item = SocketAddr> {
+        let data_centre = &self.own_candidate.data_centre;
+        let members = self.members.values();
+        members
+            .filter(move |member| member.data_centre == *data_centre)
+            .map(|member| member.address)
+    }
+
     /// Makes the time stamp for entries that are written to the store.
     #[must_use]
     pub fn stamp(&self, now: Duration, boot: BootTime, own_unix_ms: u64) -> Stamp {
--- a/crates/damaskstile-gateway/src/state/lenders.rs
+++ b/crates/damaskstile-gateway/src/state/lenders.rs
@@ -4,11 +4,20 @@
 use damaskstile_loans::{Candidate, Placement};
 
 use super::State;
+use crate::busiest_account::BusiestAccount;
+use crate::neighbours;
 
 /// Time after which the candidate lenders are determined anew. Instances come and go within
 /// minutes; one that is gone meanwhile is skipped because it does not answer.
 const PLACEMENT_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Lenders of an account in a data centre that prepare for borrowers.
+const NEAR_LENDERS: u64 = 2;
+/// Share of an instance that an account must use for lenders to prepare for its calls elsewhere.
+const EXPECTED_SHARE_MIN: f64 = 0.25;
+/// Age up to which a report of such an account counts.
+const EXPECTED_AGE_MAX: Duration = Duration::from_secs(3);
+
 /// `Lenders` caches the placement of lenders and the lenders of each account.
 #[derive(Debug, Default)]
 pub(super) struct Lenders {
@@ -56,6 +65,43 @@
         }
     }
 
+    /// Prepares this instance to lend tokens of accounts that use much of another instance of the
+    /// data centre. When that instance leaves the load balancer's rotation, the account's callers
+    /// reach one that holds none of its tokens, and borrow from this one.
+    pub fn expect_borrowers(&mut self, now: Duration) {
+        if !self.is_large_fleet() {
+            return;
+        }
+        let members = self.members.values();
+        let busiest: Vec<BusiestAccount> = neighbours::reports(
+            now,
+            &self.own_candidate.data_centre,
+            members,
+            EXPECTED_AGE_MAX,
+        )
+        .filter_map(|(_, load)| load.busiest.clone())
+        .filter(|busiest| busiest.share >= EXPECTED_SHARE_MIN)
+        .collect();
+        for busiest in busiest {
+            if self.is_near_lender(now, &busiest.account) {
+                let tokens_per_s = busiest.tokens_per_s / NEAR_LENDERS;
+                self.holder
+                    .expect_lending(now, &busiest.account, tokens_per_s);
+            }
+        }
+    }
+
+    /// Returns whether this instance is one of the first lenders of an account in its data centre.
+    fn is_near_lender(&mut self, now: Duration, account: &str) -> bool {
+        self.place_lenders(now);
+        let data_centre = &self.own_candidate.data_centre;
+        let lenders = self.lenders.placement.lenders(account, data_centre);
+        let near = lenders
+            .iter()
+            .take(usize::try_from(NEAR_LENDERS).unwrap_or(0));
+        near.into_iter().any(|one| one.instance == self.instance)
+    }
+
     /// Returns the peer to ask when all lenders have too few tokens: the one that last reported the
     /// most tokens of the account, if these may be enough and it was not asked yet.
     #[must_use]
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -12,6 +12,7 @@
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::{Digest, PeerReport};
+use damaskstile_gateway::rotation_options::RotationOptions;
 use damaskstile_gateway::state::State;
 use damaskstile_gateway::wanted::Wanted;
 use damaskstile_targets::TargetTableOptions;
@@ -80,6 +81,7 @@
         extra_retries_per_s: 5,
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
+        rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
     };
     State::new(&options, Duration::ZERO)
--- /dev/null
+++ b/crates/damaskstile-gateway/tests/rotation.rs
@@ -0,0 +1,227 @@
+//! Instances of a data centre that take turns in a load balancer's rotation, by their load.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damaskstile_gateway::load_sharing::LoadSharing;
+use damaskstile_gateway::member::Member;
+use damaskstile_gateway::neighbours::Neighbours;
+use damaskstile_gateway::peers::Digest;
+use damaskstile_gateway::rotation::Rotation;
+use damaskstile_gateway::rotation_options::RotationOptions;
+
+const DATA_CENTRE: &str = "north";
+const ACCOUNT: &str = "large";
+const ADDRESS: &str = "127.0.0.1:1";
+/// Interval between two load samples.
+const STEP: Duration = Duration::from_millis(250);
+/// Calls a second that one percent of a core serves: a tenth of a core serves a hundred.
+const CALLS_PER_PERCENT: f64 = 10.0;
+/// Failed checks in a row after which the balancer sends no new connections.
+const FAILED_CHECKS_MAX: u32 = 2;
+/// Part of a second's calls on open connections that stays on them in the next.
+const KEPT_PART: f64 = 0.6;
+
+/// Returns the capacities of a data centre: small instances with two large ones among them.
+fn uneven() -> Vec<u64> {
+    let mut capacities = vec![12; 27];
+    (capacities[6], capacities[20]) = (50, 50);
+    capacities
+}
+
+/// A data centre behind a balancer that sends all new connections of the account to the first
+/// instance in rotation; half of the calls come on new connections.
+struct DataCentre {
+    capacities: Vec<u64>,
+    instances: Vec<LoadSharing>,
+    members: BTreeMap<String, Member>,
+    failed_checks: Vec<u32>,
+    /// Calls a second on connections that are open at each instance.
+    kept: Vec<f64>,
+    shares: Vec<f64>,
+    served: Vec<f64>,
+    refused: f64,
+    returns: usize,
+}
+
+impl DataCentre {
+    fn new(capacities: Vec<u64>, options: RotationOptions) -> Self {
+        let count = capacities.len();
+        let instance = |capacity: &u64| LoadSharing::new(DATA_CENTRE, *capacity, options);
+        Self {
+            instances: capacities.iter().map(instance).collect(),
+            capacities,
+            members: BTreeMap::new(),
+            failed_checks: vec![0; count],
+            kept: vec![0.0; count],
+            shares: vec![0.05; count],
+            served: vec![0.0; count],
+            refused: 0.0,
+            returns: 0,
+        }
+    }
+
+    fn first_in_rotation(&self) -> usize {
+        let is_in = |failed_checks: &u32| *failed_checks < FAILED_CHECKS_MAX;
+        self.failed_checks.iter().position(is_in).unwrap()
+    }
+
+    /// Lets the account send calls for one load sample.
+    fn step(&mut self, index: u32, calls_per_s: f64) {
+        let now = STEP * index;
+        let step_s = STEP.as_secs_f64();
+        let kept_sum: f64 = self.kept.iter().sum();
+        let on_kept = kept_sum.min(calls_per_s / 2.0);
+        let first = self.first_in_rotation();
+        for at in 0..self.instances.len() {
+            let share_of_kept = self.kept[at] / kept_sum.max(f64::MIN_POSITIVE);
+            let new = if at == first {
+                calls_per_s - on_kept
+            } else {
+                0.0
+            };
+            let arriving = on_kept * share_of_kept + new;
+            self.kept[at] = self.kept[at] * KEPT_PART.powf(step_s) + new * step_s;
+            #[allow(clippy::cast_precision_loss)] // percents of a core
+            let bears = self.capacities[at] as f64 * CALLS_PER_PERCENT;
+            self.served[at] += arriving.min(bears) * step_s;
+            self.refused += (arriving - bears).max(0.0) * step_s;
+            let needed = arriving / bears;
+            self.shares[at] += (needed.min(1.2) + 0.05 - self.shares[at]) * 0.4;
+            self.instances[at].add_call(now, ACCOUNT, [0.0, 0.0, needed * step_s]);
+        }
+        self.report(now);
+        for (at, instance) in self.instances.iter_mut().enumerate() {
+            let is_changed = instance.update(now, self.shares[at], &self.members);
+            self.returns += usize::from(is_changed && instance.is_in_rotation());
+            if index % 4 == u32::try_from(at).unwrap() % 4 {
+                let failed_checks = &mut self.failed_checks[at];
+                *failed_checks = if instance.is_in_rotation() {
+                    0
+                } else {
+                    *failed_checks + 1
+                };
+            }
+        }
+    }
+
+    /// Delivers the digests of all instances.
+    fn report(&mut self, now: Duration) {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
+        let percent = |share: f64| (share * 100.0) as u64;
+        for (at, instance) in self.instances.iter().enumerate() {
+            let share = instance.busiest(now).map_or(0.0, |(_, share)| share);
+            let digest = Digest {
+                data_centre: DATA_CENTRE.to_owned(),
+                capacity_percent: self.capacities[at],
+                load_percent: Some(percent(self.shares[at])),
+                is_in_rotation: instance.is_in_rotation(),
+                busiest_account: ACCOUNT.to_owned(),
+                busiest_percent: percent(share),
+                ..Digest::default()
+            };
+            let address: SocketAddr = ADDRESS.parse().unwrap();
+            let member = Member::new(1, address, now, &digest);
+            self.members.insert(format!("i{at:02}"), member);
+        }
+    }
+
+    fn run(&mut self, from: u32, seconds: u32, calls_per_s: f64) {
+        (from * 4..(from + seconds) * 4).for_each(|index| self.step(index, calls_per_s));
+    }
+}
+
+#[test]
+fn an_account_too_large_for_small_instances_reaches_a_large_one() {
+    // Guards against one account overloading the small instances of a data centre in turn while
+    // the large ones are idle. Load: the account sends 60 calls a second, then bursts of 300, where
+    // a small instance serves 120 and a large one 500.
+
+    // Arrange
+    let mut shared = DataCentre::new(uneven(), RotationOptions::Uneven);
+    let mut alone = DataCentre::new(uneven(), RotationOptions::Never);
+
+    // Act
+    for data_centre in [&mut shared, &mut alone] {
+        for burst in 0..4 {
+            data_centre.run(burst * 15, 5, 60.0);
+            data_centre.run(burst * 15 + 5, 10, 300.0);
+        }
+    }
+
+    // Assert: without relative load, one instance refuses most of each burst.
+    let all = 4.0 * (5.0 * 60.0 + 10.0 * 300.0);
+    assert!(alone.refused > all * 0.5, "{}", alone.refused);
+    assert!(shared.refused < all * 0.15, "{}", shared.refused);
+    assert!(shared.served[6] > all * 0.4, "{:?}", shared.served);
+}
+
+#[test]
+fn an_account_that_small_instances_can_serve_is_spread_over_them() {
+    // Guards against all of an account's calls staying at the first instance up to its limit.
+    // Load: 90 calls a second, three quarters of a small instance.
+
+    // Arrange
+    let mut shared = DataCentre::new(vec![12; 27], RotationOptions::Always);
+
+    // Act
+    shared.run(0, 60, 90.0);
+
+    // Assert
+    let most = shared.served.iter().copied().fold(0.0, f64::max);
+    assert!(most < 60.0 * 90.0 / 3.0, "{:?}", shared.served);
+    assert!(shared.refused < 1.0, "{}", shared.refused);
+}
+
+#[test]
+fn small_instances_do_not_leave_for_each_other_without_end() {
+    // Guards against instances that each assume that another has room: equal ones, an account
+    // larger than any of them, and nothing to gain from moving it.
+
+    // Arrange
+    let mut shared = DataCentre::new(vec![12; 27], RotationOptions::Always);
+
+    // Act
+    shared.run(0, 60, 400.0);
+
+    // Assert: at most two fifths are out at a time, and each stays out for seconds.
+    let out = shared.instances.iter().filter(|one| !one.is_in_rotation());
+    assert!(out.count() <= 27 * 2 / 5);
+    assert!(shared.returns < 27 * 60 / 4, "{}", shared.returns);
+}
+
+#[test]
+fn without_reports_an_instance_does_not_compare_itself() {
+    // Guards against an isolated instance that stays out of rotation by reports of long ago.
+
+    // Arrange
+    let mut shared = DataCentre::new(uneven(), RotationOptions::Uneven);
+    shared.run(0, 5, 110.0);
+    let instance = &mut shared.instances[0];
+    assert!(instance.applies() && !instance.is_in_rotation());
+
+    // Act
+    instance.update(Duration::from_secs(12), 0.9, &shared.members);
+
+    // Assert: readiness then follows overload, as before.
+    assert!(!instance.applies() && instance.is_in_rotation());
+}
+
+#[test]
+fn a_busy_data_centre_keeps_its_instances_in_rotation() {
+    // Guards against instances that leave where all others are as busy as they are.
+
+    // Arrange
+    let neighbours = Neighbours {
+        count: 10,
+        mean_share: 0.55,
+        relative_capacity: 1.0,
+        ..Neighbours::default()
+    };
+    let mut rotation = Rotation::default();
+
+    // Act and assert
+    assert!(rotation.update(STEP, 0.62, 0.3, &neighbours));
+    assert!(!rotation.update(STEP, 0.8, 0.3, &neighbours));
+}
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -20,6 +20,7 @@
     Change, Listing, ObjectStore, StoreError, StoreResult, StoredObject,
 };
 use damaskstile_gateway::options::GatewayOptions;
+use damaskstile_gateway::rotation_options::RotationOptions;
 use damaskstile_routes::Catalogue;
 use damaskstile_targets::{Choice, Listed, TargetTableOptions, Work};
 use futures_util::FutureExt;
@@ -145,6 +146,7 @@
         extra_retries_per_s: 5,
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
+        rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
     };
     let log = Logger::root(Discard, o!());
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -10,6 +10,7 @@
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
+use damaskstile_gateway::rotation_options::RotationOptions;
 use damaskstile_gateway::state::State;
 use damaskstile_targets::TargetTableOptions;
 
@@ -51,6 +52,7 @@
         extra_retries_per_s: 5,
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
+        rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
     };
     let mut state = State::new(&options, Duration::ZERO);
