Admission: the decision by urgency, from classes, queues and committed load

An overloaded instance rejected its most urgent calls, since heavy calls with longer objectives kept the queue above the shorter ones' limits. Calls that yield to classes seen in the last 10 s now have a quarter of those objectives as their limit; open streams count until their last events, by what streams of their route took. Turns keep ranks and accounts from starving.

--- /dev/null
+++ b/crates/damaskstile-gateway/src/admission/account_work.rs
@@ -0,0 +1,80 @@
+//! Recent work of each account.
+
+use damaskstile_core::prelude::*;
+
+/// Time constant of the exponential decay of work.
+const DECAY_TIME: Duration = Duration::from_secs(5);
+/// Time after its last call for which an account counts. By then less than 2 % of its work is left.
+const KEPT: Duration = Duration::from_secs(20);
+/// Interval between two removals of accounts without recent calls.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Work of one account and rank, as of the time of its last call.
+#[derive(Debug, Clone, Copy, Default)]
+struct Entry {
+    work_s: f64,
+    at: Duration,
+}
+
+impl Entry {
+    fn work_s(&self, now: Duration) -> f64 {
+        let passed_s = now.saturating_sub(self.at).as_secs_f64();
+        self.work_s * (-passed_s / DECAY_TIME.as_secs_f64()).exp()
+    }
+}
+
+/// Work that an instance admitted recently, by rank and account.
+#[derive(Debug, Clone, Default)]
+pub struct AccountWork {
+    entries: BTreeMap<u8, BTreeMap<AccountId, Entry>>,
+    pruned_at: Duration,
+}
+
+impl AccountWork {
+    /// Records that a call of an account arrived.
+    pub fn note_call(&mut self, now: Duration, rank: u8, account: &str) {
+        if now.saturating_sub(self.pruned_at) >= PRUNE_INTERVAL {
+            self.pruned_at = now;
+            for accounts in self.entries.values_mut() {
+                accounts.retain(|_, entry| now.saturating_sub(entry.at) <= KEPT);
+            }
+        }
+        self.add(now, rank, account, 0.0);
+    }
+
+    /// Adds work of an admitted call.
+    pub fn add(&mut self, now: Duration, rank: u8, account: &str, work_s: f64) {
+        let accounts = self.entries.entry(rank).or_default();
+        // The account is almost always present, so its name is cloned only when it is first seen.
+        if let Some(entry) = accounts.get_mut(account) {
+            *entry = Entry {
+                work_s: entry.work_s(now) + work_s,
+                at: now,
+            };
+        } else {
+            accounts.insert(account.to_owned(), Entry { work_s, at: now });
+        }
+    }
+
+    /// Returns the share of the recent work that an account has.
+    #[must_use]
+    pub fn share(&self, now: Duration, account: &str) -> f64 {
+        let (mut own_s, mut all_s) = (0.0, 0.0);
+        for (name, entry) in self.entries.values().flatten() {
+            let work_s = entry.work_s(now);
+            all_s += work_s;
+            own_s += if name == account { work_s } else { 0.0 };
+        }
+        if all_s > 0.0 { own_s / all_s } else { 0.0 }
+    }
+
+    /// Returns whether other accounts of a rank called within the decay time.
+    #[must_use]
+    pub fn has_others(&self, now: Duration, rank: u8, account: &str) -> bool {
+        let accounts = self.entries.get(&rank).into_iter().flatten();
+        let is_recent = |entry: &Entry| now.saturating_sub(entry.at) <= DECAY_TIME;
+        accounts
+            .into_iter()
+            .any(|(name, entry)| name != account && is_recent(entry))
+    }
+}
--- /dev/null
+++ b/crates/damaskstile-gateway/src/admission/turns.rs
@@ -0,0 +1,47 @@
+//! Turns of calls that only a lower limit rejects.
+
+use damaskstile_core::prelude::*;
+
+/// One such call in this many is judged by a relaxed limit.
+const RELAXED_CALLS: u32 = 4;
+/// One such call in this many is judged by the full limit, also while urgent calls alone keep the
+/// queues above the relaxed one.
+const FULL_CALLS: u32 = 16;
+/// Maximum number of counts. Above it they start anew, which only delays turns.
+const COUNTS_MAX: usize = 1_024;
+
+/// Limit by which a call is judged that a lower limit rejects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// The lower limit.
+    None,
+    /// A limit between the lower and the full one.
+    Relaxed,
+    /// The full limit.
+    Full,
+}
+
+/// Counts calls that only a lower limit rejects, by rank and account, so that neither is starved.
+#[derive(Debug, Clone, Default)]
+pub struct Turns {
+    counts: BTreeMap<(u8, AccountId), u32>,
+}
+
+impl Turns {
+    /// Counts such a call; returns by which limit it is judged.
+    pub fn next(&mut self, rank: u8, account: &str) -> Turn {
+        let key = (rank, account.to_owned());
+        if self.counts.len() >= COUNTS_MAX && !self.counts.contains_key(&key) {
+            self.counts.clear();
+        }
+        let count = self.counts.entry(key).or_default();
+        *count = (*count + 1) % FULL_CALLS;
+        if *count == 0 {
+            Turn::Full
+        } else if count.is_multiple_of(RELAXED_CALLS) {
+            Turn::Relaxed
+        } else {
+            Turn::None
+        }
+    }
+}
--- a/crates/damaskstile-gateway/src/backlog.rs
+++ b/crates/damaskstile-gateway/src/backlog.rs
@@ -49,6 +49,12 @@
         self.per_s = per_s.max(f64::MIN_POSITIVE);
     }
 
+    /// Returns the rate of service, in units a second.
+    #[must_use]
+    pub fn per_s(&self) -> f64 {
+        self.per_s
+    }
+
     /// Returns the time needed to work off the queue.
     pub fn delay(&mut self, now: Duration) -> Duration {
         self.advance(now);
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Dialect`](dialect::Dialect), [`Directory`](directory::Directory) and
 //! [`ObjectStore`](objects::ObjectStore).
 
+pub mod admission;
 pub mod answer;
 mod answer_signals;
 pub mod backlog;
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -3,6 +3,9 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::admission::{
+    Admission, AdmissionOptions, Admittance, CallDemand, QueueState, Rejection,
+};
 use crate::backlog::Backlog;
 use crate::call_cost::CallCost;
 use crate::load_sample::LoadSample;
@@ -44,12 +47,16 @@
 /// callers that it cannot bear and keeps the others.
 #[derive(Debug, Clone)]
 pub struct Pressure {
+    /// Decides which calls are admitted.
+    pub admission: Admission,
     received: Backlog,
     sent: Backlog,
     work: Backlog,
     call_cost: CallCost,
     /// Calls since the last load sample, weighted by cost.
     calls: f64,
+    /// Events and complete answers since the last load sample.
+    events: f64,
     /// Time of the last overload.
     overloaded_at: Option<Duration>,
     /// Current cool-down.
@@ -64,15 +71,23 @@
 impl Pressure {
     /// Creates the load of an instance whose link carries this many bytes a second each way.
     #[must_use]
-    #[allow(clippy::cast_precision_loss)] // some hundred MB at most
     pub fn new(link_bytes_per_s: u64) -> Self {
+        Self::with_admission(link_bytes_per_s, AdmissionOptions::default())
+    }
+
+    /// Creates the load of an instance with options of the admission of calls.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // some hundred MB at most
+    pub fn with_admission(link_bytes_per_s: u64, options: AdmissionOptions) -> Self {
         let bytes_per_s = link_bytes_per_s as f64 * USABLE_SHARE;
         Self {
+            admission: Admission::new(options),
             received: Backlog::new(bytes_per_s),
             sent: Backlog::new(bytes_per_s),
             work: Backlog::new(USABLE_SHARE),
             call_cost: CallCost::default(),
             calls: 0.0,
+            events: 0.0,
             overloaded_at: None,
             cool_down: COOL_DOWN_MIN,
             late_samples: 0,
@@ -117,19 +132,63 @@
     /// assert!(!pressure.admit(Duration::ZERO, 10_000, within));
     /// assert!(pressure.admit(Duration::from_secs(1), 10_000, within));
     /// ```
-    #[allow(clippy::cast_precision_loss)] // sizes of messages
     pub fn admit(&mut self, now: Duration, bytes: usize, within: Duration) -> bool {
-        let limit = within.max(DELAY_LIMIT);
-        let of_work = self.work.delay(now);
-        let is_late = self.is_busy && of_work > DELAY_LIMIT;
-        if is_late || self.sent.delay(now) > DELAY_LIMIT {
+        let has_room = self.queue_state(now).wait() <= within.max(DELAY_LIMIT);
+        self.count_call(now, bytes, has_room);
+        has_room
+    }
+
+    /// Decides whether a call is admitted, by its urgency and by what it takes until its last
+    /// event, and counts it. Where no calls yield to others, the decision is that of
+    /// [`admit`](Self::admit).
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is rejected.
+    pub fn admit_call(
+        &mut self,
+        now: Duration,
+        demand: &CallDemand<'_>,
+    ) -> Result<Admittance, Rejection> {
+        let queues = self.queue_state(now);
+        let verdict = self.admission.judge(now, demand, &queues);
+        self.count_call(now, demand.bytes, verdict.is_ok());
+        verdict
+    }
+
+    /// Counts an event of a stream or a complete answer that is passed on.
+    pub fn note_event(&mut self) {
+        self.events += 1.0;
+    }
+
+    /// Returns the state of the queues, and notes an overload if it shows one.
+    fn queue_state(&mut self, now: Duration) -> QueueState {
+        let work = self.work.delay(now);
+        let work = if self.is_busy { work } else { Duration::ZERO };
+        let sent = self.sent.delay(now);
+        if work.max(sent) > DELAY_LIMIT {
             self.note_overload(now);
         }
-        let is_lagging = self.late_samples >= LATE_SAMPLES && self.scheduling_delay > limit;
-        let has_time = !is_lagging && (!self.is_busy || of_work <= limit);
-        let has_room = has_time && self.sent.delay(now) <= limit;
+        let is_lagging = self.late_samples >= LATE_SAMPLES;
+        QueueState {
+            sent,
+            work,
+            lag: if is_lagging {
+                self.scheduling_delay
+            } else {
+                Duration::ZERO
+            },
+            is_overloaded: self.is_overloaded(now),
+            link_bytes_per_s: self.sent.per_s(),
+            processor_share: self.work.per_s(),
+            call_s: self.call_cost.per_call_s(),
+        }
+    }
+
+    #[allow(clippy::cast_precision_loss)] // sizes of messages
+    fn count_call(&mut self, now: Duration, bytes: usize, is_admitted: bool) {
         let cost_s = self.call_cost.per_call_s();
-        if has_room {
+        if is_admitted {
             self.sent.add(now, bytes as f64);
             self.work.add(now, cost_s);
             self.calls += 1.0;
@@ -137,7 +196,6 @@
             self.work.add(now, cost_s * REFUSED_COST_SHARE);
             self.calls += REFUSED_COST_SHARE;
         }
-        has_room
     }
 
     /// Updates the estimates from a load sample.
@@ -161,7 +219,10 @@
     /// ```
     pub fn sample(&mut self, now: Duration, sample: &LoadSample) {
         if sample.scheduling_delay < MACHINE_PAUSE_MIN {
-            self.call_cost.note(sample, std::mem::take(&mut self.calls));
+            let calls = std::mem::take(&mut self.calls);
+            let events = std::mem::take(&mut self.events);
+            self.call_cost.note(sample, calls);
+            self.admission.note_sample(sample, calls, events);
             let usable = (USABLE_SHARE - self.call_cost.other_share()).max(USABLE_SHARE / 2.0);
             self.work.set_rate(now, usable);
             let busy = sample.busy_with_calls + sample.busy_with_other;
