Explain load: rejections by priority

The table did not show which calls an overloaded instance rejected. It now counts refusals that carry a limit by priority, and those that yielded, also of instances that were never overloaded.

Checked: tests of damaskctl.

--- a/crates/damaskctl/src/explain.rs
+++ b/crates/damaskctl/src/explain.rs
@@ -56,7 +56,8 @@
         #[arg(required = true)]
         logs: Vec<PathBuf>,
     },
-    /// Which instances were overloaded, for how long, and what they spent their time on.
+    /// Which instances were overloaded, for how long, what they spent their time on, and which calls
+    /// they rejected, by priority.
     Load {
         /// Log files of instances.
         #[arg(required = true)]
--- a/crates/damaskctl/src/explain/load.rs
+++ b/crates/damaskctl/src/explain/load.rs
@@ -1,5 +1,5 @@
-//! Table of the instances that were overloaded or lagging: for how long, and what they spent their
-//! time on.
+//! Table of the instances that were overloaded or lagging, or rejected calls for their load: for
+//! how long, what they spent their time on, and which calls they rejected.
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -11,6 +11,8 @@
 use crate::exit::Failure;
 use crate::table::Table;
 
+/// Code of the event of a call that was refused as not run.
+const CALL_REFUSED: u64 = 108;
 /// Code of the event of a change of readiness.
 const READINESS_CHANGED: u64 = 704;
 /// Code of the event with which an overloaded or lagging instance logs what it spent its time on.
@@ -29,6 +31,10 @@
     connect_ms_max: u64,
     /// Time spent on each background task and on other kinds of work.
     busy_ms: BTreeMap<String, u64>,
+    /// Calls rejected for the load, by priority.
+    rejected: BTreeMap<u64, u64>,
+    /// Those of them that yielded to more urgent calls or to other accounts.
+    yielded: u64,
 }
 
 impl Load {
@@ -55,6 +61,27 @@
         }
     }
 
+    /// Counts a refused call if it was rejected for the load; only such calls have a limit.
+    fn add_refusal(&mut self, line: &Line) {
+        if let (Some(priority), Some(_)) = (line.number("priority"), line.number("limit_ms")) {
+            *self.rejected.entry(priority).or_default() += 1;
+            self.yielded += u64::from(line.field("yields_to").is_some());
+        }
+    }
+
+    /// Returns the rejected calls as `priority:calls`, or `-` if there are none.
+    fn rejected_by_priority(&self) -> String {
+        let pairs = self.rejected.iter();
+        let pairs: Vec<_> = pairs
+            .map(|(rank, calls)| format!("{rank}:{calls}"))
+            .collect();
+        if pairs.is_empty() {
+            "-".to_owned()
+        } else {
+            pairs.join(",")
+        }
+    }
+
     /// Returns the kind of work that took the most time, with that time, or `-` if none is known.
     fn busiest(&self) -> (&str, u64) {
         let most = self.busy_ms.iter().max_by_key(|(_, ms)| **ms);
@@ -71,7 +98,7 @@
     })
 }
 
-/// Prints the instances that were overloaded or lagging, the longest overloaded first. An instance
+/// Prints the instances that were overloaded or lagging or rejected calls, the longest overloaded first. An instance
 /// that is still overloaded at the end of the logs counts as overloaded until then.
 pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
     let logs = Logs::read(paths);
@@ -80,6 +107,7 @@
     for line in &logs.lines {
         last_ms = line.at_ms().unwrap_or(last_ms);
         match line.event {
+            CALL_REFUSED => loads.entry(&line.instance).or_default().add_refusal(line),
             READINESS_CHANGED => loads.entry(&line.instance).or_default().add_readiness(line),
             INSTANCE_LOADED => loads.entry(&line.instance).or_default().add_load(line),
             _ => {}
@@ -90,7 +118,7 @@
             load.overloaded_ms += last_ms.saturating_sub(since_ms);
         }
     }
-    loads.retain(|_, load| load.overloads > 0 || load.late_ms_max > 0);
+    loads.retain(|_, load| load.overloads > 0 || load.late_ms_max > 0 || !load.rejected.is_empty());
     let mut loads: Vec<_> = loads.into_iter().collect();
     loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.overloaded_ms));
     let mut table = Table::new(&[
@@ -101,6 +129,8 @@
         "connect_ms_max",
         "busiest",
         "busiest_ms",
+        "rejected",
+        "yielded",
     ]);
     let mut json_rows = Vec::new();
     for (instance, load) in &loads {
@@ -113,11 +143,14 @@
             &load.connect_ms_max,
             &busiest,
             &busiest_ms,
+            &load.rejected_by_priority(),
+            &load.yielded,
         ]);
         json_rows.push(serde_json::json!({
             "instance": instance, "overloads": load.overloads,
             "overloaded_ms": load.overloaded_ms, "late_ms_max": load.late_ms_max,
             "connect_ms_max": load.connect_ms_max, "busiest": busiest, "busiest_ms": busiest_ms,
+            "rejected": load.rejected, "yielded": load.yielded,
         }));
     }
     context.print(&Value::Array(json_rows), &table)?;
--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -275,6 +275,30 @@
 "#,
 ];
 
+/// Log lines of an instance that rejected calls for its load and one for tokens.
+const REJECTIONS: &str = r#"{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"account=one priority=2 criterion=wait limit_ms=100 delay_ms=140 yields_to=0 outcome=overloaded","event":108}
+{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:01.100Z","instance":"a","fields":"account=two priority=2 criterion=committed limit_ms=100 delay_ms=10 yields_to=0 outcome=overloaded","event":108}
+{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:01.200Z","instance":"a","fields":"account=one priority=0 criterion=wait limit_ms=400 delay_ms=410 outcome=overloaded","event":108}
+{"msg":"CallRefused","level":"INFO","ts":"2026-01-01T00:00:01.300Z","instance":"b","fields":"account=one outcome=budget_unreachable","event":108}
+"#;
+
+#[test]
+fn rejections_for_load_are_counted_by_priority() {
+    // Guards against rejected urgent calls that cannot be told from rejected bulk calls.
+
+    // Act
+    let (code, rows, errors) = explain("rejections", "load", &[REJECTIONS], &[]);
+
+    // Assert
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    assert_eq!(rows.as_array().map(Vec::len), Some(1));
+    let expected = serde_json::json!({"0": 1, "2": 2});
+    assert_eq!(
+        (&rows[0]["rejected"], &rows[0]["yielded"]),
+        (&expected, &2.into())
+    );
+}
+
 #[test]
 fn overloaded_instances_are_listed_with_their_busiest_task() {
     // Act
