Admission by urgency takes effect: calls, streams, settings, logs and metric

Calls are judged by their class, account and route; a guard counts an admitted stream until it ends in whatever way, and learns from it. A rejected call that yields is told to wait until the queue is short enough while the instance stays in rotation, since a retry at once would reach the same instance. [admission] by_urgency = false switches the part off. Limits, waits and the rank that a call yields to are in its log line, admissions in a metric, what open streams need in event 705. The files of two types are split.

--- a/crates/damaskstile-gateway/src/admission.rs
+++ b/crates/damaskstile-gateway/src/admission.rs
@@ -8,13 +8,17 @@
 mod call_demand;
 mod capacity_use;
 mod committed_load;
+mod criterion;
+mod decaying_work;
 mod event_cost;
 mod learned_stream;
 mod options;
 mod queue_state;
 mod recent_classes;
 mod rejection;
+mod route_streams;
 mod stream_totals;
+mod turn;
 mod turns;
 
 use damaskstile_core::prelude::*;
@@ -24,16 +28,18 @@
 
 use account_work::AccountWork;
 use recent_classes::RecentClasses;
-use turns::{Turn, Turns};
+use turn::Turn;
+use turns::Turns;
 
 pub use admittance::Admittance;
 pub use call_demand::CallDemand;
 pub use capacity_use::CapacityUse;
 pub use committed_load::CommittedLoad;
+pub use criterion::Criterion;
 pub use event_cost::EventCost;
 pub use options::AdmissionOptions;
 pub use queue_state::QueueState;
-pub use rejection::{Criterion, Rejection};
+pub use rejection::Rejection;
 pub use stream_totals::StreamTotals;
 
 /// Limit on the wait of any call without a longer objective: most callers retry only once.
--- a/crates/damaskstile-gateway/src/admission/account_work.rs
+++ b/crates/damaskstile-gateway/src/admission/account_work.rs
@@ -2,31 +2,17 @@
 
 use damaskstile_core::prelude::*;
 
-/// Time constant of the exponential decay of work.
-const DECAY_TIME: Duration = Duration::from_secs(5);
+use super::decaying_work::{DECAY_TIME, DecayingWork};
+
 /// Time after its last call for which an account counts. By then less than 2 % of its work is left.
 const KEPT: Duration = Duration::from_secs(20);
 /// Interval between two removals of accounts without recent calls.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Work of one account and rank, as of the time of its last call.
-#[derive(Debug, Clone, Copy, Default)]
-struct Entry {
-    work_s: f64,
-    at: Duration,
-}
-
-impl Entry {
-    fn work_s(&self, now: Duration) -> f64 {
-        let passed_s = now.saturating_sub(self.at).as_secs_f64();
-        self.work_s * (-passed_s / DECAY_TIME.as_secs_f64()).exp()
-    }
-}
-
 /// Work that an instance admitted recently, by rank and account.
 #[derive(Debug, Clone, Default)]
 pub struct AccountWork {
-    entries: BTreeMap<u8, BTreeMap<AccountId, Entry>>,
+    entries: BTreeMap<u8, BTreeMap<AccountId, DecayingWork>>,
     pruned_at: Duration,
 }
 
@@ -47,12 +33,12 @@
         let accounts = self.entries.entry(rank).or_default();
         // The account is almost always present, so its name is cloned only when it is first seen.
         if let Some(entry) = accounts.get_mut(account) {
-            *entry = Entry {
+            *entry = DecayingWork {
                 work_s: entry.work_s(now) + work_s,
                 at: now,
             };
         } else {
-            accounts.insert(account.to_owned(), Entry { work_s, at: now });
+            accounts.insert(account.to_owned(), DecayingWork { work_s, at: now });
         }
     }
 
@@ -72,7 +58,7 @@
     #[must_use]
     pub fn has_others(&self, now: Duration, rank: u8, account: &str) -> bool {
         let accounts = self.entries.get(&rank).into_iter().flatten();
-        let is_recent = |entry: &Entry| now.saturating_sub(entry.at) <= DECAY_TIME;
+        let is_recent = |entry: &DecayingWork| now.saturating_sub(entry.at) <= DECAY_TIME;
         accounts
             .into_iter()
             .any(|(name, entry)| name != account && is_recent(entry))
--- a/crates/damaskstile-gateway/src/admission/capacity_use.rs
+++ b/crates/damaskstile-gateway/src/admission/capacity_use.rs
@@ -25,6 +25,13 @@
         }
     }
 
+    /// Returns both as one line, in percent: `link:12,processor:30`.
+    #[must_use]
+    pub fn percents(&self) -> String {
+        let (link, processor) = (self.link * 100.0, self.processor * 100.0);
+        format!("link:{link:.0},processor:{processor:.0}")
+    }
+
     /// Returns the higher of the two fractions.
     ///
     /// ```
--- a/crates/damaskstile-gateway/src/admission/committed_load.rs
+++ b/crates/damaskstile-gateway/src/admission/committed_load.rs
@@ -4,17 +4,9 @@
 
 use super::capacity_use::StreamRate;
 use super::learned_stream::LearnedStream;
+use super::route_streams::RouteStreams;
 use super::stream_totals::StreamTotals;
 
-/// Streams of one route.
-#[derive(Debug, Clone, Default)]
-struct RouteStreams {
-    learned: LearnedStream,
-    open: u32,
-    /// Pause limit at the last admission.
-    pause_limit: Option<Duration>,
-}
-
 /// Open streams by route, and what streams of each route take until their last events.
 ///
 /// The queues only show what has arrived. Streams that have been admitted but whose events are yet
--- a/crates/damaskstile-gateway/src/admission/turns.rs
+++ b/crates/damaskstile-gateway/src/admission/turns.rs
@@ -2,6 +2,8 @@
 
 use damaskstile_core::prelude::*;
 
+use super::turn::Turn;
+
 /// One such call in this many is judged by a relaxed limit.
 const RELAXED_CALLS: u32 = 4;
 /// One such call in this many is judged by the full limit, also while urgent calls alone keep the
@@ -10,17 +12,6 @@
 /// Maximum number of counts. Above it they start anew, which only delays turns.
 const COUNTS_MAX: usize = 1_024;
 
-/// Limit by which a call is judged that a lower limit rejects.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Turn {
-    /// The lower limit.
-    None,
-    /// A limit between the lower and the full one.
-    Relaxed,
-    /// The full limit.
-    Full,
-}
-
 /// Counts calls that only a lower limit rejects, by rank and account, so that neither is starved.
 #[derive(Debug, Clone, Default)]
 pub struct Turns {
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use crate::admitted_stream::AdmittedStream;
 use crate::broken_run::BrokenRun;
 use crate::caller_connection::CallerConnection;
 use crate::gateway::Gateway;
@@ -44,6 +45,7 @@
     record: Record,
     deadline: Duration,
     _open: OpenCall,
+    admitted: AdmittedStream,
     attempts: Attempts,
     tried: Vec<TargetId>,
     last_event: Option<u64>,
@@ -87,6 +89,7 @@
                 record,
                 deadline: began_at + limit,
                 _open: open,
+                admitted: AdmittedStream::default(),
                 attempts: Attempts::default(),
                 tried: Vec::new(),
                 last_event: head.last_event,
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -134,6 +134,7 @@
             deadline: self.deadline,
             run: Some(run),
             open: self.gateway.open_call(),
+            admitted: std::mem::take(&mut self.admitted),
             caller: self.caller.clone(),
             last_event: self.last_event,
             splitter: EventSplitter::default(),
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -5,6 +5,8 @@
 use http::{HeaderValue, Response, header};
 
 use super::{Exchange, refuse};
+use crate::admission::{Admittance, CallDemand, Rejection};
+use crate::admitted_stream::AdmittedStream;
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 
 /// Range of the random delay added to an advised wait, in milliseconds.
@@ -34,22 +36,57 @@
     /// time. The refusal closes the connection, so that the caller connects to another instance for
     /// this call and later ones.
     pub(super) fn overload_refusal(&mut self) -> Option<Response<ReplyBody>> {
-        let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
-        let objective = self.terms.route.objective;
-        let is_admitted = {
-            let pressure = &mut self.gateway.state().pressure;
-            pressure.admit(now, bytes, objective)
+        let route = &self.terms.route;
+        let demand = CallDemand {
+            route: &route.name,
+            account: self.terms.account.as_deref().unwrap_or_default(),
+            class: route.class(self.terms.priority),
+            is_stream: route.kind.is_stream(),
+            bytes: self.call.link_bytes(),
         };
-        if is_admitted {
+        let now = self.gateway.now();
+        let verdict = self.gateway.state().pressure.admit_call(now, &demand);
+        let outcome = verdict.map_or("rejected", Admittance::as_str);
+        let admissions = &self.gateway.metrics.admissions;
+        admissions.add(self.terms.priority, outcome);
+        let Err(rejection) = verdict else {
+            self.admitted = AdmittedStream::begin(&self.gateway, &self.terms);
             return None;
-        }
-        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(RETRY_AT_ONCE));
+        };
+        self.note_rejection(&rejection);
+        let wait = self.overload_wait(&rejection);
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(wait));
         let mut response = self.refuse(&refusal);
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
         Some(response)
     }
 
+    /// Returns how long a rejected caller should wait. A call that yields waits until the queue is
+    /// short enough if the instance stays in rotation, since a retry at once would reach it again.
+    fn overload_wait(&self, rejection: &Rejection) -> Duration {
+        let is_in_rotation = {
+            let state = self.gateway.state();
+            !state.pressure.is_overloaded(self.gateway.now())
+        };
+        if is_in_rotation && rejection.yields_to.is_some() {
+            self.add_jitter(rejection.delay.saturating_sub(rejection.limit))
+        } else {
+            RETRY_AT_ONCE
+        }
+    }
+
+    fn note_rejection(&mut self, rejection: &Rejection) {
+        let record = &mut self.record;
+        record.add("priority", self.terms.priority);
+        record.add("criterion", rejection.criterion.as_str());
+        record.add("limit_ms", rejection.limit.as_millis());
+        record.add("delay_ms", rejection.delay.as_millis());
+        if let Some(rank) = rejection.yields_to {
+            record.add("yields_to", rank);
+        }
+    }
+
     pub(super) fn deadline_exceeded(&mut self) -> Response<ReplyBody> {
         let code = RefusalCode::DeadlineExceeded;
         let refusal = if self.is_sending || self.attempts.may_have_run() {
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -392,7 +392,7 @@
             state.holder.set_prepaid(version, prepaid);
             state.holder.set_first_rank(first_rank);
             state.target_table.set_cold_limits(cold_limits);
-            state.call_times.retain(|route| routes.contains(route));
+            state.retain_routes(&routes);
             state.stored_catalogue = Some(object.clone());
             state
                 .catalogue_changes
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -163,6 +163,7 @@
         let pressure = &mut self.state().pressure;
         pressure.note_received(now, bytes);
         pressure.note_sent(now, bytes);
+        pressure.note_event();
     }
 
     /// Returns whether a call that began at `began_at` is expected to finish before the shutdown
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`ObjectStore`](objects::ObjectStore).
 
 pub mod admission;
+pub mod admission_counts;
+pub mod admitted_stream;
 pub mod answer;
 mod answer_signals;
 pub mod backlog;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -93,7 +93,10 @@
         let _ = write!(longest, "{separator}{what}:{}", took.as_millis());
     }
     let now = gateway.now();
-    let delays = gateway.state().pressure.delays(now);
+    let (delays, committed) = {
+        let pressure = &mut gateway.state().pressure;
+        (pressure.delays(now), pressure.committed())
+    };
     let [received_ms, sent_ms, work_ms] = delays.map(|delay| delay.as_millis());
     let waits_ms = format!("in:{received_ms},out:{sent_ms},processor:{work_ms}");
     let fields = [
@@ -102,6 +105,7 @@
         ("busy_ms", busy.to_owned()),
         ("longest_ms", longest),
         ("waits_ms", waits_ms),
+        ("committed_percent", committed.percents()),
         ("calls", gateway.open_calls().to_string()),
         ("connections", gateway.open_connections().to_string()),
     ];
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::admission_counts::AdmissionCounts;
 use crate::readiness::Readiness;
 
 /// Labels of metrics by client account.
@@ -80,6 +81,8 @@
 /// `Metrics` holds the metrics of an instance and their registry.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Admitted and rejected calls.
+    pub admissions: AdmissionCounts,
     registry: Mutex<Registry>,
     outcomes: Family<OutcomeLabels, Counter>,
     first_byte: Family<AccountLabels, Histogram>,
@@ -110,6 +113,8 @@
     #[must_use]
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("damaskstile");
+        let admissions = AdmissionCounts::default();
+        admissions.register(&mut registry);
         let outcomes = Family::default();
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
@@ -160,6 +165,7 @@
         let help = "Milliseconds spent on each duty since the start";
         registry.register("busy_ms", help, busy_ms.clone());
         Self {
+            admissions,
             registry: Mutex::new(registry),
             outcomes,
             first_byte,
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -6,6 +6,7 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_targets::TargetTableOptions;
 
+use crate::admission::AdmissionOptions;
 use crate::cold_options::ColdOptions;
 
 /// Configuration of a gateway.
@@ -43,4 +44,6 @@
     pub target_table: TargetTableOptions,
     /// Rate of calls that a cold target may get.
     pub cold: ColdOptions,
+    /// Options of the admission of calls.
+    pub admission: AdmissionOptions,
 }
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -4,7 +4,7 @@
 use damaskstile_core::prelude::*;
 
 use crate::admission::{
-    Admission, AdmissionOptions, Admittance, CallDemand, QueueState, Rejection,
+    Admission, AdmissionOptions, Admittance, CallDemand, CapacityUse, QueueState, Rejection,
 };
 use crate::backlog::Backlog;
 use crate::call_cost::CallCost;
@@ -268,6 +268,18 @@
         link.max(self.work.share(now))
     }
 
+    /// Returns the fractions of the link and of the processor that open streams need until their
+    /// last events.
+    #[must_use]
+    pub fn committed(&self) -> CapacityUse {
+        let queues = QueueState {
+            link_bytes_per_s: self.sent.per_s(),
+            processor_share: self.work.per_s(),
+            ..QueueState::default()
+        };
+        self.admission.committed(&queues)
+    }
+
     fn check_link_delay(&mut self, now: Duration) {
         if self.received.delay(now).max(self.sent.delay(now)) > DELAY_LIMIT {
             self.note_overload(now);
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 
+use crate::admitted_stream::AdmittedStream;
 use crate::caller_connection::CallerConnection;
 use crate::events::{CompleteEvent, EventSplitter};
 use crate::gateway::Gateway;
@@ -52,6 +53,8 @@
     pub run: Option<Run>,
     /// Keeps the call counted as open.
     pub open: OpenCall,
+    /// Keeps the stream counted as admitted.
+    pub admitted: AdmittedStream,
     /// The caller's connection.
     pub caller: CallerConnection,
     /// Id of the last event sent to the caller.
@@ -208,6 +211,7 @@
         let before = self.last_event_at.replace(now).unwrap_or(now);
         self.pause_max = self.pause_max.max(now.saturating_sub(before));
         self.gateway.note_forwarded(event.bytes.len());
+        self.admitted.note_event(event.bytes.len());
         if let Some(run) = &mut self.run {
             run.running.event();
         }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -191,7 +191,7 @@
             known_writer: None,
             suspects: Suspects::default(),
             call_times: CallTimes::default(),
-            pressure: Pressure::new(options.link_bytes_per_s),
+            pressure: Pressure::with_admission(options.link_bytes_per_s, options.admission),
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
@@ -312,6 +312,13 @@
         members
     }
 
+    /// Drops what was learned about routes that no longer exist.
+    pub fn retain_routes(&mut self, routes: &BTreeSet<String>) {
+        self.call_times.retain(|route| routes.contains(route));
+        let admission = &mut self.pressure.admission;
+        admission.retain_routes(|route| routes.contains(route));
+    }
+
     /// Takes one retry from the instance's share of the fleet's retry budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -7,6 +7,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::Random;
 use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::admission::AdmissionOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::follow::{DRAWS, list_pause};
 use damaskstile_gateway::member::Member;
@@ -81,6 +82,7 @@
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
         cold: ColdOptions::default(),
+        admission: AdmissionOptions::default(),
     };
     State::new(&options, Duration::ZERO)
 }
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
+use damaskstile_gateway::admission::AdmissionOptions;
 use damaskstile_gateway::answer::AnswerHead;
 use damaskstile_gateway::call::{CallHead, SendHead};
 use damaskstile_gateway::cold_options::ColdOptions;
@@ -146,6 +147,7 @@
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
         cold: ColdOptions::default(),
+        admission: AdmissionOptions::default(),
     };
     let log = Logger::root(Discard, o!());
     Gateway::new(
