--- a/crates/damaskstile-gateway/src/admission/recent_classes.rs
+++ b/crates/damaskstile-gateway/src/admission/recent_classes.rs
@@ -14,9 +14,12 @@
 }
 
 impl RecentClasses {
-    /// Records a call, and drops the classes without recent calls.
+    /// Records a call, and drops the classes without recent calls. Classes without an objective are
+    /// left out: a limit derived from zero would reject all calls that yield to them.
     pub fn note(&mut self, now: Duration, class: CallClass) {
-        self.last_calls.insert(class, now);
+        if !class.objective.is_zero() {
+            self.last_calls.insert(class, now);
+        }
         self.last_calls
             .retain(|_, last_call| now.saturating_sub(*last_call) <= RECENT);
     }
--- a/crates/damaskstile-gateway/tests/admission.rs
+++ b/crates/damaskstile-gateway/tests/admission.rs
@@ -212,6 +212,35 @@
     assert!(sent > ms(1_000), "{sent:?}");
 }
 
+#[test]
+fn a_class_without_an_objective_sets_no_limit() {
+    // Guards against bulk calls being rejected at an idle instance, because the operator declares
+    // no objective for a more urgent route.
+
+    // Arrange: two calls that wait for 10 ms.
+    let demand = |class| CallDemand {
+        route: "plain",
+        account: "one",
+        class,
+        is_stream: false,
+        bytes: 10_000,
+    };
+    let queues = QueueState {
+        sent: ms(10),
+        link_bytes_per_s: 1_000_000.0,
+        ..QueueState::default()
+    };
+    let mut admission = Admission::default();
+    let urgent = demand(class(0, 0, None));
+    let bulk = demand(class(2, 1_500, None));
+
+    // Act
+    let verdicts = [urgent, bulk].map(|call| admission.judge(Duration::ZERO, &call, &queues));
+
+    // Assert
+    assert!(verdicts.iter().all(Result::is_ok), "{verdicts:?}");
+}
+
 proptest! {
     /// Guards against a change for fleets whose classes of calls do not yield to each other.
     #[test]
