--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -6,6 +6,9 @@
 //! [`ObjectStore`](objects::ObjectStore).
 
 pub mod account_demand;
+pub mod admission;
+pub mod admission_counts;
+pub mod admitted_stream;
 pub mod answer;
 mod answer_signals;
 pub mod backlog;
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -6,6 +6,7 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_targets::TargetTableOptions;
 
+use crate::admission::AdmissionOptions;
 use crate::cold_options::ColdOptions;
 use crate::rotation_options::RotationOptions;
 
@@ -46,4 +47,6 @@
     pub rotation: RotationOptions,
     /// Rate of calls that a cold target may get.
     pub cold: ColdOptions,
+    /// Options of the admission of calls.
+    pub admission: AdmissionOptions,
 }
