Admission: room for urgent calls follows their recent work; a large instance stays in rotation until nearly full

Cause: at a large instance that served one account at 71 % of its processor with empty queues, 200 calls of a second were rejected as committed, and the instance left rotation at 61 % so that a small one got the account. Limits of 37 ms, a quarter of a plain call's objective, rejected streams that had 400 ms.

--- a/crates/damaskstile-gateway/src/admission.rs
+++ b/crates/damaskstile-gateway/src/admission.rs
@@ -52,9 +52,14 @@
 /// of their time. With the full limit in its place, a quarter of the heavy calls held the queue at
 /// the limit of urgent calls, which were rejected, and delayed the events of open streams.
 const RELAXED_FACTOR: u32 = 2;
-/// Fraction of the capacity that open streams may have committed when a call that yields is
-/// admitted. The rest remains for urgent calls.
-const YIELDING_COMMITTED_MAX: f64 = 0.75;
+/// Lowest limit on the wait of calls that yield. A shorter queue holds a few calls only, and a
+/// rejected one loses more time than it saves the urgent calls behind it.
+const YIELDING_LIMIT_MIN: Duration = Duration::from_millis(100);
+/// Factor over the recent work of more urgent calls that open streams leave free when a call that
+/// yields is admitted: urgent calls may double before they find no room.
+const URGENT_GROWTH: f64 = 2.0;
+/// Largest fraction of the capacity that is left free for urgent calls.
+const URGENT_ROOM_MAX: f64 = 0.25;
 /// Fraction of the recent work above which an account yields to the others of its rank.
 const ACCOUNT_SHARE_MAX: f64 = 0.5;
 
@@ -175,7 +180,8 @@
         if urgent.is_none() {
             self.check_pauses(demand, queues)?;
         }
-        let yielding = urgent.and_then(|urgent| self.yielding_rejection(demand, queues, &urgent));
+        let yielding =
+            urgent.and_then(|urgent| self.yielding_rejection(now, demand, queues, &urgent));
         let of_account = || self.account_rejection(now, demand, queues);
         match yielding.or_else(of_account) {
             None => Ok(Admittance::Regular),
@@ -209,11 +215,12 @@
     /// Returns why a call that yields to `urgent` calls is rejected, if it is.
     fn yielding_rejection(
         &self,
+        now: Duration,
         demand: &CallDemand<'_>,
         queues: &QueueState,
         urgent: &CallClass,
     ) -> Option<Rejection> {
-        let limit = urgent.objective / YIELDING_DIVISOR;
+        let limit = (urgent.objective / YIELDING_DIVISOR).max(YIELDING_LIMIT_MIN);
         // An urgent call behind this one waits for its bytes too. They count for half of the limit
         // at most, so that no call is too large for an empty queue.
         let own = queues.time_to_send(demand.bytes).min(limit / 2);
@@ -237,7 +244,9 @@
             return reject(Criterion::Pauses, limit, queues.sent);
         }
         let committed = self.committed_with(demand, queues);
-        if committed.highest() > YIELDING_COMMITTED_MAX {
+        let urgent_work = self.accounts.work_above(now, demand.class.priority);
+        let urgent_room = (urgent_work * URGENT_GROWTH).min(URGENT_ROOM_MAX);
+        if committed.highest() > 1.0 - urgent_room {
             return reject(Criterion::Committed, limit, delay);
         }
         None
@@ -278,6 +287,7 @@
             share > ACCOUNT_SHARE_MAX && self.accounts.has_others(now, rank, demand.account)
         };
         let limit = self.classes.shortest_objective(rank)? / YIELDING_DIVISOR;
+        let limit = limit.max(YIELDING_LIMIT_MIN);
         let delay = queues.wait();
         (queues.is_overloaded && delay > limit && is_dominant()).then_some(Rejection {
             criterion: Criterion::Account,
--- a/crates/damaskstile-gateway/src/admission/account_work.rs
+++ b/crates/damaskstile-gateway/src/admission/account_work.rs
@@ -54,6 +54,17 @@
         if all_s > 0.0 { own_s / all_s } else { 0.0 }
     }
 
+    /// Returns the recent work of more urgent ranks, as a fraction of the capacity.
+    #[must_use]
+    pub fn work_above(&self, now: Duration, rank: u8) -> f64 {
+        let entries = self
+            .entries
+            .range(..rank)
+            .flat_map(|(_, accounts)| accounts);
+        let work_s: f64 = entries.map(|(_, entry)| entry.work_s(now)).sum();
+        work_s / DECAY_TIME.as_secs_f64()
+    }
+
     /// Returns whether other accounts of a rank called within the decay time.
     #[must_use]
     pub fn has_others(&self, now: Duration, rank: u8, account: &str) -> bool {
--- a/crates/damaskstile-gateway/src/rotation.rs
+++ b/crates/damaskstile-gateway/src/rotation.rs
@@ -8,9 +8,12 @@
 /// Utilisation from which on an instance leaves rotation in any case. A balancer needs some seconds
 /// to notice; until then the load of the same callers continues to grow.
 const LEAVE_SHARE_MAX: f64 = 0.6;
-/// Factor by which that utilisation is higher at an instance that is much larger than the others:
-/// the load of a caller grows more slowly there, relative to its capacity.
-const LARGE_FACTOR_MAX: f64 = 1.4;
+/// Capacity over the mean of the others from which on an instance stays in rotation until it is
+/// nearly full: it bears what small ones cannot, and the next in the balancer's order is likely to
+/// be a small one.
+const LARGE_FACTOR: f64 = 2.0;
+/// Utilisation at which such an instance leaves.
+const LARGE_LEAVE_SHARE: f64 = 0.9;
 /// Factor and margin over the mean utilisation of the other instances from which on an instance
 /// leaves rotation.
 const LEAVE_FACTOR: f64 = 2.0;
@@ -125,13 +128,13 @@
     }
 }
 
-/// Returns whether an instance has clearly more load than its neighbours. A larger instance may
-/// have more: it bears what small ones pass on.
+/// Returns whether an instance has clearly more load than its neighbours.
 fn is_busier(share: f64, neighbours: &Neighbours) -> bool {
-    let leave_share = neighbours.mean_share * LEAVE_FACTOR + LEAVE_MARGIN;
-    let size = neighbours.relative_capacity.max(1.0);
-    let leave_share_max = LEAVE_SHARE_MAX * size.min(LARGE_FACTOR_MAX);
-    let leave_share = (leave_share * size).min(leave_share_max);
+    let leave_share = if neighbours.relative_capacity >= LARGE_FACTOR {
+        LARGE_LEAVE_SHARE
+    } else {
+        (neighbours.mean_share * LEAVE_FACTOR + LEAVE_MARGIN).min(LEAVE_SHARE_MAX)
+    };
     share >= leave_share && share > neighbours.mean_share + LEAVE_MARGIN
 }
 
