Targets: the speed of each target is learned, and enters its cost

Where targets state how long work takes on their machines, a factor for each incarnation is learned from first tokens and plain answers, and a full batch costs more than a half-full one. Elsewhere nothing is added to a cost.

Checked: cargo test -p damaskstile-targets (all pass).

--- a/crates/damaskstile-targets/src/choice.rs
+++ b/crates/damaskstile-targets/src/choice.rs
@@ -26,6 +26,14 @@
     pub ahead_ms: f64,
     /// Calls that are likely to run there.
     pub running: f64,
+    /// Predicted time to the first token, from what is known of the target's speed.
+    pub expected_ms: f64,
+    /// Time to the first token that a target of usual speed would take; `None` if the call shows
+    /// nothing of the target's speed.
+    pub usual_ms: Option<f64>,
+    /// How many times longer than usual work is predicted to take there; `None` where speeds are
+    /// not learned.
+    pub speed_factor: Option<f64>,
 }
 
 impl Choice {
--- /dev/null
+++ b/crates/damaskstile-targets/src/target_speed.rs
@@ -0,0 +1,203 @@
+//! How fast one incarnation of a target is, compared with the other targets of its service.
+
+use damaskstile_core::prelude::*;
+
+use crate::speed_report::{SAMPLES_MAX, SpeedReport, bounded_log, freshness};
+
+/// Samples from which on a factor counts. A single late call may have waited for an unreported
+/// prompt.
+const SAMPLES_MIN: f64 = 3.0;
+/// Samples from which on a factor is reported to peers.
+const REPORTED_SAMPLES_MIN: f64 = 5.0;
+/// Reports of different peers that are kept for one target, those with the most samples. Four reach
+/// the samples that count at most.
+const REPORTS_MAX: usize = 4;
+/// Factor from which on a target costs more, and from whose reciprocal on it is reported to peers.
+/// The mean of 20 samples that vary by half deviates by as much by chance.
+const DEVIATION_MIN: f64 = 1.1;
+/// Factor from which on a target counts as slow for operators, and the one below which it no longer
+/// does. The gap keeps a factor that varies around the limit from being logged each time.
+const SLOW_FACTOR: f64 = 1.5;
+const NOT_SLOW_FACTOR: f64 = 1.35;
+/// Bounds of the machine's momentary figure, in percent.
+const MACHINE_MIN_PERCENT: f64 = 25.0;
+const MACHINE_MAX_PERCENT: f64 = 800.0;
+/// Reports over which the machine's own mean is taken.
+const MACHINE_REPORTS: f64 = 20.0;
+/// Time in which the momentary figure falls half way to the machine's own mean, since it changes
+/// many times a second, and the age from which on it does not count.
+const MACHINE_HALF_LIFE: Duration = Duration::from_millis(300);
+const MACHINE_AGE_MAX: Duration = Duration::from_millis(600);
+/// Weight of the momentary figure: it is that of one moment, and work takes longer than that.
+const MACHINE_WEIGHT: f64 = 0.5;
+
+/// How fast one incarnation of a target is, compared with the other targets of its service: a
+/// lasting factor, from calls of this instance and reports of peers, and a momentary one, from the
+/// figure that the target's machine states.
+#[derive(Debug, Clone, Default)]
+pub struct TargetSpeed {
+    /// Mean logarithm of the ratios of observed to predicted times.
+    own_log: f64,
+    own_samples: f64,
+    sampled_at: Duration,
+    /// Newest reports of peers.
+    reports: BTreeMap<InstanceId, SpeedReport>,
+    machine_percent: f64,
+    machine_mean_percent: f64,
+    machine_reports: f64,
+    machine_at: Duration,
+    /// Slots that the target stated last.
+    pub(crate) slots: Option<u64>,
+    is_slow: bool,
+}
+
+impl TargetSpeed {
+    /// Learns from one call that took `ratio` times the predicted time. What the momentary figure
+    /// explains is not attributed to the target.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_targets::TargetSpeed;
+    /// let mut speed = TargetSpeed::default();
+    /// for _ in 0..20 {
+    ///     speed.learn(Duration::ZERO, 2.0);
+    /// }
+    /// assert!((speed.factor(Duration::ZERO) - 2.0).abs() < 0.01);
+    /// assert_eq!(speed.factor(Duration::from_secs(30)), 1.0);
+    /// ```
+    pub fn learn(&mut self, now: Duration, ratio: f64) {
+        let sample = bounded_log(ratio / self.momentary_log(now).exp());
+        let remaining = self.own_samples * freshness(now, self.sampled_at);
+        self.own_samples = remaining.min(SAMPLES_MAX - 1.0) + 1.0;
+        self.own_log += (sample - self.own_log) / self.own_samples;
+        self.sampled_at = now;
+    }
+
+    /// Records the machine's momentary figure.
+    pub fn record_machine(&mut self, now: Duration, percent: u64) {
+        let percent = f64::from(u32::try_from(percent).unwrap_or(u32::MAX));
+        let percent = percent.clamp(MACHINE_MIN_PERCENT, MACHINE_MAX_PERCENT);
+        self.machine_reports = (self.machine_reports + 1.0).min(MACHINE_REPORTS);
+        self.machine_mean_percent += (percent - self.machine_mean_percent) / self.machine_reports;
+        self.machine_percent = percent;
+        self.machine_at = now;
+    }
+
+    /// Applies a peer's report; of each peer only the newest counts.
+    pub fn apply_report(&mut self, now: Duration, source: &str, report: SpeedReport) {
+        self.reports.retain(|_, known| known.weight(now) > 0.0);
+        let is_older = |known: &SpeedReport| known.at > report.at;
+        if report.weight(now) <= 0.0 || self.reports.get(source).is_some_and(is_older) {
+            return;
+        }
+        self.reports.insert(source.to_owned(), report);
+        if self.reports.len() > REPORTS_MAX {
+            let weight = |(_, report): &(&InstanceId, &SpeedReport)| report.weight(now);
+            let reports = self.reports.iter();
+            let least = reports.min_by(|one, other| weight(one).total_cmp(&weight(other)));
+            if let Some(least) = least.map(|(source, _)| source.clone()) {
+                self.reports.remove(&least);
+            }
+        }
+    }
+
+    /// Returns the report to send to peers: only this instance's own calls, so that no report
+    /// returns to its sender as another's.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> Option<SpeedReport> {
+        let samples = self.own_samples * freshness(now, self.sampled_at);
+        let deviates = self.own_log.abs() >= DEVIATION_MIN.ln();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // 5 to 20
+        (samples >= REPORTED_SAMPLES_MIN && deviates).then(|| SpeedReport {
+            factor: self.own_log.exp(),
+            samples: self.own_samples.round() as u64,
+            at: self.sampled_at,
+        })
+    }
+
+    /// Returns the lasting factor: above 1 for a slow target. The instance's own samples count
+    /// first, those of peers as far as own ones are missing.
+    #[must_use]
+    pub fn factor(&self, now: Duration) -> f64 {
+        self.lasting_log(now).exp()
+    }
+
+    fn lasting_log(&self, now: Duration) -> f64 {
+        let own_fresh = freshness(now, self.sampled_at);
+        let own = self.own_samples * own_fresh;
+        let reports = self.reports.values();
+        let weights = reports.map(|report| (report.weight(now), report.log_factor(now)));
+        let (sum, logs) = weights.fold((0.0, 0.0), |(sum, logs), (weight, log)| {
+            (sum + weight, logs + weight * log)
+        });
+        let of_peers = f64::min(sum, SAMPLES_MAX - own);
+        if own + of_peers < SAMPLES_MIN {
+            return 0.0;
+        }
+        let peers_log = if sum > 0.0 { logs / sum } else { 0.0 };
+        (own * self.own_log * own_fresh + of_peers * peers_log) / (own + of_peers)
+    }
+
+    /// Returns the logarithm of the momentary factor, relative to the machine's own mean, which the
+    /// lasting factor includes.
+    fn momentary_log(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.machine_at);
+        if self.machine_reports == 0.0 || age >= MACHINE_AGE_MAX {
+            return 0.0;
+        }
+        let halvings = age.as_secs_f64() / MACHINE_HALF_LIFE.as_secs_f64();
+        let mean = self.machine_mean_percent;
+        let percent = mean + (self.machine_percent - mean) * 0.5_f64.powf(halvings);
+        (percent / mean).ln() * MACHINE_WEIGHT
+    }
+
+    /// Returns the factor by which first tokens are predicted to take longer now.
+    #[must_use]
+    pub fn predicted_factor(&self, now: Duration) -> f64 {
+        (self.lasting_log(now) + self.momentary_log(now)).exp()
+    }
+
+    /// Returns the factor by which work costs more: 1 for all targets that are not slow, so that a
+    /// fast one is not preferred by all instances.
+    #[must_use]
+    pub fn cost_factor(&self, now: Duration) -> f64 {
+        let factor = self.predicted_factor(now);
+        if factor < DEVIATION_MIN { 1.0 } else { factor }
+    }
+
+    /// Tells whether the speed makes no call cost more.
+    pub(crate) fn is_usual(&self, now: Duration) -> bool {
+        self.cost_factor(now) <= 1.0
+    }
+
+    /// Tells whether the lasting factor deviates from 1 by more than chance.
+    #[must_use]
+    pub fn deviates(&self, now: Duration) -> bool {
+        self.lasting_log(now).abs() >= DEVIATION_MIN.ln()
+    }
+
+    /// Tells whether anything is still known.
+    pub(crate) fn is_known(&self, now: Duration) -> bool {
+        let own = self.own_samples * freshness(now, self.sampled_at);
+        own > 0.0 || self.has_reports(now)
+    }
+
+    /// Tells whether reports of peers still count.
+    pub(crate) fn has_reports(&self, now: Duration) -> bool {
+        let mut reports = self.reports.values();
+        reports.any(|report| report.weight(now) > 0.0)
+    }
+
+    /// Updates whether the target counts as slow; returns the new state if it changed.
+    pub(crate) fn update_slow(&mut self, now: Duration) -> Option<bool> {
+        let limit = if self.is_slow {
+            NOT_SLOW_FACTOR
+        } else {
+            SLOW_FACTOR
+        };
+        let is_slow = self.factor(now) >= limit;
+        let has_changed = is_slow != self.is_slow;
+        self.is_slow = is_slow;
+        has_changed.then_some(is_slow)
+    }
+}
--- a/crates/damaskstile-targets/src/target_state.rs
+++ b/crates/damaskstile-targets/src/target_state.rs
@@ -8,6 +8,7 @@
 use crate::listed::Listed;
 use crate::reported_load::ReportedLoad;
 use crate::sender_turn::SenderTurn;
+use crate::target_speed::TargetSpeed;
 use crate::work::Work;
 
 /// Time after which a prompt part that was sent to a target is no longer assumed to be cached
@@ -67,6 +68,8 @@
     pub(crate) sender: Cell<Option<(SenderTurn, bool)>>,
     /// Times of this instance's recent sends while a call limit applied, oldest first.
     limited_sends: VecDeque<Duration>,
+    /// How fast the target is, compared with the others of its service.
+    pub(crate) speed: TargetSpeed,
 }
 
 impl TargetState {
@@ -96,6 +99,7 @@
             cold_until,
             sender: Cell::new(None),
             limited_sends: VecDeque::new(),
+            speed: TargetSpeed::default(),
         }
     }
 
@@ -264,6 +268,12 @@
             && self.others(now) < NEGLIGIBLE_RUNNING
             && self.failure_share(now) < NEGLIGIBLE_FAILURE_SHARE
             && self.reported_prefill(now).is_zero()
+            && self.speed.is_usual(now)
+    }
+
+    /// Returns the calls that the target runs at a time, as it stated last.
+    pub(crate) fn slots(&self) -> u64 {
+        self.speed.slots.unwrap_or(self.listed.slots_requests)
     }
 
     /// Returns the tokens of the leading prompt parts that this instance sent there recently.
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -13,6 +13,8 @@
 mod long_load;
 mod prefill_speeds;
 mod reserved_targets;
+mod speed_effect;
+mod speeds;
 
 use std::cell::Cell;
 use std::cmp::Ordering;
@@ -27,6 +29,7 @@
 use crate::fleet_view::FleetView;
 use crate::prefill_speed::PrefillSpeed;
 use crate::reported_load::ReportedLoad;
+use crate::service_speed::ServiceSpeed;
 use crate::target_state::TargetState;
 use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
@@ -74,6 +77,11 @@
     long_loads: BTreeMap<ServiceId, LongLoad>,
     /// Estimated prefill speed of targets, by service.
     speeds: BTreeMap<ServiceId, PrefillSpeed>,
+    /// What the targets of each service have in common, against which their speeds are measured.
+    service_speeds: BTreeMap<ServiceId, ServiceSpeed>,
+    /// Targets whose speed this instance knows something of.
+    uneven: BTreeSet<TargetId>,
+    speeds_passed_at: Duration,
     /// Evacuated data centres, whose targets receive nothing.
     evacuations: Evacuations,
     /// Call limits of cold targets, by service.
@@ -108,6 +116,9 @@
             instances: 1,
             long_loads: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            service_speeds: BTreeMap::new(),
+            uneven: BTreeSet::new(),
+            speeds_passed_at: Duration::ZERO,
             evacuations: Evacuations::default(),
             cold_limits: BTreeMap::new(),
             fleet: FleetView::default(),
@@ -276,6 +287,7 @@
         if let Some(state) = self.chosen(choice) {
             state.report(now, load);
         }
+        self.record_machine(now, choice, load);
     }
 
     /// Records that a call succeeded at its target.
--- a/crates/damaskstile-targets/src/target_table/cost.rs
+++ b/crates/damaskstile-targets/src/target_table/cost.rs
@@ -8,7 +8,9 @@
 use super::cost_estimate::{CostEstimate, least_passing};
 use super::index::ServiceIndex;
 use super::reserved_targets::{LISTED_MAX, ReservedTargets};
+use super::speed_effect::{FirstTokenParts, SpeedEffect};
 use crate::prefill_speed::PrefillSpeed;
+use crate::service_speed::ServiceSpeed;
 use crate::target_state::TargetState;
 use crate::work::Work;
 
@@ -30,6 +32,8 @@
     /// Estimated prefill speed of the targets.
     speed: PrefillSpeed,
     is_long: bool,
+    /// What all targets have in common, where their speeds are learned.
+    service_speed: Option<&'a ServiceSpeed>,
     /// Targets reserved for long prompts.
     pub(super) reserved: ReservedTargets<'a>,
     /// Affinity target: the one that the shared prefix of the prompt hashes to.
@@ -53,6 +57,7 @@
             work,
             speed,
             is_long,
+            service_speed: self.service_speed(now, service),
             reserved,
             affinity_target: None,
             source: None,
@@ -204,6 +209,20 @@
             + failures * failures * options.failure_ms
             + f64::from(u8::from(is_apart)) * options.apart_ms
             + f64::from(u8::from(is_far)) * options.distance_ms;
+        let own_ms = match context.service_speed {
+            Some(service) if work.prompt_tokens == 0 => service.median_ms().unwrap_or_default(),
+            _ => context.speed.first_token_ms(0.0, 0.0) + prefill_ms - fetch_ms,
+        };
+        let parts = FirstTokenParts {
+            own_ms,
+            others_ms: ahead_ms + fetch_ms,
+            running,
+        };
+        let speed = context.service_speed.map_or_else(
+            || SpeedEffect::none(cost_ms),
+            |service| SpeedEffect::new(now, options, service, state, parts),
+        );
+        let cost_ms = cost_ms + speed.cost_ms;
         CostEstimate {
             state,
             cost_ms,
@@ -212,6 +231,7 @@
             prefill_ms,
             ahead_ms,
             running,
+            speed,
         }
     }
 }
--- a/crates/damaskstile-targets/src/target_table/cost_estimate.rs
+++ b/crates/damaskstile-targets/src/target_table/cost_estimate.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::speed_effect::SpeedEffect;
 use crate::choice::Choice;
 use crate::target_state::TargetState;
 
@@ -15,6 +16,7 @@
     pub prefill_ms: f64,
     pub ahead_ms: f64,
     pub running: f64,
+    pub speed: SpeedEffect,
 }
 
 impl CostEstimate<'_> {
@@ -32,6 +34,9 @@
             prefill_ms: self.prefill_ms,
             ahead_ms: self.ahead_ms,
             running: self.running,
+            expected_ms: self.speed.expected_ms,
+            usual_ms: self.speed.usual_ms,
+            speed_factor: self.speed.factor,
         }
     }
 }
--- a/crates/damaskstile-targets/src/target_table/prefill_speeds.rs
+++ b/crates/damaskstile-targets/src/target_table/prefill_speeds.rs
@@ -14,7 +14,10 @@
 
 impl TargetTable {
     /// Learns from the time between the send of a call and its first token.
-    pub fn first_token(&mut self, choice: &Choice, work: &Work, took: Duration) {
+    pub fn first_token(&mut self, now: Duration, choice: &Choice, work: &Work, took: Duration) {
+        if work.prompt_tokens > 0 {
+            self.learn_speed(now, choice, took.as_secs_f64() * 1_000.0);
+        }
         let is_alone = choice.ahead_ms < AHEAD_MAX_MS && choice.fetch_from.is_none();
         let Some(state) = self.targets.get(&choice.target) else {
             return;
--- a/crates/damaskstile-targets/src/target_table_options.rs
+++ b/crates/damaskstile-targets/src/target_table_options.rs
@@ -45,6 +45,9 @@
     /// Share of its time that a reserved target spends on the prefill of long prompts. This and the
     /// observed load determine how many targets are reserved.
     pub long_busy: f64,
+    /// Whether the speed of each target is learned where the targets of a service state how long
+    /// work takes on their machines.
+    pub learns_target_speeds: bool,
     /// Grace period in which a target stays in use after it was delisted around an outage of the
     /// list.
     pub lapse_grace: Duration,
@@ -69,6 +72,7 @@
             tell_ms: 100.0,
             apart_ms: 100.0,
             long_busy: 0.15,
+            learns_target_speeds: true,
             lapse_grace: Duration::from_millis(1_500),
             empties_data_centres: false,
             regions: BTreeMap::new(),
