Gateway: target speeds are learned from answers and sent to peers

Digests carry the speeds that deviate most (tag 28, at most 16, with samples and age). Event 612 and the metric target_speed_percent show slow targets, and a call's log line shows the speed and the prediction by it.

Checked: cargo test -p damaskstile-gateway -p damaskstile-core (all pass).

--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -75,7 +75,7 @@
             head,
             body,
             lease,
-            running,
+            mut running,
         } = run;
         let reading = Limited::new(body, ANSWER_BYTES_MAX).collect();
         let body = match tokio::time::timeout(self.time_left(), reading).await {
@@ -98,6 +98,7 @@
         lease.give_back(head.reuse_for).await;
         running.note(!parts.status.is_server_error());
         if parts.status.is_success() {
+            running.answered();
             let account = self.terms.account.as_deref();
             self.gateway.note_success(&self.call, account);
             reservation.delivering_complete();
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -69,6 +69,7 @@
 mod suspicion;
 pub mod target_ends;
 pub mod target_list;
+mod target_speeds;
 pub mod wait_limit;
 pub mod wanted;
 mod watched_stream;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::load_sample::LoadSample;
 use crate::readiness::Readiness;
+use crate::target_speeds;
 
 /// Interval between two load samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -61,6 +62,7 @@
         gateway.state().pressure.sample(now, &sample);
         (busy_at_sample, sampled_at) = (busy, now);
         longest_scheduling_delay = longest_scheduling_delay.max(scheduling_delay);
+        target_speeds::log_changes(&gateway);
         let found = Readiness::of(&gateway);
         if found != readiness {
             let fields = [("now", found.as_str()), ("before", readiness.as_str())];
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway.
 
+mod target_speeds;
+
 use std::sync::{Mutex, PoisonError};
 
 use damaskstile_core::prelude::*;
@@ -98,6 +100,7 @@
     contents: Family<StateLabels, Gauge>,
     readiness: Family<StateLabels, Gauge>,
     busy_ms: Family<DutyLabels, Gauge>,
+    target_speed_percent: Family<TargetLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -127,6 +130,7 @@
         let contents = Family::default();
         let readiness = Family::default();
         let busy_ms = Family::default();
+        let target_speed_percent = target_speeds::register(&mut registry);
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -178,6 +182,7 @@
             contents,
             readiness,
             busy_ms,
+            target_speed_percent,
         }
     }
 
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -121,6 +121,8 @@
     gateway
         .metrics
         .sample_limited_targets(cold, limited, evacuated);
+    let speeds = gateway.state().target_table.speed_percents(now);
+    gateway.metrics.sample_target_speeds(&speeds);
     let (made, open) = {
         let lender = &gateway.state().lender;
         (lender.lent_loans(), lender.open_loans())
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -19,6 +19,7 @@
 mod reading;
 mod received_digest;
 mod reports;
+mod speed_report;
 mod suspect_report;
 mod suspects;
 mod target_report;
@@ -42,6 +43,7 @@
 pub use peer_report::PeerReport;
 pub use pull::serve as serve_pulls;
 pub use reading::Reading;
+pub use speed_report::SpeedReport;
 pub use suspect_report::{SuspectReport, TargetEndReport};
 pub use target_report::TargetReport;
 pub use tokens::{TokenRequest, TokenTransfer};
@@ -238,6 +240,8 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
+        let speeds = state.target_table.speeds_to_report(now).into_iter();
+        let speeds = speeds.map(|(identity, speed)| SpeedReport::of(now, identity, speed));
         let digest = Digest {
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
@@ -256,6 +260,7 @@
             writer: state.writer_report(now),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
+            speeds: speeds.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -25,6 +25,8 @@
 const PULL_START_JITTER_MS: u64 = 40;
 /// Age of the store's last answer past which a peer's list of targets is preferred.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
+/// Speeds that are taken from one digest. A sender states no more; a faulty one must not cost more.
+const SPEED_REPORTS_MAX: usize = 16;
 
 impl Peers {
     /// Processes a digest; returns whether its sender is new.
@@ -88,6 +90,12 @@
                 limits.push((target, limit));
             }
         }
+        for report in digest.speeds.iter().take(SPEED_REPORTS_MAX) {
+            if let Some((target, speed)) = report.to_speed(now) {
+                let table = &mut state.target_table;
+                table.apply_speed_report(now, from, &target, speed);
+            }
+        }
         if let Some(report) = &digest.writer {
             state.apply_peer_report(now, report);
         }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -78,6 +78,11 @@
         self.add("target", &choice.target);
         self.add("sent_ms", sent.as_millis());
         self.add("cost_ms", format!("{:.0}", choice.cost_ms));
+        // Without a prediction by the target's speed the cost is the only one.
+        if let Some(factor) = choice.speed_factor {
+            self.add("expected_ms", format!("{:.0}", choice.expected_ms));
+            self.add("speed", format!("{:.0}", factor * 100.0));
+        }
         if choice.uncached_tokens > 0 {
             self.add("uncached", choice.uncached_tokens);
             self.add("ahead_ms", format!("{:.0}", choice.ahead_ms));
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -18,6 +18,8 @@
     work: Work,
     sent_at: Duration,
     is_prefilled: bool,
+    /// Whether the target began to answer, so that the call occupied one of its slots.
+    is_answered: bool,
 }
 
 impl Running {
@@ -44,6 +46,7 @@
             work: work.clone(),
             sent_at: gateway.now(),
             is_prefilled: false,
+            is_answered: false,
         }
     }
 
@@ -56,13 +59,26 @@
     /// Records an event; the time to the first one shows how fast the target processes prompts.
     pub fn event(&mut self) {
         if !self.is_prefilled {
-            let took = self.gateway.now().saturating_sub(self.sent_at);
+            let now = self.gateway.now();
+            let took = now.saturating_sub(self.sent_at);
             let table = &mut self.gateway.state().target_table;
-            table.first_token(&self.choice, &self.work, took);
+            table.first_token(now, &self.choice, &self.work, took);
         }
+        self.is_answered = true;
         self.prefilled();
     }
 
+    /// Records the whole answer of a plain service; its time shows how fast the target is.
+    pub fn answered(&mut self) {
+        self.is_answered = true;
+        if self.work.prompt_tokens == 0 {
+            let now = self.gateway.now();
+            let took = now.saturating_sub(self.sent_at);
+            let table = &mut self.gateway.state().target_table;
+            table.plain_answer(now, &self.choice, took);
+        }
+    }
+
     fn prefilled(&mut self) {
         if !self.is_prefilled {
             self.is_prefilled = true;
@@ -102,6 +118,11 @@
 impl Drop for Running {
     fn drop(&mut self) {
         self.prefilled();
-        self.gateway.state().target_table.ended(&self.choice);
+        let took = self.gateway.now().saturating_sub(self.sent_at);
+        let table = &mut self.gateway.state().target_table;
+        if self.is_answered {
+            table.record_duration(&self.choice, took);
+        }
+        table.ended(&self.choice);
     }
 }
