--- a/crates/damaskstile-targets/src/speed_report.rs
+++ b/crates/damaskstile-targets/src/speed_report.rs
@@ -7,6 +7,8 @@
 /// Calls over which a factor is averaged. More would follow a change too slowly, and fewer would
 /// let a single late call count as a slow target.
 pub(crate) const SAMPLES_MAX: f64 = 20.0;
+/// Samples at which a deviation counts half.
+const DOUBT_SAMPLES: f64 = 4.0;
 /// Bounds of a factor. The speeds of the targets of one service differed by 0.55 to 4.5.
 const FACTOR_MIN: f64 = 0.25;
 const FACTOR_MAX: f64 = 8.0;
@@ -39,9 +41,11 @@
         (self.samples as f64).min(SAMPLES_MAX) * freshness(now, self.at)
     }
 
-    /// Returns the logarithm of the factor, which approaches 0 as the report ages.
-    pub(crate) fn log_factor(&self, now: Duration) -> f64 {
-        bounded_log(self.factor) * freshness(now, self.at)
+    /// Returns by how much the target deviates as far as the samples show it: a few samples deviate
+    /// by chance.
+    pub(crate) fn evidence(&self) -> f64 {
+        let samples = self.weight(self.at);
+        bounded_log(self.factor).abs() * samples / (samples + DOUBT_SAMPLES)
     }
 }
 
--- a/crates/damaskstile-targets/src/target_speed.rs
+++ b/crates/damaskstile-targets/src/target_speed.rs
@@ -8,10 +8,10 @@
 /// prompt.
 const SAMPLES_MIN: f64 = 3.0;
 /// Samples from which on a factor is reported to peers.
-const REPORTED_SAMPLES_MIN: f64 = 5.0;
+const REPORTED_SAMPLES_MIN: f64 = 2.0;
 /// Reports of different peers that are kept for one target, those with the most samples. Four reach
 /// the samples that count at most.
-const REPORTS_MAX: usize = 4;
+const REPORTS_MAX: usize = 8;
 /// Factor from which on a target costs more, and from whose reciprocal on it is reported to peers.
 /// The mean of 20 samples that vary by half deviates by as much by chance.
 const DEVIATION_MIN: f64 = 1.1;
@@ -19,6 +19,10 @@
 /// does. The gap keeps a factor that varies around the limit from being logged each time.
 const SLOW_FACTOR: f64 = 1.5;
 const NOT_SLOW_FACTOR: f64 = 1.35;
+/// Time for which a factor that no longer counts in selections is still used in predictions. A slow
+/// target gets few calls other than those of instances that try it again, and these would all be
+/// predicted as at a usual target.
+const PREDICTION_MEMORY: Duration = Duration::from_mins(5);
 /// Bounds of the machine's momentary figure, in percent.
 const MACHINE_MIN_PERCENT: f64 = 25.0;
 const MACHINE_MAX_PERCENT: f64 = 800.0;
@@ -48,6 +52,9 @@
     machine_at: Duration,
     /// Slots that the target stated last.
     pub(crate) slots: Option<u64>,
+    /// Newest lasting factor that enough samples showed, as a logarithm.
+    remembered_log: f64,
+    remembered_at: Duration,
     is_slow: bool,
 }
 
@@ -71,6 +78,7 @@
         self.own_samples = remaining.min(SAMPLES_MAX - 1.0) + 1.0;
         self.own_log += (sample - self.own_log) / self.own_samples;
         self.sampled_at = now;
+        self.remember(now);
     }
 
     /// Records the machine's momentary figure.
@@ -99,6 +107,14 @@
                 self.reports.remove(&least);
             }
         }
+        self.remember(now);
+    }
+
+    fn remember(&mut self, now: Duration) {
+        if let Some(log) = self.merged(now, |_| 1.0) {
+            self.remembered_log = log;
+            self.remembered_at = now;
+        }
     }
 
     /// Returns the report to send to peers: only this instance's own calls, so that no report
@@ -123,19 +139,29 @@
     }
 
     fn lasting_log(&self, now: Duration) -> f64 {
-        let own_fresh = freshness(now, self.sampled_at);
-        let own = self.own_samples * own_fresh;
-        let reports = self.reports.values();
-        let weights = reports.map(|report| (report.weight(now), report.log_factor(now)));
-        let (sum, logs) = weights.fold((0.0, 0.0), |(sum, logs), (weight, log)| {
-            (sum + weight, logs + weight * log)
-        });
+        let decayed = self.merged(now, |at| freshness(now, at));
+        decayed.unwrap_or_default()
+    }
+
+    /// Returns the mean logarithm of the own factor and those that peers reported, each times what
+    /// `decay` returns for its time; `None` without enough samples.
+    fn merged(&self, now: Duration, decay: impl Fn(Duration) -> f64) -> Option<f64> {
+        let own = self.own_samples * freshness(now, self.sampled_at);
+        let (sum, logs) = self
+            .reports
+            .values()
+            .fold((0.0, 0.0), |(sum, logs), report| {
+                let weight = report.weight(now);
+                let log = bounded_log(report.factor) * decay(report.at);
+                (sum + weight, logs + weight * log)
+            });
         let of_peers = f64::min(sum, SAMPLES_MAX - own);
         if own + of_peers < SAMPLES_MIN {
-            return 0.0;
+            return None;
         }
         let peers_log = if sum > 0.0 { logs / sum } else { 0.0 };
-        (own * self.own_log * own_fresh + of_peers * peers_log) / (own + of_peers)
+        let own_log = self.own_log * decay(self.sampled_at);
+        Some((own * own_log + of_peers * peers_log) / (own + of_peers))
     }
 
     /// Returns the logarithm of the momentary factor, relative to the machine's own mean, which the
@@ -154,14 +180,20 @@
     /// Returns the factor by which first tokens are predicted to take longer now.
     #[must_use]
     pub fn predicted_factor(&self, now: Duration) -> f64 {
-        (self.lasting_log(now) + self.momentary_log(now)).exp()
+        let is_remembered = now.saturating_sub(self.remembered_at) < PREDICTION_MEMORY;
+        let lasting = if is_remembered {
+            self.remembered_log
+        } else {
+            0.0
+        };
+        (lasting + self.momentary_log(now)).exp()
     }
 
     /// Returns the factor by which work costs more: 1 for all targets that are not slow, so that a
     /// fast one is not preferred by all instances.
     #[must_use]
     pub fn cost_factor(&self, now: Duration) -> f64 {
-        let factor = self.predicted_factor(now);
+        let factor = (self.lasting_log(now) + self.momentary_log(now)).exp();
         if factor < DEVIATION_MIN { 1.0 } else { factor }
     }
 
--- a/crates/damaskstile-targets/src/target_table/speeds.rs
+++ b/crates/damaskstile-targets/src/target_table/speeds.rs
@@ -130,7 +130,7 @@
             Some((state.listed.identity(), report))
         };
         let mut reports: Vec<_> = self.uneven_states(now).filter_map(to_report).collect();
-        let deviation = |report: &SpeedReport| report.factor.ln().abs();
+        let deviation = |report: &SpeedReport| report.evidence();
         reports.sort_by(|(_, one), (_, other)| deviation(other).total_cmp(&deviation(one)));
         reports.truncate(SPEED_REPORTS_MAX);
         reports
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -3,7 +3,9 @@
 use std::time::Instant;
 
 use damaskstile_core::prelude::*;
-use damaskstile_targets::{Listed, Part, TargetTable, TargetTableOptions, Work};
+use damaskstile_targets::{
+    Listed, Part, ReportedLoad, SpeedReport, TargetTable, TargetTableOptions, Work,
+};
 
 const MODEL: &str = "model";
 const PORTAL: &str = "portal";
@@ -141,6 +143,50 @@
     assert!(growth < GROWTH_MAX, "{few}, {many}");
 }
 
+/// Returns how many candidates the selections of a minute have examined while peers report four
+/// targets in five as slow.
+fn examined_beside_slow_targets(targets: usize) -> u64 {
+    let mut table = table("i", targets, 0);
+    for call in 0..CALLS {
+        let now = Duration::from_secs(10 + call);
+        let work = prompt(call, call);
+        let choice = table.choose(now, MODEL, &work, &[]).unwrap();
+        let load = ReportedLoad {
+            machine_percent: Some(100),
+            ..ReportedLoad::default()
+        };
+        table.report(now, &choice, load);
+        for index in (0..targets).filter(|index| index % 5 > 0) {
+            let (factor, samples, at) = (3.0, 20, now);
+            let report = SpeedReport {
+                factor,
+                samples,
+                at,
+            };
+            let identity = listed(MODEL, index).identity();
+            table.apply_speed_report(now, "peer", &identity, report);
+        }
+        table.take_speed_changes(now);
+    }
+    table.candidates_examined()
+}
+
+#[test]
+fn slow_targets_add_no_selection_cost_in_a_large_list() {
+    // Guards against selections that weigh all of the targets that a large fleet reports as slow.
+
+    // Act
+    let (few, many) = (
+        examined_beside_slow_targets(FEW),
+        examined_beside_slow_targets(MANY),
+    );
+
+    // Assert
+    #[allow(clippy::cast_precision_loss)] // counts far below 2^52
+    let growth = many as f64 / few as f64;
+    assert!(growth < GROWTH_MAX, "{few}, {many}");
+}
+
 #[test]
 fn an_entry_costs_as_much_in_a_large_list_as_in_a_small_one() {
     // Guards against a pass over the whole list for each entry that changes, with which a list of
