--- a/crates/damaskctl/src/context.rs
+++ b/crates/damaskctl/src/context.rs
@@ -42,6 +42,17 @@
         Ok(())
     }
 
+    /// Prints `value` as JSON if `--json` was given, otherwise all tables.
+    pub fn print_all<T: Serialize>(&self, value: &T, tables: &[Table]) -> Result<(), Failure> {
+        if self.is_json {
+            println!("{}", serde_json::to_string_pretty(value)?);
+        } else {
+            let tables: Vec<String> = tables.iter().map(ToString::to_string).collect();
+            print!("{}", tables.join("\n"));
+        }
+        Ok(())
+    }
+
     /// Returns the time in milliseconds since the Unix epoch.
     pub fn unix_ms() -> u64 {
         let now = SystemTime::now()
--- a/crates/damaskctl/src/explain/latency.rs
+++ b/crates/damaskctl/src/explain/latency.rs
@@ -1,9 +1,13 @@
-//! Table of the time to the first token on each route, and of what the targets ran meanwhile.
+//! Tables of the time to the first token on each route, and of what the targets ran meanwhile, and
+//! at each target.
+
+mod target_times;
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 use serde_json::Value;
+use target_times::TargetTimes;
 
 use super::lines::{Line, Logs};
 use crate::context::Context;
@@ -24,8 +28,10 @@
     sent_at_ms: u64,
     /// Time from the send to the first token.
     first_token_ms: u64,
-    /// Time to the first token that the choice of the target estimated.
+    /// Time to the first token that was predicted when the target was chosen.
     expected_ms: u64,
+    /// How long work was expected to take at the target, in percent of the usual, if known.
+    speed_percent: Option<u64>,
     /// Longest gap between two pieces of the answer.
     pause_ms: u64,
     /// Tokens of the prompt expected not to be in the target's cache, so that it has to prefill
@@ -45,7 +51,11 @@
             target: line.field("target")?.to_owned(),
             sent_at_ms: (line.at_ms()? + sent_ms).checked_sub(took_ms)?,
             first_token_ms,
-            expected_ms: line.number("cost_ms")?,
+            // Where the speed of targets is not learned, the cost is the prediction.
+            expected_ms: line
+                .number("expected_ms")
+                .or_else(|| line.number("cost_ms"))?,
+            speed_percent: line.number("speed"),
             pause_ms: line.number("pause_ms").unwrap_or(0),
             prefill_tokens: line.number("uncached").unwrap_or(0),
             running: line.number("running").unwrap_or(0),
@@ -60,7 +70,7 @@
     }
 }
 
-/// Prints one row for each route.
+/// Prints one row for each route, then one for each target.
 pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
     let logs = Logs::read(paths);
     let ends = logs
@@ -76,7 +86,14 @@
             .or_default()
             .push((call, *overlapping));
     }
-    print(context, routes)?;
+    let mut targets: BTreeMap<&str, TargetTimes> = BTreeMap::new();
+    for call in &calls {
+        targets.entry(&call.target).or_default().add(call);
+    }
+    let (mut rows, by_route) = route_rows(routes);
+    let (target_rows, by_target) = target_times::rows(targets);
+    rows.extend(target_rows);
+    context.print_all(&Value::Array(rows), &[by_route, by_target])?;
     logs.finish()
 }
 
@@ -127,10 +144,7 @@
     }
 }
 
-fn print(
-    context: &Context,
-    routes: BTreeMap<&str, Vec<(&CallTiming, u64)>>,
-) -> Result<(), Failure> {
+fn route_rows(routes: BTreeMap<&str, Vec<(&CallTiming, u64)>>) -> (Vec<Value>, Table) {
     let mut table = Table::new(&[
         "route",
         "calls",
@@ -174,5 +188,5 @@
         }
         json_rows.push(row);
     }
-    context.print(&Value::Array(json_rows), &table)
+    (json_rows, table)
 }
--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -110,6 +110,31 @@
     assert_eq!(rows[1]["read_beside_tokens"][0], 900);
 }
 
+#[test]
+fn first_tokens_are_compared_with_their_predictions_by_target() {
+    // Guards against a comparison with the cost where the target's speed gave a better prediction.
+
+    // Arrange: 30 calls at a target that is known to be slow, beside those at another one.
+    let slow = LOGS[1].lines().nth(2).unwrap();
+    let slow = slow.replace("cost_ms=500", "cost_ms=900 expected_ms=400 speed=250");
+    let slow = slow.replace("target=t1", "target=t2") + "\n";
+
+    // Act
+    let (code, rows, _) = explain("by-target", "latency", &[LOGS[0], &slow.repeat(30)], &[]);
+
+    // Assert
+    assert_eq!(code, Some(0));
+    let rows = rows.as_array().unwrap();
+    let of = |target: &str| rows.iter().find(|row| row["target"] == target).unwrap();
+    assert_eq!(of("t1")["observed_percent"], 1_500);
+    assert_eq!(of("t1")["speed_percent"], Value::Null);
+    assert_eq!(of("t2")["expected_ms"], 400);
+    assert_eq!(of("t2")["speed_percent"], 250);
+    let all = rows.last().unwrap();
+    assert_eq!(all["targets"], 1);
+    assert_eq!(all["observed_percent_90"], 125);
+}
+
 #[test]
 fn unreadable_lines_are_reported_and_the_rest_is_still_read() {
     // Arrange
--- a/crates/damaskstile-gateway/tests/messages.rs
+++ b/crates/damaskstile-gateway/tests/messages.rs
@@ -2,7 +2,9 @@
 //! round-trip.
 
 use damaskstile_core::prelude::TargetIdentity;
-use damaskstile_gateway::peers::{AccountTokens, Datagram, DatagramBody, Digest, TokenTransfer};
+use damaskstile_gateway::peers::{
+    AccountTokens, Datagram, DatagramBody, Digest, SpeedReport, TokenTransfer,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use prost::Message;
@@ -34,6 +36,13 @@
             account: "a".to_owned(),
             tokens: 9,
         }],
+        speeds: vec![SpeedReport {
+            target: "t".to_owned(),
+            started_at_unix_ms: Some(1),
+            factor_percent: 240,
+            samples: 20,
+            age_ms: 900,
+        }],
         ..Digest::default()
     };
     let transfer = TokenTransfer {
