--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 
 use super::pull;
+use super::speed_report;
 use super::{Digest, Peers};
 use crate::answer_signals::log_limit;
 use crate::evacuated_list;
@@ -25,9 +26,6 @@
 const PULL_START_JITTER_MS: u64 = 40;
 /// Age of the store's last answer past which a peer's list of targets is preferred.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
-/// Speeds that are taken from one digest. A sender states no more; a faulty one must not cost more.
-const SPEED_REPORTS_MAX: usize = 16;
-
 impl Peers {
     /// Processes a digest; returns whether its sender is new.
     pub(super) fn handle_digest(
@@ -90,12 +88,7 @@
                 limits.push((target, limit));
             }
         }
-        for report in digest.speeds.iter().take(SPEED_REPORTS_MAX) {
-            if let Some((target, speed)) = report.to_speed(now) {
-                let table = &mut state.target_table;
-                table.apply_speed_report(now, from, &target, speed);
-            }
-        }
+        speed_report::apply_all(&mut state.target_table, now, from, &digest.speeds);
         if let Some(report) = &digest.writer {
             state.apply_peer_report(now, report);
         }
--- a/crates/damaskstile-gateway/src/peers/speed_report.rs
+++ b/crates/damaskstile-gateway/src/peers/speed_report.rs
@@ -2,6 +2,10 @@
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::time::unix_ms;
+use damaskstile_targets::TargetTable;
+
+/// Reports that are taken from one digest. A sender states no more; a faulty one must not cost more.
+const REPORTS_MAX: usize = 16;
 
 /// `SpeedReport` is what the sender observed of one target's speed.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -57,3 +61,16 @@
         (percent > 0).then_some((identity, speed))
     }
 }
+
+/// Applies the reports of one digest.
+pub(super) fn apply_all(
+    table: &mut TargetTable,
+    now: Duration,
+    from: &str,
+    reports: &[SpeedReport],
+) {
+    let reports = reports.iter().take(REPORTS_MAX);
+    for (target, speed) in reports.filter_map(|report| report.to_speed(now)) {
+        table.apply_speed_report(now, from, &target, speed);
+    }
+}
--- a/crates/damaskstile-targets/src/service_speed.rs
+++ b/crates/damaskstile-targets/src/service_speed.rs
@@ -5,7 +5,8 @@
 /// Time for which a service counts as one whose targets state how long work takes on their machines.
 /// An instance that gets a call of the service each minute stays within it.
 const STATED_SPAN: Duration = Duration::from_mins(5);
-/// Step of the median of answer times, as a logarithm: 5 percent for each answer.
+/// Largest step of the median of answer times, as a logarithm: 5 percent for each answer, however
+/// late it is.
 const MEDIAN_STEP: f64 = 0.05;
 /// Weight of the newest call in the mean duration.
 const DURATION_WEIGHT: f64 = 0.02;
@@ -40,7 +41,7 @@
     pub(crate) fn record_answer(&mut self, took: Duration) {
         let log_ms = (took.as_secs_f64() * 1_000.0).max(0.1).ln();
         let median = self.median_log_ms.get_or_insert(log_ms);
-        *median += MEDIAN_STEP.copysign(log_ms - *median) * f64::from(u8::from(log_ms != *median));
+        *median += (log_ms - *median).clamp(-MEDIAN_STEP, MEDIAN_STEP);
     }
 
     /// Returns how long calls take on average, from the send to the end.
