--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -72,7 +72,7 @@
             discovered_instances: digest.discovered_instances,
             is_stopping: digest.is_stopping,
             capacity_percent: digest.capacity_percent,
-            load: digest.load(),
+            load: digest.load.as_ref().map(|load| load.to_load()),
             store_age: Duration::from_millis(digest.store_age_ms),
             received_at: now,
             is_reported: false,
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gateway.
 
+mod target_speeds;
+
 use std::sync::{Mutex, PoisonError};
 
 use damaskstile_core::prelude::*;
@@ -13,7 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::admission_counts::AdmissionCounts;
-use crate::readiness::Readiness;
+use crate::load_metrics::LoadMetrics;
 
 /// Labels of metrics by client account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -99,9 +101,9 @@
     peer_bytes: Family<DutyLabels, Gauge>,
     loans: Family<StateLabels, Gauge>,
     contents: Family<StateLabels, Gauge>,
-    readiness: Family<StateLabels, Gauge>,
-    busy_ms: Family<DutyLabels, Gauge>,
-    load_percent: Family<StateLabels, Gauge>,
+    /// Load and readiness.
+    pub load: LoadMetrics,
+    target_speed_percent: Family<TargetLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -131,8 +133,9 @@
         let peer_bytes = Family::default();
         let loans = Family::default();
         let contents = Family::default();
-        let readiness = Family::default();
-        let busy_ms = Family::default();
+        let load = LoadMetrics::default();
+        load.register(&mut registry);
+        let target_speed_percent = target_speeds::register(&mut registry);
         registry.register("calls", "Calls by outcome", outcomes.clone());
         let help = "Seconds to the first byte of an answer, by client account";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -161,13 +164,6 @@
         registry.register("loans", help, loans.clone());
         let help = "Contents under which targets ended: all that are remembered, and those refused";
         registry.register("contents", help, contents.clone());
-        let help = "1 for whether the instance takes new connections, and why not";
-        registry.register("readiness", help, readiness.clone());
-        let help = "Milliseconds spent on each duty since the start";
-        registry.register("busy_ms", help, busy_ms.clone());
-        let load_percent = Family::default();
-        let help = "Share in use of the capacity for calls: here, and the mean of the data centre's others";
-        registry.register("load_percent", help, load_percent.clone());
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -186,9 +182,8 @@
             peer_bytes,
             loans,
             contents,
-            readiness,
-            busy_ms,
-            load_percent,
+            load,
+            target_speed_percent,
         }
     }
 
@@ -359,32 +354,6 @@
         }
     }
 
-    /// Sets whether the instance accepts new connections, and why not.
-    pub fn sample_readiness(&self, readiness: Readiness) {
-        self.readiness.clear();
-        let state = readiness.as_str();
-        self.readiness.get_or_create(&StateLabels { state }).set(1);
-    }
-
-    /// Sets the utilisation of this instance and the mean of its neighbours.
-    #[allow(clippy::cast_possible_truncation)] // a few hundred percent
-    pub fn sample_load(&self, share: f64, mean_share: f64) {
-        for (state, share) in [("own", share), ("neighbours", mean_share)] {
-            let percent = (share * 100.0) as i64;
-            self.load_percent
-                .get_or_create(&StateLabels { state })
-                .set(percent);
-        }
-    }
-
-    /// Sets the time spent on each background task.
-    pub fn sample_busy(&self, times: BTreeMap<&'static str, Duration>) {
-        for (duty, time) in times {
-            let ms = i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
-            self.busy_ms.get_or_create(&DutyLabels { duty }).set(ms);
-        }
-    }
-
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -105,14 +105,17 @@
     gateway.metrics.sample_backoff(paused);
     gateway.metrics.sample(&free, age, version);
     let readiness = Readiness::of(gateway);
-    gateway.metrics.sample_readiness(readiness);
+    gateway.metrics.load.sample_readiness(readiness);
     let (share, mean_share) = {
         let mut state = gateway.state();
         let mean_share = state.load_sharing.neighbours().mean_share;
         (state.pressure.share(now), mean_share)
     };
-    gateway.metrics.sample_load(share, mean_share);
-    gateway.metrics.sample_busy(gateway.busy_times.counts());
+    gateway.metrics.load.sample_load(share, mean_share);
+    gateway
+        .metrics
+        .load
+        .sample_busy(gateway.busy_times.counts());
     gateway.metrics.sample_history(gateway.store.history());
     gateway.metrics.sample_open_calls(gateway.open_calls());
     gateway.metrics.sample_store_calls(gateway.store.counts());
@@ -127,6 +130,8 @@
     gateway
         .metrics
         .sample_limited_targets(cold, limited, evacuated);
+    let speeds = gateway.state().target_table.speed_percents(now);
+    gateway.metrics.sample_target_speeds(&speeds);
     let (made, open) = {
         let lender = &gateway.state().lender;
         (lender.lent_loans(), lender.open_loans())
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -11,6 +11,7 @@
 mod digest;
 mod limit_report;
 mod list_answer;
+mod load_report;
 mod loans;
 mod member_answer;
 mod peer_report;
@@ -19,6 +20,7 @@
 mod reading;
 mod received_digest;
 mod reports;
+mod speed_report;
 mod suspect_report;
 mod suspects;
 mod target_report;
@@ -39,9 +41,11 @@
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use limit_report::LimitReport;
+pub use load_report::LoadReport;
 pub use peer_report::PeerReport;
 pub use pull::serve as serve_pulls;
 pub use reading::Reading;
+pub use speed_report::SpeedReport;
 pub use suspect_report::{SuspectReport, TargetEndReport};
 pub use target_report::TargetReport;
 pub use tokens::{TokenRequest, TokenTransfer};
@@ -238,19 +242,11 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let percent = |share: f64| (share * 100.0) as u64;
-        let load_percent = percent(state.pressure.share(now));
-        let busiest = state.load_sharing.busiest(now);
-        let busiest = busiest.map(|(account, share)| (account.to_owned(), percent(share)));
-        let (busiest_account, busiest_percent) = busiest.unwrap_or_default();
-        let busiest_tokens_per_s = state.holder.demand_tokens_per_s(now, &busiest_account);
+        let load = Box::new(LoadReport::of(&state.own_load(now)));
+        let speeds = state.target_table.speeds_to_report(now).into_iter();
+        let speeds = speeds.map(|(identity, speed)| SpeedReport::of(now, identity, speed));
         let digest = Digest {
-            load_percent: Some(load_percent),
-            is_in_rotation: state.load_sharing.is_in_rotation(),
-            busiest_account,
-            busiest_percent,
-            busiest_tokens_per_s,
+            load: Some(load),
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
             catalogue_bytes: state.stored_catalogue.as_ref().map_or(0, |object| {
@@ -268,6 +264,7 @@
             writer: state.writer_report(now),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
+            speeds: speeds.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
 use damaskstile_targets::{ListChanges, TargetTable, Work};
 
+use crate::busiest_account::BusiestAccount;
 use crate::call::CallHead;
 use crate::call_times::CallTimes;
 use crate::clock::BootTime;
@@ -30,6 +31,7 @@
 use crate::member::Member;
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
+use crate::peer_load::PeerLoad;
 use crate::pressure::Pressure;
 use crate::wanted::PullKind;
 
@@ -256,6 +258,20 @@
         self.load_sharing.update(now, share, &self.members)
     }
 
+    /// Returns the load of this instance, to report it to peers.
+    pub fn own_load(&mut self, now: Duration) -> PeerLoad {
+        let busiest = self.load_sharing.busiest(now);
+        PeerLoad {
+            share: self.pressure.share(now),
+            is_in_rotation: self.load_sharing.is_in_rotation(),
+            busiest: busiest.map(|(account, share)| BusiestAccount {
+                account: account.to_owned(),
+                share,
+                tokens_per_s: self.holder.demand_tokens_per_s(now, account),
+            }),
+        }
+    }
+
     /// Returns the addresses of the other instances of the data centre.
     pub fn members_of_data_centre(&self) -> impl Iterator<Item = SocketAddr> {
         let data_centre = &self.own_candidate.data_centre;
--- a/crates/damaskstile-gateway/tests/rotation.rs
+++ b/crates/damaskstile-gateway/tests/rotation.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use damaskstile_gateway::busiest_account::BusiestAccount;
 use damaskstile_gateway::load_sharing::LoadSharing;
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::neighbours::Neighbours;
-use damaskstile_gateway::peers::Digest;
+use damaskstile_gateway::peer_load::PeerLoad;
+use damaskstile_gateway::peers::{Digest, LoadReport};
 use damaskstile_gateway::rotation::Rotation;
 use damaskstile_gateway::rotation_options::RotationOptions;
 
@@ -108,17 +110,21 @@
 
     /// Delivers the digests of all instances.
     fn report(&mut self, now: Duration) {
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // not negative
-        let percent = |share: f64| (share * 100.0) as u64;
         for (at, instance) in self.instances.iter().enumerate() {
             let share = instance.busiest(now).map_or(0.0, |(_, share)| share);
+            let load = LoadReport::of(&PeerLoad {
+                share: self.shares[at],
+                is_in_rotation: instance.is_in_rotation(),
+                busiest: Some(BusiestAccount {
+                    account: ACCOUNT.to_owned(),
+                    share,
+                    tokens_per_s: 0,
+                }),
+            });
             let digest = Digest {
                 data_centre: DATA_CENTRE.to_owned(),
                 capacity_percent: self.capacities[at],
-                load_percent: Some(percent(self.shares[at])),
-                is_in_rotation: instance.is_in_rotation(),
-                busiest_account: ACCOUNT.to_owned(),
-                busiest_percent: percent(share),
+                load: Some(Box::new(load)),
                 ..Digest::default()
             };
             let address: SocketAddr = ADDRESS.parse().unwrap();
