Targets: select the second target that holds a copy of a run

Streams are cut when their target crashes, and their routes allow no second run. A copy needs a usable target that is neither cold, limited nor suspect, in the data centre of the run if there is one. Copies count as running calls, so that the copies of one instance do not all go to the first target of its order.

--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -5,6 +5,7 @@
 mod call_limits;
 mod candidates;
 mod cold;
+mod copy_target;
 mod cost;
 mod cost_estimate;
 mod index;
@@ -84,6 +85,8 @@
     fleet_state: u64,
     /// When this instance started; `None` if that is unknown.
     started_at: Option<Duration>,
+    /// Copies of this instance's runs, by the target that holds them.
+    copies: BTreeMap<TargetId, u64>,
     /// Targets whose entries changed since the last [`Self::take_touched`].
     touched: BTreeSet<TargetId>,
 }
@@ -113,6 +116,7 @@
             fleet: FleetView::default(),
             fleet_state: 0,
             started_at: None,
+            copies: BTreeMap::new(),
             touched: BTreeSet::new(),
         }
     }
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -20,6 +20,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that may be generated.
     pub output_tokens: u64,
+    /// Tokens that the caller expects to be generated; `None` if it states none.
+    pub length_hint_tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
     /// Whether the call gives way to more urgent streams of the same service.
@@ -29,6 +31,22 @@
 }
 
 impl Work {
+    /// Returns the number of tokens that are likely to be generated: the caller's estimate, if any,
+    /// but no more than allowed.
+    ///
+    /// ```
+    /// use damaskstile_targets::Work;
+    /// let work = Work { output_tokens: 100, ..Work::default() };
+    /// assert_eq!(work.expected_output_tokens(), 100);
+    /// let work = Work { length_hint_tokens: Some(30), ..work };
+    /// assert_eq!(work.expected_output_tokens(), 30);
+    /// ```
+    #[must_use]
+    pub fn expected_output_tokens(&self) -> u64 {
+        let hint = self.length_hint_tokens.unwrap_or(self.output_tokens);
+        hint.min(self.output_tokens)
+    }
+
     /// Returns the parts that other calls are likely to share: all but the last, which only this
     /// call has, unless it is the only part.
     ///
