Gateway: runs of urgent streams continue from copies when their target crashes

Streams on routes that allow one run ended with their target. While more than one in 200 runs of the fleet is cut by crashes (digest field lost_runs, tag 29), or where calls to the target failed lately, such a stream is sent with the address of a second target (X-Kv-Backup). If the connection breaks and the target's address refuses connections, the same request goes to the second target with Kv-From and Last-Event-Id, as the same run: no retry, no further charge, no new copy. A target that still listens may still work on the run, so the stream then ends as before. Runs without a copy take the same paths as before. Event 115, metrics run_copies and copied_tokens, [copies] is_enabled.

Lost runs count whether or not they continue. Otherwise copies would stop as soon as they work, while targets still crash.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
 use crate::state::Terms;
-use crate::target_ends::TargetLiveness;
+use crate::target_ends::{RESULT_LIFETIME, TargetLiveness, connect};
 
 /// A run, with what is needed to follow it up if its connection breaks before the answer is
 /// complete.
@@ -36,7 +36,12 @@
     /// Checks whether the target has ended, and records the call's content if so. A retry of the
     /// call waits for this; otherwise content that crashes targets would be sent once more before
     /// it is quarantined.
-    pub(crate) async fn follow_up(&self, gateway: &Gateway, call: &OutboundCall, terms: &Terms) {
+    pub(crate) async fn follow_up(
+        &self,
+        gateway: &Gateway,
+        call: &OutboundCall,
+        terms: &Terms,
+    ) -> TargetLiveness {
         let now = gateway.now();
         let state = gateway
             .end_checks
@@ -60,6 +65,16 @@
             gateway.note_crash(content, account, self.target.clone());
             let now = gateway.now();
             gateway.state().target_table.note_ended(now, &self.target);
+            gateway.note_run_lost(terms);
         }
+        state
+    }
+
+    /// Returns whether the run cannot be going on at its target, which [`Self::follow_up`] found to
+    /// have ended. That result may stem from a check before the run was sent, to a new process at
+    /// the same address, so the check of a young run is repeated.
+    pub(crate) async fn is_surely_over(&self, gateway: &Gateway) -> bool {
+        let age = gateway.now().saturating_sub(self.sent_at);
+        age > RESULT_LIFETIME || connect(self.address).await == TargetLiveness::Ended
     }
 }
--- a/crates/damaskstile-gateway/src/call.rs
+++ b/crates/damaskstile-gateway/src/call.rs
@@ -37,4 +37,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Id of the event after which the answer resumes; `None` to keep the caller's header.
     pub resume_after: Option<u64>,
+    /// Target that receives a copy of the run as it grows.
+    pub backup_at: Option<SocketAddr>,
+    /// Copy that the run continues from: the address of its target, and the id of the call.
+    pub continue_from: Option<(SocketAddr, String)>,
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answering;
+mod continuing;
 mod refusing;
 mod stopping;
 mod tokens;
@@ -26,6 +27,7 @@
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
 use crate::run;
+use crate::run_copy::RunCopy;
 use crate::send;
 use crate::state::Terms;
 use crate::wait_limit::WaitLimit;
@@ -47,6 +49,8 @@
     attempts: Attempts,
     tried: Vec<TargetId>,
     last_event: Option<u64>,
+    /// Copy of the current run.
+    copy: Option<RunCopy>,
     /// Whether a target may be executing the call.
     is_sending: bool,
     caller: CallerConnection,
@@ -90,6 +94,7 @@
                 attempts: Attempts::default(),
                 tried: Vec::new(),
                 last_event: head.last_event,
+                copy: None,
                 is_sending: false,
                 caller,
             };
@@ -233,8 +238,10 @@
             };
             self.is_sending = true;
             let sent = BrokenRun::of(&choice, self.gateway.now());
+            self.copy = RunCopy::plan(&self.gateway, &self.terms, &self.call, &choice, &self.tried);
+            let options = RunCopy::options_of_run(self.copy.as_ref());
             let wait_limit = self.wait_limit();
-            let started = run::start(&self.gateway, &self.caller, &wait_limit, choice, None);
+            let started = run::start(&self.gateway, &self.caller, &wait_limit, choice, options);
             let failure = match started.await {
                 Ok(run) => match self.answer(run, reservation).await {
                     Ok(response) => return (response, None),
@@ -255,7 +262,10 @@
             self.is_sending = false;
             self.record.add("cause", failure.cause);
             if failure.end == SendFailureKind::Broken {
-                sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+                let liveness = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+                if let Some(run) = self.continue_from_copy(&sent, liveness).await {
+                    return (self.relay(run, reservation).await, None);
+                }
             }
             if self.time_left().is_zero() {
                 return (self.deadline_exceeded(), Some(reservation));
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -119,10 +119,15 @@
 
     /// Passes a stream on once its first event has arrived. Nothing has been sent to the caller
     /// until then, so it can still get a proper refusal if no target delivers an event.
-    async fn relay(&mut self, run: Run, reservation: Reservation) -> Response<ReplyBody> {
+    pub(super) async fn relay(
+        &mut self,
+        run: Run,
+        reservation: Reservation,
+    ) -> Response<ReplyBody> {
         let mut parts = run.parts.clone();
         self.gateway.dialect.set_answer_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
+        self.note_copy();
         let mut relay = Relay {
             gateway: Arc::clone(&self.gateway),
             call: self.call.clone(),
@@ -133,9 +138,11 @@
             tried: std::mem::take(&mut self.tried),
             deadline: self.deadline,
             run: Some(run),
+            copy: self.copy.take(),
             open: self.gateway.open_call(),
             caller: self.caller.clone(),
             last_event: self.last_event,
+            lacks_event_ids: false,
             splitter: EventSplitter::default(),
             last_event_at: None,
             pause_max: Duration::ZERO,
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::sent_bytes::SentBytes;
-use crate::state::State;
+use crate::state::{State, Terms};
 use crate::stop_times::StopTimes;
 use crate::target_ends::TargetEndChecks;
 
@@ -165,6 +165,26 @@
         pressure.note_sent(now, bytes);
     }
 
+    /// Counts a run that begins, if copies of runs of its service are possible.
+    pub(crate) fn note_run_begun(&self, terms: &Terms) {
+        if terms.allows_copies() {
+            let now = self.now();
+            self.state().run_copies.note_begun(now, &terms.service);
+        }
+    }
+
+    /// Counts a run that a crashed target cut, if copies of runs of its service are possible.
+    pub(crate) fn note_run_lost(&self, terms: &Terms) {
+        if !terms.allows_copies() {
+            return;
+        }
+        let now = self.now();
+        let gets_copies = self.state().run_copies.note_lost(now, &terms.service);
+        if gets_copies {
+            self.gossip_wanted.notify_one();
+        }
+    }
+
     /// Returns whether a call that began at `began_at` is expected to finish before the shutdown
     /// would cut it off; always true while no shutdown is ordered.
     pub fn finishes_in_time(&self, route: &str, began_at: Duration, deadline: Duration) -> bool {
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::copy_metrics::CopyMetrics;
 use crate::readiness::Readiness;
 
 /// Labels of metrics by client account.
@@ -81,6 +82,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
+    /// Copies of runs.
+    pub(crate) copies: CopyMetrics,
     outcomes: Family<OutcomeLabels, Counter>,
     first_byte: Family<AccountLabels, Histogram>,
     target_first_byte: Family<TargetLabels, Histogram>,
@@ -110,6 +113,7 @@
     #[must_use]
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("damaskstile");
+        let copies = CopyMetrics::register(&mut registry);
         let outcomes = Family::default();
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
@@ -161,6 +165,7 @@
         registry.register("busy_ms", help, busy_ms.clone());
         Self {
             registry: Mutex::new(registry),
+            copies,
             outcomes,
             first_byte,
             target_first_byte,
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -7,6 +7,7 @@
 use damaskstile_targets::TargetTableOptions;
 
 use crate::cold_options::ColdOptions;
+use crate::copy_options::CopyOptions;
 
 /// Configuration of a gateway.
 #[derive(Debug, Clone)]
@@ -43,4 +44,6 @@
     pub target_table: TargetTableOptions,
     /// Rate of calls that a cold target may get.
     pub cold: ColdOptions,
+    /// Copies of runs.
+    pub copies: CopyOptions,
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -12,6 +12,7 @@
 mod limit_report;
 mod list_answer;
 mod loans;
+mod lost_runs_report;
 mod member_answer;
 mod peer_report;
 mod pull;
@@ -39,6 +40,7 @@
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use limit_report::LimitReport;
+pub use lost_runs_report::LostRunsReport;
 pub use peer_report::PeerReport;
 pub use pull::serve as serve_pulls;
 pub use reading::Reading;
@@ -225,7 +227,9 @@
 
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
-        let state = self.gateway.state();
+        let mut state = self.gateway.state();
+        let lost_runs = state.run_copies.report(now).into_iter();
+        let lost_runs = lost_runs.map(|(service, runs)| LostRunsReport::of(now, service, runs));
         let suspects = state.suspects.reports(now);
         let free = state
             .holder
@@ -256,6 +260,7 @@
             writer: state.writer_report(now),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
+            lost_runs: lost_runs.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
-use super::{LimitReport, PeerReport, SuspectReport, TargetReport};
+use super::{LimitReport, LostRunsReport, PeerReport, SuspectReport, TargetReport};
 
 /// `AccountTokens` is a number of tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -90,6 +90,9 @@
     /// Number of instances that the sender knows by name, itself included.
     #[prost(uint64, tag = "24")]
     pub discovered_instances: u64,
+    /// Runs that crashed targets cut, by service.
+    #[prost(message, repeated, tag = "29")]
+    pub lost_runs: Vec<LostRunsReport>,
     /// Whether the sender is stopping.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -88,6 +88,9 @@
                 limits.push((target, limit));
             }
         }
+        let lost_runs = digest.lost_runs.iter();
+        let lost_runs = lost_runs.filter_map(|report| report.to_lost_runs(now));
+        state.run_copies.apply_report(now, from, lost_runs);
         if let Some(report) = &digest.writer {
             state.apply_peer_report(now, report);
         }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a target's event stream to the caller, and resumes it at another target if a run fails.
 
+mod continuation;
 mod resume;
 mod stream_end;
 
@@ -20,6 +21,7 @@
 use crate::reply::ReplyBody;
 use crate::reservation::Reservation;
 use crate::run::Run;
+use crate::run_copy::RunCopy;
 use crate::state::Terms;
 use crate::wait_limit::allows_another_send;
 
@@ -50,12 +52,16 @@
     pub deadline: Duration,
     /// The current run.
     pub run: Option<Run>,
+    /// Copy of the current run.
+    pub copy: Option<RunCopy>,
     /// Keeps the call counted as open.
     pub open: OpenCall,
     /// The caller's connection.
     pub caller: CallerConnection,
     /// Id of the last event sent to the caller.
     pub last_event: Option<u64>,
+    /// Whether an event without an id was sent to the caller, after which no run can continue.
+    pub lacks_event_ids: bool,
     /// Splits the stream into events.
     pub splitter: EventSplitter,
     /// Arrival time of the last event.
@@ -136,7 +142,10 @@
                 }
                 StreamStep::End => return self.end().await,
                 StreamStep::Closed(cause) => {
-                    self.follow_up_closed().await;
+                    let ended = self.follow_up_closed().await;
+                    if self.continue_from_copy(ended).await {
+                        continue;
+                    }
                     let next = self.choose_successor(SendFailureKind::Unknown);
                     if !self.resume(cause, next).await {
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
@@ -219,6 +228,10 @@
             return None;
         }
         self.last_event = event.id.or(self.last_event);
+        self.lacks_event_ids |= event.id.is_none();
+        if let Some(copy) = &mut self.copy {
+            copy.event();
+        }
         self.reservation.delivering();
         Some(event.bytes)
     }
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -10,6 +10,8 @@
 use crate::exchange::plan_next;
 use crate::run;
 use crate::send;
+use crate::send_options::SendOptions;
+use crate::target_ends::TargetLiveness;
 use crate::wait_limit::WaitLimit;
 
 impl Relay {
@@ -26,20 +28,20 @@
 
     /// Returns whether the call's content is quarantined by now, possibly because of other attempts
     /// with the same content.
-    fn is_quarantined(&self) -> bool {
+    pub(super) fn is_quarantined(&self) -> bool {
         let account = self.terms.account.as_deref();
         self.gateway
             .quarantine_refusal(&self.call, account)
             .is_some()
     }
 
-    /// Checks whether the target that closed the connection in mid-stream has ended.
-    pub(super) async fn follow_up_closed(&mut self) {
-        let Some(run) = &self.run else {
-            return;
-        };
+    /// Checks whether the target that closed the connection in mid-stream has ended, and returns its
+    /// run if so.
+    pub(super) async fn follow_up_closed(&mut self) -> Option<BrokenRun> {
+        let run = self.run.as_ref()?;
         let sent = BrokenRun::of(&run.running.choice, run.running.sent_at());
-        sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+        let liveness = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+        (liveness == TargetLiveness::Ended).then_some(sent)
     }
 
     /// Chooses the target at which the stream resumes if the current run ends with `end`; `None` if
@@ -76,9 +78,10 @@
         while let Some(choice) = next {
             self.note_resumption(cause, &choice.target);
             let sent = BrokenRun::of(&choice, self.gateway.now());
-            let (wait_limit, resume_after) = (self.wait_limit(), self.last_event);
+            let wait_limit = self.wait_limit();
+            let options = SendOptions::resuming(self.last_event);
             let (gateway, caller) = (&self.gateway, &self.caller);
-            let started = run::start(gateway, caller, &wait_limit, choice, resume_after);
+            let started = run::start(gateway, caller, &wait_limit, choice, options);
             let end = match started.await {
                 Ok(run) if run.parts.status.is_success() => {
                     self.waits_out_pauses = false;
@@ -109,11 +112,11 @@
         false
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
     }
 
-    fn wait_limit(&self) -> WaitLimit<'_> {
+    pub(super) fn wait_limit(&self) -> WaitLimit<'_> {
         WaitLimit {
             gateway: &self.gateway,
             call: &self.call,
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
 use damaskstile_requests::SendFailureKind;
-use damaskstile_targets::Choice;
+use damaskstile_targets::{Choice, Work};
 use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -22,6 +22,7 @@
 use crate::lease::{Lease, SendError};
 use crate::outbound_call::OutboundCall;
 use crate::running::Running;
+use crate::send_options::SendOptions;
 use crate::wait_limit::WaitLimit;
 
 /// An answer whose head has arrived from a target.
@@ -66,12 +67,18 @@
     caller: &CallerConnection,
     wait_limit: &WaitLimit<'_>,
     choice: Choice,
-    resume_after: Option<u64>,
+    options: SendOptions,
 ) -> Result<Run, SendFailure> {
     let (call, terms) = (wait_limit.call, wait_limit.terms);
     let instant = |at: Duration| Instant::now() + at.saturating_sub(gateway.now());
     let until = instant(wait_limit.until());
-    let running = Running::new(gateway, choice, &call.work);
+    let is_continuation = options.continue_from.is_some();
+    let running = if is_continuation {
+        // The copy spares the prefill, so the time to the first event shows no prefill speed.
+        Running::new(gateway, choice, &Work::default())
+    } else {
+        Running::new(gateway, choice, &call.work)
+    };
     let choice = &running.choice;
     let identity = choice.identity();
     let leasing = gateway.pool.lease(&identity, choice.address);
@@ -97,6 +104,9 @@
     {
         return Err(SendFailure::new(SendFailureKind::NotSent, "leaving"));
     }
+    if !is_continuation {
+        gateway.note_run_begun(terms);
+    }
     if caller.has_disconnected() {
         // The connection's task drops this future as soon as it notices that the caller has
         // disconnected.
@@ -108,7 +118,9 @@
         time_left: wait_limit.deadline.saturating_sub(gateway.now()),
         priority: terms.priority,
         fetch_from: choice.fetch_from,
-        resume_after,
+        resume_after: options.resume_after,
+        backup_at: options.backup_at,
+        continue_from: options.continue_from,
     };
     let request = build(gateway, call, &send);
     let answer = {
@@ -147,7 +159,7 @@
         lease,
         running,
     };
-    check_answer(gateway, call, run)
+    check_answer(gateway, call, run, is_continuation)
 }
 
 fn build(gateway: &Gateway, call: &OutboundCall, send: &SendHead<'_>) -> Request<Full<Bytes>> {
@@ -161,7 +173,12 @@
 }
 
 /// Checks that an answer belongs to this call and shows that the call was executed.
-fn check_answer(gateway: &Gateway, call: &OutboundCall, run: Run) -> Result<Run, SendFailure> {
+fn check_answer(
+    gateway: &Gateway,
+    call: &OutboundCall,
+    run: Run,
+    is_continuation: bool,
+) -> Result<Run, SendFailure> {
     let choice = &run.running.choice;
     let is_own = run.head.id.is_none() || call.id.is_none() || run.head.id == call.id;
     answer_signals::handle_head(gateway, &run.head, &run.running, is_own);
@@ -182,7 +199,10 @@
         return Err(SendFailure::new(SendFailureKind::NotRun, "misdirected"));
     }
     if run.head.handling == Handling::NotRun {
-        run.running.note(false);
+        // A target that has no copy of a run serves other calls as well as before.
+        if !is_continuation {
+            run.running.note(false);
+        }
         return Err(SendFailure::new(SendFailureKind::NotRun, "rejected"));
     }
     if run.parts.status.is_success() && !run.head.is_signed {
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -30,6 +30,7 @@
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
 use crate::pressure::Pressure;
+use crate::run_copies::RunCopies;
 use crate::wanted::PullKind;
 
 use lenders::Lenders;
@@ -67,6 +68,15 @@
     pub yields: bool,
 }
 
+impl Terms {
+    /// Returns whether targets of the service can copy a run to another target.
+    #[must_use]
+    pub fn allows_copies(&self) -> bool {
+        let service = self.catalogue.service(&self.service);
+        service.is_some_and(|service| service.allows_copies)
+    }
+}
+
 /// `State` holds everything that the decisions of one instance are based on.
 #[derive(Debug)]
 pub struct State {
@@ -126,6 +136,8 @@
     pub known_writer: Option<InstanceId>,
     /// Contents that are suspected of ending targets.
     pub suspects: Suspects,
+    /// Decides which runs get copies.
+    pub run_copies: RunCopies,
     /// Durations of calls, by route.
     pub call_times: CallTimes,
     /// Load of the link and the processor.
@@ -190,6 +202,7 @@
             transfers_accepted: BTreeMap::new(),
             known_writer: None,
             suspects: Suspects::default(),
+            run_copies: RunCopies::new(options.copies),
             call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
             is_stopping: false,
--- a/crates/damaskstile-gateway/src/target_ends.rs
+++ b/crates/damaskstile-gateway/src/target_ends.rs
@@ -12,7 +12,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a result is reused. When a target ends, all its calls break within milliseconds;
 /// a target that restarts may accept connections a second later.
-const RESULT_LIFETIME: Duration = Duration::from_millis(300);
+pub(crate) const RESULT_LIFETIME: Duration = Duration::from_millis(300);
 
 /// State of a target after a call to it broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,7 +73,7 @@
 }
 
 /// Opens a connection and drops it at once.
-async fn connect(address: SocketAddr) -> TargetLiveness {
+pub(crate) async fn connect(address: SocketAddr) -> TargetLiveness {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => TargetLiveness::Alive,
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -8,6 +8,7 @@
 use damaskstile_core::random::Random;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::follow::{DRAWS, list_pause};
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
@@ -81,6 +82,7 @@
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
         cold: ColdOptions::default(),
+        copies: CopyOptions::default(),
     };
     State::new(&options, Duration::ZERO)
 }
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -12,6 +12,7 @@
 use damaskstile_gateway::gateway::Gateway;
 use damaskstile_gateway::outbound_call::OutboundCall;
 use damaskstile_gateway::run::{self, SendFailure};
+use damaskstile_gateway::send_options::SendOptions;
 use damaskstile_gateway::state::Terms;
 use damaskstile_gateway::wait_limit::WaitLimit;
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
@@ -114,7 +115,13 @@
         deadline: now + LIMIT / 4,
         resumes_from: None,
     };
-    let mut sending = Box::pin(run::start(&gateway, &caller, &wait_limit, choice, None));
+    let mut sending = Box::pin(run::start(
+        &gateway,
+        &caller,
+        &wait_limit,
+        choice,
+        SendOptions::default(),
+    ));
     assert!(poll!(sending.as_mut()).is_pending());
     meanwhile(&gateway);
     let failure = sending.await.err();
@@ -223,7 +230,13 @@
     let began_at = Instant::now();
 
     // Act
-    let sending = run::start(&gateway, &caller, &wait_limit, choice, None);
+    let sending = run::start(
+        &gateway,
+        &caller,
+        &wait_limit,
+        choice,
+        SendOptions::default(),
+    );
     let failure = sending.await.err();
 
     // Assert
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use damaskstile_gateway::answer::AnswerHead;
 use damaskstile_gateway::call::{CallHead, SendHead};
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::dialect::Dialect;
 use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
@@ -146,6 +147,7 @@
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
         cold: ColdOptions::default(),
+        copies: CopyOptions::default(),
     };
     let log = Logger::root(Discard, o!());
     Gateway::new(
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -7,6 +7,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
@@ -52,6 +53,7 @@
         escrow: EscrowOptions::default(),
         target_table: TargetTableOptions::default(),
         cold: ColdOptions::default(),
+        copies: CopyOptions::default(),
     };
     let mut state = State::new(&options, Duration::ZERO);
     state.contact.answered(at(0));
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -160,6 +160,18 @@
         others.into_iter().any(|other| class.yields_to(other))
     }
 
+    /// Returns whether no streaming route of a service is more urgent than a priority.
+    ///
+    /// ```
+    /// use damaskstile_routes::Catalogue;
+    /// assert!(Catalogue::default().is_most_urgent_stream("model", 3));
+    /// ```
+    #[must_use]
+    pub fn is_most_urgent_stream(&self, service: &str, priority: u8) -> bool {
+        let mut others = self.stream_classes.get(service).into_iter().flatten();
+        others.all(|other| priority <= other.priority)
+    }
+
     /// Returns the account that a bearer key belongs to.
     #[must_use]
     pub fn account_of_key(&self, key: &str) -> Option<&Account> {
