damaskctl: explain copies counts copied and continued runs by route

Operators need to see whether copies that cost memory are used: by route the calls, those with a copy, and those that continued, found no copy or were cut.

--- a/crates/damaskctl/src/explain.rs
+++ b/crates/damaskctl/src/explain.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod call;
 mod contents;
+mod copies;
 mod counts;
 mod latency;
 mod lenders;
@@ -49,6 +50,12 @@
         #[arg(required = true)]
         logs: Vec<PathBuf>,
     },
+    /// Runs by route that had copies at second targets, and what became of them after crashes.
+    Copies {
+        /// Log files of instances.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Which instances lent tokens of each account, when first and last, and how often instances
     /// were asked in vain.
     Lenders {
@@ -100,6 +107,7 @@
         return match &args.table {
             Some(ExplainTable::Budgets { logs }) => budgets::run(context, logs),
             Some(ExplainTable::Contents { logs }) => contents::run(context, logs),
+            Some(ExplainTable::Copies { logs }) => copies::run(context, logs),
             Some(ExplainTable::Lenders { logs }) => lenders::run(context, logs),
             Some(ExplainTable::Load { logs }) => load::run(context, logs),
             Some(ExplainTable::Places { logs }) => places::run(context, logs),
--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -297,3 +297,25 @@
         (&"callers".into(), &900.into())
     );
 }
+
+#[test]
+fn copies_of_runs_are_counted_by_route() {
+    // Guards against streams that continued being counted as cut, or the reverse.
+
+    // Arrange
+    let log = r#"{"msg":"CallAnswered","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"continued=1 copy=t2 copy_reason=lost_runs id=c1 outcome=answered route=chat target=t1","event":107}
+{"msg":"CallFailed","level":"WARN","ts":"2026-01-01T00:00:01.100Z","instance":"a","fields":"cause=broken continued=0 copy=t2 copy_reason=suspect_target id=c2 outcome=broken_off route=chat target=t1","event":109}
+{"msg":"CallFailed","level":"WARN","ts":"2026-01-01T00:00:01.200Z","instance":"a","fields":"cause=broken id=c3 outcome=broken_off route=chat target=t1","event":109}
+"#;
+
+    // Act
+    let (code, rows, errors) = explain("copies", "copies", &[log], &[]);
+
+    // Assert
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    let expected = serde_json::json!([{
+        "route": "chat", "calls": 3, "copied": 2, "at_suspect_targets": 1, "continued": 1,
+        "missing": 1, "cut": 2,
+    }]);
+    assert_eq!(rows, expected);
+}
