Runs of draining targets do not continue from copies

A draining target may refuse connections while it still completes its runs, so a refused connection does not show that it has crashed. The same run at the second target would then be a second run of the call.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -72,8 +72,12 @@
 
     /// Returns whether the run cannot be going on at its target, which [`Self::follow_up`] found to
     /// have ended. That result may stem from a check before the run was sent, to a new process at
-    /// the same address, so the check of a young run is repeated.
+    /// the same address, so the check of a young run is repeated. A draining target may refuse
+    /// connections while it still completes its runs.
     pub(crate) async fn is_surely_over(&self, gateway: &Gateway) -> bool {
+        if gateway.state().target_table.is_draining(&self.target) {
+            return false;
+        }
         let age = gateway.now().saturating_sub(self.sent_at);
         age > RESULT_LIFETIME || connect(self.address).await == TargetLiveness::Ended
     }
--- a/crates/damaskstile-targets/src/departures.rs
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -94,6 +94,12 @@
         self.left.contains_key(target)
     }
 
+    /// Tells whether an incarnation is known to drain, rather than only to be delisted.
+    pub(crate) fn is_final(&self, identity: &TargetIdentity) -> bool {
+        let known = self.left.get(&identity.target);
+        known.is_some_and(|known| known.is_final && known.incarnation == identity.incarnation)
+    }
+
     /// Returns the incarnation of a target that left last.
     pub(crate) fn newest(&self, target: &str) -> Option<TargetIncarnation> {
         self.left.get(target)?.incarnation
--- a/crates/damaskstile-targets/src/target_table/copy_target.rs
+++ b/crates/damaskstile-targets/src/target_table/copy_target.rs
@@ -28,6 +28,20 @@
         state.is_some_and(|state| state.failure_share(now) >= SUSPECT_FAILURE_SHARE)
     }
 
+    /// Tells whether an incarnation is known to drain. It may accept no connections while it still
+    /// completes its runs, so that does not show that it has crashed.
+    ///
+    /// ```
+    /// use damaskstile_core::prelude::TargetIdentity;
+    /// use damaskstile_targets::{TargetTable, TargetTableOptions};
+    /// let table = TargetTable::new("north", TargetTableOptions::default());
+    /// assert!(!table.is_draining(&TargetIdentity::new("unknown", None)));
+    /// ```
+    #[must_use]
+    pub fn is_draining(&self, identity: &TargetIdentity) -> bool {
+        self.departures.is_final(identity)
+    }
+
     /// Selects the target that holds a copy of a run: the least loaded usable one of the same
     /// service that is neither cold, limited nor suspect, in the data centre of the run's target if
     /// there is one. Transfers between data centres take twice as long. `tried` contains the run's
@@ -104,7 +118,8 @@
     fn load_ms(&self, now: Duration, state: &TargetState) -> f64 {
         let copies = self.copies.get(&state.listed.target).copied();
         let running = tokens(state.own_running()) + state.others(now);
-        let prefill_ms = state.own_prefill_ms() + state.reported_prefill(now).as_secs_f64() * 1_000.0;
+        let prefill_ms =
+            state.own_prefill_ms() + state.reported_prefill(now).as_secs_f64() * 1_000.0;
         prefill_ms + (running + tokens(copies.unwrap_or(0))) * self.options.running_ms
     }
 }
