--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::outgoing::Outgoing;
 use crate::phase::Phase;
 use crate::pool::Pool;
+use crate::run_copy::allows_copies;
 use crate::sent_bytes::SentBytes;
 use crate::state::{State, Terms};
 use crate::stop_times::StopTimes;
@@ -167,7 +168,7 @@
 
     /// Counts a run that begins, if copies of runs of its service are possible.
     pub(crate) fn note_run_begun(&self, terms: &Terms) {
-        if terms.allows_copies() {
+        if allows_copies(terms) {
             let now = self.now();
             self.state().run_copies.note_begun(now, &terms.service);
         }
@@ -175,7 +176,7 @@
 
     /// Counts a run that a crashed target cut, if copies of runs of its service are possible.
     pub(crate) fn note_run_lost(&self, terms: &Terms) {
-        if !terms.allows_copies() {
+        if !allows_copies(terms) {
             return;
         }
         let now = self.now();
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -283,6 +283,7 @@
                 let is_new =
                     self.handle_digest(&datagram.from, datagram.incarnation, &digest, from);
                 self.handle_suspects(&datagram.from, &digest.suspects);
+                self.handle_lost_runs(&datagram.from, &digest.lost_runs);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
             }
             DatagramBody::TokenRequest(request) => {
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -6,7 +6,7 @@
 use damaskstile_core::prelude::*;
 
 use super::pull;
-use super::{Digest, Peers};
+use super::{Digest, LostRunsReport, Peers};
 use crate::answer_signals::log_limit;
 use crate::evacuated_list;
 use crate::member::Member;
@@ -88,9 +88,6 @@
                 limits.push((target, limit));
             }
         }
-        let lost_runs = digest.lost_runs.iter();
-        let lost_runs = lost_runs.filter_map(|report| report.to_lost_runs(now));
-        state.run_copies.apply_report(now, from, lost_runs);
         if let Some(report) = &digest.writer {
             state.apply_peer_report(now, report);
         }
@@ -141,6 +138,15 @@
         is_new
     }
 
+    /// Applies a peer's report of runs that crashed targets cut.
+    pub(super) fn handle_lost_runs(&self, from: &str, lost_runs: &[LostRunsReport]) {
+        let now = self.gateway.now();
+        let lost_runs = lost_runs.iter();
+        let lost_runs = lost_runs.filter_map(|report| report.to_lost_runs(now));
+        let run_copies = &mut self.gateway.state().run_copies;
+        run_copies.apply_report(now, from, lost_runs);
+    }
+
     /// Pulls the data that this instance lacks from the sender of a digest, each after a delay.
     fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
         for (wanted, pause) in wanted {
--- a/crates/damaskstile-gateway/src/run_copy.rs
+++ b/crates/damaskstile-gateway/src/run_copy.rs
@@ -161,11 +161,17 @@
     }
 }
 
+/// Returns whether targets of the call's service can copy a run to another target.
+pub(crate) fn allows_copies(terms: &Terms) -> bool {
+    let service = terms.catalogue.service(&terms.service);
+    service.is_some_and(|service| service.allows_copies)
+}
+
 /// Returns the tokens in an event of a run if it may get a copy: a stream that may not be resumed,
 /// with the most urgent priority of its service, whose engine allows copies.
 fn tokens_per_event(terms: &Terms) -> Option<u64> {
     let service = terms.catalogue.service(&terms.service)?;
-    let is_eligible = service.allows_copies
+    let is_eligible = allows_copies(terms)
         && terms.route.kind == RouteKind::Stream
         && terms
             .catalogue
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -68,15 +68,6 @@
     pub yields: bool,
 }
 
-impl Terms {
-    /// Returns whether targets of the service can copy a run to another target.
-    #[must_use]
-    pub fn allows_copies(&self) -> bool {
-        let service = self.catalogue.service(&self.service);
-        service.is_some_and(|service| service.allows_copies)
-    }
-}
-
 /// `State` holds everything that the decisions of one instance are based on.
 #[derive(Debug)]
 pub struct State {
--- a/crates/damaskstile-gateway/tests/run_copies.rs
+++ b/crates/damaskstile-gateway/tests/run_copies.rs
@@ -143,7 +143,7 @@
     let first = fleet.run(Duration::from_secs(8), &few);
     let between = fleet.run(Duration::from_secs(10), &[]);
     let second = fleet.run(Duration::from_secs(8), &quarter);
-    let after = fleet.run(Duration::from_secs(120), &[]);
+    let after = fleet.run(Duration::from_mins(2), &[]);
     let later = fleet.run(Duration::from_secs(10), &[]);
 
     // Assert
