Runs of replaced incarnations do not continue from copies

Cause: when a successor of a drained target is listed as ready under the same name, the departure of the drained incarnation is dropped. Its address refuses connections while it completes its runs, so a run whose connection broke could continue at the second target while the first still worked on it.

Checked: the new test in copy_targets.rs fails without the comparison of incarnations; tests of damaskstile-targets pass.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -75,7 +75,7 @@
     /// the same address, so the check of a young run is repeated. A draining target may refuse
     /// connections while it still completes its runs.
     pub(crate) async fn is_surely_over(&self, gateway: &Gateway) -> bool {
-        if gateway.state().target_table.is_draining(&self.target) {
+        if gateway.state().target_table.may_drain(&self.target) {
             return false;
         }
         let age = gateway.now().saturating_sub(self.sent_at);
--- a/crates/damaskstile-targets/src/target_table/copy_target.rs
+++ b/crates/damaskstile-targets/src/target_table/copy_target.rs
@@ -28,18 +28,19 @@
         state.is_some_and(|state| state.failure_share(now) >= SUSPECT_FAILURE_SHARE)
     }
 
-    /// Tells whether an incarnation is known to drain. It may accept no connections while it still
-    /// completes its runs, so that does not show that it has crashed.
+    /// Tells whether an incarnation is known to drain or was replaced by a newer one, as after a
+    /// drain. It may accept no connections while it still completes its runs, so that does not show
+    /// that it has crashed.
     ///
     /// ```
     /// use damaskstile_core::prelude::TargetIdentity;
     /// use damaskstile_targets::{TargetTable, TargetTableOptions};
     /// let table = TargetTable::new("north", TargetTableOptions::default());
-    /// assert!(!table.is_draining(&TargetIdentity::new("unknown", None)));
+    /// assert!(!table.may_drain(&TargetIdentity::new("unknown", None)));
     /// ```
     #[must_use]
-    pub fn is_draining(&self, identity: &TargetIdentity) -> bool {
-        self.departures.is_final(identity)
+    pub fn may_drain(&self, identity: &TargetIdentity) -> bool {
+        self.departures.is_final(identity) || self.newest(&identity.target) > identity.incarnation
     }
 
     /// Selects the target that holds a copy of a run: the least loaded usable one of the same
--- a/crates/damaskstile-targets/tests/copy_targets.rs
+++ b/crates/damaskstile-targets/tests/copy_targets.rs
@@ -143,3 +143,28 @@
     // Assert
     assert_eq!(second, None);
 }
+
+#[test]
+fn incarnations_that_drained_may_still_run_calls() {
+    // Guards against a run that continues from its copy while a drained incarnation, which accepts
+    // no connections, still completes it: also once a successor is listed under the same name.
+
+    // Arrange
+    let mut table = table();
+    let old = choice_of(&table, "a").identity();
+    let mut draining = listed("a", "north");
+    draining.is_ready = false;
+    let mut successor = listed("a", "north");
+    successor.incarnation = Some(2);
+
+    // Act
+    let at_first = table.may_drain(&old);
+    table.list(at(0), draining);
+    let drained = table.may_drain(&old);
+    table.list(at(0), successor);
+    let replaced = table.may_drain(&old);
+
+    // Assert
+    assert_eq!([at_first, drained, replaced], [false, true, true]);
+    assert!(!table.may_drain(&choice_of(&table, "a").identity()));
+}
