A reused check of a target is repeated before a run continues

Cause: a result is reused for 300 ms, and only runs younger than that repeated the check. The age counted from before the connection was opened, and was read after the check, so a run at a restarted target could continue at the second target on a result about the process before, although its own target still worked on it. The result now states whether it is reused.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
 use crate::state::Terms;
-use crate::target_ends::{RESULT_LIFETIME, TargetLiveness, connect};
+use crate::target_ends::{EndCheck, TargetLiveness, connect};
 
 /// A run, with what is needed to follow it up if its connection breaks before the answer is
 /// complete.
@@ -41,12 +41,13 @@
         gateway: &Gateway,
         call: &OutboundCall,
         terms: &Terms,
-    ) -> TargetLiveness {
+    ) -> EndCheck {
         let now = gateway.now();
-        let state = gateway
+        let check = gateway
             .end_checks
             .check(now, &self.target, self.address)
             .await;
+        let state = check.state;
         let content = Fingerprint::of(&call.content(terms.account.as_deref()));
         let ran_ms = now.saturating_sub(self.sent_at).as_millis().to_string();
         let fields = [
@@ -67,18 +68,20 @@
             gateway.state().target_table.note_ended(now, &self.target);
             gateway.note_run_lost(terms);
         }
-        state
+        check
     }
 
-    /// Returns whether the run cannot be going on at its target, which [`Self::follow_up`] found to
-    /// have ended. That result may stem from a check before the run was sent, to a new process at
-    /// the same address, so the check of a young run is repeated. A draining target may refuse
-    /// connections while it still completes its runs.
-    pub(crate) async fn is_surely_over(&self, gateway: &Gateway) -> bool {
-        if gateway.state().target_table.may_drain(&self.target) {
+    /// Returns whether the run cannot be going on at its target, given the result of
+    /// [`Self::follow_up`]. A reused result may stem from a check before the run was sent, to a new
+    /// process at the same address, so that check is repeated. The age of the run does not rule
+    /// this out, since it includes the time to connect. A draining target may refuse connections
+    /// while it still completes its runs.
+    pub(crate) async fn is_surely_over(&self, gateway: &Gateway, check: EndCheck) -> bool {
+        if check.state != TargetLiveness::Ended
+            || gateway.state().target_table.may_drain(&self.target)
+        {
             return false;
         }
-        let age = gateway.now().saturating_sub(self.sent_at);
-        age > RESULT_LIFETIME || connect(self.address).await == TargetLiveness::Ended
+        !check.is_reused || connect(self.address).await == TargetLiveness::Ended
     }
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -262,8 +262,8 @@
             self.is_sending = false;
             self.record.add("cause", failure.cause);
             if failure.end == SendFailureKind::Broken {
-                let liveness = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
-                if let Some(run) = self.continue_from_copy(&sent, liveness).await {
+                let check = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+                if let Some(run) = self.continue_from_copy(&sent, check).await {
                     return (self.relay(run, reservation).await, None);
                 }
             }
--- a/crates/damaskstile-gateway/src/exchange/continuing.rs
+++ b/crates/damaskstile-gateway/src/exchange/continuing.rs
@@ -3,7 +3,7 @@
 use super::Exchange;
 use crate::broken_run::BrokenRun;
 use crate::run::Run;
-use crate::target_ends::TargetLiveness;
+use crate::target_ends::EndCheck;
 
 impl Exchange {
     /// Records that the current run has a copy, if it has one.
@@ -15,16 +15,16 @@
         }
     }
 
-    /// Continues the call at the second target if its run has a copy and its target has ended;
-    /// otherwise that target may still work on it. Returns the run there.
+    /// Continues the call at the second target if its run has a copy and is over at its own target.
+    /// Returns the run at the second target.
     pub(super) async fn continue_from_copy(
         &mut self,
         broken: &BrokenRun,
-        liveness: TargetLiveness,
+        check: EndCheck,
     ) -> Option<Run> {
         self.note_copy();
         let copy = self.copy.take()?;
-        let may_continue = liveness == TargetLiveness::Ended
+        let may_continue = broken.is_surely_over(&self.gateway, check).await
             && self.quarantine_refusal().is_none()
             && !self.time_left().is_zero();
         if !may_continue {
@@ -32,7 +32,7 @@
         }
         self.is_sending = true;
         let wait_limit = self.wait_limit();
-        let continuing = copy.continue_run(broken, &self.caller, &wait_limit, self.last_event);
+        let continuing = copy.continue_run(&self.caller, &wait_limit, self.last_event);
         let run = continuing.await;
         self.is_sending = run.is_some();
         self.record.add("continued", u8::from(run.is_some()));
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -142,8 +142,8 @@
                 }
                 StreamStep::End => return self.end().await,
                 StreamStep::Closed(cause) => {
-                    let ended = self.follow_up_closed().await;
-                    if self.continue_from_copy(ended).await {
+                    let followed_up = self.follow_up_closed().await;
+                    if self.continue_from_copy(followed_up).await {
                         continue;
                     }
                     let next = self.choose_successor(SendFailureKind::Unknown);
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -11,7 +11,7 @@
 use crate::run;
 use crate::send;
 use crate::send_options::SendOptions;
-use crate::target_ends::TargetLiveness;
+use crate::target_ends::EndCheck;
 use crate::wait_limit::WaitLimit;
 
 impl Relay {
@@ -35,13 +35,13 @@
             .is_some()
     }
 
-    /// Checks whether the target that closed the connection in mid-stream has ended, and returns its
-    /// run if so.
-    pub(super) async fn follow_up_closed(&mut self) -> Option<BrokenRun> {
+    /// Checks whether the target that closed the connection in mid-stream has ended, and returns
+    /// its run with the result.
+    pub(super) async fn follow_up_closed(&mut self) -> Option<(BrokenRun, EndCheck)> {
         let run = self.run.as_ref()?;
         let sent = BrokenRun::of(&run.running.choice, run.running.sent_at());
-        let liveness = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
-        (liveness == TargetLiveness::Ended).then_some(sent)
+        let check = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
+        Some((sent, check))
     }
 
     /// Chooses the target at which the stream resumes if the current run ends with `end`; `None` if
--- a/crates/damaskstile-gateway/src/run_copy.rs
+++ b/crates/damaskstile-gateway/src/run_copy.rs
@@ -85,22 +85,18 @@
         self.tokens += self.tokens_per_event;
     }
 
-    /// Continues a run whose target was found to have ended at the second target, after the last
-    /// event that the caller has. Returns `None` if the second target does not take it.
+    /// Continues a run that is over at its own target at the second one, after the last event that
+    /// the caller has. Returns `None` if the second target does not take it.
     ///
     /// The run is the same, so this neither counts as a retry nor charges the call again.
     pub(crate) async fn continue_run(
         self,
-        broken: &BrokenRun,
         caller: &CallerConnection,
         wait_limit: &WaitLimit<'_>,
         resume_after: Option<u64>,
     ) -> Option<Run> {
         let (gateway, call, terms) = (&self.gateway, wait_limit.call, wait_limit.terms);
         let id = call.id.clone()?;
-        if !broken.is_surely_over(gateway).await {
-            return None;
-        }
         let (now, bytes) = (gateway.now(), call.link_bytes());
         gateway.state().pressure.note_sent(now, bytes);
         let options = SendOptions {
--- a/crates/damaskstile-gateway/src/target_ends.rs
+++ b/crates/damaskstile-gateway/src/target_ends.rs
@@ -12,7 +12,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a result is reused. When a target ends, all its calls break within milliseconds;
 /// a target that restarts may accept connections a second later.
-pub(crate) const RESULT_LIFETIME: Duration = Duration::from_millis(300);
+const RESULT_LIFETIME: Duration = Duration::from_millis(300);
 
 /// State of a target after a call to it broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +37,15 @@
     }
 }
 
+/// Result of a check of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndCheck {
+    /// State of the target.
+    pub state: TargetLiveness,
+    /// Whether the check began earlier, for another call.
+    pub is_reused: bool,
+}
+
 /// Checks whether targets have ended. Calls that break at the same time share one check.
 #[derive(Debug, Default)]
 pub struct TargetEndChecks {
@@ -56,19 +65,25 @@
         now: Duration,
         target: &TargetIdentity,
         address: SocketAddr,
-    ) -> TargetLiveness {
-        let found = self.check_of(now, target);
-        *found.get_or_init(|| connect(address)).await
+    ) -> EndCheck {
+        let (found, is_reused) = self.check_of(now, target);
+        let state = *found.get_or_init(|| connect(address)).await;
+        EndCheck { state, is_reused }
     }
 
-    fn check_of(&self, now: Duration, target: &TargetIdentity) -> Arc<OnceCell<TargetLiveness>> {
+    fn check_of(
+        &self,
+        now: Duration,
+        target: &TargetIdentity,
+    ) -> (Arc<OnceCell<TargetLiveness>>, bool) {
         let mut checks = self.checks.lock().unwrap_or_else(PoisonError::into_inner);
         checks.retain(|_, check| now.saturating_sub(check.at) < RESULT_LIFETIME);
+        let is_reused = checks.contains_key(target);
         let check = checks.entry(target.clone()).or_insert_with(|| Check {
             at: now,
             found: Arc::default(),
         });
-        Arc::clone(&check.found)
+        (Arc::clone(&check.found), is_reused)
     }
 }
 
