--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
 use crate::state::Terms;
-use crate::target_ends::TargetLiveness;
+use crate::target_ends::{EndCheck, TargetLiveness, connect};
 
 /// A run, with what is needed to follow it up if its connection breaks before the answer is
 /// complete.
@@ -36,12 +36,18 @@
     /// Checks whether the target has ended, and records the call's content if so. A retry of the
     /// call waits for this; otherwise content that crashes targets would be sent once more before
     /// it is quarantined.
-    pub(crate) async fn follow_up(&self, gateway: &Gateway, call: &OutboundCall, terms: &Terms) {
+    pub(crate) async fn follow_up(
+        &self,
+        gateway: &Gateway,
+        call: &OutboundCall,
+        terms: &Terms,
+    ) -> EndCheck {
         let now = gateway.now();
-        let state = gateway
+        let check = gateway
             .end_checks
             .check(now, &self.target, self.address)
             .await;
+        let state = check.state;
         let content = Fingerprint::of(&call.content(terms.account.as_deref()));
         let ran_ms = now.saturating_sub(self.sent_at).as_millis().to_string();
         let fields = [
@@ -60,6 +66,22 @@
             gateway.note_crash(content, account, self.target.clone());
             let now = gateway.now();
             gateway.state().target_table.note_ended(now, &self.target);
+            gateway.note_run_lost(terms);
         }
+        check
+    }
+
+    /// Returns whether the run cannot be going on at its target, given the result of
+    /// [`Self::follow_up`]. A reused result may stem from a check before the run was sent, to a new
+    /// process at the same address, so that check is repeated. The age of the run does not rule
+    /// this out, since it includes the time to connect. A draining target may refuse connections
+    /// while it still completes its runs.
+    pub(crate) async fn is_surely_over(&self, gateway: &Gateway, check: EndCheck) -> bool {
+        if check.state != TargetLiveness::Ended
+            || gateway.state().target_table.may_drain(&self.target)
+        {
+            return false;
+        }
+        !check.is_reused || connect(self.address).await == TargetLiveness::Ended
     }
 }
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -22,8 +22,9 @@
 use crate::outgoing::Outgoing;
 use crate::phase::Phase;
 use crate::pool::Pool;
+use crate::run_copy::allows_copies;
 use crate::sent_bytes::SentBytes;
-use crate::state::State;
+use crate::state::{State, Terms};
 use crate::stop_times::StopTimes;
 use crate::target_ends::TargetEndChecks;
 
@@ -166,6 +167,26 @@
         pressure.note_event();
     }
 
+    /// Counts a run that begins, if copies of runs of its service are possible.
+    pub(crate) fn note_run_begun(&self, terms: &Terms) {
+        if allows_copies(terms) {
+            let now = self.now();
+            self.state().run_copies.note_begun(now, &terms.service);
+        }
+    }
+
+    /// Counts a run that a crashed target cut, if copies of runs of its service are possible.
+    pub(crate) fn note_run_lost(&self, terms: &Terms) {
+        if !allows_copies(terms) {
+            return;
+        }
+        let now = self.now();
+        let gets_copies = self.state().run_copies.note_lost(now, &terms.service);
+        if gets_copies {
+            self.gossip_wanted.notify_one();
+        }
+    }
+
     /// Returns whether a call that began at `began_at` is expected to finish before the shutdown
     /// would cut it off; always true while no shutdown is ordered.
     pub fn finishes_in_time(&self, route: &str, began_at: Duration, deadline: Duration) -> bool {
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::admission_counts::AdmissionCounts;
+use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
 
 /// Labels of metrics by client account.
@@ -86,6 +87,8 @@
     /// Admitted and rejected calls.
     pub admissions: AdmissionCounts,
     registry: Mutex<Registry>,
+    /// Copies of runs.
+    pub(crate) copies: CopyMetrics,
     outcomes: Family<OutcomeLabels, Counter>,
     first_byte: Family<AccountLabels, Histogram>,
     target_first_byte: Family<TargetLabels, Histogram>,
@@ -118,6 +121,7 @@
         let mut registry = Registry::with_prefix("damaskstile");
         let admissions = AdmissionCounts::default();
         admissions.register(&mut registry);
+        let copies = CopyMetrics::register(&mut registry);
         let outcomes = Family::default();
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
@@ -167,6 +171,7 @@
         Self {
             admissions,
             registry: Mutex::new(registry),
+            copies,
             outcomes,
             first_byte,
             target_first_byte,
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::AdmissionOptions;
 use crate::cold_options::ColdOptions;
+use crate::copy_options::CopyOptions;
 use crate::rotation_options::RotationOptions;
 
 /// Configuration of a gateway.
@@ -49,4 +50,6 @@
     pub cold: ColdOptions,
     /// Options of the admission of calls.
     pub admission: AdmissionOptions,
+    /// Copies of runs.
+    pub copies: CopyOptions,
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -13,6 +13,7 @@
 mod list_answer;
 mod load_report;
 mod loans;
+mod lost_runs_report;
 mod member_answer;
 mod peer_report;
 mod pull;
@@ -42,6 +43,7 @@
 pub use digest::{AccountTokens, Digest};
 pub use limit_report::LimitReport;
 pub use load_report::LoadReport;
+pub use lost_runs_report::LostRunsReport;
 pub use peer_report::PeerReport;
 pub use pull::serve as serve_pulls;
 pub use reading::Reading;
@@ -230,6 +232,8 @@
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
+        let lost_runs = state.run_copies.report(now).into_iter();
+        let lost_runs = lost_runs.map(|(service, runs)| LostRunsReport::of(now, service, runs));
         let suspects = state.suspects.reports(now);
         let free = state
             .holder
@@ -265,6 +269,7 @@
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
             speeds: speeds.collect(),
+            lost_runs: lost_runs.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
@@ -287,6 +292,7 @@
                 let is_new =
                     self.handle_digest(&datagram.from, datagram.incarnation, &digest, from);
                 self.handle_suspects(&datagram.from, &digest.suspects);
+                self.handle_lost_runs(&datagram.from, &digest.lost_runs);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
             }
             DatagramBody::TokenRequest(request) => {
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -2,7 +2,9 @@
 
 use damaskstile_core::prelude::*;
 
-use super::{LimitReport, LoadReport, PeerReport, SpeedReport, SuspectReport, TargetReport};
+use super::{
+    LimitReport, LoadReport, LostRunsReport, PeerReport, SpeedReport, SuspectReport, TargetReport,
+};
 
 /// `AccountTokens` is a number of tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -93,6 +95,9 @@
     /// Targets that the sender found faster or slower than predicted.
     #[prost(message, repeated, tag = "28")]
     pub speeds: Vec<SpeedReport>,
+    /// Runs that crashed targets cut, by service.
+    #[prost(message, repeated, tag = "29")]
+    pub lost_runs: Vec<LostRunsReport>,
     /// Whether the sender is stopping.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -7,7 +7,7 @@
 
 use super::pull;
 use super::speed_report;
-use super::{Digest, Peers};
+use super::{Digest, LostRunsReport, Peers};
 use crate::answer_signals::log_limit;
 use crate::evacuated_list;
 use crate::member::Member;
@@ -139,6 +139,15 @@
         is_new
     }
 
+    /// Applies a peer's report of runs that crashed targets cut.
+    pub(super) fn handle_lost_runs(&self, from: &str, lost_runs: &[LostRunsReport]) {
+        let now = self.gateway.now();
+        let lost_runs = lost_runs.iter();
+        let lost_runs = lost_runs.filter_map(|report| report.to_lost_runs(now));
+        let run_copies = &mut self.gateway.state().run_copies;
+        run_copies.apply_report(now, from, lost_runs);
+    }
+
     /// Pulls the data that this instance lacks from the sender of a digest, each after a delay.
     fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
         for (wanted, pause) in wanted {
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::options::GatewayOptions;
 use crate::peer_load::PeerLoad;
 use crate::pressure::Pressure;
+use crate::run_copies::RunCopies;
 use crate::wanted::PullKind;
 
 use lenders::Lenders;
@@ -129,6 +130,8 @@
     pub known_writer: Option<InstanceId>,
     /// Contents that are suspected of ending targets.
     pub suspects: Suspects,
+    /// Decides which runs get copies.
+    pub run_copies: RunCopies,
     /// Durations of calls, by route.
     pub call_times: CallTimes,
     /// Load of the link and the processor.
@@ -195,6 +198,7 @@
             transfers_accepted: BTreeMap::new(),
             known_writer: None,
             suspects: Suspects::default(),
+            run_copies: RunCopies::new(options.copies),
             call_times: CallTimes::default(),
             pressure: Pressure::with_admission(options.link_bytes_per_s, options.admission),
             load_sharing: LoadSharing::new(
--- a/crates/damaskstile-gateway/src/target_ends.rs
+++ b/crates/damaskstile-gateway/src/target_ends.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// Result of a check of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndCheck {
+    /// State of the target.
+    pub state: TargetLiveness,
+    /// Whether the check began earlier, for another call.
+    pub is_reused: bool,
+}
+
 /// Checks whether targets have ended. Calls that break at the same time share one check.
 #[derive(Debug, Default)]
 pub struct TargetEndChecks {
@@ -56,24 +65,30 @@
         now: Duration,
         target: &TargetIdentity,
         address: SocketAddr,
-    ) -> TargetLiveness {
-        let found = self.check_of(now, target);
-        *found.get_or_init(|| connect(address)).await
+    ) -> EndCheck {
+        let (found, is_reused) = self.check_of(now, target);
+        let state = *found.get_or_init(|| connect(address)).await;
+        EndCheck { state, is_reused }
     }
 
-    fn check_of(&self, now: Duration, target: &TargetIdentity) -> Arc<OnceCell<TargetLiveness>> {
+    fn check_of(
+        &self,
+        now: Duration,
+        target: &TargetIdentity,
+    ) -> (Arc<OnceCell<TargetLiveness>>, bool) {
         let mut checks = self.checks.lock().unwrap_or_else(PoisonError::into_inner);
         checks.retain(|_, check| now.saturating_sub(check.at) < RESULT_LIFETIME);
+        let is_reused = checks.contains_key(target);
         let check = checks.entry(target.clone()).or_insert_with(|| Check {
             at: now,
             found: Arc::default(),
         });
-        Arc::clone(&check.found)
+        (Arc::clone(&check.found), is_reused)
     }
 }
 
 /// Opens a connection and drops it at once.
-async fn connect(address: SocketAddr) -> TargetLiveness {
+pub(crate) async fn connect(address: SocketAddr) -> TargetLiveness {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => TargetLiveness::Alive,
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -9,6 +9,7 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::admission::AdmissionOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::follow::{DRAWS, list_pause};
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
@@ -85,6 +86,7 @@
         rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
+        copies: CopyOptions::default(),
     };
     State::new(&options, Duration::ZERO)
 }
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use damaskstile_gateway::answer::AnswerHead;
 use damaskstile_gateway::call::{CallHead, SendHead};
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::dialect::Dialect;
 use damaskstile_gateway::directory::Directory;
 use damaskstile_gateway::gateway::Gateway;
@@ -150,6 +151,7 @@
         rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
+        copies: CopyOptions::default(),
     };
     let log = Logger::root(Discard, o!());
     Gateway::new(
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -8,6 +8,7 @@
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::admission::AdmissionOptions;
 use damaskstile_gateway::cold_options::ColdOptions;
+use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::member::Member;
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::peers::Digest;
@@ -56,6 +57,7 @@
         rotation: RotationOptions::default(),
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
+        copies: CopyOptions::default(),
     };
     let mut state = State::new(&options, Duration::ZERO);
     state.contact.answered(at(0));
