Load sharing: lenders prepare tokens only where load is shared, each account once

Cause: in every large fleet, also with by_load = "never", two lenders of a data centre held tokens for accounts that use a quarter of an instance. For each report of such an account the lenders were ranked anew, four times a second: with one account at all instances, instances times instances.

--- a/crates/damaskstile-escrow/tests/reports.rs
+++ b/crates/damaskstile-escrow/tests/reports.rs
@@ -390,6 +390,71 @@
     assert!(lent >= 2 * CALL_TOKENS, "{lent}");
 }
 
+/// Returns the tokens that a member without calls holds of an account with many calls at another
+/// member. It expects borrowers with so much of that member's rate.
+fn held_for_expected_borrowers(expected_percent: u64) -> u64 {
+    let mut fleet = Fleet::new(INSTANCES - 1);
+    fleet.round(0);
+    let busy = fleet.member(0);
+    (0..100).for_each(|_| busy.note_demand(at(900), ACCOUNT, CALL_TOKENS, 0));
+    let tokens_per_s = busy.demand_tokens_per_s(at(900), ACCOUNT);
+    assert!(tokens_per_s > 0);
+    if expected_percent > 0 {
+        let expected = tokens_per_s * expected_percent / 100;
+        let lender = fleet.member(3);
+        lender.expect_lending(at(900), ACCOUNT, expected);
+        lender.expect_lending(at(950), ACCOUNT, expected);
+        // Repeated reports of the same calls are not added up.
+        assert!(lender.demand_tokens_per_s(at(950), ACCOUNT) <= expected);
+    }
+    fleet.round(1_100);
+    fleet.round(2_200);
+    assert!(is_within_what_was_bought(&fleet));
+    let held = fleet.member(3).free_tokens(at(2_300), ACCOUNT);
+
+    // A minute later the expectation has ended.
+    for second in 3..64 {
+        fleet.round(second * 1_100);
+    }
+    assert!(is_within_what_was_bought(&fleet));
+    let kept = fleet.member(3).free_tokens(at(70_400), ACCOUNT);
+    assert!(kept <= held / 10, "{kept} of {held}");
+    held
+}
+
+#[test]
+fn an_instance_that_expects_borrowers_holds_tokens_before_the_first_loan() {
+    // Guards against an account whose callers move to an instance that holds none of its tokens,
+    // while the lenders hold none either and each call waits for the store.
+
+    // Act
+    let held = held_for_expected_borrowers(0);
+    let few = held_for_expected_borrowers(1);
+    let many = held_for_expected_borrowers(50);
+
+    // Assert
+    assert_eq!(held, 0);
+    assert!(few >= 2 * CALL_TOKENS, "{few}");
+    assert!(many >= 2 * few, "{many} {few}");
+}
+
+#[test]
+fn nothing_is_held_for_borrowers_of_an_unknown_account() {
+    // Guards against a peer's report of an account that this instance's catalogue does not have, or
+    // no longer has, so that it gets a balance that is never removed.
+
+    // Arrange
+    let mut lender = holder("a", 1);
+    lender.observe(at(0), 0, Ledger::default());
+
+    // Act
+    lender.expect_lending(at(900), "unknown", 1_000);
+
+    // Assert
+    assert_eq!(lender.demand_tokens_per_s(at(900), "unknown"), 0);
+    assert_eq!(lender.free_tokens(at(900), "unknown"), 0);
+}
+
 #[test]
 fn the_ledger_of_a_large_fleet_is_small_enough_to_read_at_once() {
     // Arrange: 295 instances, 40 accounts, and a call of each account at each instance.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -251,9 +251,10 @@
     /// Updates whether this instance is in the load balancer's rotation; returns whether that
     /// changed.
     pub fn update_rotation(&mut self, now: Duration) -> bool {
-        self.expect_borrowers(now);
         let share = self.pressure.share(now);
-        self.load_sharing.update(now, share, &self.members)
+        let is_changed = self.load_sharing.update(now, share, &self.members);
+        self.expect_borrowers(now);
+        is_changed
     }
 
     /// Returns the addresses of the other instances of the data centre.
--- a/crates/damaskstile-gateway/src/state/lenders.rs
+++ b/crates/damaskstile-gateway/src/state/lenders.rs
@@ -4,7 +4,6 @@
 use damaskstile_loans::{Candidate, Placement};
 
 use super::State;
-use crate::busiest_account::BusiestAccount;
 use crate::neighbours;
 
 /// Time after which the candidate lenders are determined anew. Instances come and go within
@@ -69,24 +68,23 @@
     /// data centre. When that instance leaves the load balancer's rotation, the account's callers
     /// reach one that holds none of its tokens, and borrow from this one.
     pub fn expect_borrowers(&mut self, now: Duration) {
-        if !self.is_large_fleet() {
+        if !self.is_large_fleet() || !self.load_sharing.applies() {
             return;
         }
-        let members = self.members.values();
-        let busiest: Vec<BusiestAccount> = neighbours::reports(
-            now,
-            &self.own_candidate.data_centre,
-            members,
-            EXPECTED_AGE_MAX,
-        )
-        .filter_map(|(_, load)| load.busiest.clone())
-        .filter(|busiest| busiest.share >= EXPECTED_SHARE_MIN)
-        .collect();
-        for busiest in busiest {
-            if self.is_near_lender(now, &busiest.account) {
-                let tokens_per_s = busiest.tokens_per_s / NEAR_LENDERS;
-                self.holder
-                    .expect_lending(now, &busiest.account, tokens_per_s);
+        // Many instances may report the same account; it is looked up once.
+        let mut rates: BTreeMap<AccountId, u64> = BTreeMap::new();
+        let (data_centre, members) = (&self.own_candidate.data_centre, self.members.values());
+        for (_, load) in neighbours::reports(now, data_centre, members, EXPECTED_AGE_MAX) {
+            let busiest = load.busiest.as_ref();
+            if let Some(busiest) = busiest.filter(|one| one.share >= EXPECTED_SHARE_MIN) {
+                let rate = rates.entry(busiest.account.clone()).or_default();
+                *rate = (*rate).max(busiest.tokens_per_s);
+            }
+        }
+        for (account, tokens_per_s) in rates {
+            if self.is_near_lender(now, &account) {
+                let tokens_per_s = tokens_per_s / NEAR_LENDERS;
+                self.holder.expect_lending(now, &account, tokens_per_s);
             }
         }
     }
