Load sharing: the advised wait is spread and fits the caller's remaining time

Cause: all callers rejected while the balancer had not noticed were told to return at the same moment, 2.2 s after the instance left rotation, and callers with less than three times that left were told too long a wait. docs/hard-load.md bounds it by a third of the remaining time.

--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -43,14 +43,25 @@
         if is_admitted {
             return None;
         }
-        let wait = self.gateway.state().load_sharing.notice_left(now);
-        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(wait.max(RETRY_AT_ONCE)));
+        let wait = self.overload_wait(now);
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(wait));
         let mut response = self.refuse(&refusal);
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
         Some(response)
     }
 
+    /// Returns how long a rejected caller should wait until the balancer sends it to another
+    /// instance. Callers follow such an advice for up to a third of their remaining time.
+    fn overload_wait(&self, now: Duration) -> Duration {
+        let notice_left = self.gateway.state().load_sharing.notice_left(now);
+        if notice_left.is_zero() {
+            RETRY_AT_ONCE
+        } else {
+            self.add_jitter(notice_left).min(self.time_left() / 3)
+        }
+    }
+
     pub(super) fn deadline_exceeded(&mut self) -> Response<ReplyBody> {
         let code = RefusalCode::DeadlineExceeded;
         let refusal = if self.is_sending || self.attempts.may_have_run() {
