Digests: an instance that is overloaded or starting is not reported as in rotation

Cause: is_in_rotation only reflected load sharing, so an instance in its cool-down, or without tokens after a start, did not count towards the two fifths that may be out.

Checked: builds and existing tests of the gateway; no test covers the digest of a gateway that is overloaded.

--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -48,6 +48,7 @@
 
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
+use crate::readiness::Readiness;
 
 /// Interval between digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -225,6 +226,7 @@
 
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
+        let is_in_rotation = Readiness::of(&self.gateway) == Readiness::Ready;
         let mut state = self.gateway.state();
         let suspects = state.suspects.reports(now);
         let free = state
@@ -247,7 +249,7 @@
         let busiest_tokens_per_s = state.holder.demand_tokens_per_s(now, &busiest_account);
         let digest = Digest {
             load_percent: Some(load_percent),
-            is_in_rotation: state.load_sharing.is_in_rotation(),
+            is_in_rotation,
             busiest_account,
             busiest_percent,
             busiest_tokens_per_s,
