--- a/crates/damaskctl/tests/explain_tables.rs
+++ b/crates/damaskctl/tests/explain_tables.rs
@@ -275,6 +275,34 @@
 "#,
 ];
 
+/// Log lines of an instance that left rotation twice by its relative load; it was overloaded once.
+const SHEDDINGS: &str = r#"{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:01.000Z","instance":"a","fields":"before=ready mean_percent=4 now=shedding peers=9 peers_out=0 share_percent=50","event":704}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:03.000Z","instance":"a","fields":"before=shedding mean_percent=6 now=ready peers=9 peers_out=1 share_percent=10","event":704}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:04.000Z","instance":"a","fields":"before=ready mean_percent=6 now=shedding peers=9 peers_out=1 share_percent=60","event":704}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:08.000Z","instance":"a","fields":"before=shedding mean_percent=0 now=overloaded peers=1 peers_out=0 share_percent=90","event":704}
+{"msg":"ReadinessChanged","level":"INFO","ts":"2026-01-01T00:00:24.000Z","instance":"a","fields":"before=overloaded mean_percent=0 now=ready peers=1 peers_out=0 share_percent=5","event":704}
+"#;
+
+#[test]
+fn times_out_of_rotation_by_relative_load_are_listed_apart_from_overloads() {
+    // Guards against an instance that passes on load in time looking like an overloaded one.
+
+    // Act
+    let (code, rows, errors) = explain("sheddings", "load", &[SHEDDINGS], &[]);
+
+    // Assert
+    assert_eq!((code, errors.as_str()), (Some(0), ""));
+    let row = &rows[0];
+    assert_eq!(
+        (&row["sheddings"], &row["shedding_ms"]),
+        (&2.into(), &6_000.into())
+    );
+    assert_eq!(
+        (&row["overloads"], &row["overloaded_ms"]),
+        (&1.into(), &16_000.into())
+    );
+}
+
 #[test]
 fn overloaded_instances_are_listed_with_their_busiest_task() {
     // Act
