--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -7,6 +7,7 @@
 use super::{Exchange, refuse};
 use crate::admission::{Admittance, CallDemand, Rejection};
 use crate::admitted_stream::AdmittedStream;
+use crate::readiness::Readiness;
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 
 /// Range of the random delay added to an advised wait, in milliseconds.
@@ -63,27 +64,20 @@
     }
 
     /// Returns how long a rejected caller should wait. While the balancer sends new connections
-    /// here, a retry at once would reach this instance again.
+    /// here, a retry at once would reach this instance again. Callers follow such an advice for up
+    /// to a third of their remaining time.
     fn overload_wait(&self, rejection: &Rejection) -> Duration {
         let now = self.gateway.now();
-        let (notice_left, is_in_rotation, shares_load) = {
-            let state = self.gateway.state();
-            let shares_load = state.load_sharing.applies();
-            let is_in_rotation = if shares_load {
-                state.load_sharing.is_in_rotation()
-            } else {
-                !state.pressure.is_overloaded(now)
-            };
-            let notice_left = state.load_sharing.notice_left(now);
-            (notice_left, is_in_rotation, shares_load)
-        };
-        if !notice_left.is_zero() {
-            notice_left
-        } else if is_in_rotation && (shares_load || rejection.yields_to.is_some()) {
+        let notice_left = self.gateway.state().load_sharing.notice_left(now);
+        let is_in_rotation = Readiness::of(&self.gateway) == Readiness::Ready;
+        let wait = if !notice_left.is_zero() {
+            self.add_jitter(notice_left)
+        } else if is_in_rotation {
             self.add_jitter(rejection.delay.saturating_sub(rejection.limit))
         } else {
             RETRY_AT_ONCE
-        }
+        };
+        wait.min(self.time_left() / 3)
     }
 
     fn note_rejection(&mut self, rejection: &Rejection) {
--- a/crates/damaskstile-gateway/src/load_sharing.rs
+++ b/crates/damaskstile-gateway/src/load_sharing.rs
@@ -54,8 +54,8 @@
         self.account_demand.add(now, account, needs_s);
     }
 
-    /// Decides again whether this instance takes new connections, given its utilisation and the
-    /// other instances; returns whether the decision changed.
+    /// Decides again whether this instance takes new connections, given its utilisation (1 where
+    /// its queues are too long) and the other instances; returns whether the decision changed.
     pub fn update(
         &mut self,
         now: Duration,
@@ -64,7 +64,7 @@
     ) -> bool {
         let was_in = self.is_in_rotation();
         let (data_centre, capacity) = (&self.data_centre, self.capacity_percent);
-        self.neighbours = Neighbours::of(now, data_centre, capacity, members.values());
+        self.neighbours = Neighbours::of(now, data_centre, capacity, share, members.values());
         if !self.applies() {
             self.rotation.reset();
             return !was_in;
--- a/crates/damaskstile-gateway/src/neighbours.rs
+++ b/crates/damaskstile-gateway/src/neighbours.rs
@@ -2,7 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
-use crate::member::Member;
+use crate::member::{Member, REPORT_LIFETIME};
 use crate::peer_load::PeerLoad;
 
 /// Age up to which a peer's report of its load counts. Digests reach an instance of a large fleet
@@ -12,6 +12,8 @@
 /// Age up to which a peer's report of an account's load counts. An account moves between instances
 /// within seconds, and older reports would count its load twice.
 const DEMAND_AGE_MAX: Duration = Duration::from_secs(3);
+/// Precision of reported loads, which are in whole percents.
+const REPORT_STEP: f64 = 0.01;
 /// Factor over this instance's capacity from which on an instance counts as much larger.
 const LARGER_FACTOR: u64 = 2;
 /// Utilisation up to which an instance has room for an account's calls.
@@ -24,6 +26,8 @@
     pub count: usize,
     /// Number of those that are out of rotation.
     pub out: usize,
+    /// Number of those in rotation that have at least as much load as this instance.
+    pub busier: usize,
     /// Mean utilisation of those instances.
     pub mean_share: f64,
     /// Ratio of the largest to the smallest processor capacity, this instance included.
@@ -35,31 +39,44 @@
 }
 
 impl Neighbours {
-    /// Sums up the reports of the members in a data centre.
+    /// Sums up the reports of the members in a data centre. Their capacities count also while their
+    /// load is not known, so that whether the data centre is uneven does not depend on which
+    /// reports arrived last.
     #[must_use]
     pub fn of<'a>(
         now: Duration,
         data_centre: &str,
         capacity_percent: u64,
-        members: impl Iterator<Item = &'a Member>,
+        share: f64,
+        members: impl Iterator<Item = &'a Member> + Clone,
     ) -> Self {
         let (mut count, mut out, mut sum, mut capacities) = (0_u32, 0, 0.0, 0);
-        let mut has_larger = false;
+        let (mut busier, mut has_larger) = (0, false);
         let (mut least, mut most) = (capacity_percent.max(1), capacity_percent.max(1));
+        let known = members
+            .clone()
+            .filter(|member| member.data_centre == data_centre && !member.is_stopping)
+            .filter(|member| member.capacity_percent > 0)
+            .filter(|member| now.saturating_sub(member.received_at) <= REPORT_LIFETIME);
+        for member in known {
+            least = least.min(member.capacity_percent);
+            most = most.max(member.capacity_percent);
+        }
         for (member, load) in reports(now, data_centre, members, REPORT_AGE_MAX) {
             count += 1;
             out += usize::from(!load.is_in_rotation);
+            busier += usize::from(load.is_in_rotation && load.share + REPORT_STEP >= share);
             sum += load.share;
             let capacity = member.capacity_percent.max(1);
             capacities += capacity;
             let is_larger = capacity >= capacity_percent.saturating_mul(LARGER_FACTOR);
             has_larger |= is_larger && load.share < ROOM_SHARE_MAX;
-            (least, most) = (least.min(capacity), most.max(capacity));
         }
         #[allow(clippy::cast_precision_loss)] // percents of a core
         Self {
             count: usize::try_from(count).unwrap_or(usize::MAX),
             out,
+            busier,
             mean_share: sum / f64::from(count.max(1)),
             capacity_ratio: most as f64 / least as f64,
             relative_capacity: capacity_percent as f64 * f64::from(count)
@@ -98,6 +115,6 @@
 ) -> impl Iterator<Item = (&'a Member, &'a PeerLoad)> {
     members
         .filter(move |member| member.data_centre == data_centre && !member.is_stopping)
-        .filter(move |member| now.saturating_sub(member.received_at) <= age_max)
         .filter_map(|member| Some((member, member.load.as_ref()?)))
+        .filter(move |(_, load)| now.saturating_sub(load.at) <= age_max)
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -54,6 +54,7 @@
 
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
+use crate::readiness::Readiness;
 
 /// Interval between digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -231,6 +232,7 @@
 
     fn make_digest(&self) -> Digest {
         let now = self.gateway.now();
+        let is_in_rotation = Readiness::of(&self.gateway) == Readiness::Ready;
         let mut state = self.gateway.state();
         let lost_runs = state.run_copies.report(now).into_iter();
         let lost_runs = lost_runs.map(|(service, runs)| LostRunsReport::of(now, service, runs));
@@ -246,7 +248,7 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
-        let load = Box::new(LoadReport::of(&state.own_load(now)));
+        let load = Box::new(LoadReport::of(&state.own_load(now, is_in_rotation)));
         let speeds = state.target_table.speeds_to_report(now).into_iter();
         let speeds = speeds.map(|(identity, speed)| SpeedReport::of(now, identity, speed));
         let digest = Digest {
--- a/crates/damaskstile-gateway/src/peers/load_report.rs
+++ b/crates/damaskstile-gateway/src/peers/load_report.rs
@@ -1,5 +1,7 @@
 //! Reports to peers of an instance's load.
 
+use damaskstile_core::prelude::*;
+
 use crate::busiest_account::BusiestAccount;
 use crate::peer_load::PeerLoad;
 
@@ -7,6 +9,9 @@
 /// their mean.
 const LOAD_PERCENT_MAX: u64 = 1_000;
 
+/// Upper bound on a reported rate of tokens: more than all calls of a fleet request.
+const TOKENS_PER_S_MAX: u64 = 1_000_000_000;
+
 /// `LoadReport` is the load of an instance.
 #[derive(prost::Message, Clone, PartialEq)]
 pub struct LoadReport {
@@ -32,10 +37,12 @@
     /// Makes the report of a load.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use damaskstile_gateway::peer_load::PeerLoad;
     /// use damaskstile_gateway::peers::LoadReport;
-    /// let load = PeerLoad { share: 0.25, is_in_rotation: true, busiest: None };
-    /// assert_eq!(LoadReport::of(&load).to_load(), load);
+    /// let now = Duration::from_secs(5);
+    /// let load = PeerLoad { at: now, share: 0.25, is_in_rotation: true, busiest: None };
+    /// assert_eq!(LoadReport::of(&load).to_load(now), load);
     /// ```
     #[must_use]
     pub fn of(load: &PeerLoad) -> Self {
@@ -49,15 +56,16 @@
         }
     }
 
-    /// Returns the load.
+    /// Returns the load as of `now`.
     #[must_use]
-    pub fn to_load(&self) -> PeerLoad {
+    pub fn to_load(&self, now: Duration) -> PeerLoad {
         let busiest = BusiestAccount {
             account: self.busiest_account.clone(),
             share: share(self.busiest_percent),
-            tokens_per_s: self.busiest_tokens_per_s,
+            tokens_per_s: self.busiest_tokens_per_s.min(TOKENS_PER_S_MAX),
         };
         PeerLoad {
+            at: now,
             share: share(self.load_percent),
             is_in_rotation: self.is_in_rotation,
             busiest: Some(busiest).filter(|busiest| !busiest.account.is_empty()),
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -250,6 +250,13 @@
         self.overloaded_at.is_some_and(is_recent)
     }
 
+    /// Returns whether the queues are too long now, whatever the average utilisation.
+    pub fn is_strained(&mut self, now: Duration) -> bool {
+        let [received, sent, work] = self.delays(now);
+        let work = if self.is_busy { work } else { Duration::ZERO };
+        self.late_samples >= LATE_SAMPLES || received.max(sent).max(work) > DELAY_LIMIT
+    }
+
     /// Returns the queueing delays of the incoming link, the outgoing link and the processor.
     pub fn delays(&mut self, now: Duration) -> [Duration; 3] {
         let Self {
--- a/crates/damaskstile-gateway/src/rotation.rs
+++ b/crates/damaskstile-gateway/src/rotation.rs
@@ -78,8 +78,12 @@
         let is_too_small = demand > DEMAND_MAX && neighbours.has_larger;
         match self.left {
             None => {
-                let is_busier = is_busier(share, neighbours);
-                if (is_busier || is_too_small) && may_be_out(neighbours.out + 1, neighbours) {
+                // Instances that are equally busy decide at the same moment, before they know of
+                // each other. Only the busiest leave, so that too few are never left.
+                let out = neighbours.out + 1;
+                let is_busiest =
+                    is_busier(share, neighbours) && may_be_out(out + neighbours.busier, neighbours);
+                if is_busiest || is_too_small && may_be_out(out, neighbours) {
                     self.leave(now, share);
                 }
             }
--- /dev/null
+++ b/crates/damaskstile-gateway/src/state/rotation.rs
@@ -0,0 +1,48 @@
+//! Whether this instance is in the load balancer's rotation, and what it reports of its load.
+
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+
+use super::State;
+use crate::busiest_account::BusiestAccount;
+use crate::peer_load::PeerLoad;
+
+impl State {
+    /// Updates whether this instance is in the load balancer's rotation; returns whether that
+    /// changed.
+    pub fn update_rotation(&mut self, now: Duration) -> bool {
+        let share = if self.pressure.is_strained(now) {
+            1.0
+        } else {
+            self.pressure.share(now)
+        };
+        let is_changed = self.load_sharing.update(now, share, &self.members);
+        self.expect_borrowers(now);
+        is_changed
+    }
+
+    /// Returns the load of this instance, to report it to peers.
+    pub fn own_load(&mut self, now: Duration, is_in_rotation: bool) -> PeerLoad {
+        let busiest = self.load_sharing.busiest(now);
+        PeerLoad {
+            at: now,
+            share: self.pressure.share(now),
+            is_in_rotation,
+            busiest: busiest.map(|(account, share)| BusiestAccount {
+                account: account.to_owned(),
+                share,
+                tokens_per_s: self.holder.demand_tokens_per_s(now, account),
+            }),
+        }
+    }
+
+    /// Returns the addresses of the other instances of the data centre.
+    pub fn members_of_data_centre(&self) -> impl Iterator<Item = SocketAddr> {
+        let data_centre = &self.own_candidate.data_centre;
+        let members = self.members.values();
+        members
+            .filter(move |member| member.data_centre == *data_centre)
+            .map(|member| member.address)
+    }
+}
