Admission: a call costs the same with many classes and accounts; many accounts get turns

Cause: with each call all classes were compared with each other, and at an overloaded instance the work of all accounts was added up. Which classes yield is now determined when one is added or dropped, and the total is kept. Counts of turns started anew above 1,024, so that with more accounts of a few calls each none ever had its turn; further accounts now share a count. The rule that rejects urgent streams beyond the capacity had no test.

Checked: tests/admission.rs; the new tests fail with the former counts and without that rule.

--- a/crates/damaskstile-gateway/src/admission.rs
+++ b/crates/damaskstile-gateway/src/admission.rs
@@ -269,7 +269,7 @@
         demand: &CallDemand<'_>,
         queues: &QueueState,
     ) -> Option<Rejection> {
-        if demand.account.is_empty() {
+        if demand.account.is_empty() || !queues.is_overloaded {
             return None;
         }
         let rank = demand.class.priority;
@@ -279,7 +279,7 @@
         };
         let limit = self.classes.shortest_objective(rank)? / YIELDING_DIVISOR;
         let delay = queues.wait();
-        (queues.is_overloaded && delay > limit && is_dominant()).then_some(Rejection {
+        (delay > limit && is_dominant()).then_some(Rejection {
             criterion: Criterion::Account,
             limit,
             delay,
--- a/crates/damaskstile-gateway/src/admission/account_work.rs
+++ b/crates/damaskstile-gateway/src/admission/account_work.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct AccountWork {
     entries: BTreeMap<u8, BTreeMap<AccountId, DecayingWork>>,
+    /// Work of all ranks and accounts.
+    total: DecayingWork,
     pruned_at: Duration,
 }
 
@@ -30,13 +32,11 @@
 
     /// Adds work of an admitted call.
     pub fn add(&mut self, now: Duration, rank: u8, account: &str, work_s: f64) {
+        self.total = self.total.with(now, work_s);
         let accounts = self.entries.entry(rank).or_default();
         // The account is almost always present, so its name is cloned only when it is first seen.
         if let Some(entry) = accounts.get_mut(account) {
-            *entry = DecayingWork {
-                work_s: entry.work_s(now) + work_s,
-                at: now,
-            };
+            *entry = entry.with(now, work_s);
         } else {
             accounts.insert(account.to_owned(), DecayingWork { work_s, at: now });
         }
@@ -45,12 +45,10 @@
     /// Returns the share of the recent work that an account has.
     #[must_use]
     pub fn share(&self, now: Duration, account: &str) -> f64 {
-        let (mut own_s, mut all_s) = (0.0, 0.0);
-        for (name, entry) in self.entries.values().flatten() {
-            let work_s = entry.work_s(now);
-            all_s += work_s;
-            own_s += if name == account { work_s } else { 0.0 };
-        }
+        let of_ranks = self.entries.values();
+        let entries = of_ranks.filter_map(|accounts| accounts.get(account));
+        let own_s: f64 = entries.map(|entry| entry.work_s(now)).sum();
+        let all_s = self.total.work_s(now);
         if all_s > 0.0 { own_s / all_s } else { 0.0 }
     }
 
--- a/crates/damaskstile-gateway/src/admission/decaying_work.rs
+++ b/crates/damaskstile-gateway/src/admission/decaying_work.rs
@@ -15,6 +15,15 @@
 }
 
 impl DecayingWork {
+    /// Returns the work as of a later time, with more of it.
+    #[must_use]
+    pub fn with(&self, now: Duration, more_s: f64) -> Self {
+        Self {
+            work_s: self.work_s(now) + more_s,
+            at: now,
+        }
+    }
+
     /// Returns what is left of the work at a later time.
     #[must_use]
     pub fn work_s(&self, now: Duration) -> f64 {
--- a/crates/damaskstile-gateway/src/admission/recent_classes.rs
+++ b/crates/damaskstile-gateway/src/admission/recent_classes.rs
@@ -7,26 +7,41 @@
 const RECENT: Duration = Duration::from_secs(10);
 
 /// Classes of the calls that arrived recently, each with the time of its last call. There are as
-/// many as routes and priorities of accounts differ.
+/// many as routes and priorities of accounts differ. Which of them yield is determined only when
+/// one is added or dropped, so that a call does not take longer the more classes there are.
 #[derive(Debug, Clone, Default)]
 pub struct RecentClasses {
     last_calls: BTreeMap<CallClass, Duration>,
+    /// Classes that yield, each with the one of the shortest objective that it yields to.
+    yielding: BTreeMap<CallClass, CallClass>,
+    /// Time until which no class can be due to be dropped.
+    kept_until: Duration,
 }
 
 impl RecentClasses {
     /// Records a call, and drops the classes without recent calls. Classes without an objective are
     /// left out: a limit derived from zero would reject all calls that yield to them.
     pub fn note(&mut self, now: Duration, class: CallClass) {
-        if !class.objective.is_zero() {
-            self.last_calls.insert(class, now);
+        let is_new = !class.objective.is_zero() && self.last_calls.insert(class, now).is_none();
+        if is_new || now > self.kept_until {
+            self.last_calls
+                .retain(|_, last_call| now.saturating_sub(*last_call) <= RECENT);
+            let oldest = self.last_calls.values().min();
+            self.kept_until = oldest.map_or(now, |oldest| *oldest + RECENT);
+            let classes = self.last_calls.keys();
+            let yielding = classes.filter_map(|class| Some((*class, self.most_urgent(class)?)));
+            self.yielding = yielding.collect();
         }
-        self.last_calls
-            .retain(|_, last_call| now.saturating_sub(*last_call) <= RECENT);
     }
 
-    /// Returns the class with the shortest objective among those that calls of `class` yield to.
+    /// Returns the class with the shortest objective among those that calls of `class`, a recent
+    /// one, yield to.
     #[must_use]
     pub fn yields_to(&self, class: &CallClass) -> Option<CallClass> {
+        self.yielding.get(class).copied()
+    }
+
+    fn most_urgent(&self, class: &CallClass) -> Option<CallClass> {
         let urgent = self
             .last_calls
             .keys()
@@ -37,8 +52,7 @@
     /// Returns whether any class yields to another.
     #[must_use]
     pub fn is_contended(&self) -> bool {
-        let mut classes = self.last_calls.keys();
-        classes.any(|class| self.yields_to(class).is_some())
+        !self.yielding.is_empty()
     }
 
     /// Returns the shortest objective of a rank.
--- a/crates/damaskstile-gateway/src/admission/turns.rs
+++ b/crates/damaskstile-gateway/src/admission/turns.rs
@@ -9,7 +9,7 @@
 /// One such call in this many is judged by the full limit, also while urgent calls alone keep the
 /// queues above the relaxed one.
 const FULL_CALLS: u32 = 16;
-/// Maximum number of counts. Above it they start anew, which only delays turns.
+/// Maximum number of counts of accounts. Further accounts share one count for each rank.
 const COUNTS_MAX: usize = 1_024;
 
 /// Counts calls that only a lower limit rejects, by rank and account, so that neither is starved.
@@ -21,9 +21,9 @@
 impl Turns {
     /// Counts such a call; returns by which limit it is judged.
     pub fn next(&mut self, rank: u8, account: &str) -> Turn {
-        let key = (rank, account.to_owned());
+        let mut key = (rank, account.to_owned());
         if self.counts.len() >= COUNTS_MAX && !self.counts.contains_key(&key) {
-            self.counts.clear();
+            key.1.clear();
         }
         let count = self.counts.entry(key).or_default();
         *count = (*count + 1) % FULL_CALLS;
--- a/crates/damaskstile-gateway/tests/admission.rs
+++ b/crates/damaskstile-gateway/tests/admission.rs
@@ -7,6 +7,7 @@
 use damaskstile_gateway::admission::{Admission, CallDemand, Criterion, QueueState, StreamTotals};
 use damaskstile_gateway::load_sample::LoadSample;
 use damaskstile_gateway::pressure::Pressure;
+use damaskstile_routes::CallClass;
 use proptest::prelude::*;
 use simulated_load::{
     NARROW_BYTES_PER_S, SAMPLE_MS, Simulation, Source, WIDE_BYTES_PER_S, bulk, class, ms, urgent,
@@ -291,3 +292,90 @@
         }
     }
 }
+
+/// Returns a plain call of an account and class.
+fn call(account: &str, class: CallClass) -> CallDemand<'_> {
+    CallDemand {
+        route: "r",
+        account,
+        class,
+        is_stream: false,
+        bytes: 100,
+    }
+}
+
+#[test]
+fn ranks_of_many_accounts_are_not_starved() {
+    // Guards against counts that start anew before any account has its turn, where more accounts
+    // with a few calls each are rejected than are counted.
+
+    // Arrange: an urgent class, and a queue above the limit for calls that yield to it.
+    let mut admission = Admission::default();
+    let queues = QueueState {
+        sent: ms(150),
+        link_bytes_per_s: 1_000_000.0,
+        ..QueueState::default()
+    };
+    let urgent_call = call("urgent", class(0, 400, None));
+    assert!(admission.judge(ms(0), &urgent_call, &queues).is_ok());
+
+    // Act
+    let mut admitted = 0;
+    for index in 0..20_000_u64 {
+        let account = format!("a{}", index % 5_000);
+        let verdict = admission.judge(
+            ms(index / 4),
+            &call(&account, class(2, 1_500, None)),
+            &queues,
+        );
+        admitted += usize::from(verdict.is_ok());
+    }
+
+    // Assert: one in four, except for the first calls of those that are counted on their own.
+    assert!((3_000..=5_500).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn an_urgent_stream_is_rejected_where_open_streams_need_more_than_all_of_the_link() {
+    // Guards against a stream that yields to none being admitted where all open streams then pause
+    // for longer than they may: its objective of 2 s would let it in.
+
+    // Arrange: streams of 20 kB a second on a link of 1 MB/s.
+    let demand = |class| CallDemand {
+        route: "chat",
+        account: "one",
+        class,
+        is_stream: true,
+        bytes: 10,
+    };
+    let urgent = demand(class(0, 2_000, Some(400)));
+    let bulk = demand(class(2, 6_000, None));
+    let totals = StreamTotals {
+        bytes: 40_000,
+        events: 10,
+        took: ms(2_000),
+    };
+
+    for (open, sent_ms, expected) in [
+        (50, 401, Some(Criterion::Committed)),
+        (49, 401, None),
+        (50, 399, None),
+    ] {
+        let mut admission = Admission::default();
+        (0..5 + open).for_each(|_| admission.begin_stream("chat", urgent.class.pause_limit));
+        (0..5).for_each(|_| admission.end_stream("chat", &totals));
+        let queues = QueueState {
+            sent: ms(sent_ms),
+            link_bytes_per_s: 1_000_000.0,
+            ..QueueState::default()
+        };
+        let _ = admission.judge(Duration::ZERO, &bulk, &queues);
+
+        // Act
+        let verdict = admission.judge(Duration::ZERO, &urgent, &queues);
+
+        // Assert
+        let criterion = verdict.err().map(|rejection| rejection.criterion);
+        assert_eq!(criterion, expected, "{open} open, {sent_ms} ms");
+    }
+}
