--- a/crates/damaskctl/src/explain/load.rs
+++ b/crates/damaskctl/src/explain/load.rs
@@ -98,8 +98,9 @@
     })
 }
 
-/// Prints the instances that were overloaded or lagging or rejected calls, the longest overloaded first. An instance
-/// that is still overloaded at the end of the logs counts as overloaded until then.
+/// Prints the instances that were overloaded or lagging or rejected calls, the longest overloaded
+/// first. An instance that is still overloaded at the end of the logs counts as overloaded until
+/// then.
 pub fn run(context: &Context, paths: &[PathBuf]) -> Result<(), Failure> {
     let logs = Logs::read(paths);
     let mut loads: BTreeMap<&str, Load> = BTreeMap::new();
