Digests carry the load of bulk prompts, tag 27; event 611 and metrics

Each digest carries two means for at most 8 services. An instance whose load has risen by half and by a quarter of a target sends its next digest to up to 64 peers: by chance they would learn of it after about three seconds, in which a burst queues at the few targets set apart until then. Not while the instance is overloaded. Targets are decided anew with each load sample (250 ms).

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -102,6 +102,7 @@
     DataCentreEmptied = 608, "warn", "A data centre was evacuated by the operator; nothing more is sent to its targets.";
     DataCentreTakenBack = 609, "info", "The evacuation of a data centre ended; its targets may get work again and count as cold.";
     TargetLimited = 610, "info", "A target advertises a limit of calls a second from all instances together, changed it, or withdrew it.";
+    BulkTargetsChanged = 611, "info", "Another number of targets takes the bulk prompts of a service.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance accepts no new work and finishes open requests.";
     StopDone = 702, "info", "The instance has returned the tokens that it held.";
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answering;
+mod queueing;
 mod refusing;
 mod stopping;
 mod tokens;
@@ -169,6 +170,7 @@
             Ok(reservation) => reservation,
             Err(refusal) => return self.refuse(&refusal),
         };
+        self.note_bulk_prompt();
         self.send(reservation).await
     }
 
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -9,6 +9,8 @@
 mod answer_signals;
 pub mod backlog;
 mod broken_run;
+pub mod bulk_metrics;
+mod bulk_targets;
 pub mod busy_times;
 pub mod call;
 pub mod call_cost;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -5,6 +5,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bulk_targets;
 use crate::gateway::Gateway;
 use crate::load_sample::LoadSample;
 use crate::readiness::Readiness;
@@ -59,6 +60,7 @@
             busy_with_other: busy.with_other.saturating_sub(busy_at_sample.with_other),
         };
         gateway.state().pressure.sample(now, &sample);
+        bulk_targets::update(&gateway);
         (busy_at_sample, sampled_at) = (busy, now);
         longest_scheduling_delay = longest_scheduling_delay.max(scheduling_delay);
         let found = Readiness::of(&gateway);
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::bulk_metrics::BulkMetrics;
 use crate::readiness::Readiness;
 
 /// Labels of metrics by client account.
@@ -98,6 +99,8 @@
     contents: Family<StateLabels, Gauge>,
     readiness: Family<StateLabels, Gauge>,
     busy_ms: Family<DutyLabels, Gauge>,
+    /// Metrics of bulk prompts.
+    pub bulk: BulkMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -159,6 +162,7 @@
         registry.register("readiness", help, readiness.clone());
         let help = "Milliseconds spent on each duty since the start";
         registry.register("busy_ms", help, busy_ms.clone());
+        let bulk = BulkMetrics::new(&mut registry);
         Self {
             registry: Mutex::new(registry),
             outcomes,
@@ -178,6 +182,7 @@
             contents,
             readiness,
             busy_ms,
+            bulk,
         }
     }
 
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! it.
 
 mod addresses;
+mod bulk_load_report;
 mod catalogue_answer;
 mod datagram;
 mod digest;
@@ -36,6 +37,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
 
+pub use bulk_load_report::BulkLoadReport;
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use limit_report::LimitReport;
@@ -238,6 +240,8 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
+        let bulk_loads = state.target_table.bulk_loads_to_report(now).into_iter();
+        let bulk_loads = bulk_loads.map(|(service, rate)| BulkLoadReport::of(service, rate));
         let digest = Digest {
             unix_ms: crate::clock::own_unix_ms(),
             catalogue_version: state.catalogue.version(),
@@ -256,6 +260,7 @@
             writer: state.writer_report(now),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
+            bulk_loads: bulk_loads.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
@@ -278,6 +283,7 @@
                 let is_new =
                     self.handle_digest(&datagram.from, datagram.incarnation, &digest, from);
                 self.handle_suspects(&datagram.from, &digest.suspects);
+                self.apply_bulk_loads(&datagram.from, &digest.bulk_loads);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
             }
             DatagramBody::TokenRequest(request) => {
--- a/crates/damaskstile-gateway/src/peers/addresses.rs
+++ b/crates/damaskstile-gateway/src/peers/addresses.rs
@@ -9,6 +9,9 @@
 
 /// Number of randomly chosen peers that a digest is sent to in fleets with more peers than that.
 const DIGEST_FANOUT: usize = 10;
+/// The same when the load of bulk prompts at this instance has risen. Peers otherwise learn of it
+/// after three seconds on average, in which a burst queues at the few targets set apart before.
+const ANNOUNCEMENT_FANOUT: usize = 64;
 
 impl Peers {
     /// Returns the addresses of the peers that a digest is sent to. In a small fleet these are all
@@ -25,7 +28,13 @@
         }
         let mut addresses: Vec<SocketAddr> = known.into_iter().collect();
         let is_to_all = state.must_send_to_all(now);
-        while !is_to_all && addresses.len() > DIGEST_FANOUT {
+        let has_risen = std::mem::take(&mut state.has_bulk_load_risen);
+        let fanout = if has_risen {
+            ANNOUNCEMENT_FANOUT
+        } else {
+            DIGEST_FANOUT
+        };
+        while !is_to_all && addresses.len() > fanout {
             let index = state.random.index(addresses.len());
             addresses.swap_remove(index);
         }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
-use super::{LimitReport, PeerReport, SuspectReport, TargetReport};
+use super::{BulkLoadReport, LimitReport, PeerReport, SuspectReport, TargetReport};
 
 /// `AccountTokens` is a number of tokens of one account.
 #[derive(prost::Message, Clone, PartialEq)]
@@ -81,6 +81,9 @@
     /// Call limits that targets advertise, or advertised until recently.
     #[prost(message, repeated, tag = "21")]
     pub limits: Vec<LimitReport>,
+    /// Load of bulk prompts at the sender, of the services with the largest.
+    #[prost(message, repeated, tag = "27")]
+    pub bulk_loads: Vec<BulkLoadReport>,
     /// Version of the ledger that the sender holds.
     #[prost(uint64, tag = "22")]
     pub ledger_version: u64,
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -6,7 +6,7 @@
 use damaskstile_core::prelude::*;
 
 use super::pull;
-use super::{Digest, Peers};
+use super::{BulkLoadReport, Digest, Peers};
 use crate::answer_signals::log_limit;
 use crate::evacuated_list;
 use crate::member::Member;
@@ -138,6 +138,14 @@
         is_new
     }
 
+    /// Applies the load of bulk prompts at the sender of a digest.
+    pub(super) fn apply_bulk_loads(&self, from: &str, loads: &[BulkLoadReport]) {
+        let now = self.gateway.now();
+        let loads: Vec<_> = loads.iter().map(BulkLoadReport::to_rate).collect();
+        let table = &mut self.gateway.state().target_table;
+        table.apply_bulk_loads(now, from, &loads);
+    }
+
     /// Pulls the data that this instance lacks from the sender of a digest, each after a delay.
     fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
         for (wanted, pause) in wanted {
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -130,6 +130,8 @@
     pub call_times: CallTimes,
     /// Load of the link and the processor.
     pub pressure: Pressure,
+    /// Whether the load of bulk prompts has risen since the last digest.
+    pub has_bulk_load_risen: bool,
     /// Source of random choices.
     pub random: Random,
     /// Whether a stop has begun.
@@ -192,6 +194,7 @@
             suspects: Suspects::default(),
             call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
+            has_bulk_load_risen: false,
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
--- a/crates/damaskstile-gateway/tests/messages.rs
+++ b/crates/damaskstile-gateway/tests/messages.rs
@@ -2,7 +2,9 @@
 //! round-trip.
 
 use damaskstile_core::prelude::TargetIdentity;
-use damaskstile_gateway::peers::{AccountTokens, Datagram, DatagramBody, Digest, TokenTransfer};
+use damaskstile_gateway::peers::{
+    AccountTokens, BulkLoadReport, Datagram, DatagramBody, Digest, TokenTransfer,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use prost::Message;
@@ -34,6 +36,11 @@
             account: "a".to_owned(),
             tokens: 9,
         }],
+        bulk_loads: vec![BulkLoadReport {
+            service: "s".to_owned(),
+            recent_ms: 400,
+            lasting_ms: 90,
+        }],
         ..Digest::default()
     };
     let transfer = TokenTransfer {
