Gateway: bulk prompts wait in a queue for a place

An instance sends as many bulk prompts at the same time as its share of the fleet's load times the number of bulk targets, at least two. The others wait in order of priority, then of the time left to their objective, 256 of them and one second of the link at most; a prompt whose turn would come too late is rejected at once, with the time that the queue needs. The place is requested after the reservation of tokens: with a place in hand a wait for tokens would leave it idle for up to 300 ms, and a call without tokens need not wait at all. The guard frees the place with the first event, a failed send, a caller that leaves, the time limit and the stop.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::open_call::OpenCall;
 use crate::outbound_call::OutboundCall;
 use crate::phase::Phase;
+use crate::prompt_place::PromptPlace;
 use crate::record::Record;
 use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
@@ -51,6 +52,8 @@
     /// Whether a target may be executing the call.
     is_sending: bool,
     caller: CallerConnection,
+    /// Place of a bulk prompt, until a target answers.
+    place: Option<PromptPlace>,
 }
 
 /// Serves one call.
@@ -93,6 +96,7 @@
                 last_event: head.last_event,
                 is_sending: false,
                 caller,
+                place: None,
             };
             let time_is_up = tokio::time::sleep(limit + TIME_LIMIT_SLACK);
             tokio::select! {
@@ -170,7 +174,9 @@
             Ok(reservation) => reservation,
             Err(refusal) => return self.refuse(&refusal),
         };
-        self.note_bulk_prompt();
+        if let Err(refusal) = self.wait_for_place().await {
+            return self.refuse(&refusal);
+        }
         self.send(reservation).await
     }
 
@@ -238,13 +244,16 @@
             let wait_limit = self.wait_limit();
             let started = run::start(&self.gateway, &self.caller, &wait_limit, choice, None);
             let failure = match started.await {
-                Ok(run) => match self.answer(run, reservation).await {
-                    Ok(response) => return (response, None),
-                    Err((failure, kept)) => {
-                        reservation = kept;
-                        failure
+                Ok(mut run) => {
+                    run.running.hold(self.place.take());
+                    match self.answer(run, reservation).await {
+                        Ok(response) => return (response, None),
+                        Err((failure, kept)) => {
+                            reservation = kept;
+                            failure
+                        }
                     }
-                },
+                }
                 Err(failure) => failure,
             };
             if matches!(
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
 use crate::peers::Reading;
+use crate::prompt_place::PromptPlace;
 
 /// Counts a call as running at its target until it is dropped.
 #[derive(Debug)]
@@ -18,6 +19,8 @@
     work: Work,
     sent_at: Duration,
     is_prefilled: bool,
+    /// Place of a bulk prompt, until its first event.
+    place: Option<PromptPlace>,
 }
 
 impl Running {
@@ -44,9 +47,15 @@
             work: work.clone(),
             sent_at: gateway.now(),
             is_prefilled: false,
+            place: None,
         }
     }
 
+    /// Keeps the place of a bulk prompt until its first event.
+    pub(crate) fn hold(&mut self, place: Option<PromptPlace>) {
+        self.place = place;
+    }
+
     /// Returns when the call was sent.
     #[must_use]
     pub fn sent_at(&self) -> Duration {
@@ -60,6 +69,9 @@
             let table = &mut self.gateway.state().target_table;
             table.first_token(&self.choice, &self.work, took);
         }
+        if let Some(place) = self.place.take() {
+            place.prefilled();
+        }
         self.prefilled();
     }
 
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -30,6 +30,7 @@
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
 use crate::pressure::Pressure;
+use crate::prompt_queues::PromptQueues;
 use crate::wanted::PullKind;
 
 use lenders::Lenders;
@@ -130,6 +131,8 @@
     pub call_times: CallTimes,
     /// Load of the link and the processor.
     pub pressure: Pressure,
+    /// Queues of bulk prompts.
+    pub prompt_queues: PromptQueues,
     /// Whether the load of bulk prompts has risen since the last digest.
     pub has_bulk_load_risen: bool,
     /// Source of random choices.
@@ -194,6 +197,7 @@
             suspects: Suspects::default(),
             call_times: CallTimes::default(),
             pressure: Pressure::new(options.link_bytes_per_s),
+            prompt_queues: PromptQueues::new(options.link_bytes_per_s),
             has_bulk_load_risen: false,
             is_stopping: false,
             retries: BTreeMap::new(),
--- a/crates/damaskstile-targets/src/target_table/bulk.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk.rs
@@ -53,6 +53,9 @@
     /// ```
     #[must_use]
     pub fn bulk_prefill(&self, service: &str, work: &Work) -> Option<Duration> {
+        if !work.yields {
+            return None;
+        }
         let speed = self.speed(service);
         let is_bulk = self.is_bulk(&speed, work);
         is_bulk.then(|| Duration::from_secs_f64(own_part_prefill_ms(&speed, work) / 1_000.0))
