--- a/crates/damaskstile-gateway/src/prompt_queue.rs
+++ b/crates/damaskstile-gateway/src/prompt_queue.rs
@@ -11,6 +11,10 @@
 /// Weight of the newest prompt in the mean time for which a place is held.
 const HOLD_WEIGHT: f64 = 0.1;
 
+/// Factor on the expected wait of a prompt that is new. The time for which places are held varies,
+/// and a prompt that was accepted with no time to spare would be rejected after half of its wait.
+const NEW_WAIT_FACTOR: f64 = 1.25;
+
 /// Number of a prompt in a queue.
 pub type PromptTicket = u64;
 
@@ -28,6 +32,8 @@
     /// Prompts that may be sent at the same time; `None` if there is no limit.
     limit: Option<usize>,
     next_ticket: PromptTicket,
+    /// Prompts from this one on are new.
+    first_new: PromptTicket,
     waiting: BTreeMap<Position, QueuedPrompt>,
     waiting_bytes: usize,
     /// When each prompt that has a place got it.
@@ -45,6 +51,7 @@
             bytes_max: usize::try_from(link_bytes_per_s).unwrap_or(usize::MAX),
             limit: None,
             next_ticket: 0,
+            first_new: 0,
             waiting: BTreeMap::new(),
             waiting_bytes: 0,
             started: BTreeMap::new(),
@@ -133,6 +140,7 @@
             let decision = self.reject(position, &prompt);
             decisions.push((position.2, decision));
         }
+        self.first_new = self.next_ticket;
         decisions
     }
 
@@ -173,8 +181,10 @@
         let mut hopeless = Vec::new();
         for (position, prompt) in &self.waiting {
             // One place becomes free for each prompt ahead, and one more.
-            let start = now + self.time_for(ahead + 1, prompt);
-            if start > prompt.latest_start() {
+            let is_new = position.2 >= self.first_new;
+            let factor = if is_new { NEW_WAIT_FACTOR } else { 1.0 };
+            let wait = self.time_for(ahead + 1, prompt).mul_f64(factor);
+            if now + wait > prompt.latest_start() {
                 hopeless.push((*position, *prompt));
             } else {
                 ahead += 1;
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -236,7 +236,6 @@
     /// Records that a call was sent to its target.
     pub fn sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
         self.note_long(now, choice, work);
-        self.note_bulk_sent(now, choice, work);
         self.sweep(now, &choice.target);
         self.note_parts(now, &choice.target, work);
         if let Some(state) = self.chosen(choice) {
--- a/crates/damaskstile-targets/src/target_table/bulk.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk.rs
@@ -12,7 +12,6 @@
 use super::reserved_targets::LISTED_MAX;
 use crate::bulk_rate::BulkRate;
 use crate::bulk_update::BulkUpdate;
-use crate::choice::Choice;
 use crate::prefill_speed::PrefillSpeed;
 use crate::work::Work;
 
@@ -21,17 +20,12 @@
 /// The same where no other instance has reported its load. The estimate, the own load times the
 /// number of instances, is then far too high at an instance with many callers.
 const DIVISOR_WITHOUT_REPORTS: usize = 3;
-/// Least share of the fleet's load that an instance is assumed to have.
-const OWN_SHARE_MIN: f64 = 1e-6;
 /// Least limit of the bulk prompts of one instance that are prefilled at the same time: one that is
 /// prefilled, and one on its way to a target.
 const LIMIT_MIN: usize = 2;
 /// Failure share from which on a target is replaced. One that did not answer once exceeds it for a
 /// second, in which a crash is reported.
 const FAILURES_MAX: f64 = 0.5;
-/// Most of its time for which a target is assumed to be busy with bulk prompts, in the estimate of
-/// the wait there. More would let an instance with few calls avoid all targets that it used.
-const BUSY_MAX: f64 = 4.0;
 
 impl TargetTable {
     /// Tells whether a prompt is a bulk prompt.
@@ -111,7 +105,6 @@
     /// the same time. Called several times a second, so that a selection costs no more for it.
     pub fn update_bulk_targets(&mut self, now: Duration) -> BulkUpdate {
         self.bulk.reports.expire(now);
-        self.bulk.expire_sent(now);
         let mut update = BulkUpdate::default();
         for service in self.bulk.services() {
             let own = self.bulk.own_rate(now, &service);
@@ -161,7 +154,6 @@
         Some(BulkTargets {
             count,
             from_key,
-            own_share: share.max(OWN_SHARE_MIN),
             limit: limit.max(LIMIT_MIN),
         })
     }
@@ -196,42 +188,7 @@
         index: &'a ServiceIndex,
         service: &str,
     ) -> Option<BulkRange<'a>> {
-        let targets = self.bulk.targets.get(service)?;
-        Some(BulkRange {
-            index,
-            from_key: targets.from_key,
-            own_share: targets.own_share,
-        })
-    }
-
-    /// Returns the time for which a bulk prompt is likely to wait at a target for the bulk prompts
-    /// of all instances.
-    ///
-    /// It is estimated from what this instance sent there: since all instances have the same
-    /// affinity targets, those that it uses most are the busiest of the fleet. Without this, the
-    /// affinity target of a few popular prefixes gets several times its share.
-    pub(super) fn bulk_wait_ms(
-        &self,
-        now: Duration,
-        target: &str,
-        bulk: BulkRange<'_>,
-        prefill_ms: f64,
-    ) -> f64 {
-        let Some(sent) = self.bulk.sent.get(target) else {
-            return 0.0;
-        };
-        let busy = sent.rate(now).recent_ms / 1_000.0 / bulk.own_share;
-        busy.min(BUSY_MAX) * prefill_ms
-    }
-
-    /// Records a send if it is that of a bulk prompt.
-    pub(super) fn note_bulk_sent(&mut self, now: Duration, choice: &Choice, work: &Work) {
-        let Some(state) = self.targets.get(&choice.target) else {
-            return;
-        };
-        let service = &state.listed.service;
-        if self.bulk_targets(service) > 0 && self.bulk_prefill(service, work).is_some() {
-            self.bulk.note_sent(now, &choice.target, choice.prefill_ms);
-        }
+        let from_key = self.bulk.targets.get(service)?.from_key;
+        Some(BulkRange { index, from_key })
     }
 }
--- a/crates/damaskstile-targets/src/target_table/bulk_state.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk_state.rs
@@ -24,8 +24,6 @@
     pub(super) reports: BulkReports,
     /// Load that was last announced to peers, at most the present one.
     announced_ms: BTreeMap<ServiceId, f64>,
-    /// What this instance sent to each target.
-    pub(super) sent: BTreeMap<TargetId, BulkLoad>,
     /// The targets set apart, as last decided.
     pub(super) targets: BTreeMap<ServiceId, BulkTargets>,
 }
@@ -47,18 +45,6 @@
         has_risen
     }
 
-    /// Records that a bulk prompt was sent to a target.
-    pub(super) fn note_sent(&mut self, now: Duration, target: &str, prefill_ms: f64) {
-        let sent = self.sent.entry(target.to_owned()).or_default();
-        sent.add(now, prefill_ms);
-    }
-
-    /// Drops the targets to which little was sent lately.
-    pub(super) fn expire_sent(&mut self, now: Duration) {
-        self.sent
-            .retain(|_, load| load.rate(now).recent_ms >= LOAD_MIN_MS);
-    }
-
     /// Forgets a service without load.
     pub(super) fn forget(&mut self, service: &str) {
         self.loads.remove(service);
--- a/crates/damaskstile-targets/src/target_table/bulk_targets.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk_targets.rs
@@ -15,14 +15,12 @@
 
 /// The targets of a service that take its bulk prompts: those from a key on in the order of
 /// reservation, whose other end is reserved for long prompts.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct BulkTargets {
     /// Number of targets.
     pub(super) count: usize,
     /// Lowest key.
     pub(super) from_key: u64,
-    /// Share of the fleet's load that arrives at this instance.
-    pub(super) own_share: f64,
     /// Bulk prompts of this instance that may be prefilled at the same time.
     pub(super) limit: usize,
 }
@@ -32,8 +30,6 @@
 pub(super) struct BulkRange<'a> {
     pub(super) index: &'a ServiceIndex,
     pub(super) from_key: u64,
-    /// Share of the fleet's load that arrives at this instance.
-    pub(super) own_share: f64,
 }
 
 impl<'a> BulkRange<'a> {
--- a/crates/damaskstile-targets/src/target_table/cost.rs
+++ b/crates/damaskstile-targets/src/target_table/cost.rs
@@ -11,6 +11,7 @@
 use super::reserved_targets::{LISTED_MAX, ReservedTargets};
 use crate::prefill_speed::PrefillSpeed;
 use crate::target_state::TargetState;
+use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
 
 /// Smallest number of tokens worth fetching from another target: a transfer takes a millisecond or
@@ -20,6 +21,9 @@
 const FETCH_FAILURES_MAX: f64 = 0.1;
 /// At most one in this many targets is reserved for long prompts.
 const RESERVED_DIVISOR: usize = 3;
+/// Factor on the cost of a target that is not set apart, for bulk prompts. They go elsewhere only if
+/// some four others wait at each target that is: so many stall streams for longer than routes allow.
+const BULK_APART_FACTOR: f64 = 4.0;
 /// Targets after the ring position of a shared prefix that are ranked as its affinity target. More
 /// would spread prefixes no better than chance does, and each costs a hash for each call.
 const AFFINITY_WINDOW: usize = 64;
@@ -212,15 +216,11 @@
         let failures = state.failure_share(now);
         let is_far = work.prompt_tokens == 0 && state.listed.data_centre != self.data_centre;
         let is_apart = !context.is_for(target);
-        let bulk = context.bulk.filter(|_| context.is_bulk);
-        let bulk_wait_ms =
-            bulk.map_or(0.0, |bulk| self.bulk_wait_ms(now, target, bulk, prefill_ms));
         let cost_ms = prefill_ms
             + ahead_ms
-            + bulk_wait_ms
             + running * options.running_ms
             + failures * failures * options.failure_ms
-            + f64::from(u8::from(is_apart)) * options.apart_ms
+            + f64::from(u8::from(is_apart)) * context.apart_ms(options)
             + f64::from(u8::from(is_far)) * options.distance_ms;
         CostEstimate {
             state,
@@ -257,6 +257,12 @@
         self.reserved.is_empty() || self.reserved.contains(target) == self.is_long
     }
 
+    /// Returns the cost of a target that is not meant for the call.
+    fn apart_ms(&self, options: &TargetTableOptions) -> f64 {
+        let factor = if self.is_bulk { BULK_APART_FACTOR } else { 1.0 };
+        options.apart_ms * factor
+    }
+
     /// Tells whether a target may be the call's affinity target. Others fetch what they lack from
     /// there.
     fn may_be_affinity_target(&self, target: &str) -> bool {
