--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -5,6 +5,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bulk_targets;
 use crate::gateway::Gateway;
 use crate::load_sample::LoadSample;
 use crate::readiness::Readiness;
@@ -66,6 +67,7 @@
                 gateway.gossip_wanted.notify_one();
             }
         }
+        bulk_targets::update(&gateway);
         (busy_at_sample, sampled_at) = (busy, now);
         longest_scheduling_delay = longest_scheduling_delay.max(scheduling_delay);
         target_speeds::log_changes(&gateway);
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::admission_counts::AdmissionCounts;
+use crate::bulk_metrics::BulkMetrics;
 use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
 
@@ -107,6 +108,8 @@
     /// Load and readiness.
     pub load: LoadMetrics,
     target_speed_percent: Family<TargetLabels, Gauge>,
+    /// Metrics of bulk prompts.
+    pub bulk: BulkMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -168,6 +171,7 @@
         registry.register("loans", help, loans.clone());
         let help = "Contents under which targets ended: all that are remembered, and those refused";
         registry.register("contents", help, contents.clone());
+        let bulk = BulkMetrics::new(&mut registry);
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -189,6 +193,7 @@
             contents,
             load,
             target_speed_percent,
+            bulk,
         }
     }
 
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! it.
 
 mod addresses;
+mod bulk_load_report;
 mod catalogue_answer;
 mod datagram;
 mod digest;
@@ -39,6 +40,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::Receiver;
 
+pub use bulk_load_report::BulkLoadReport;
 pub use datagram::{Datagram, DatagramBody};
 pub use digest::{AccountTokens, Digest};
 pub use limit_report::LimitReport;
@@ -251,6 +253,8 @@
         let load = Box::new(LoadReport::of(&state.own_load(now, is_in_rotation)));
         let speeds = state.target_table.speeds_to_report(now).into_iter();
         let speeds = speeds.map(|(identity, speed)| SpeedReport::of(now, identity, speed));
+        let bulk_loads = state.target_table.bulk_loads_to_report(now).into_iter();
+        let bulk_loads = bulk_loads.map(|(service, rate)| BulkLoadReport::of(service, rate));
         let digest = Digest {
             load: Some(load),
             unix_ms: crate::clock::own_unix_ms(),
@@ -267,11 +271,12 @@
             is_watcher: state.is_watcher(now),
             capacity_percent: self.gateway.options.capacity_percent,
             data_centre: self.gateway.options.identity.data_centre.clone(),
-            writer: state.writer_report(now),
+            writer: state.writer_report(now).map(Box::new),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
             speeds: speeds.collect(),
             lost_runs: lost_runs.collect(),
+            bulk_loads: bulk_loads.collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
@@ -295,6 +300,7 @@
                     self.handle_digest(&datagram.from, datagram.incarnation, &digest, from);
                 self.handle_suspects(&datagram.from, &digest.suspects);
                 self.handle_lost_runs(&datagram.from, &digest.lost_runs);
+                self.apply_bulk_loads(&datagram.from, &digest.bulk_loads);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
             }
             DatagramBody::TokenRequest(request) => {
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -3,7 +3,8 @@
 use damaskstile_core::prelude::*;
 
 use super::{
-    LimitReport, LoadReport, LostRunsReport, PeerReport, SpeedReport, SuspectReport, TargetReport,
+    BulkLoadReport, LimitReport, LoadReport, LostRunsReport, PeerReport, SpeedReport,
+    SuspectReport, TargetReport,
 };
 
 /// `AccountTokens` is a number of tokens of one account.
@@ -69,8 +70,8 @@
     pub data_centre: String,
     /// The best-ranked writer, other than the sender, that the sender knows to be in touch with the
     /// store.
-    #[prost(message, optional, tag = "16")]
-    pub writer: Option<PeerReport>,
+    #[prost(message, optional, boxed, tag = "16")]
+    pub writer: Option<Box<PeerReport>>,
     /// Contents that are suspected of ending targets.
     #[prost(message, repeated, tag = "18")]
     pub suspects: Vec<SuspectReport>,
@@ -83,6 +84,9 @@
     /// Call limits that targets advertise, or advertised until recently.
     #[prost(message, repeated, tag = "21")]
     pub limits: Vec<LimitReport>,
+    /// Load of bulk prompts at the sender, of the services with the largest.
+    #[prost(message, repeated, tag = "27")]
+    pub bulk_loads: Vec<BulkLoadReport>,
     /// Version of the ledger that the sender holds.
     #[prost(uint64, tag = "22")]
     pub ledger_version: u64,
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -7,7 +7,7 @@
 
 use super::pull;
 use super::speed_report;
-use super::{Digest, LostRunsReport, Peers};
+use super::{BulkLoadReport, Digest, LostRunsReport, Peers};
 use crate::answer_signals::log_limit;
 use crate::evacuated_list;
 use crate::member::Member;
@@ -148,6 +148,14 @@
         run_copies.apply_report(now, from, lost_runs);
     }
 
+    /// Applies the load of bulk prompts at the sender of a digest.
+    pub(super) fn apply_bulk_loads(&self, from: &str, loads: &[BulkLoadReport]) {
+        let now = self.gateway.now();
+        let loads: Vec<_> = loads.iter().map(BulkLoadReport::to_rate).collect();
+        let table = &mut self.gateway.state().target_table;
+        table.apply_bulk_loads(now, from, &loads);
+    }
+
     /// Pulls the data that this instance lacks from the sender of a digest, each after a delay.
     fn pull_from(&self, peer: SocketAddr, wanted: Vec<(Wanted, Duration)>) {
         for (wanted, pause) in wanted {
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
 use crate::peers::Reading;
+use crate::prompt_place::PromptPlace;
 
 /// Counts a call as running at its target until it is dropped.
 #[derive(Debug)]
@@ -20,6 +21,8 @@
     is_prefilled: bool,
     /// Whether the target began to answer, so that the call occupied one of its slots.
     is_answered: bool,
+    /// Place of a bulk prompt, until its first event.
+    place: Option<PromptPlace>,
 }
 
 impl Running {
@@ -47,9 +50,15 @@
             sent_at: gateway.now(),
             is_prefilled: false,
             is_answered: false,
+            place: None,
         }
     }
 
+    /// Keeps the place of a bulk prompt until its first event.
+    pub(crate) fn hold(&mut self, place: Option<PromptPlace>) {
+        self.place = place;
+    }
+
     /// Returns when the call was sent.
     #[must_use]
     pub fn sent_at(&self) -> Duration {
@@ -65,6 +74,9 @@
             table.first_token(now, &self.choice, &self.work, took);
         }
         self.is_answered = true;
+        if let Some(place) = self.place.take() {
+            place.prefilled();
+        }
         self.prefilled();
     }
 
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -32,6 +32,7 @@
 use crate::objects::StoredObject;
 use crate::options::GatewayOptions;
 use crate::pressure::Pressure;
+use crate::prompt_queues::PromptQueues;
 use crate::run_copies::RunCopies;
 use crate::wanted::PullKind;
 
@@ -137,6 +138,10 @@
     pub pressure: Pressure,
     /// This instance's part in sharing load with its data centre.
     pub load_sharing: LoadSharing,
+    /// Queues of bulk prompts.
+    pub prompt_queues: PromptQueues,
+    /// Whether the load of bulk prompts has risen since the last digest.
+    pub has_bulk_load_risen: bool,
     /// Source of random choices.
     pub random: Random,
     /// Whether a stop has begun.
@@ -205,6 +210,8 @@
                 options.capacity_percent,
                 options.rotation,
             ),
+            prompt_queues: PromptQueues::new(options.link_bytes_per_s),
+            has_bulk_load_risen: false,
             is_stopping: false,
             retries: BTreeMap::new(),
             retry_percent: options.retry_percent,
--- a/crates/damaskstile-gateway/tests/messages.rs
+++ b/crates/damaskstile-gateway/tests/messages.rs
@@ -3,7 +3,7 @@
 
 use damaskstile_core::prelude::TargetIdentity;
 use damaskstile_gateway::peers::{
-    AccountTokens, Datagram, DatagramBody, Digest, SpeedReport, TokenTransfer,
+    AccountTokens, BulkLoadReport, Datagram, DatagramBody, Digest, SpeedReport, TokenTransfer,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -43,6 +43,11 @@
             samples: 20,
             age_ms: 900,
         }],
+        bulk_loads: vec![BulkLoadReport {
+            service: "s".to_owned(),
+            recent_ms: 400,
+            lasting_ms: 90,
+        }],
         ..Digest::default()
     };
     let transfer = TokenTransfer {
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -2,6 +2,11 @@
 
 mod advertised_limits;
 mod backoff;
+mod bulk;
+mod bulk_load;
+mod bulk_reports;
+mod bulk_state;
+mod bulk_targets;
 mod call_limits;
 mod candidates;
 mod cold;
@@ -34,6 +39,7 @@
 use crate::target_state::TargetState;
 use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
+use bulk_state::BulkState;
 use cost_estimate::{CostEstimate, least_passing};
 use index::ServiceIndex;
 use long_load::LongLoad;
@@ -76,6 +82,8 @@
     instances: u64,
     /// Load of long prompts that this instance sent, by service.
     long_loads: BTreeMap<ServiceId, LongLoad>,
+    /// Load of bulk prompts, and the targets that take them.
+    bulk: BulkState,
     /// Estimated prefill speed of targets, by service.
     speeds: BTreeMap<ServiceId, PrefillSpeed>,
     /// What the targets of each service have in common, against which their speeds are measured.
@@ -118,6 +126,7 @@
             is_start_stated: false,
             instances: 1,
             long_loads: BTreeMap::new(),
+            bulk: BulkState::default(),
             speeds: BTreeMap::new(),
             service_speeds: BTreeMap::new(),
             uneven: BTreeSet::new(),
--- a/crates/damaskstile-targets/src/target_table/cost.rs
+++ b/crates/damaskstile-targets/src/target_table/cost.rs
@@ -4,6 +4,7 @@
 use damaskstile_core::random::stable_hash;
 
 use super::TargetTable;
+use super::bulk_targets::BulkRange;
 use super::candidates::with_parts;
 use super::cost_estimate::{CostEstimate, least_passing};
 use super::index::ServiceIndex;
@@ -12,6 +13,7 @@
 use crate::prefill_speed::PrefillSpeed;
 use crate::service_speed::ServiceSpeed;
 use crate::target_state::TargetState;
+use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
 
 /// Smallest number of tokens worth fetching from another target: a transfer takes a millisecond or
@@ -21,6 +23,9 @@
 const FETCH_FAILURES_MAX: f64 = 0.1;
 /// At most one in this many targets is reserved for long prompts.
 const RESERVED_DIVISOR: usize = 3;
+/// Factor on the cost of a target that is not set apart, for bulk prompts. They go elsewhere only if
+/// some four others wait at each target that is: so many stall streams for longer than routes allow.
+const BULK_APART_FACTOR: f64 = 4.0;
 /// Targets after the ring position of a shared prefix that are ranked as its affinity target. More
 /// would spread prefixes no better than chance does, and each costs a hash for each call.
 const AFFINITY_WINDOW: usize = 64;
@@ -36,6 +41,10 @@
     service_speed: Option<&'a ServiceSpeed>,
     /// Targets reserved for long prompts.
     pub(super) reserved: ReservedTargets<'a>,
+    /// Targets that take the service's bulk prompts; `None` if none is set apart.
+    pub(super) bulk: Option<BulkRange<'a>>,
+    /// Whether the call is a bulk prompt, and targets are set apart for it.
+    is_bulk: bool,
     /// Affinity target: the one that the shared prefix of the prompt hashes to.
     pub(super) affinity_target: Option<&'a str>,
     /// Target that is likely to cache most of the prompt, with the number of cached tokens.
@@ -53,12 +62,16 @@
         let speed = self.speed(service);
         let is_long = self.is_long(&speed, work);
         let reserved = self.reserved_for_long(now, index, service);
+        let bulk = self.bulk_range(index, service);
+        let is_bulk = bulk.is_some() && self.is_bulk(&speed, work);
         let mut context = CallContext {
             work,
             speed,
             is_long,
             service_speed: self.service_speed(now, service),
             reserved,
+            bulk,
+            is_bulk,
             affinity_target: None,
             source: None,
         };
@@ -117,9 +130,14 @@
             self.is_usable(now, state)
                 && self.is_in_home_region(state, context.work)
                 && !self.is_call_limited(now, state)
-                && !context.reserved.contains(state.listed.target.as_str())
+                && context.may_be_affinity_target(state.listed.target.as_str())
         };
-        let mut onward = self.states_of(index.in_ring_order_from(&shared_prefix));
+        let bulk = context.bulk.filter(|_| context.is_bulk);
+        let onward: Box<dyn Iterator<Item = &TargetId>> = match bulk {
+            Some(bulk) => Box::new(bulk.in_order_from(&shared_prefix)),
+            None => Box::new(index.in_ring_order_from(&shared_prefix)),
+        };
+        let mut onward = self.states_of(onward);
         loop {
             let rank = |state: &&TargetState| stable_hash(&[&shared_prefix, &state.listed.target]);
             let window = onward.by_ref().take(AFFINITY_WINDOW);
@@ -202,12 +220,12 @@
         let running = tokens(state.own_running()) + state.others(now);
         let failures = state.failure_share(now);
         let is_far = work.prompt_tokens == 0 && state.listed.data_centre != self.data_centre;
-        let is_apart = !context.reserved.is_empty() && !context.is_for(target);
+        let is_apart = !context.is_for(target);
         let cost_ms = prefill_ms
             + ahead_ms
             + running * options.running_ms
             + failures * failures * options.failure_ms
-            + f64::from(u8::from(is_apart)) * options.apart_ms
+            + f64::from(u8::from(is_apart)) * context.apart_ms(options)
             + f64::from(u8::from(is_far)) * options.distance_ms;
         let own_ms = match context.service_speed {
             Some(service) if work.prompt_tokens == 0 => service.median_ms().unwrap_or_default(),
@@ -249,9 +267,26 @@
 }
 
 impl CallContext<'_> {
-    /// Tells whether a target is in the group meant for the call: reserved targets for long
-    /// prompts, all others for short ones.
+    /// Tells whether a target is in the group meant for the call: bulk targets for bulk prompts,
+    /// reserved targets for long ones, all others for short ones.
     fn is_for(&self, target: &str) -> bool {
-        self.reserved.contains(target) == self.is_long
+        let is_bulk_target = self.bulk.is_some_and(|bulk| bulk.contains(target));
+        if self.is_bulk || is_bulk_target {
+            return self.is_bulk == is_bulk_target;
+        }
+        self.reserved.is_empty() || self.reserved.contains(target) == self.is_long
+    }
+
+    /// Returns the cost of a target that is not meant for the call.
+    fn apart_ms(&self, options: &TargetTableOptions) -> f64 {
+        let factor = if self.is_bulk { BULK_APART_FACTOR } else { 1.0 };
+        options.apart_ms * factor
+    }
+
+    /// Tells whether a target may be the call's affinity target. Others fetch what they lack from
+    /// there.
+    fn may_be_affinity_target(&self, target: &str) -> bool {
+        let is_bulk_target = self.bulk.is_some_and(|bulk| bulk.contains(target));
+        self.is_bulk == is_bulk_target && !self.reserved.contains(target)
     }
 }
