--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -109,7 +109,7 @@
     StopBegan = 701, "info", "The instance accepts no new work and finishes open requests.";
     StopDone = 702, "info", "The instance has returned the tokens that it held.";
     StopCutShort = 703, "error", "The store did not accept in time what the instance returned at its stop.";
-    ReadinessChanged = 704, "info", "The instance started or ceased to accept new connections; with the reason.";
+    ReadinessChanged = 704, "info", "The instance started or ceased to accept new connections; with the reason, its utilisation and that of its neighbours.";
     InstanceLoaded = 705, "warn", "The instance is overloaded on its link or processor, or its event loop is lagging: what it was busy with, and how long things took.";
     HostFailed = 801, "error", "An input or output of the host failed.";
 }
--- a/crates/damaskstile-gateway/src/admission.rs
+++ b/crates/damaskstile-gateway/src/admission.rs
@@ -62,6 +62,8 @@
 const URGENT_ROOM_MAX: f64 = 0.25;
 /// Fraction of the recent work above which an account yields to the others of its rank.
 const ACCOUNT_SHARE_MAX: f64 = 0.5;
+/// Fraction of the recent work of all other accounts from which on they are fully protected.
+const OTHERS_SHARE_FULL: f64 = 0.25;
 
 /// Decides which calls an instance admits, from their classes and the load of the instance.
 ///
@@ -282,14 +284,18 @@
             return None;
         }
         let rank = demand.class.priority;
-        let is_dominant = || {
-            let share = self.accounts.share(now, demand.account);
-            share > ACCOUNT_SHARE_MAX && self.accounts.has_others(now, rank, demand.account)
-        };
-        let limit = self.classes.shortest_objective(rank)? / YIELDING_DIVISOR;
-        let limit = limit.max(YIELDING_LIMIT_MIN);
+        let least = self.classes.shortest_objective(rank)? / YIELDING_DIVISOR;
+        let least = least.max(YIELDING_LIMIT_MIN);
         let delay = queues.wait();
-        (delay > limit && is_dominant()).then_some(Rejection {
+        let share = self.accounts.share(now, demand.account);
+        let is_dominant = share > ACCOUNT_SHARE_MAX
+            && delay > least
+            && self.accounts.has_others(now, rank, demand.account);
+        // The fewer calls of others there are, the fewer calls are rejected for them.
+        let protection = ((1.0 - share) / OTHERS_SHARE_FULL).clamp(0.0, 1.0);
+        let range = demand.class.objective.saturating_sub(least);
+        let limit = least + range.mul_f64(1.0 - protection);
+        (delay > limit && is_dominant).then_some(Rejection {
             criterion: Criterion::Account,
             limit,
             delay,
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -89,7 +89,7 @@
                     id: head.id,
                     work: Work {
                         home_regions: terms.home_regions.clone(),
-                        yields: terms.yields,
+                        is_bulk: terms.is_bulk,
                         ..head.work.unwrap_or_default()
                     },
                 },
--- a/crates/damaskstile-gateway/src/load_sharing.rs
+++ b/crates/damaskstile-gateway/src/load_sharing.rs
@@ -54,8 +54,8 @@
         self.account_demand.add(now, account, needs_s);
     }
 
-    /// Decides again whether this instance takes new connections, given its utilisation (1 where
-    /// its queues are too long) and the other instances; returns whether the decision changed.
+    /// Decides again whether this instance takes new connections, given its utilisation and the
+    /// other instances; returns whether the decision changed.
     pub fn update(
         &mut self,
         now: Duration,
--- a/crates/damaskstile-gateway/src/rotation.rs
+++ b/crates/damaskstile-gateway/src/rotation.rs
@@ -7,7 +7,7 @@
 
 /// Utilisation from which on an instance leaves rotation in any case. A balancer needs some seconds
 /// to notice; until then the load of the same callers continues to grow.
-const LEAVE_SHARE_MAX: f64 = 0.6;
+pub(crate) const LEAVE_SHARE_MAX: f64 = 0.6;
 /// Capacity over the mean of the others from which on an instance stays in rotation until it is
 /// nearly full: it bears what small ones cannot, and the next in the balancer's order is likely to
 /// be a small one.
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -67,8 +67,8 @@
     pub home_regions: Option<Arc<BTreeSet<RegionId>>>,
     /// Priority rank of the call.
     pub priority: u8,
-    /// Whether the call gives way to more urgent streams of the same service.
-    pub yields: bool,
+    /// Whether the call is bulk work beside more urgent streams of the same service.
+    pub is_bulk: bool,
 }
 
 /// `State` holds everything that the decisions of one instance are based on.
@@ -246,7 +246,7 @@
             .unwrap_or(route.priority);
         let class = route.class(priority);
         let terms = Terms {
-            yields: route.kind.is_stream() && catalogue.yields_to_stream(service, &class),
+            is_bulk: route.kind.is_stream() && catalogue.is_bulk(service, &class),
             catalogue_age: self.catalogue.age(now),
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
--- a/crates/damaskstile-gateway/src/state/rotation.rs
+++ b/crates/damaskstile-gateway/src/state/rotation.rs
@@ -7,15 +7,17 @@
 use super::State;
 use crate::busiest_account::BusiestAccount;
 use crate::peer_load::PeerLoad;
+use crate::rotation::LEAVE_SHARE_MAX;
 
 impl State {
     /// Updates whether this instance is in the load balancer's rotation; returns whether that
     /// changed.
     pub fn update_rotation(&mut self, now: Duration) -> bool {
+        let average = self.pressure.share(now);
         let share = if self.pressure.is_strained(now) {
-            1.0
+            average.max(LEAVE_SHARE_MAX)
         } else {
-            self.pressure.share(now)
+            average
         };
         let is_changed = self.load_sharing.update(now, share, &self.members);
         self.expect_borrowers(now);
--- a/crates/damaskstile-gateway/tests/admitted_streams.rs
+++ b/crates/damaskstile-gateway/tests/admitted_streams.rs
@@ -38,7 +38,7 @@
         account: None,
         home_regions: None,
         priority: 0,
-        yields: false,
+        is_bulk: false,
     }
 }
 
--- a/crates/damaskstile-gateway/tests/bulk_load/fleet.rs
+++ b/crates/damaskstile-gateway/tests/bulk_load/fleet.rs
@@ -60,7 +60,7 @@
 
 fn bulk(prefix: u64, call: u64) -> Work {
     Work {
-        yields: true,
+        is_bulk: true,
         ..prompt(1_000 + prefix, 6_300, call, 2_890)
     }
 }
@@ -248,7 +248,7 @@
         ticket: Option<PromptTicket>,
     ) {
         self.calls += 1;
-        let is_urgent = !work.yields;
+        let is_urgent = !work.is_bulk;
         let (now, now_ms) = (Duration::from_millis(ms), ms as f64);
         let table = &mut self.tables[instance];
         let choice = table.choose(now, SERVICE, work, &[]).unwrap();
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -66,7 +66,7 @@
         account: None,
         home_regions: None,
         priority: 0,
-        yields: false,
+        is_bulk: false,
     }
 }
 
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -153,11 +153,12 @@
         streams.map(|route| route.priority).min().unwrap_or(0)
     }
 
-    /// Returns whether calls of a class give way to a more urgent stream of the same service.
+    /// Returns whether calls of a class are bulk work beside a more urgent stream of the same
+    /// service.
     #[must_use]
-    pub fn yields_to_stream(&self, service: &str, class: &CallClass) -> bool {
+    pub fn is_bulk(&self, service: &str, class: &CallClass) -> bool {
         let others = self.stream_classes.get(service).into_iter().flatten();
-        others.into_iter().any(|other| class.yields_to(other))
+        others.into_iter().any(|other| class.is_bulk_beside(other))
     }
 
     /// Returns whether no streaming route of a service is more urgent than a priority.
--- a/crates/damaskstile-targets/src/target_table/bulk.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk.rs
@@ -35,7 +35,7 @@
 impl TargetTable {
     /// Tells whether a prompt is a bulk prompt.
     pub(super) fn is_bulk(&self, speed: &PrefillSpeed, work: &Work) -> bool {
-        work.yields
+        work.is_bulk
             && self.options.bulk_ms > 0.0
             && own_part_prefill_ms(speed, work) >= self.options.bulk_ms
     }
@@ -52,7 +52,7 @@
     /// ```
     #[must_use]
     pub fn bulk_prefill(&self, service: &str, work: &Work) -> Option<Duration> {
-        if !work.yields {
+        if !work.is_bulk {
             return None;
         }
         let speed = self.speed(service);
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -24,8 +24,8 @@
     pub length_hint_tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
-    /// Whether the call gives way to more urgent streams of the same service.
-    pub yields: bool,
+    /// Whether the call is bulk work beside more urgent streams of the same service.
+    pub is_bulk: bool,
     /// Home regions, which may run the call; `None` for all regions.
     pub home_regions: Option<Arc<BTreeSet<RegionId>>>,
 }
--- a/crates/damaskstile-targets/tests/bulk_prompts.rs
+++ b/crates/damaskstile-targets/tests/bulk_prompts.rs
@@ -40,7 +40,7 @@
 
 fn bulk(prefix: u64, call: u64) -> Work {
     Work {
-        yields: true,
+        is_bulk: true,
         ..prompt(1_000 + prefix, 6_300, call, 2_890)
     }
 }
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -203,7 +203,7 @@
     for call in 0..BUSY_CALLS {
         let now = Duration::from_secs(10) + BUSY_GAP * u32::try_from(call).unwrap();
         let work = Work {
-            yields: call % 4 == 0,
+            is_bulk: call % 4 == 0,
             ..prompt(call % 100, call)
         };
         let choice = table.choose(now, MODEL, &work, &[]).unwrap();
