--- a/crates/damaskstile-routes/src/call_class.rs
+++ b/crates/damaskstile-routes/src/call_class.rs
@@ -8,7 +8,7 @@
 
 /// Factor by which an objective must be longer for prompts to wait for each other on few targets.
 /// With less, their queue takes more time than the objective leaves.
-const BULK_RATIO: f64 = 2.0;
+const BULK_RATIO: f64 = 3.0;
 
 /// `CallClass` describes calls that are equally urgent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
