--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -26,6 +26,7 @@
 const PULL_START_JITTER_MS: u64 = 40;
 /// Age of the store's last answer past which a peer's list of targets is preferred.
 const STORE_AGE_MAX: Duration = Duration::from_millis(700);
+
 impl Peers {
     /// Processes a digest; returns whether its sender is new.
     pub(super) fn handle_digest(
--- a/crates/damaskstile-targets/src/target_table/bulk.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk.rs
@@ -46,7 +46,7 @@
     /// use std::time::Duration;
     /// use damaskstile_targets::{TargetTable, TargetTableOptions, Work};
     /// let table = TargetTable::new("north", TargetTableOptions::default());
-    /// let work = |yields| Work { prompt_tokens: 5_000, yields, ..Work::default() };
+    /// let work = |is_bulk| Work { prompt_tokens: 5_000, is_bulk, ..Work::default() };
     /// assert_eq!(table.bulk_prefill("s", &work(false)), None);
     /// assert_eq!(table.bulk_prefill("s", &work(true)), Some(Duration::from_millis(100)));
     /// ```
