Speed changes are logged for own calls beside ten samples, once in ten seconds

86 instances logged TargetSpeedChanged (612) 7,900 times in 50 s for 144 targets: each logged each target whose merged factor crossed a limit, also by a few late calls or by reports of peers, and again when it decayed. Now the own calls (two at least) and all samples together (ten at least) must both show it, and a target is logged at most once in ten seconds.

It was compiled, not run.

--- a/crates/damaskstile-targets/src/speed_change.rs
+++ b/crates/damaskstile-targets/src/speed_change.rs
@@ -7,7 +7,7 @@
 pub struct SpeedChange {
     /// The target and its incarnation.
     pub identity: TargetIdentity,
-    /// Lasting factor, in percent.
+    /// Lasting factor that the instance's own calls show, in percent.
     pub factor_percent: u64,
     /// Whether it is slow now.
     pub is_slow: bool,
--- a/crates/damaskstile-targets/src/target_speed.rs
+++ b/crates/damaskstile-targets/src/target_speed.rs
@@ -19,6 +19,11 @@
 /// does. The gap keeps a factor that varies around the limit from being logged each time.
 const SLOW_FACTOR: f64 = 1.5;
 const NOT_SLOW_FACTOR: f64 = 1.35;
+/// Samples, of own calls and reports of peers together, from which on operators are told that a
+/// target is slow. Fewer vary enough by chance for a fleet to log thousands of changes a minute.
+const LOGGED_SAMPLES_MIN: f64 = 10.0;
+/// Least time between two changes of a target that are logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Time for which a factor that no longer counts in selections is still used in predictions. A slow
 /// target gets few calls other than those of instances that try it again, and these would all be
 /// predicted as at a usual target.
@@ -55,7 +60,9 @@
     /// Newest lasting factor that enough samples showed, as a logarithm.
     remembered_log: f64,
     remembered_at: Duration,
+    /// Whether operators were told that the target is slow, and when that last changed.
     is_slow: bool,
+    slow_changed_at: Option<Duration>,
 }
 
 impl TargetSpeed {
@@ -220,16 +227,36 @@
         reports.any(|report| report.weight(now) > 0.0)
     }
 
-    /// Updates whether the target counts as slow; returns the new state if it changed.
+    /// Updates whether the target counts as slow for operators; returns the new state if it
+    /// changed. Both the calls of this instance and all samples together must show it, so that not
+    /// every instance logs what one of them observed.
     pub(crate) fn update_slow(&mut self, now: Duration) -> Option<bool> {
-        let limit = if self.is_slow {
-            NOT_SLOW_FACTOR
+        let changed_at = self.slow_changed_at;
+        if changed_at.is_some_and(|at| now.saturating_sub(at) < LOG_INTERVAL) {
+            return None;
+        }
+        let own = self.own_samples * freshness(now, self.sampled_at);
+        let reports = self.reports.values();
+        let of_peers: f64 = reports.map(|report| report.weight(now)).sum();
+        if own < REPORTED_SAMPLES_MIN || own + of_peers < LOGGED_SAMPLES_MIN {
+            return None;
+        }
+        let merged_log = self.merged(now, |_| 1.0)?;
+        let is_slow = if self.is_slow {
+            self.own_log.max(merged_log) >= NOT_SLOW_FACTOR.ln()
         } else {
-            SLOW_FACTOR
+            self.own_log.min(merged_log) >= SLOW_FACTOR.ln()
         };
-        let is_slow = self.factor(now) >= limit;
-        let has_changed = is_slow != self.is_slow;
+        if is_slow == self.is_slow {
+            return None;
+        }
         self.is_slow = is_slow;
-        has_changed.then_some(is_slow)
+        self.slow_changed_at = Some(now);
+        Some(is_slow)
+    }
+
+    /// Returns the lasting factor that the instance's own calls show.
+    pub(crate) fn own_factor(&self) -> f64 {
+        self.own_log.exp()
     }
 }
--- a/crates/damaskstile-targets/src/target_table/speeds.rs
+++ b/crates/damaskstile-targets/src/target_table/speeds.rs
@@ -167,7 +167,7 @@
             if let Some(is_slow) = state.speed.update_slow(now) {
                 changes.push(SpeedChange {
                     identity: state.listed.identity(),
-                    factor_percent: percent(state.speed.factor(now)),
+                    factor_percent: percent(state.speed.own_factor()),
                     is_slow,
                 });
             }
