Prefill times of absurd prompts are bounded

A call that states more tokens than any target holds (say 2^64) made Duration::from_secs_f64 panic in bulk_prefill and prefill_to_report while the state was locked, once a time for pairs of tokens had been learned. Checked: the new test panics without the bound; cargo test -p damaskstile-targets.

--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -265,7 +265,7 @@
         let parts =
             f64::from(u32::try_from(self.instances).unwrap_or(u32::MAX)) / REPORTING_INSTANCES;
         let is_worth = choice.prefill_ms >= self.options.tell_ms * parts.max(1.0);
-        is_worth.then(|| Duration::from_secs_f64(choice.prefill_ms / 1_000.0))
+        is_worth.then(|| cost::prefill_time(choice.prefill_ms))
     }
 
     /// Applies a peer's report that it sent a prompt to a target, where the prefill takes so long.
--- a/crates/damaskstile-targets/src/target_table/bulk.rs
+++ b/crates/damaskstile-targets/src/target_table/bulk.rs
@@ -7,7 +7,7 @@
 use super::bulk_reports::SERVICES_MAX;
 use super::bulk_state::LOAD_MIN_MS;
 use super::bulk_targets::{BulkRange, BulkTargets, targets_for};
-use super::cost::{own_part_prefill_ms, tokens};
+use super::cost::{own_part_prefill_ms, prefill_time, tokens};
 use super::index::ServiceIndex;
 use super::reserved_targets::LISTED_MAX;
 use crate::bulk_rate::BulkRate;
@@ -57,7 +57,7 @@
         }
         let speed = self.speed(service);
         let is_bulk = self.is_bulk(&speed, work);
-        is_bulk.then(|| Duration::from_secs_f64(own_part_prefill_ms(&speed, work) / 1_000.0))
+        is_bulk.then(|| prefill_time(own_part_prefill_ms(&speed, work)))
     }
 
     /// Records that a bulk prompt arrived at this instance, whether or not it is sent at once. If
--- a/crates/damaskstile-targets/src/target_table/cost.rs
+++ b/crates/damaskstile-targets/src/target_table/cost.rs
@@ -30,6 +30,10 @@
 /// would spread prefixes no better than chance does, and each costs a hash for each call.
 const AFFINITY_WINDOW: usize = 64;
 
+/// Upper bound on the prefill time of one prompt, in seconds. Callers state the tokens of their
+/// prompts, and a `Duration` cannot hold the time that the largest numbers would take.
+const PREFILL_MAX_S: f64 = 600.0;
+
 /// Context of one call: what all targets of its service have in common for an estimate of its cost.
 #[derive(Debug)]
 pub(super) struct CallContext<'a> {
@@ -261,6 +265,11 @@
     speed.prefill_ms(tokens(own), tokens(shared))
 }
 
+/// Returns a prefill time in milliseconds as a `Duration`.
+pub(super) fn prefill_time(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1_000.0).min(PREFILL_MAX_S))
+}
+
 #[allow(clippy::cast_precision_loss)] // counts far below 2^52
 pub(super) fn tokens(count: u64) -> f64 {
     count as f64
--- a/crates/damaskstile-targets/tests/bulk_prompts.rs
+++ b/crates/damaskstile-targets/tests/bulk_prompts.rs
@@ -216,3 +216,35 @@
     assert_eq!(table.bulk_targets(SERVICE), TARGETS / 3);
     assert_eq!(table.bulk_limit(SERVICE), Some(2));
 }
+
+#[test]
+fn an_absurd_number_of_prompt_tokens_has_a_bounded_prefill_time() {
+    // Guards against a panic, with the state locked, for one call that states more tokens than any
+    // target holds, once the time for pairs of tokens was learned.
+
+    // Arrange: late first tokens of long prompts, as of engines with a time for pairs of tokens.
+    let mut table = TargetTable::new("c0", TargetTableOptions::default());
+    table.list(Duration::ZERO, listed(0));
+    let work = |prompt_tokens| Work {
+        prompt_tokens,
+        is_bulk: true,
+        ..Work::default()
+    };
+    for call in 0..200 {
+        let tokens = 1_000 + call % 10 * 8_000;
+        let now = Duration::from_secs(10 * call);
+        let choice = table.choose(now, SERVICE, &work(tokens), &[]).unwrap();
+        let took = Duration::from_millis(20 + tokens * tokens / 1_000_000);
+        table.first_token(now, &choice, &work(tokens), took);
+    }
+
+    // Act
+    let absurd = work(u64::MAX);
+    let prefill = table.bulk_prefill(SERVICE, &absurd).unwrap();
+    let choice = table.choose(at(3_000_000), SERVICE, &absurd, &[]).unwrap();
+    let reported = table.prefill_to_report(&choice);
+
+    // Assert
+    assert_eq!(reported, Some(prefill));
+    assert!(prefill >= Duration::from_secs(60) && prefill <= Duration::from_secs(600));
+}
