Bulk prompts that need not wait are sent; places of plain calls count for the expected wait

A prompt whose prefill exceeds its objective was rejected by every instance, also by an idle one and where no target is set apart. It is now sent if it finds a free place and no other waits. Plain bulk calls hold their place for the whole answer, but that time was never learned: the queue expected the time of a prefill, so later calls waited for most of their time and were rejected late.

--- a/crates/damaskstile-gateway/src/prompt_queue.rs
+++ b/crates/damaskstile-gateway/src/prompt_queue.rs
@@ -117,7 +117,11 @@
     pub fn decide(&mut self, now: Duration) -> Vec<(PromptTicket, PromptDecision)> {
         let mut decisions = Vec::new();
         while let Some((position, prompt)) = self.first() {
-            let is_late = now > prompt.latest_start();
+            // A prompt that need not wait is sent although it will be late, as without a queue: one
+            // whose prefill exceeds its objective would otherwise never be.
+            let is_alone = position.2 >= self.first_new && self.waiting.len() == 1;
+            let need_not_wait = is_alone && self.has_place();
+            let is_late = now > prompt.latest_start() && !need_not_wait;
             if !is_late && !self.has_place() {
                 break;
             }
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -26,7 +26,9 @@
 }
 
 impl Running {
-    pub(crate) fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
+    /// Counts a call as sent to its target.
+    #[must_use]
+    pub fn new(gateway: &Arc<Gateway>, choice: Choice, work: &Work) -> Self {
         let reading = {
             let now = gateway.now();
             let mut state = gateway.state();
@@ -54,8 +56,8 @@
         }
     }
 
-    /// Keeps the place of a bulk prompt until its first event.
-    pub(crate) fn hold(&mut self, place: Option<PromptPlace>) {
+    /// Keeps the place of a bulk prompt until its first event, or its whole answer if it is plain.
+    pub fn hold(&mut self, place: Option<PromptPlace>) {
         self.place = place;
     }
 
@@ -74,15 +76,22 @@
             table.first_token(now, &self.choice, &self.work, took);
         }
         self.is_answered = true;
+        self.free_place();
+        self.prefilled();
+    }
+
+    /// Frees the place of a bulk prompt. The whole answer of a plain call is the first sign that its
+    /// prompt was prefilled.
+    fn free_place(&mut self) {
         if let Some(place) = self.place.take() {
             place.prefilled();
         }
-        self.prefilled();
     }
 
     /// Records the whole answer of a plain service; its time shows how fast the target is.
     pub fn answered(&mut self) {
         self.is_answered = true;
+        self.free_place();
         if self.work.prompt_tokens == 0 {
             let now = self.gateway.now();
             let took = now.saturating_sub(self.sent_at);
--- a/crates/damaskstile-gateway/tests/prompt_queue.rs
+++ b/crates/damaskstile-gateway/tests/prompt_queue.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_gateway::gateway::Gateway;
 use damaskstile_gateway::prompt_decision::PromptDecision;
 use damaskstile_gateway::prompt_place::PromptPlace;
 use damaskstile_gateway::prompt_queue::{PromptQueue, PromptTicket};
 use damaskstile_gateway::queued_prompt::QueuedPrompt;
-use support::{SERVICE, UnreachableStore, gateway, listed, unused_address};
+use damaskstile_gateway::running::Running;
+use damaskstile_targets::Work;
+use support::{SERVICE, UnreachableStore, choose, gateway, listed, unused_address};
 
 const LINK_BYTES_PER_S: u64 = 1_250_000;
 const START: PromptDecision = PromptDecision::Start;
@@ -99,6 +102,30 @@
     assert_eq!(rejected(&decisions), [(late, at(550))]);
 }
 
+#[test]
+fn a_prompt_that_need_not_wait_starts_although_it_will_be_late() {
+    // Guards against a prompt whose prefill takes longer than its objective and that is rejected by
+    // every idle instance.
+
+    // Arrange: 30 ms to the objective, and a prefill of 90 ms.
+    let late = || prompt(2, 130);
+    let mut unlimited = PromptQueue::new(LINK_BYTES_PER_S);
+    let mut free = unlimited.clone();
+    free.set_limit(Some(2));
+    let (mut busy, _) = busy_queue();
+
+    // Act
+    let of_unlimited = unlimited.add(late());
+    let of_free = free.add(late());
+    let of_busy = busy.add(late());
+
+    // Assert: it is rejected only where it would delay others further.
+    assert_eq!(unlimited.decide(at(100)), [(of_unlimited, START)]);
+    assert_eq!(free.decide(at(100)), [(of_free, START)]);
+    let rejections = rejected(&busy.decide(at(100)));
+    assert!(rejections.len() == 1 && rejections[0].0 == of_busy);
+}
+
 #[test]
 fn the_queue_is_bounded_in_prompts_and_in_bytes() {
     // Guards against a queue that grows with a burst, and against bodies that would fill the link
@@ -153,11 +180,8 @@
     assert_eq!(all, [(tickets[1], START), (tickets[2], START)]);
 }
 
-#[tokio::test]
-async fn a_caller_that_leaves_frees_its_place() {
-    // Guards against places that stay taken after callers left, until no bulk prompt is sent.
-
-    // Arrange: one of two targets takes bulk prompts, two at a time, and three callers wait for a place.
+/// Makes an instance with two targets, one of which takes bulk prompts, two at a time.
+fn bulk_gateway() -> Arc<Gateway> {
     let gateway = gateway(unused_address(), Arc::new(UnreachableStore));
     let now = gateway.now();
     {
@@ -169,6 +193,16 @@
         table.update_bulk_targets(now);
         assert_eq!(table.bulk_limit(SERVICE), Some(2));
     }
+    gateway
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_place() {
+    // Guards against places that stay taken after callers left, until no bulk prompt is sent.
+
+    // Arrange: one of two targets takes bulk prompts, two at a time, and three callers wait for a place.
+    let gateway = bulk_gateway();
+    let now = gateway.now();
     let request = || {
         let prompt = QueuedPrompt {
             due_at: now + at(60_000),
@@ -192,3 +226,37 @@
     assert_eq!(decision, Ok(START));
     assert_eq!(gateway.state().prompt_queues.waiting(), 0);
 }
+
+#[tokio::test]
+async fn the_wait_for_a_place_follows_the_time_of_whole_answers_of_plain_calls() {
+    // Guards against plain bulk prompts that hold their places for whole answers while the queue
+    // expects the time of a prefill, so that others wait for most of their time and are rejected.
+
+    // Arrange: one plain call that holds a place for 200 ms; then both places are held.
+    let gateway = bulk_gateway();
+    let request = |due_in| {
+        let due_at = gateway.now() + due_in;
+        PromptPlace::request(
+            &gateway,
+            SERVICE,
+            QueuedPrompt {
+                due_at,
+                ..prompt(2, 0)
+            },
+        )
+    };
+    let mut running = Running::new(&gateway, choose(&gateway, &[]).unwrap(), &Work::default());
+    running.hold(Some(request(at(60_000)).0));
+    tokio::time::sleep(at(200)).await;
+    running.answered();
+    let _held = [request(at(60_000)), request(at(60_000))];
+
+    // Act
+    let (_place, mut decision) = request(at(100));
+
+    // Assert: a place becomes free each 100 ms, not each 45 ms.
+    let Ok(PromptDecision::Reject { retry_after }) = decision.try_recv() else {
+        panic!("no rejection");
+    };
+    assert!(retry_after >= at(100), "{retry_after:?}");
+}
