--- a/crates/damaskstile-targets/tests/bulk_prompts.rs
+++ b/crates/damaskstile-targets/tests/bulk_prompts.rs
@@ -246,5 +246,5 @@
 
     // Assert
     assert_eq!(reported, Some(prefill));
-    assert!(prefill >= Duration::from_secs(60) && prefill <= Duration::from_secs(600));
+    assert!(prefill >= Duration::from_mins(1) && prefill <= Duration::from_mins(10));
 }
