--- a/crates/damaskstile-targets/src/target_speed.rs
+++ b/crates/damaskstile-targets/src/target_speed.rs
@@ -12,7 +12,8 @@
 /// Reports of different peers that are kept for one target, those with the most samples. Four reach
 /// the samples that count at most.
 const REPORTS_MAX: usize = 8;
-/// Factor from which on a target costs more. The mean of 20 samples that vary by half deviates by as much by chance.
+/// Factor from which on a target costs more. The mean of 20 samples that vary by half deviates by as
+/// much by chance.
 const DEVIATION_MIN: f64 = 1.1;
 /// Factor that a target's samples must show, or its reciprocal, for a report to peers: a deviation
 /// counts less the fewer samples show it. Digests cross links between data centres that are slow
