Load sharing: larger instances pass on their callers later

Cause: an instance of 0.3 of a core left rotation at 19 % in use, and an instance of 0.09 that then got the account answered its first tokens after 730 ms. The threshold now rises with the square of the capacity over the mean.

--- a/crates/damaskstile-gateway/src/rotation.rs
+++ b/crates/damaskstile-gateway/src/rotation.rs
@@ -11,7 +11,7 @@
 /// Capacity over the mean of the others from which on an instance stays in rotation until it is
 /// nearly full: it bears what small ones cannot, and the next in the balancer's order is likely to
 /// be a small one.
-const LARGE_FACTOR: f64 = 2.0;
+const LARGE_FACTOR: f64 = 1.5;
 /// Utilisation at which such an instance leaves.
 const LARGE_LEAVE_SHARE: f64 = 0.9;
 /// Factor and margin over the mean utilisation of the other instances from which on an instance
@@ -134,11 +134,16 @@
 
 /// Returns whether an instance has clearly more load than its neighbours.
 fn is_busier(share: f64, neighbours: &Neighbours) -> bool {
-    let leave_share = if neighbours.relative_capacity >= LARGE_FACTOR {
+    // The next instance in the balancer's order is likely to be an average one. The same callers
+    // use more of it by the ratio of the capacities, and their load may grow by as much again.
+    let size = neighbours.relative_capacity.max(1.0);
+    let leave_share_max = if size >= LARGE_FACTOR {
         LARGE_LEAVE_SHARE
     } else {
-        (neighbours.mean_share * LEAVE_FACTOR + LEAVE_MARGIN).min(LEAVE_SHARE_MAX)
+        LEAVE_SHARE_MAX
     };
+    let leave_share = (neighbours.mean_share * LEAVE_FACTOR + LEAVE_MARGIN) * size * size;
+    let leave_share = leave_share.min(leave_share_max);
     share >= leave_share && share > neighbours.mean_share + LEAVE_MARGIN
 }
 
