--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -34,6 +34,8 @@
     Overloaded,
     /// No target of the service is known to accept work.
     NoTarget,
+    /// No connection to a target of the service could be made.
+    TargetsUnreachable,
     /// No target of the service accepts work in the regions that may run the request.
     NoTargetInRegion,
     /// The buffer of bills that wait to be stored is full.
@@ -83,6 +85,7 @@
             Self::BudgetUnreachable => "budget_unreachable",
             Self::Overloaded => "overloaded",
             Self::NoTarget => "no_target",
+            Self::TargetsUnreachable => "targets_unreachable",
             Self::NoTargetInRegion => "no_target_in_region",
             Self::BillsBacklog => "bills_backlog",
             Self::KeyReused => "key_reused",
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -297,6 +297,9 @@
                 NextStep::GiveUp if self.attempts.may_have_run() => {
                     self.refuse(&Refusal::unknown(RefusalCode::TargetLost))
                 }
+                _ if failure.is_unreachable() => {
+                    self.give_up(RefusalCode::TargetsUnreachable, RETRY_SOON)
+                }
                 _ => self.give_up(RefusalCode::Overloaded, RETRY_SOON),
             };
             return (response, Some(reservation));
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -49,10 +49,20 @@
     pub cause: &'static str,
 }
 
+/// Cause of a send whose target refused the connection.
+const CONNECT_REFUSED: &str = "connect_refused";
+/// Cause of a send whose connection was not made in time.
+const CONNECT_TIMEOUT: &str = "connect_timeout";
+
 impl SendFailure {
     pub(crate) const fn new(end: SendFailureKind, cause: &'static str) -> Self {
         Self { end, cause }
     }
+
+    /// Returns whether no connection to the target could be made.
+    pub(crate) fn is_unreachable(self) -> bool {
+        [CONNECT_REFUSED, CONNECT_TIMEOUT].contains(&self.cause)
+    }
 }
 
 /// Sends a call to one target and waits for the head of its answer, until the wait limit in
@@ -86,11 +96,11 @@
         Ok(Ok(lease)) => lease,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             running.ended();
-            return Err(SendFailure::new(SendFailureKind::NotSent, "no_connection"));
+            return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_REFUSED));
         }
         Ok(Err(_)) | Err(_) => {
             running.silent();
-            return Err(SendFailure::new(SendFailureKind::NotSent, "no_connection"));
+            return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_TIMEOUT));
         }
     };
     // Connecting takes up to a few hundred milliseconds over a saturated link, and updates received
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -27,6 +27,7 @@
         | RefusalCode::BudgetReserved
         | RefusalCode::NoTarget
         | RefusalCode::NoTargetInRegion
+        | RefusalCode::TargetsUnreachable
         | RefusalCode::BillsBacklog
         | RefusalCode::ClaimUnavailable
         | RefusalCode::CrashesTargets
