--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -105,6 +105,8 @@
     TargetLimited = 610, "info", "A target advertises a limit of calls a second from all instances together, changed it, or withdrew it.";
     BulkTargetsChanged = 611, "info", "Another number of targets takes the bulk prompts of a service.";
     TargetSpeedChanged = 612, "info", "A target became slow compared with the others of its service, or no longer is.";
+    TargetsUnreached = 613, "warn", "This instance lost its own paths to the targets of a service, which peers reach; its calls go through peers.";
+    TargetsReached = 614, "info", "This instance reaches a target of the service itself again.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance accepts no new work and finishes open requests.";
     StopDone = 702, "info", "The instance has returned the tokens that it held.";
--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -8,8 +8,9 @@
 
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
+use crate::paths;
 use crate::state::Terms;
-use crate::target_ends::{EndCheck, TargetLiveness, connect};
+use crate::target_ends::{EndCheck, TargetLiveness};
 
 /// A run, with what is needed to follow it up if its connection breaks before the answer is
 /// complete.
@@ -43,10 +44,8 @@
         terms: &Terms,
     ) -> EndCheck {
         let now = gateway.now();
-        let check = gateway
-            .end_checks
-            .check(now, &self.target, self.address)
-            .await;
+        let probe = paths::liveness(gateway, &terms.service, &self.target, self.address);
+        let check = gateway.end_checks.check_by(now, &self.target, probe).await;
         let state = check.state;
         let content = Fingerprint::of(&call.content(terms.account.as_deref()));
         let ran_ms = now.saturating_sub(self.sent_at).as_millis().to_string();
@@ -76,12 +75,21 @@
     /// process at the same address, so that check is repeated. The age of the run does not rule
     /// this out, since it includes the time to connect. A draining target may refuse connections
     /// while it still completes its runs.
-    pub(crate) async fn is_surely_over(&self, gateway: &Gateway, check: EndCheck) -> bool {
+    pub(crate) async fn is_surely_over(
+        &self,
+        gateway: &Gateway,
+        terms: &Terms,
+        check: EndCheck,
+    ) -> bool {
         if check.state != TargetLiveness::Ended
             || gateway.state().target_table.may_drain(&self.target)
         {
             return false;
         }
-        !check.is_reused || connect(self.address).await == TargetLiveness::Ended
+        if !check.is_reused {
+            return true;
+        }
+        let probe = paths::liveness(gateway, &terms.service, &self.target, self.address);
+        probe.await == TargetLiveness::Ended
     }
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -261,6 +261,9 @@
             let failure = match started.await {
                 Ok(mut run) => {
                     run.running.hold(self.place.take());
+                    if let Some(peer) = run.lease.peer {
+                        self.record.add("through", peer);
+                    }
                     match self.answer(run, reservation).await {
                         Ok(response) => return (response, None),
                         Err((failure, kept)) => {
--- a/crates/damaskstile-gateway/src/exchange/continuing.rs
+++ b/crates/damaskstile-gateway/src/exchange/continuing.rs
@@ -24,7 +24,9 @@
     ) -> Option<Run> {
         self.note_copy();
         let copy = self.copy.take()?;
-        let may_continue = broken.is_surely_over(&self.gateway, check).await
+        let may_continue = broken
+            .is_surely_over(&self.gateway, &self.terms, check)
+            .await
             && self.quarantine_refusal().is_none()
             && !self.time_left().is_zero();
         if !may_continue {
--- a/crates/damaskstile-gateway/src/lease.rs
+++ b/crates/damaskstile-gateway/src/lease.rs
@@ -1,5 +1,6 @@
 //! Leases: connections to targets while calls use them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -27,6 +28,8 @@
     sender: Option<Sender>,
     /// Whether earlier calls were sent on this connection.
     pub is_reused: bool,
+    /// The peer through which the connection leads, if it is not direct.
+    pub peer: Option<SocketAddr>,
     task: AbortHandle,
     is_returned: bool,
 }
@@ -46,18 +49,25 @@
         target: &TargetIdentity,
         sender: Sender,
         task: AbortHandle,
-        is_reused: bool,
+        peer: Option<SocketAddr>,
     ) -> Self {
         Self {
             pool: Arc::clone(pool),
             target: target.clone(),
             sender: Some(sender),
-            is_reused,
+            is_reused: false,
+            peer,
             task,
             is_returned: false,
         }
     }
 
+    /// Marks the connection as one on which earlier calls were sent.
+    pub(crate) fn reused(mut self) -> Self {
+        self.is_reused = true;
+        self
+    }
+
     /// Sends a call and returns the head of the answer; its body is still to be read.
     ///
     /// # Errors
@@ -92,7 +102,10 @@
         }
         let usable_until = std::time::Instant::now() + reuse_for * REUSE_PERCENT / 100;
         let task = self.task.clone();
-        self.is_returned = self.pool.keep(&self.target, sender, task, usable_until);
+        let kept = self
+            .pool
+            .keep(&self.target, sender, task, usable_until, self.peer);
+        self.is_returned = kept;
     }
 }
 
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -58,10 +58,12 @@
 pub mod objects;
 pub mod open_call;
 pub mod open_connection;
+mod open_tunnel;
 pub mod operators;
 pub mod options;
 pub mod outbound_call;
 pub mod outgoing;
+mod paths;
 pub mod peer_load;
 pub mod peers;
 pub mod phase;
@@ -96,6 +98,9 @@
 pub mod target_ends;
 pub mod target_list;
 mod target_speeds;
+mod tunnel_failure;
+pub mod tunnel_metrics;
+mod tunnel_stream;
 pub mod wait_limit;
 pub mod wanted;
 mod watched_stream;
@@ -169,5 +174,8 @@
         gateway
             .pool
             .prune(|target| state.target_table.lists(target));
+        gateway
+            .pool
+            .close_tunnels(|peer| state.is_tunnel_peer(peer));
     }
 }
--- a/crates/damaskstile-gateway/src/member.rs
+++ b/crates/damaskstile-gateway/src/member.rs
@@ -43,6 +43,8 @@
     pub received_at: Duration,
     /// Whether it is known only from a peer's report and no digest of it was received yet.
     pub is_reported: bool,
+    /// Services whose targets it does not reach itself.
+    pub partitioned_services: BTreeSet<ServiceId>,
     /// Tokens that it could reserve immediately, by account.
     pub free_tokens: BTreeMap<AccountId, u64>,
 }
@@ -76,6 +78,7 @@
             store_age: Duration::from_millis(digest.store_age_ms),
             received_at: now,
             is_reported: false,
+            partitioned_services: digest.partitioned_services.iter().cloned().collect(),
             free_tokens,
         }
     }
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -18,6 +18,7 @@
 use crate::bulk_metrics::BulkMetrics;
 use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
+use crate::tunnel_metrics::TunnelMetrics;
 
 /// Labels of metrics by client account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -110,6 +111,9 @@
     target_speed_percent: Family<TargetLabels, Gauge>,
     /// Metrics of bulk prompts.
     pub bulk: BulkMetrics,
+    /// Tunnels to targets through peers.
+    pub tunnels: TunnelMetrics,
+    partitioned_services: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -172,6 +176,10 @@
         let help = "Contents under which targets ended: all that are remembered, and those refused";
         registry.register("contents", help, contents.clone());
         let bulk = BulkMetrics::new(&mut registry);
+        let tunnels = TunnelMetrics::register(&mut registry);
+        let partitioned_services = Gauge::default();
+        let help = "Services whose targets peers reach and this instance itself does not";
+        registry.register("partitioned_services", help, partitioned_services.clone());
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -194,6 +202,8 @@
             load,
             target_speed_percent,
             bulk,
+            tunnels,
+            partitioned_services,
         }
     }
 
@@ -364,6 +374,12 @@
         }
     }
 
+    /// Sets the number of services from whose targets this instance is partitioned.
+    pub fn sample_partitioned(&self, services: usize) {
+        let services = i64::try_from(services).unwrap_or(i64::MAX);
+        self.partitioned_services.set(services);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -139,6 +139,8 @@
     gateway.metrics.sample_loans(made, open);
     let contents = gateway.state().suspects.counts();
     gateway.metrics.sample_contents(contents);
+    let partitioned = gateway.state().reach.partitioned_services().count();
+    gateway.metrics.sample_partitioned(partitioned);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     respond(StatusCode::OK, content_type, gateway.metrics.encode())
 }
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -28,6 +28,8 @@
 mod target_report;
 mod tokens;
 mod transfers;
+mod tunnel;
+mod tunnel_messages;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -53,6 +55,8 @@
 pub use suspect_report::{SuspectReport, TargetEndReport};
 pub use target_report::TargetReport;
 pub use tokens::{TokenRequest, TokenTransfer};
+pub(crate) use tunnel::open as open_tunnel;
+pub use tunnel_messages::TunnelOutcome;
 
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
@@ -282,6 +286,7 @@
             speeds: speeds.collect(),
             lost_runs: lost_runs.collect(),
             bulk_loads: bulk_loads.collect(),
+            partitioned_services: state.reach.partitioned_services().cloned().collect(),
             ledger_version: state.holder.ledger_version(),
             store_history: state.holder.store_history(),
             evacuated_version: state
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -105,6 +105,9 @@
     /// Whether the sender is stopping.
     #[prost(bool, tag = "7")]
     pub is_stopping: bool,
+    /// Services whose targets peers reach and the sender itself does not.
+    #[prost(string, repeated, tag = "30")]
+    pub partitioned_services: Vec<String>,
     /// Load of the sender.
     #[prost(message, optional, boxed, tag = "25")]
     pub load: Option<Box<LoadReport>>,
--- a/crates/damaskstile-gateway/src/peers/pull.rs
+++ b/crates/damaskstile-gateway/src/peers/pull.rs
@@ -18,7 +18,7 @@
 use crate::wanted::{PullKind, Wanted};
 
 use super::pull_messages::{PullAnswer, PullRequest, PulledTarget};
-use super::{catalogue_answer, list_answer, member_answer};
+use super::{catalogue_answer, list_answer, member_answer, tunnel};
 
 /// Largest frame, in bytes: a stored object with room for its name.
 const FRAME_BYTES_MAX: usize = 2 * 1024 * 1024;
@@ -32,6 +32,8 @@
 /// Limit on concurrently served pulls. More would share the link until all of them time out; a
 /// refused peer asks another instance.
 const SERVED_PULLS_MAX: usize = 6;
+/// Limit on concurrently served tunnels, each with two connections.
+const SERVED_TUNNELS_MAX: usize = 256;
 /// Longest time for which a pulled catalogue may occupy the link. Instances that have the catalogue
 /// pass it on, so some hundreds of instances have it after eight such times, well within the time
 /// limit for a change to take effect.
@@ -138,20 +140,16 @@
     }
 }
 
-/// Serves pulls until the process ends.
+/// Serves pulls and tunnels until the process ends.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(SERVED_PULLS_MAX));
+    let permits = Permits::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                    continue;
-                };
-                let answering = answer(Arc::clone(&gateway), stream);
+                let answering = answer(Arc::clone(&gateway), permits.clone(), stream);
                 let answering = async move {
-                    // A peer that receives no answer pulls again.
+                    // A peer that receives no answer asks again, or another instance.
                     let _ = answering.await;
-                    drop(permit);
                 };
                 spawn_counted(&gateway, "answer_pulls", answering);
             }
@@ -164,12 +162,38 @@
     }
 }
 
-async fn answer(gateway: Arc<Gateway>, stream: TcpStream) -> std::io::Result<()> {
+/// Permits for what is served at a time.
+#[derive(Debug, Clone)]
+struct Permits {
+    pulls: Arc<Semaphore>,
+    tunnels: Arc<Semaphore>,
+}
+
+impl Default for Permits {
+    fn default() -> Self {
+        Self {
+            pulls: Arc::new(Semaphore::new(SERVED_PULLS_MAX)),
+            tunnels: Arc::new(Semaphore::new(SERVED_TUNNELS_MAX)),
+        }
+    }
+}
+
+async fn answer(gateway: Arc<Gateway>, permits: Permits, stream: TcpStream) -> std::io::Result<()> {
     let mut frames = Framed::new(stream, codec());
     let Some(frame) = timeout(PULL_TIMEOUT, frames.next()).await? else {
         return Ok(());
     };
     let request = PullRequest::decode(frame?).map_err(std::io::Error::other)?;
+    let permits = match request.tunnel {
+        Some(_) => permits.tunnels,
+        None => permits.pulls,
+    };
+    let Ok(_permit) = permits.try_acquire_owned() else {
+        return Ok(());
+    };
+    if let Some(request) = &request.tunnel {
+        return tunnel::serve(&gateway, frames, request).await;
+    }
     let is_long = request.is_targets || request.is_members;
     if is_long && gateway.state().pressure.is_overloaded(gateway.now()) {
         // A refused peer asks another instance, and calls here compete for the same link.
@@ -228,7 +252,7 @@
     }
 }
 
-fn codec() -> LengthDelimitedCodec {
+pub(super) fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(FRAME_BYTES_MAX)
         .new_codec()
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::PeerReport;
+use super::tunnel_messages::{TunnelOutcome, TunnelRequest};
 use crate::content_changes::ContentPiece;
 
 /// `PullRequest` names the data to pull.
@@ -29,6 +30,10 @@
     /// earlier release would take the first part for the whole list.
     #[prost(uint64, tag = "7")]
     pub(super) part_targets: u64,
+    /// A tunnel to a target that is requested rather than data; the connection then belongs to the
+    /// tunnel.
+    #[prost(message, optional, tag = "8")]
+    pub(super) tunnel: Option<TunnelRequest>,
     /// Largest catalogue to send whole, in bytes; 0 for no limit.
     #[prost(uint64, tag = "4")]
     pub(super) whole_bytes_max: u64,
@@ -72,6 +77,9 @@
     /// Whether another part follows, with more targets.
     #[prost(bool, tag = "12")]
     pub(super) has_more: bool,
+    /// Result of a request for a tunnel.
+    #[prost(enumeration = "TunnelOutcome", tag = "13")]
+    pub(super) tunnel: i32,
     /// The known members.
     #[prost(message, repeated, tag = "11")]
     pub(super) members: Vec<PeerReport>,
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -9,11 +9,14 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
 use crate::busy_times::BusyTimes;
 use crate::lease::Lease;
 use crate::link_times::LinkTimes;
+use crate::open_tunnel::OpenTunnel;
+use crate::tunnel_stream::TunnelStream;
 use crate::watched_stream::WatchedStream;
 
 /// Idle connections kept per target.
@@ -26,6 +29,8 @@
     sender: Sender,
     task: AbortHandle,
     usable_until: std::time::Instant,
+    /// The peer through which it leads, if it is not direct.
+    peer: Option<SocketAddr>,
 }
 
 /// Pool of idle connections to targets, keyed by incarnation: a connection leads to the process
@@ -58,19 +63,62 @@
         target: &TargetIdentity,
         address: SocketAddr,
     ) -> std::io::Result<Lease> {
-        if let Some(connection) = self.take(target) {
-            return Ok(Lease::new(
-                self,
-                target,
-                connection.sender,
-                connection.task,
-                true,
-            ));
+        match self.take_idle(target, |_| true) {
+            Some(lease) => Ok(lease),
+            None => self.connect(target, address).await,
         }
+    }
+
+    /// Returns an idle connection to a target, direct or through a peer that may be used.
+    pub(crate) fn take_idle(
+        self: &Arc<Self>,
+        target: &TargetIdentity,
+        may_use: impl Fn(SocketAddr) -> bool,
+    ) -> Option<Lease> {
+        let connection = self.take(target, may_use)?;
+        let (sender, task) = (connection.sender, connection.task);
+        Some(Lease::new(self, target, sender, task, connection.peer).reused())
+    }
+
+    /// Opens a direct connection to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no connection was made; nothing has been sent in that case.
+    pub(crate) async fn connect(
+        self: &Arc<Self>,
+        target: &TargetIdentity,
+        address: SocketAddr,
+    ) -> std::io::Result<Lease> {
         let began_at = std::time::Instant::now();
         let stream = connect(address).await;
         self.link_times.note("connect", began_at.elapsed());
         let stream = WatchedStream::new(&Arc::new(stream?), &self.link_times, "write_to_target");
+        self.open(target, stream, None).await
+    }
+
+    /// Uses a tunnel as a connection to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the tunnel cannot be used; nothing has been sent in that case.
+    pub(crate) async fn connect_through(
+        self: &Arc<Self>,
+        target: &TargetIdentity,
+        tunnel: OpenTunnel,
+    ) -> std::io::Result<Lease> {
+        let stream = Arc::new(tunnel.stream);
+        let stream = WatchedStream::new(&stream, &self.link_times, "write_to_peer");
+        let stream = TunnelStream::new(stream, &tunnel.received);
+        self.open(target, stream, Some(tunnel.peer)).await
+    }
+
+    async fn open(
+        self: &Arc<Self>,
+        target: &TargetIdentity,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        peer: Option<SocketAddr>,
+    ) -> std::io::Result<Lease> {
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
@@ -79,7 +127,7 @@
             // Errors of the connection show in the answer that is read from it.
             let _ = busy_times.count("targets", connection).await;
         });
-        Ok(Lease::new(self, target, sender, task.abort_handle(), false))
+        Ok(Lease::new(self, target, sender, task.abort_handle(), peer))
     }
 
     /// Closes the connections that are no longer usable, and all to incarnations that are not
@@ -108,6 +156,7 @@
         sender: Sender,
         task: AbortHandle,
         usable_until: std::time::Instant,
+        peer: Option<SocketAddr>,
     ) -> bool {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_target = idle.entry(target.clone()).or_default();
@@ -117,17 +166,46 @@
                 sender,
                 task,
                 usable_until,
+                peer,
             });
         }
         has_room
     }
 
-    fn take(&self, target: &TargetIdentity) -> Option<IdleConnection> {
+    /// Closes the idle direct connections to the targets that `is_lost` names.
+    pub(crate) fn close_direct(&self, is_lost: impl Fn(&TargetIdentity) -> bool) {
+        self.close_idle(|target, connection| connection.peer.is_none() && is_lost(target));
+    }
+
+    /// Closes the idle connections through peers that may no longer be used.
+    pub(crate) fn close_tunnels(&self, may_use: impl Fn(SocketAddr) -> bool) {
+        self.close_idle(|_, connection| connection.peer.is_some_and(|peer| !may_use(peer)));
+    }
+
+    fn close_idle(&self, is_closed: impl Fn(&TargetIdentity, &IdleConnection) -> bool) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for (target, connections) in idle.iter_mut() {
+            connections.retain(|connection| {
+                let is_kept = !is_closed(target, connection);
+                if !is_kept {
+                    connection.task.abort();
+                }
+                is_kept
+            });
+        }
+    }
+
+    fn take(
+        &self,
+        target: &TargetIdentity,
+        may_use: impl Fn(SocketAddr) -> bool,
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_target = idle.get_mut(target)?;
         while let Some(connection) = of_target.pop() {
-            let is_usable =
-                std::time::Instant::now() < connection.usable_until && connection.sender.is_ready();
+            let is_usable = std::time::Instant::now() < connection.usable_until
+                && connection.sender.is_ready()
+                && connection.peer.is_none_or(&may_use);
             if is_usable {
                 return Some(connection);
             }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -223,6 +223,10 @@
         self.admitted.note_event(event.bytes.len());
         if let Some(run) = &mut self.run {
             run.running.event();
+            if run.lease.peer.is_none() {
+                let reach = &mut self.gateway.state().reach;
+                reach.note_received(now, &self.terms.service);
+            }
         }
         let is_repeated = match (event.id, self.last_event) {
             (Some(id), Some(last)) => id <= last,
--- a/crates/damaskstile-gateway/src/relay/continuation.rs
+++ b/crates/damaskstile-gateway/src/relay/continuation.rs
@@ -16,7 +16,10 @@
         let (Some(copy), Some((broken, check))) = (self.copy.take(), followed_up) else {
             return false;
         };
-        if !broken.is_surely_over(&self.gateway, check).await {
+        if !broken
+            .is_surely_over(&self.gateway, &self.terms, check)
+            .await
+        {
             return false;
         }
         // Content that crashed several targets would crash the second one too. Without ids the
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -1,6 +1,5 @@
 //! Sends a call to one target and waits for the head of its answer.
 
-use std::io::ErrorKind;
 use std::pin::pin;
 use std::sync::Arc;
 
@@ -11,7 +10,7 @@
 use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answer::AnswerHead;
 use crate::answer_signals;
@@ -21,8 +20,10 @@
 use crate::handling::Handling;
 use crate::lease::{Lease, SendError};
 use crate::outbound_call::OutboundCall;
+use crate::paths::{self, PathFailure};
 use crate::running::Running;
 use crate::send_options::SendOptions;
+use crate::state::Terms;
 use crate::wait_limit::WaitLimit;
 
 /// An answer whose head has arrived from a target.
@@ -49,6 +50,8 @@
     pub cause: &'static str,
 }
 
+/// Shortest time without an answer after which the path to a target is checked.
+const SILENCE_MIN: Duration = Duration::from_millis(300);
 /// Cause of a send whose target refused the connection.
 const CONNECT_REFUSED: &str = "connect_refused";
 /// Cause of a send whose connection was not made in time.
@@ -90,15 +93,14 @@
         Running::new(gateway, choice, &call.work)
     };
     let choice = &running.choice;
-    let identity = choice.identity();
-    let leasing = gateway.pool.lease(&identity, choice.address);
+    let leasing = paths::lease(gateway, &terms.service, choice);
     let mut lease = match timeout_at(until, leasing).await {
         Ok(Ok(lease)) => lease,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+        Ok(Err(PathFailure::Refused)) => {
             running.ended();
             return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_REFUSED));
         }
-        Ok(Err(_)) | Err(_) => {
+        Ok(Err(PathFailure::Unreachable)) | Err(_) => {
             running.silent();
             return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_TIMEOUT));
         }
@@ -133,8 +135,10 @@
         continue_from: options.continue_from,
     };
     let request = build(gateway, call, &send);
+    let is_direct = lease.peer.is_none();
     let answer = {
-        let mut sending = pin!(lease.send(request));
+        let sending = lease.send(request);
+        let mut sending = pin!(check_if_silent(gateway, terms, choice, is_direct, sending));
         match timeout_at(until, sending.as_mut()).await {
             Err(_) if !wait_limit.has_successor_now() => {
                 timeout_at(instant(wait_limit.deadline), sending).await
@@ -160,6 +164,10 @@
             return Err(SendFailure::new(SendFailureKind::Unknown, "silent"));
         }
     };
+    if is_direct {
+        let now = gateway.now();
+        gateway.state().reach.note_received(now, &terms.service);
+    }
     let (parts, body) = answer.into_parts();
     let head = gateway.dialect.read_answer(&parts);
     let run = Run {
@@ -172,6 +180,26 @@
     check_answer(gateway, call, run, is_continuation)
 }
 
+/// Waits for an answer on a direct connection, and has the path checked while none arrives.
+async fn check_if_silent<T>(
+    gateway: &Arc<Gateway>,
+    terms: &Terms,
+    choice: &Choice,
+    is_direct: bool,
+    answering: impl Future<Output = T>,
+) -> T {
+    let mut answering = pin!(answering);
+    let sent_at = gateway.now();
+    let interval = terms.route.objective.max(SILENCE_MIN);
+    loop {
+        match timeout(interval, answering.as_mut()).await {
+            Ok(answer) => return answer,
+            Err(_) if is_direct => paths::check_silence(gateway, &terms.service, choice, sent_at),
+            Err(_) => {}
+        }
+    }
+}
+
 fn build(gateway: &Gateway, call: &OutboundCall, send: &SendHead<'_>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 mod collectors;
 mod lenders;
+mod paths;
 mod roles;
 mod rotation;
 mod sources;
@@ -17,7 +18,7 @@
 use damaskstile_loans::{Borrower, Candidate, Lender};
 use damaskstile_requests::{RetryBudget, Suspects};
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
-use damaskstile_targets::{ListChanges, TargetTable, Work};
+use damaskstile_targets::{ListChanges, Reach, TargetTable, Work};
 
 use crate::call::CallHead;
 use crate::call_times::CallTimes;
@@ -78,6 +79,8 @@
     pub catalogue: CatalogueInForce,
     /// The target table.
     pub target_table: TargetTable,
+    /// Which targets this instance does not reach itself.
+    pub reach: Reach,
     /// This instance's share of the budgets.
     pub holder: Holder,
     /// Loans of this instance's tokens to peers.
@@ -167,6 +170,7 @@
             catalogue: CatalogueInForce::default(),
             target_table: TargetTable::new(&identity.data_centre, options.target_table.clone())
                 .for_instance(&identity.instance, started_at),
+            reach: Reach::default(),
             random: Random::new(identity.incarnation),
             instance: identity.instance.clone(),
             own_candidate: Candidate::new(
--- a/crates/damaskstile-gateway/src/target_ends.rs
+++ b/crates/damaskstile-gateway/src/target_ends.rs
@@ -21,6 +21,8 @@
     Alive,
     /// The target's address refuses connections.
     Ended,
+    /// The target's address refuses this instance's connections and accepts those of a peer.
+    Unreached,
     /// No reply: the target may have lost power, or a link is down.
     Unknown,
 }
@@ -32,6 +34,7 @@
         match self {
             Self::Alive => "lives",
             Self::Ended => "ended",
+            Self::Unreached => "unreached",
             Self::Unknown => "unknown",
         }
     }
@@ -65,9 +68,19 @@
         now: Duration,
         target: &TargetIdentity,
         address: SocketAddr,
+    ) -> EndCheck {
+        self.check_by(now, target, connect(address)).await
+    }
+
+    /// Checks by `probe` whether an incarnation of a target has ended.
+    pub async fn check_by(
+        &self,
+        now: Duration,
+        target: &TargetIdentity,
+        probe: impl Future<Output = TargetLiveness>,
     ) -> EndCheck {
         let (found, is_reused) = self.check_of(now, target);
-        let state = *found.get_or_init(|| connect(address)).await;
+        let state = *found.get_or_init(|| probe).await;
         EndCheck { state, is_reused }
     }
 
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -24,6 +24,7 @@
 
 use std::cell::Cell;
 use std::cmp::Ordering;
+use std::net::SocketAddr;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
@@ -224,6 +225,23 @@
         })
     }
 
+    /// Returns the address of an incarnation that may receive work, now or after a backoff.
+    #[must_use]
+    pub fn address_in_use(&self, now: Duration, identity: &TargetIdentity) -> Option<SocketAddr> {
+        let state = self.targets.get(&identity.target)?;
+        let is_current = state.listed.incarnation == identity.incarnation;
+        (is_current && self.is_in_use(now, state)).then_some(state.listed.address)
+    }
+
+    /// Tells whether an incarnation is listed for a service.
+    #[must_use]
+    pub fn serves(&self, identity: &TargetIdentity, service: &str) -> bool {
+        let state = self.targets.get(&identity.target);
+        state.is_some_and(|state| {
+            state.listed.incarnation == identity.incarnation && state.listed.service == service
+        })
+    }
+
     /// Returns the state of the incarnation that a call was sent to; `None` if another one has
     /// replaced it, which the call does not concern.
     fn chosen(&mut self, choice: &Choice) -> Option<&mut TargetState> {
