--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -107,6 +107,7 @@
     TargetSpeedChanged = 612, "info", "A target became slow compared with the others of its service, or no longer is.";
     TargetsUnreached = 613, "warn", "This instance lost its own paths to the targets of a service, which peers reach; its calls go through peers.";
     TargetsReached = 614, "info", "This instance reaches a target of the service itself again.";
+    TargetsBrittle = 615, "warn", "The targets of a service state how many rejected calls a second they withstand, changed that, or withdrew it.";
     Started = 700, "info", "The instance has started.";
     StopBegan = 701, "info", "The instance accepts no new work and finishes open requests.";
     StopDone = 702, "info", "The instance has returned the tokens that it held.";
--- a/crates/damaskstile-gateway/src/answer.rs
+++ b/crates/damaskstile-gateway/src/answer.rs
@@ -20,6 +20,8 @@
     pub backoff: Option<Duration>,
     /// Rate limit that the target advertises.
     pub advertised_limit: AdvertisedLimit,
+    /// Number of calls a second that the target may reject for lack of room before it fails.
+    pub rejection_limit: AdvertisedLimit,
     /// The target's load.
     pub load: Option<ReportedLoad>,
     /// Time for which the connection may be reused; `None` if it must be closed.
--- a/crates/damaskstile-gateway/src/answer_signals.rs
+++ b/crates/damaskstile-gateway/src/answer_signals.rs
@@ -17,7 +17,13 @@
 
 /// Handles what the target says about itself in the head of an answer. `is_own` tells whether the
 /// answer belongs to this call; otherwise it is a late one to an earlier call.
-pub(crate) fn handle_head(gateway: &Gateway, head: &AnswerHead, running: &Running, is_own: bool) {
+pub(crate) fn handle_head(
+    gateway: &Gateway,
+    service: &str,
+    head: &AnswerHead,
+    running: &Running,
+    is_own: bool,
+) {
     let choice = &running.choice;
     // The answer is from another target at the same address.
     if head.handling == Handling::Misdirected {
@@ -33,6 +39,9 @@
     if is_own || head.advertised_limit != AdvertisedLimit::Absent {
         handle_limit(gateway, choice, running.sent_at(), head.advertised_limit);
     }
+    if is_own || head.rejection_limit != AdvertisedLimit::Absent {
+        handle_rejection_limit(gateway, service, running.sent_at(), head.rejection_limit);
+    }
 }
 
 /// Handles a target's announcement that it is leaving.
@@ -98,6 +107,40 @@
     }
 }
 
+/// Handles the number of calls that the targets of a service may reject, or its absence.
+fn handle_rejection_limit(
+    gateway: &Gateway,
+    service: &str,
+    sent_at: Duration,
+    stated: AdvertisedLimit,
+) {
+    let now = gateway.now();
+    let changed = gateway
+        .state()
+        .target_table
+        .apply_rejection_limit(now, service, sent_at, stated);
+    if let Some(limit) = changed {
+        log_rejection_limit(gateway, service, limit.calls_per_s, "answer");
+        gateway.gossip_wanted.notify_one();
+    }
+}
+
+/// Logs that the rejection limit of a service's targets has changed or been removed.
+pub(crate) fn log_rejection_limit(
+    gateway: &Gateway,
+    service: &str,
+    rejections_per_s: Option<f64>,
+    source: &str,
+) {
+    let rejections_per_s = rejections_per_s.map_or_else(|| "-".to_owned(), |one| one.to_string());
+    let fields = [
+        ("service", service),
+        ("rejections_per_s", rejections_per_s.as_str()),
+        ("source", source),
+    ];
+    gateway.log(EventCode::TargetsBrittle, &fields);
+}
+
 /// Logs that a target's advertised limit has changed or been removed.
 pub(crate) fn log_limit(
     gateway: &Gateway,
--- a/crates/damaskstile-gateway/src/paths.rs
+++ b/crates/damaskstile-gateway/src/paths.rs
@@ -55,7 +55,7 @@
         .take_idle(&identity, |peer| gateway.state().is_tunnel_peer(peer));
     match idle {
         Some(lease) => Ok(lease),
-        None => connect_target(gateway, service, choice).await,
+        None => Box::pin(connect_target(gateway, service, choice)).await,
     }
 }
 
@@ -302,7 +302,7 @@
     if found != TargetLiveness::Ended {
         return found;
     }
-    match connect_through_peer(gateway, service, identity).await {
+    match Box::pin(connect_through_peer(gateway, service, identity)).await {
         Ok(lease) => {
             note_lost(gateway, service, identity, PathFailure::Refused);
             lease.give_back(Some(CHECK_REUSE)).await;
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -21,6 +21,7 @@
 mod pull_messages;
 mod reading;
 mod received_digest;
+mod rejection_limit_report;
 mod reports;
 mod speed_report;
 mod suspect_report;
@@ -51,6 +52,7 @@
 pub use peer_report::PeerReport;
 pub use pull::serve as serve_pulls;
 pub use reading::Reading;
+pub use rejection_limit_report::RejectionLimitReport;
 pub use speed_report::SpeedReport;
 pub use suspect_report::{SuspectReport, TargetEndReport};
 pub use target_report::TargetReport;
@@ -259,6 +261,10 @@
             .collect();
         let limits = state.target_table.limits_to_report(now).into_iter();
         let limits = limits.map(|(identity, limit)| LimitReport::of(now, identity, limit));
+        let rejection_limits = state.target_table.rejection_limits_to_report(now);
+        let rejection_limits = rejection_limits.into_iter();
+        let rejection_limits =
+            rejection_limits.map(|(service, limit)| RejectionLimitReport::of(now, service, limit));
         let load = Box::new(LoadReport::of(&state.own_load(now, is_in_rotation)));
         let speeds = speeds.into_iter();
         let speeds = speeds.map(|(identity, speed)| SpeedReport::of(now, identity, speed));
@@ -283,6 +289,7 @@
             writer: state.writer_report(now).map(Box::new),
             suspects: suspects.into_iter().map(SuspectReport::of).collect(),
             limits: limits.collect(),
+            rejection_limits: rejection_limits.collect(),
             speeds: speeds.collect(),
             lost_runs: lost_runs.collect(),
             bulk_loads: bulk_loads.collect(),
@@ -310,6 +317,7 @@
                     self.handle_digest(&datagram.from, datagram.incarnation, &digest, from);
                 self.handle_suspects(&datagram.from, &digest.suspects);
                 self.handle_lost_runs(&datagram.from, &digest.lost_runs);
+                self.handle_rejection_limits(&datagram.from, &digest.rejection_limits);
                 self.apply_bulk_loads(&datagram.from, &digest.bulk_loads);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
             }
--- a/crates/damaskstile-gateway/src/peers/digest.rs
+++ b/crates/damaskstile-gateway/src/peers/digest.rs
@@ -3,8 +3,8 @@
 use damaskstile_core::prelude::*;
 
 use super::{
-    BulkLoadReport, LimitReport, LoadReport, LostRunsReport, PeerReport, SpeedReport,
-    SuspectReport, TargetReport,
+    BulkLoadReport, LimitReport, LoadReport, LostRunsReport, PeerReport, RejectionLimitReport,
+    SpeedReport, SuspectReport, TargetReport,
 };
 
 /// `AccountTokens` is a number of tokens of one account.
@@ -108,6 +108,9 @@
     /// Services whose targets peers reach and the sender itself does not.
     #[prost(string, repeated, tag = "30")]
     pub partitioned_services: Vec<String>,
+    /// Rejected calls that brittle targets withstand, or withstood until recently, by service.
+    #[prost(message, repeated, tag = "31")]
+    pub rejection_limits: Vec<RejectionLimitReport>,
     /// Load of the sender.
     #[prost(message, optional, boxed, tag = "25")]
     pub load: Option<Box<LoadReport>>,
--- a/crates/damaskstile-gateway/src/peers/received_digest.rs
+++ b/crates/damaskstile-gateway/src/peers/received_digest.rs
@@ -7,8 +7,8 @@
 
 use super::pull;
 use super::speed_report;
-use super::{BulkLoadReport, Digest, LostRunsReport, Peers};
-use crate::answer_signals::log_limit;
+use super::{BulkLoadReport, Digest, LostRunsReport, Peers, RejectionLimitReport};
+use crate::answer_signals::{log_limit, log_rejection_limit};
 use crate::evacuated_list;
 use crate::member::Member;
 use crate::spawn_counted;
@@ -149,6 +149,24 @@
         run_copies.apply_report(now, from, lost_runs);
     }
 
+    /// Applies a peer's reports of the rejected calls that brittle targets withstand.
+    pub(super) fn handle_rejection_limits(&self, from: &str, reports: &[RejectionLimitReport]) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        for report in reports {
+            let Some(limit) = report.to_limit(now) else {
+                continue;
+            };
+            let has_changed = gateway
+                .state()
+                .target_table
+                .apply_rejection_limit_report(&report.service, limit);
+            if has_changed {
+                log_rejection_limit(gateway, &report.service, limit.calls_per_s, from);
+            }
+        }
+    }
+
     /// Applies the load of bulk prompts at the sender of a digest.
     pub(super) fn apply_bulk_loads(&self, from: &str, loads: &[BulkLoadReport]) {
         let now = self.gateway.now();
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -177,7 +177,7 @@
         lease,
         running,
     };
-    check_answer(gateway, call, run, is_continuation)
+    check_answer(gateway, call, terms, run, is_continuation)
 }
 
 /// Waits for an answer on a direct connection, and has the path checked while none arrives.
@@ -214,12 +214,13 @@
 fn check_answer(
     gateway: &Gateway,
     call: &OutboundCall,
+    terms: &Terms,
     run: Run,
     is_continuation: bool,
 ) -> Result<Run, SendFailure> {
     let choice = &run.running.choice;
     let is_own = run.head.id.is_none() || call.id.is_none() || run.head.id == call.id;
-    answer_signals::handle_head(gateway, &run.head, &run.running, is_own);
+    answer_signals::handle_head(gateway, &terms.service, &run.head, &run.running, is_own);
     if let Some(load) = run.head.load {
         let now = gateway.now();
         let mut state = gateway.state();
@@ -240,6 +241,9 @@
         // A target that has no copy of a run serves other calls as well as before.
         if !is_continuation {
             run.running.note(false);
+            let now = gateway.now();
+            let table = &mut gateway.state().target_table;
+            table.rejected(now, &choice.identity());
         }
         return Err(SendFailure::new(SendFailureKind::NotRun, "rejected"));
     }
--- a/crates/damaskstile-targets/src/target_state.rs
+++ b/crates/damaskstile-targets/src/target_state.rs
@@ -35,6 +35,8 @@
 const NEGLIGIBLE_RUNNING: f64 = 0.05;
 /// Prefill time that makes no difference to a selection.
 const NEGLIGIBLE_PREFILL_MS: f64 = 0.001;
+/// Age past which a report of full slots no longer keeps calls away.
+const FULL_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 /// Age at which a load report counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -68,6 +70,8 @@
     pub(crate) sender: Cell<Option<(SenderTurn, bool)>>,
     /// Times of this instance's recent sends while a call limit applied, oldest first.
     limited_sends: VecDeque<Duration>,
+    /// Times at which the target rejected calls of this instance, oldest first.
+    rejected_at: VecDeque<Duration>,
     /// How fast the target is, compared with the others of its service.
     pub(crate) speed: TargetSpeed,
 }
@@ -99,6 +103,7 @@
             cold_until,
             sender: Cell::new(None),
             limited_sends: VecDeque::new(),
+            rejected_at: VecDeque::new(),
             speed: TargetSpeed::default(),
         }
     }
@@ -154,6 +159,31 @@
         self.limited_sends.push_back(now);
     }
 
+    /// Records that the target rejected a call, and forgets rejections older than `memory`.
+    pub(crate) fn note_rejected(&mut self, now: Duration, memory: Duration) {
+        while let Some(at) = self.rejected_at.front()
+            && now.saturating_sub(*at) >= memory
+        {
+            self.rejected_at.pop_front();
+        }
+        self.rejected_at.push_back(now);
+    }
+
+    /// Returns how many calls of this instance the target rejected within a span.
+    pub(crate) fn rejections(&self, now: Duration, span: Duration) -> usize {
+        let recent = self.rejected_at.iter().rev();
+        let recent = recent.take_while(|at| now.saturating_sub(**at) < span);
+        recent.count()
+    }
+
+    /// Tells whether all slots were taken, or calls waited, at the last load report, if that is
+    /// recent.
+    pub(crate) fn is_reported_full(&self, now: Duration) -> bool {
+        let is_recent = now.saturating_sub(self.reported_at) < FULL_REPORT_AGE_MAX;
+        let running = self.others_running + self.own_running;
+        is_recent && (self.others_waiting > 0 || running >= self.slots())
+    }
+
     /// Applies the newest state of the target's limit; returns whether the limit changed.
     pub(crate) fn apply_limit(&mut self, now: Duration, report: LimitReport) -> bool {
         let is_new = !self.limit.is_some_and(|limit| report.is_like(&limit));
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -18,6 +18,7 @@
 mod location;
 mod long_load;
 mod prefill_speeds;
+mod rejection_limits;
 mod reserved_targets;
 mod speed_effect;
 mod speeds;
@@ -34,6 +35,7 @@
 use crate::departures::Departures;
 use crate::evacuations::Evacuations;
 use crate::fleet_view::FleetView;
+use crate::limit_report::LimitReport;
 use crate::prefill_speed::PrefillSpeed;
 use crate::reported_load::ReportedLoad;
 use crate::service_speed::ServiceSpeed;
@@ -72,6 +74,8 @@
     lapsed: BTreeSet<TargetId>,
     /// Targets that have advertised a limit.
     limited: BTreeSet<TargetId>,
+    /// How many calls a second brittle targets may reject, by service.
+    rejection_limits: BTreeMap<ServiceId, LimitReport>,
     /// Number of candidates that selections have examined.
     candidates_examined: Cell<u64>,
     departures: Departures,
@@ -121,6 +125,7 @@
             stated: 0,
             lapsed: BTreeSet::new(),
             limited: BTreeSet::new(),
+            rejection_limits: BTreeMap::new(),
             candidates_examined: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
--- a/crates/damaskstile-targets/src/target_table/call_limits.rs
+++ b/crates/damaskstile-targets/src/target_table/call_limits.rs
@@ -38,7 +38,12 @@
         let mut shortest: Option<Duration> = None;
         for state in self.usable(now, service) {
             if self.has_room(now, state) {
-                return None;
+                if self.has_brittle_room(now, state) {
+                    return None;
+                }
+                let wait = self.time_until_brittle_room(service).into_iter();
+                shortest = wait.chain(shortest).min();
+                continue;
             }
             let wait = self.call_limits(now, state).map(|applied| {
                 let span = applied.limit.counted_span();
@@ -109,10 +114,15 @@
     /// changed.
     fn is_sender(&self, state: &TargetState, applied: AppliedLimit) -> bool {
         let senders = applied.limit.senders(self.fleet.instances());
+        self.is_among_senders(state, senders, applied.turn)
+    }
+
+    /// Tells whether this instance is among so many that may send to a target in a turn.
+    pub(super) fn is_among_senders(&self, state: &TargetState, senders: u64, turn: u64) -> bool {
         let turn = SenderTurn {
             fleet_state: self.fleet_state,
             senders,
-            turn: applied.turn,
+            turn,
         };
         if let Some((cached_turn, is_sender)) = state.sender.get()
             && cached_turn == turn
@@ -122,7 +132,7 @@
         let target = state.listed.target.as_str();
         let is_sender = self
             .fleet
-            .is_in_turn(&["sender", target], senders, applied.turn);
+            .is_in_turn(&["sender", target], senders, turn.turn);
         state.sender.set(Some((turn, is_sender)));
         is_sender
     }
--- a/crates/damaskstile-targets/src/target_table/candidates.rs
+++ b/crates/damaskstile-targets/src/target_table/candidates.rs
@@ -71,6 +71,7 @@
             && !tried.contains(&state.listed.target)
             && self.is_in_home_region(state, work)
             && self.has_room(now, state)
+            && self.has_brittle_room(now, state)
     }
 
     /// At intervals, drops the marks of targets of the same service of which no more is known than
--- a/crates/damaskstile-targets/src/target_table/location.rs
+++ b/crates/damaskstile-targets/src/target_table/location.rs
@@ -96,7 +96,7 @@
         for state in self.usable(now, service) {
             if !self.is_in_home_region(state, work) {
                 reason = RefusalCode::NoTargetInRegion;
-            } else if self.has_room(now, state) {
+            } else if self.has_room(now, state) && self.has_brittle_room(now, state) {
                 return Ok(());
             }
         }
