--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -381,6 +381,8 @@
             let version = catalogue.version();
             let prepaid = catalogue.prepaid_tokens();
             let routes = catalogue.route_names();
+            let services: BTreeSet<ServiceId> =
+                catalogue.services().map(|one| one.name.clone()).collect();
             let first_rank = catalogue.most_urgent_stream_priority();
             let cold_limits = gateway.options.cold.limits(&catalogue);
             let now = gateway.now();
@@ -393,6 +395,7 @@
             state.holder.set_first_rank(first_rank);
             state.target_table.set_cold_limits(cold_limits);
             state.retain_routes(&routes);
+            state.retain_services(&services);
             state.stored_catalogue = Some(object.clone());
             state
                 .catalogue_changes
--- a/crates/damaskstile-gateway/src/paths.rs
+++ b/crates/damaskstile-gateway/src/paths.rs
@@ -291,24 +291,35 @@
 }
 
 /// Tells whether a target lives after a call to it broke. A refused connection shows that the
-/// target has ended only if a peer, where one can be asked, is refused as well.
+/// target has ended only if a peer, where one can be asked, is refused as well. Where the own path
+/// is lost, only a peer can tell.
 pub(crate) async fn liveness(
     gateway: &Gateway,
     service: &str,
     identity: &TargetIdentity,
     address: SocketAddr,
 ) -> TargetLiveness {
-    let found = connect(address).await;
-    if found != TargetLiveness::Ended {
+    let path = {
+        let now = gateway.now();
+        gateway.state().reach.path(now, service, &identity.target)
+    };
+    let found = match path {
+        TargetPath::Direct => connect(address).await,
+        TargetPath::ThroughPeer => TargetLiveness::Unknown,
+    };
+    if found != TargetLiveness::Ended && path == TargetPath::Direct {
         return found;
     }
     match Box::pin(connect_through_peer(gateway, service, identity)).await {
         Ok(lease) => {
-            note_lost(gateway, service, identity, PathFailure::Refused);
+            if path == TargetPath::Direct {
+                note_lost(gateway, service, identity, PathFailure::Refused);
+            }
             lease.give_back(Some(CHECK_REUSE)).await;
             TargetLiveness::Unreached
         }
-        Err(TunnelFailure::Refused | TunnelFailure::NoPeer) => TargetLiveness::Ended,
+        Err(TunnelFailure::Refused) => TargetLiveness::Ended,
+        Err(TunnelFailure::NoPeer) => found,
         Err(TunnelFailure::Unreachable) => TargetLiveness::Unknown,
     }
 }
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -343,6 +343,14 @@
         admission.retain_routes(|route| routes.contains(route));
     }
 
+    /// Drops what was learned about services that no longer exist.
+    pub fn retain_services(&mut self, services: &BTreeSet<ServiceId>) {
+        self.reach
+            .retain_services(|service| services.contains(service));
+        self.target_table
+            .retain_rejection_limits(|service| services.contains(service));
+    }
+
     /// Takes one retry from the instance's share of the fleet's retry budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
--- a/crates/damaskstile-targets/src/target_table/rejection_limits.rs
+++ b/crates/damaskstile-targets/src/target_table/rejection_limits.rs
@@ -83,6 +83,11 @@
             .collect()
     }
 
+    /// Drops the limits of services that no longer exist.
+    pub fn retain_rejection_limits(&mut self, exists: impl Fn(&str) -> bool) {
+        self.rejection_limits.retain(|service, _| exists(service));
+    }
+
     /// Returns the number of services whose targets are brittle.
     #[must_use]
     pub fn brittle_services(&self) -> usize {
