--- a/crates/damaskstile-targets/src/target_state.rs
+++ b/crates/damaskstile-targets/src/target_state.rs
@@ -35,8 +35,8 @@
 const NEGLIGIBLE_RUNNING: f64 = 0.05;
 /// Prefill time that makes no difference to a selection.
 const NEGLIGIBLE_PREFILL_MS: f64 = 0.001;
-/// Age past which a report of full slots no longer keeps calls away.
-const FULL_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
+/// Age past which a report no longer shows how many slots are free.
+const SLOTS_REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 /// Age at which a load report counts half.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -176,12 +176,14 @@
         recent.count()
     }
 
-    /// Tells whether all slots were taken, or calls waited, at the last load report, if that is
-    /// recent.
-    pub(crate) fn is_reported_full(&self, now: Duration) -> bool {
-        let is_recent = now.saturating_sub(self.reported_at) < FULL_REPORT_AGE_MAX;
+    /// Tells whether at least half of the slots were free at the last load report; `None` if that
+    /// is not recent.
+    pub(crate) fn is_reported_half_free(&self, now: Duration) -> Option<bool> {
+        if now.saturating_sub(self.reported_at) >= SLOTS_REPORT_AGE_MAX {
+            return None;
+        }
         let running = self.others_running + self.own_running;
-        is_recent && (self.others_waiting > 0 || running >= self.slots())
+        Some(self.others_waiting == 0 && running * 2 <= self.slots())
     }
 
     /// Applies the newest state of the target's limit; returns whether the limit changed.
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -23,7 +23,7 @@
 mod speed_effect;
 mod speeds;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 
@@ -53,6 +53,9 @@
 /// proportion, and only longer prompts are reported, which are rarer.
 const REPORTING_INSTANCES: f64 = 64.0;
 
+/// State of the fleet view and number of targets, on which it depends where an instance has slots.
+type SlotsBasis = (u64, usize);
+
 /// Table of the listed targets, from which one is selected for each call.
 ///
 /// The selection weighs three things in one unit, the time to the first token: prompt tokens that
@@ -76,6 +79,11 @@
     limited: BTreeSet<TargetId>,
     /// How many calls a second brittle targets may reject, by service.
     rejection_limits: BTreeMap<ServiceId, LimitReport>,
+    /// When a target last rejected a call of this instance, by service.
+    rejected_at: BTreeMap<ServiceId, Duration>,
+    /// Whether this instance has a slot at any brittle target, by service, with the fleet view and
+    /// the number of targets that the result is based on.
+    slots_at_any: RefCell<BTreeMap<ServiceId, (SlotsBasis, bool)>>,
     /// Number of candidates that selections have examined.
     candidates_examined: Cell<u64>,
     departures: Departures,
@@ -126,6 +134,8 @@
             lapsed: BTreeSet::new(),
             limited: BTreeSet::new(),
             rejection_limits: BTreeMap::new(),
+            rejected_at: BTreeMap::new(),
+            slots_at_any: RefCell::new(BTreeMap::new()),
             candidates_examined: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
--- a/crates/damaskstile-targets/src/target_table/rejection_limits.rs
+++ b/crates/damaskstile-targets/src/target_table/rejection_limits.rs
@@ -4,6 +4,7 @@
 use damaskstile_core::prelude::*;
 
 use super::TargetTable;
+use super::index::ServiceIndex;
 use crate::advertised_limit::AdvertisedLimit;
 use crate::limit_report::LimitReport;
 use crate::target_state::TargetState;
@@ -16,11 +17,16 @@
 const COUNTED_SPAN: Duration = Duration::from_millis(1_020);
 /// Longest time without calls to a target that rejected one.
 const PAUSE_MAX: Duration = Duration::from_secs(10);
+/// Margin of the pause between tries at targets that may be full: tries hit targets at random, some
+/// more than others.
+const TRY_MARGIN: f64 = 3.0;
+/// Longest pause between such tries.
+const TRY_PAUSE_MAX: Duration = Duration::from_secs(20);
 /// Share of a target's slots, and of its rejection limit, that is used.
 const USED_SHARE: f64 = 0.8;
-/// Slots of a service for each instance from which on the slots are divided among the instances.
-/// With fewer, some instances would have none.
-const DIVIDED_SLOTS_MIN: u64 = 2;
+/// Targets up to which an instance checks whether it has a slot at any of them. With more it most
+/// likely has.
+const CHECKED_TARGETS_MAX: usize = 32;
 /// Time after which a place at some target of a service is likely to be free.
 const ROOM_WAIT: Duration = Duration::from_millis(100);
 
@@ -86,6 +92,9 @@
     /// Drops the limits of services that no longer exist.
     pub fn retain_rejection_limits(&mut self, exists: impl Fn(&str) -> bool) {
         self.rejection_limits.retain(|service, _| exists(service));
+        self.rejected_at.retain(|service, _| exists(service));
+        let mut slots_at_any = self.slots_at_any.borrow_mut();
+        slots_at_any.retain(|service, _| exists(service));
     }
 
     /// Returns the number of services whose targets are brittle.
@@ -99,13 +108,17 @@
     pub fn rejected(&mut self, now: Duration, target: &TargetIdentity) {
         if let Some(state) = self.of_incarnation(&target.target, target.incarnation) {
             state.note_rejected(now, PAUSE_MAX);
+            let service = state.listed.service.clone();
+            self.rejected_at.insert(service, now);
         }
     }
 
     /// Tells whether a brittle target has room for another call of this instance. The instances
-    /// divide its slots, so that all together send no more calls than it runs at a time. Where
-    /// there are too few slots for that, each sends one call at a time while the target has free
-    /// slots as far as it knows. Rejections count for each instance as its share of the limit.
+    /// divide four fifths of its slots, so that all together send no more calls than it runs at a
+    /// time. An instance that has no slot there sends one call at a time while the target reports
+    /// that half of them are free; without a report, only if it has no slot at any target of the
+    /// service, and not for some time after a rejection by any of them. Rejections count for each
+    /// instance as its share of the limit.
     pub(super) fn has_brittle_room(&self, now: Duration, state: &TargetState) -> bool {
         let Some(limit) = self.rejection_limit(&state.listed.service) else {
             return true;
@@ -119,16 +132,54 @@
         if instances <= slots {
             return state.own_running() < slots / instances;
         }
-        let targets = self.indexes.get(&state.listed.service);
-        let targets = targets.map_or(0, |index| index.all().count());
-        let targets = u64::try_from(targets).unwrap_or(u64::MAX);
-        let is_divided = targets.saturating_mul(slots) >= instances * DIVIDED_SLOTS_MIN;
-        let may_send = if is_divided {
-            self.is_among_senders(state, slots, 0)
-        } else {
-            !state.is_reported_full(now)
+        state.own_running() == 0
+            && (self.is_among_senders(state, slots, 0)
+                || state
+                    .is_reported_half_free(now)
+                    .unwrap_or_else(|| self.may_try_unknown(now, &state.listed.service, limit)))
+    }
+
+    /// Tells whether this instance may send to a brittle target of which it has neither a slot nor
+    /// a recent load report. The tries of all such instances that are rejected are shared among the
+    /// targets of the service.
+    fn may_try_unknown(&self, now: Duration, service: &str, limit: f64) -> bool {
+        let rejected_at = self.rejected_at.get(service);
+        let since = rejected_at.map(|at| now.saturating_sub(*at));
+        since.is_none_or(|since| since >= self.pause_of_tries(service, limit))
+            && !self.has_slot_at_any(service)
+    }
+
+    /// Returns the time without tries after a rejection, different at each instance so that they
+    /// do not try again together.
+    #[allow(clippy::cast_precision_loss)] // a few hundred instances, thousands of targets
+    fn pause_of_tries(&self, service: &str, limit: f64) -> Duration {
+        let targets = self.indexes.get(service).map_or(0, ServiceIndex::len);
+        let of_service = limit.max(0.0) * USED_SHARE * targets as f64;
+        let pause_s = TRY_MARGIN * self.fleet.instances() as f64 / of_service;
+        let spread = 1.0 + self.own_seed as f64 / u64::MAX as f64;
+        let pause = Duration::try_from_secs_f64(pause_s * spread).unwrap_or(TRY_PAUSE_MAX);
+        pause.clamp(COUNTED_SPAN, TRY_PAUSE_MAX)
+    }
+
+    /// Tells whether this instance has a slot at any brittle target of a service. The result is
+    /// kept until the fleet view or the number of targets changes.
+    fn has_slot_at_any(&self, service: &str) -> bool {
+        let Some(index) = self.indexes.get(service) else {
+            return false;
         };
-        state.own_running() == 0 && may_send
+        let basis = (self.fleet_state, index.len());
+        let known = self.slots_at_any.borrow().get(service).copied();
+        if let Some((_, has_slot)) = known.filter(|(known_basis, _)| *known_basis == basis) {
+            return has_slot;
+        }
+        let has_slot = index.len() > CHECKED_TARGETS_MAX
+            || self.states_of(index.all()).any(|state| {
+                let slots = used(state.slots()).max(1);
+                self.is_among_senders(state, slots, 0)
+            });
+        let mut slots_at_any = self.slots_at_any.borrow_mut();
+        slots_at_any.insert(service.to_owned(), (basis, has_slot));
+        has_slot
     }
 
     /// Returns the expected time until a brittle target has room again; `None` if the targets of
