--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -113,7 +113,7 @@
     pub bulk: BulkMetrics,
     /// Tunnels to targets through peers.
     pub tunnels: TunnelMetrics,
-    partitioned_services: Gauge,
+    services: Family<StateLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -177,9 +177,9 @@
         registry.register("contents", help, contents.clone());
         let bulk = BulkMetrics::new(&mut registry);
         let tunnels = TunnelMetrics::register(&mut registry);
-        let partitioned_services = Gauge::default();
-        let help = "Services whose targets peers reach and this instance itself does not";
-        registry.register("partitioned_services", help, partitioned_services.clone());
+        let services = Family::default();
+        let help = "Services whose targets only peers reach, and those whose targets are brittle";
+        registry.register("services", help, services.clone());
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -203,7 +203,7 @@
             target_speed_percent,
             bulk,
             tunnels,
-            partitioned_services,
+            services,
         }
     }
 
@@ -374,10 +374,14 @@
         }
     }
 
-    /// Sets the number of services from whose targets this instance is partitioned.
-    pub fn sample_partitioned(&self, services: usize) {
-        let services = i64::try_from(services).unwrap_or(i64::MAX);
-        self.partitioned_services.set(services);
+    /// Sets the number of services from whose targets this instance is partitioned, and of those
+    /// whose targets are brittle.
+    pub fn sample_services(&self, partitioned: usize, brittle: usize) {
+        for (state, services) in [("partitioned", partitioned), ("brittle", brittle)] {
+            let services = i64::try_from(services).unwrap_or(i64::MAX);
+            let labels = StateLabels { state };
+            self.services.get_or_create(&labels).set(services);
+        }
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -139,8 +139,12 @@
     gateway.metrics.sample_loans(made, open);
     let contents = gateway.state().suspects.counts();
     gateway.metrics.sample_contents(contents);
-    let partitioned = gateway.state().reach.partitioned_services().count();
-    gateway.metrics.sample_partitioned(partitioned);
+    let (partitioned, brittle) = {
+        let state = gateway.state();
+        let partitioned = state.reach.partitioned_services().count();
+        (partitioned, state.target_table.brittle_services())
+    };
+    gateway.metrics.sample_services(partitioned, brittle);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     respond(StatusCode::OK, content_type, gateway.metrics.encode())
 }
