--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -18,7 +18,7 @@
 use crate::bulk_metrics::BulkMetrics;
 use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
-use crate::tunnel_metrics::TunnelMetrics;
+use crate::path_metrics::PathMetrics;
 
 /// Labels of metrics by client account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -111,9 +111,8 @@
     target_speed_percent: Family<TargetLabels, Gauge>,
     /// Metrics of bulk prompts.
     pub bulk: BulkMetrics,
-    /// Tunnels to targets through peers.
-    pub tunnels: TunnelMetrics,
-    services: Family<StateLabels, Gauge>,
+    /// Paths to targets.
+    pub paths: PathMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -176,10 +175,7 @@
         let help = "Contents under which targets ended: all that are remembered, and those refused";
         registry.register("contents", help, contents.clone());
         let bulk = BulkMetrics::new(&mut registry);
-        let tunnels = TunnelMetrics::register(&mut registry);
-        let services = Family::default();
-        let help = "Services whose targets only peers reach, and those whose targets are brittle";
-        registry.register("services", help, services.clone());
+        let paths = PathMetrics::register(&mut registry);
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -202,8 +198,7 @@
             load,
             target_speed_percent,
             bulk,
-            tunnels,
-            services,
+            paths,
         }
     }
 
@@ -374,16 +369,6 @@
         }
     }
 
-    /// Sets the number of services from whose targets this instance is partitioned, and of those
-    /// whose targets are brittle.
-    pub fn sample_services(&self, partitioned: usize, brittle: usize) {
-        for (state, services) in [("partitioned", partitioned), ("brittle", brittle)] {
-            let services = i64::try_from(services).unwrap_or(i64::MAX);
-            let labels = StateLabels { state };
-            self.services.get_or_create(&labels).set(services);
-        }
-    }
-
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -144,7 +144,7 @@
         let partitioned = state.reach.partitioned_services().count();
         (partitioned, state.target_table.brittle_services())
     };
-    gateway.metrics.sample_services(partitioned, brittle);
+    gateway.metrics.paths.sample_services(partitioned, brittle);
     let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     respond(StatusCode::OK, content_type, gateway.metrics.encode())
 }
--- a/crates/damaskstile-gateway/src/tunnel_metrics.rs
+++ b/crates/damaskstile-gateway/src/path_metrics.rs
@@ -1,8 +1,9 @@
-//! Metrics of tunnels to targets through peers.
+//! Metrics of paths to targets.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 use crate::peers::TunnelOutcome;
@@ -14,14 +15,21 @@
     outcome: &'static str,
 }
 
-/// Metrics of tunnels to targets through peers.
+/// Labels of metrics by state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabels {
+    state: &'static str,
+}
+
+/// Metrics of paths to targets: of tunnels through peers, and of services with limited access.
 #[derive(Debug, Default)]
-pub struct TunnelMetrics {
+pub struct PathMetrics {
     opened: Family<OutcomeLabels, Counter>,
     served: Family<OutcomeLabels, Counter>,
+    services: Family<StateLabels, Gauge>,
 }
 
-impl TunnelMetrics {
+impl PathMetrics {
     /// Makes and registers the metrics.
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
@@ -29,9 +37,21 @@
         registry.register("tunnels", help, metrics.opened.clone());
         let help = "Requests of peers for a tunnel to a target, by outcome";
         registry.register("served_tunnels", help, metrics.served.clone());
+        let help = "Services whose targets only peers reach, and those whose targets are brittle";
+        registry.register("services", help, metrics.services.clone());
         metrics
     }
 
+    /// Sets the number of services from whose targets this instance is partitioned, and of those
+    /// whose targets are brittle.
+    pub(crate) fn sample_services(&self, partitioned: usize, brittle: usize) {
+        for (state, services) in [("partitioned", partitioned), ("brittle", brittle)] {
+            let services = i64::try_from(services).unwrap_or(i64::MAX);
+            let labels = StateLabels { state };
+            self.services.get_or_create(&labels).set(services);
+        }
+    }
+
     /// Counts a request to peers.
     pub(crate) fn opened(&self, failure: Option<TunnelFailure>) {
         let outcome = match failure {
--- a/crates/damaskstile-gateway/src/paths.rs
+++ b/crates/damaskstile-gateway/src/paths.rs
@@ -195,7 +195,7 @@
     for peer in peers {
         match open_tunnel(peer, identity).await {
             Ok(tunnel) => {
-                gateway.metrics.tunnels.opened(None);
+                gateway.metrics.paths.opened(None);
                 let now = gateway.now();
                 for failed in failed_peers {
                     let reach = &mut gateway.state().reach;
@@ -214,7 +214,7 @@
             }
         }
     }
-    gateway.metrics.tunnels.opened(Some(failure));
+    gateway.metrics.paths.opened(Some(failure));
     if failure != TunnelFailure::NoPeer {
         let now = gateway.now();
         let reach = &mut gateway.state().reach;
--- a/crates/damaskstile-gateway/src/peers/tunnel.rs
+++ b/crates/damaskstile-gateway/src/peers/tunnel.rs
@@ -80,7 +80,7 @@
 ) -> Result<()> {
     let identity = request.identity();
     let (outcome, target) = connect_target(gateway, &identity).await;
-    gateway.metrics.tunnels.served(outcome);
+    gateway.metrics.paths.served(outcome);
     let answer = PullAnswer {
         tunnel: outcome.into(),
         ..PullAnswer::default()
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -3,6 +3,7 @@
 mod collectors;
 mod lenders;
 mod paths;
+mod retention;
 mod roles;
 mod rotation;
 mod sources;
@@ -336,21 +337,6 @@
         members
     }
 
-    /// Drops what was learned about routes that no longer exist.
-    pub fn retain_routes(&mut self, routes: &BTreeSet<String>) {
-        self.call_times.retain(|route| routes.contains(route));
-        let admission = &mut self.pressure.admission;
-        admission.retain_routes(|route| routes.contains(route));
-    }
-
-    /// Drops what was learned about services that no longer exist.
-    pub fn retain_services(&mut self, services: &BTreeSet<ServiceId>) {
-        self.reach
-            .retain_services(|service| services.contains(service));
-        self.target_table
-            .retain_rejection_limits(|service| services.contains(service));
-    }
-
     /// Takes one retry from the instance's share of the fleet's retry budget.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         self.retry_budget(now, service).try_retry(now)
--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -13,14 +13,12 @@
 use damaskstile_gateway::outbound_call::OutboundCall;
 use damaskstile_gateway::run::{self, SendFailure};
 use damaskstile_gateway::send_options::SendOptions;
-use damaskstile_gateway::state::Terms;
 use damaskstile_gateway::wait_limit::WaitLimit;
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
-use damaskstile_routes::{Catalogue, Route, RouteKind};
 use damaskstile_targets::Work;
 use futures_util::poll;
 use http::{HeaderMap, Method, Uri};
-use support::{SERVICE, UnreachableStore, choose, gateway, listed, unused_address};
+use support::{SERVICE, UnreachableStore, choose, gateway, listed, terms, unused_address};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
@@ -43,33 +41,6 @@
     }
 }
 
-fn terms() -> Terms {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "host".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind: RouteKind::NonIdempotent,
-        shares: Vec::new(),
-        timeout: LIMIT,
-        objective: LIMIT,
-        pause_limit: None,
-        priority: 0,
-        attempts_max: 1,
-        is_anonymous: true,
-        home_regions: BTreeSet::new(),
-    };
-    Terms {
-        catalogue: Arc::new(Catalogue::default()),
-        catalogue_age: Duration::ZERO,
-        route: Arc::new(route),
-        service: SERVICE.to_owned(),
-        account: None,
-        home_regions: None,
-        priority: 0,
-        is_bulk: false,
-    }
-}
-
 /// Accepts one connection and reads all that is sent on it.
 async fn read_all(listener: TcpListener) -> Vec<u8> {
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -101,7 +72,7 @@
         .state()
         .target_table
         .list(now, listed("t0", address));
-    let (call, terms) = (outbound_call(), terms());
+    let (call, terms) = (outbound_call(), terms(LIMIT));
     let choice = choose(&gateway, &[]).unwrap();
     let reading = tokio::spawn(read_all(listener));
     let (caller, _stream) = caller().await;
@@ -212,7 +183,7 @@
         .state()
         .target_table
         .list(now, listed("t0", address));
-    let (call, terms) = (outbound_call(), terms());
+    let (call, terms) = (outbound_call(), terms(LIMIT));
     let choice = choose(&gateway, &[]).unwrap();
     let (caller, _stream) = caller().await;
     let attempts = Attempts::default();
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -23,7 +23,8 @@
 };
 use damaskstile_gateway::options::GatewayOptions;
 use damaskstile_gateway::rotation_options::RotationOptions;
-use damaskstile_routes::Catalogue;
+use damaskstile_gateway::state::Terms;
+use damaskstile_routes::{Catalogue, Route, RouteKind};
 use damaskstile_targets::{Choice, Listed, TargetTableOptions, Work};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -177,6 +178,34 @@
     }
 }
 
+/// Returns the terms of a call that may run once, with a time limit.
+pub fn terms(limit: Duration) -> Terms {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::NonIdempotent,
+        shares: Vec::new(),
+        timeout: limit,
+        objective: limit,
+        pause_limit: None,
+        priority: 0,
+        attempts_max: 1,
+        is_anonymous: true,
+        home_regions: BTreeSet::new(),
+    };
+    Terms {
+        catalogue: Arc::new(Catalogue::default()),
+        catalogue_age: Duration::ZERO,
+        route: Arc::new(route),
+        service: SERVICE.to_owned(),
+        account: None,
+        home_regions: None,
+        priority: 0,
+        is_bulk: false,
+    }
+}
+
 /// Returns the target that a call would get, other than those tried.
 pub fn choose(gateway: &Gateway, tried: &[&str]) -> Option<Choice> {
     let now = gateway.now();
--- a/crates/damaskstile-gateway/tests/tunnels.rs
+++ b/crates/damaskstile-gateway/tests/tunnels.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damaskstile_core::prelude::*;
 use damaskstile_gateway::caller_connection::CallerConnection;
 use damaskstile_gateway::gateway::Gateway;
 use damaskstile_gateway::member::Member;
@@ -15,14 +14,12 @@
 use damaskstile_gateway::peers::{Digest, serve_pulls};
 use damaskstile_gateway::run::{self, Run, SendFailure};
 use damaskstile_gateway::send_options::SendOptions;
-use damaskstile_gateway::state::Terms;
 use damaskstile_gateway::wait_limit::WaitLimit;
 use damaskstile_requests::Attempts;
-use damaskstile_routes::{Catalogue, Route, RouteKind};
 use damaskstile_targets::Work;
 use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
-use support::{SERVICE, UnreachableStore, choose, gateway, listed, unused_address};
+use support::{SERVICE, UnreachableStore, choose, gateway, listed, terms, unused_address};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
@@ -34,33 +31,6 @@
 /// Time in which bytes on loopback arrive.
 const ARRIVAL_TIME: Duration = Duration::from_millis(100);
 
-fn terms() -> Terms {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "host".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind: RouteKind::NonIdempotent,
-        shares: Vec::new(),
-        timeout: LIMIT,
-        objective: LIMIT,
-        pause_limit: None,
-        priority: 0,
-        attempts_max: 1,
-        is_anonymous: true,
-        home_regions: BTreeSet::new(),
-    };
-    Terms {
-        catalogue: Arc::new(Catalogue::default()),
-        catalogue_age: Duration::ZERO,
-        route: Arc::new(route),
-        service: SERVICE.to_owned(),
-        account: None,
-        home_regions: None,
-        priority: 0,
-        is_bulk: false,
-    }
-}
-
 /// Returns an address at which nothing listens.
 async fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind(unused_address()).await.unwrap();
@@ -107,7 +77,7 @@
     let connecting = TcpStream::connect(listener.local_addr().unwrap());
     let (_caller, accepted) = tokio::join!(connecting, listener.accept());
     let caller = CallerConnection::new(&Arc::new(accepted.unwrap().0));
-    let (terms, attempts) = (terms(), Attempts::default());
+    let (terms, attempts) = (terms(LIMIT), Attempts::default());
     let wait_limit = WaitLimit {
         gateway,
         call: &call,
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -2,6 +2,7 @@
 
 mod advertised_limits;
 mod backoff;
+mod brittle_state;
 mod bulk;
 mod bulk_load;
 mod bulk_reports;
@@ -23,9 +24,8 @@
 mod speed_effect;
 mod speeds;
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::cmp::Ordering;
-use std::net::SocketAddr;
 
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
@@ -35,13 +35,13 @@
 use crate::departures::Departures;
 use crate::evacuations::Evacuations;
 use crate::fleet_view::FleetView;
-use crate::limit_report::LimitReport;
 use crate::prefill_speed::PrefillSpeed;
 use crate::reported_load::ReportedLoad;
 use crate::service_speed::ServiceSpeed;
 use crate::target_state::TargetState;
 use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
+use brittle_state::BrittleState;
 use bulk_state::BulkState;
 use cost_estimate::{CostEstimate, least_passing};
 use index::ServiceIndex;
@@ -53,9 +53,6 @@
 /// proportion, and only longer prompts are reported, which are rarer.
 const REPORTING_INSTANCES: f64 = 64.0;
 
-/// State of the fleet view and number of targets, on which it depends where an instance has slots.
-type SlotsBasis = (u64, usize);
-
 /// Table of the listed targets, from which one is selected for each call.
 ///
 /// The selection weighs three things in one unit, the time to the first token: prompt tokens that
@@ -77,13 +74,8 @@
     lapsed: BTreeSet<TargetId>,
     /// Targets that have advertised a limit.
     limited: BTreeSet<TargetId>,
-    /// How many calls a second brittle targets may reject, by service.
-    rejection_limits: BTreeMap<ServiceId, LimitReport>,
-    /// When a target last rejected a call of this instance, by service.
-    rejected_at: BTreeMap<ServiceId, Duration>,
-    /// Whether this instance has a slot at any brittle target, by service, with the fleet view and
-    /// the number of targets that the result is based on.
-    slots_at_any: RefCell<BTreeMap<ServiceId, (SlotsBasis, bool)>>,
+    /// Brittle targets.
+    brittle: BrittleState,
     /// Number of candidates that selections have examined.
     candidates_examined: Cell<u64>,
     departures: Departures,
@@ -133,9 +125,7 @@
             stated: 0,
             lapsed: BTreeSet::new(),
             limited: BTreeSet::new(),
-            rejection_limits: BTreeMap::new(),
-            rejected_at: BTreeMap::new(),
-            slots_at_any: RefCell::new(BTreeMap::new()),
+            brittle: BrittleState::default(),
             candidates_examined: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
@@ -240,23 +230,6 @@
         })
     }
 
-    /// Returns the address of an incarnation that may receive work, now or after a backoff.
-    #[must_use]
-    pub fn address_in_use(&self, now: Duration, identity: &TargetIdentity) -> Option<SocketAddr> {
-        let state = self.targets.get(&identity.target)?;
-        let is_current = state.listed.incarnation == identity.incarnation;
-        (is_current && self.is_in_use(now, state)).then_some(state.listed.address)
-    }
-
-    /// Tells whether an incarnation is listed for a service.
-    #[must_use]
-    pub fn serves(&self, identity: &TargetIdentity, service: &str) -> bool {
-        let state = self.targets.get(&identity.target);
-        state.is_some_and(|state| {
-            state.listed.incarnation == identity.incarnation && state.listed.service == service
-        })
-    }
-
     /// Returns the state of the incarnation that a call was sent to; `None` if another one has
     /// replaced it, which the call does not concern.
     fn chosen(&mut self, choice: &Choice) -> Option<&mut TargetState> {
--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -1,5 +1,7 @@
 //! Keeps the target table up to date with the target list and with peer reports on it.
 
+use std::net::SocketAddr;
+
 use damaskstile_core::prelude::*;
 use damaskstile_core::random::stable_hash;
 
@@ -285,6 +287,23 @@
         Some(hashes.fold(0, |all, hash| all ^ hash))
     }
 
+    /// Returns the address of an incarnation that may receive work, now or after a backoff.
+    #[must_use]
+    pub fn address_in_use(&self, now: Duration, identity: &TargetIdentity) -> Option<SocketAddr> {
+        let state = self.targets.get(&identity.target)?;
+        let is_current = state.listed.incarnation == identity.incarnation;
+        (is_current && self.is_in_use(now, state)).then_some(state.listed.address)
+    }
+
+    /// Tells whether an incarnation is listed for a service.
+    #[must_use]
+    pub fn serves(&self, identity: &TargetIdentity, service: &str) -> bool {
+        let state = self.targets.get(&identity.target);
+        state.is_some_and(|state| {
+            state.listed.incarnation == identity.incarnation && state.listed.service == service
+        })
+    }
+
     /// Tells whether the list contains an incarnation, or did until recently.
     ///
     /// ```
--- a/crates/damaskstile-targets/src/target_table/rejection_limits.rs
+++ b/crates/damaskstile-targets/src/target_table/rejection_limits.rs
@@ -43,7 +43,7 @@
         sent_at: Duration,
         stated: AdvertisedLimit,
     ) -> Option<LimitReport> {
-        let known = self.rejection_limits.get(service).copied();
+        let known = self.brittle.limits.get(service).copied();
         let report = match stated {
             AdvertisedLimit::CallsPerS(calls_per_s) => LimitReport {
                 calls_per_s: Some(calls_per_s),
@@ -62,7 +62,7 @@
 
     /// Applies a peer's report on the rejection limit of a service; returns whether it changed.
     pub fn apply_rejection_limit_report(&mut self, service: &str, report: LimitReport) -> bool {
-        let is_newer = match self.rejection_limits.get(service) {
+        let is_newer = match self.brittle.limits.get(service) {
             Some(known) if report.is_like(known) => report.at > known.at + EQUAL_REPORT_SLACK,
             Some(known) => report.at > known.at,
             None => report.calls_per_s.is_some(),
@@ -71,7 +71,7 @@
     }
 
     fn set_rejection_limit(&mut self, service: &str, report: LimitReport) -> bool {
-        let before = self.rejection_limits.insert(service.to_owned(), report);
+        let before = self.brittle.limits.insert(service.to_owned(), report);
         match before {
             Some(before) => !before.is_like(&report),
             None => report.calls_per_s.is_some(),
@@ -82,7 +82,7 @@
     /// that ended recently.
     #[must_use]
     pub fn rejection_limits_to_report(&self, now: Duration) -> Vec<(ServiceId, LimitReport)> {
-        let limits = self.rejection_limits.iter();
+        let limits = self.brittle.limits.iter();
         let recent = limits.filter(|(_, report)| now.saturating_sub(report.at) < REPORT_SPAN);
         recent
             .map(|(service, report)| (service.clone(), *report))
@@ -91,16 +91,13 @@
 
     /// Drops the limits of services that no longer exist.
     pub fn retain_rejection_limits(&mut self, exists: impl Fn(&str) -> bool) {
-        self.rejection_limits.retain(|service, _| exists(service));
-        self.rejected_at.retain(|service, _| exists(service));
-        let mut slots_at_any = self.slots_at_any.borrow_mut();
-        slots_at_any.retain(|service, _| exists(service));
+        self.brittle.retain(exists);
     }
 
     /// Returns the number of services whose targets are brittle.
     #[must_use]
     pub fn brittle_services(&self) -> usize {
-        let limits = self.rejection_limits.values();
+        let limits = self.brittle.limits.values();
         limits.filter(|limit| limit.calls_per_s.is_some()).count()
     }
 
@@ -109,7 +106,7 @@
         if let Some(state) = self.of_incarnation(&target.target, target.incarnation) {
             state.note_rejected(now, PAUSE_MAX);
             let service = state.listed.service.clone();
-            self.rejected_at.insert(service, now);
+            self.brittle.rejected_at.insert(service, now);
         }
     }
 
@@ -143,7 +140,7 @@
     /// a recent load report. The tries of all such instances that are rejected are shared among the
     /// targets of the service.
     fn may_try_unknown(&self, now: Duration, service: &str, limit: f64) -> bool {
-        let rejected_at = self.rejected_at.get(service);
+        let rejected_at = self.brittle.rejected_at.get(service);
         let since = rejected_at.map(|at| now.saturating_sub(*at));
         since.is_none_or(|since| since >= self.pause_of_tries(service, limit))
             && !self.has_slot_at_any(service)
@@ -168,7 +165,7 @@
             return false;
         };
         let basis = (self.fleet_state, index.len());
-        let known = self.slots_at_any.borrow().get(service).copied();
+        let known = self.brittle.slots_at_any.borrow().get(service).copied();
         if let Some((_, has_slot)) = known.filter(|(known_basis, _)| *known_basis == basis) {
             return has_slot;
         }
@@ -177,7 +174,7 @@
                 let slots = used(state.slots()).max(1);
                 self.is_among_senders(state, slots, 0)
             });
-        let mut slots_at_any = self.slots_at_any.borrow_mut();
+        let mut slots_at_any = self.brittle.slots_at_any.borrow_mut();
         slots_at_any.insert(service.to_owned(), (basis, has_slot));
         has_slot
     }
@@ -189,7 +186,7 @@
     }
 
     fn rejection_limit(&self, service: &str) -> Option<f64> {
-        self.rejection_limits.get(service)?.calls_per_s
+        self.brittle.limits.get(service)?.calls_per_s
     }
 }
 
