--- a/crates/damaskstile-gateway/tests/sends.rs
+++ b/crates/damaskstile-gateway/tests/sends.rs
@@ -18,7 +18,7 @@
 use damaskstile_targets::Work;
 use futures_util::poll;
 use http::{HeaderMap, Method, Uri};
-use support::{SERVICE, UnreachableStore, choose, gateway, listed, terms, unused_address};
+use support::{UnreachableStore, choose, gateway, listed, terms, unused_address};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
