--- a/crates/damaskstile-gateway/src/paths.rs
+++ b/crates/damaskstile-gateway/src/paths.rs
@@ -50,9 +50,12 @@
     choice: &Choice,
 ) -> Result<Lease, PathFailure> {
     let identity = choice.identity();
-    let idle = gateway
-        .pool
-        .take_idle(&identity, |peer| gateway.state().is_tunnel_peer(peer));
+    let idle = {
+        let state = gateway.state();
+        gateway
+            .pool
+            .take_idle(&identity, |peer| state.is_tunnel_peer(peer))
+    };
     match idle {
         Some(lease) => Ok(lease),
         None => Box::pin(connect_target(gateway, service, choice)).await,
@@ -275,11 +278,12 @@
     choice: &Choice,
     sent_at: Duration,
 ) {
-    let now = gateway.now();
-    let is_due = gateway
-        .state()
-        .reach
-        .take_silence_check(now, service, sent_at);
+    let is_due = {
+        let now = gateway.now();
+        let reach = &mut gateway.state().reach;
+        reach.path(now, service, &choice.target) == TargetPath::Direct
+            && reach.take_silence_check(now, service, sent_at)
+    };
     if is_due {
         let (gateway, service, choice) = (Arc::clone(gateway), service.to_owned(), choice.clone());
         tokio::spawn(async move {
--- a/crates/damaskstile-gateway/src/state/paths.rs
+++ b/crates/damaskstile-gateway/src/state/paths.rs
@@ -15,6 +15,20 @@
 /// the same paths.
 const PEERS_MAX: usize = 3;
 
+/// A peer that may be asked for a tunnel, in the order of preference.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct TunnelPeer {
+    /// Whether it lately did not reach a target that another peer reached.
+    has_failed: bool,
+    /// Whether it is out of the balancer's rotation.
+    is_busy: bool,
+    /// Random order of peers that are alike.
+    draw: u64,
+    /// Whether it is in this instance's data centre.
+    is_near: bool,
+    address: SocketAddr,
+}
+
 impl State {
     /// Returns the peers to ask for a tunnel to a target of a service, in the order in which to ask
     /// them. The first is of this data centre unless most peers there are partitioned from the
@@ -32,32 +46,28 @@
         let is_near = |member: &&&Member| member.data_centre == *own;
         let prefers_near =
             reaching.iter().filter(is_near).count() > partitioned.iter().filter(is_near).count();
-        let mut peers: Vec<(bool, bool, u64, bool, SocketAddr)> = reaching
+        let mut peers: Vec<TunnelPeer> = reaching
             .iter()
             .map(|member| {
                 let load = member.load.as_ref();
-                let is_busy = load.is_some_and(|load| !load.is_in_rotation);
-                let has_failed = self.reach.is_failed_peer(now, service, member.address);
-                let is_near = member.data_centre == *own;
-                let draw = self.random.next_u64();
-                (has_failed, is_busy, draw, is_near, member.address)
+                TunnelPeer {
+                    has_failed: self.reach.is_failed_peer(now, service, member.address),
+                    is_busy: load.is_some_and(|load| !load.is_in_rotation),
+                    draw: self.random.next_u64(),
+                    is_near: member.data_centre == *own,
+                    address: member.address,
+                }
             })
             .collect();
         peers.sort_unstable();
-        let is_usable_neighbour = |(has_failed, _, _, is_near, _): &(bool, _, _, bool, _)| {
-            prefers_near && *is_near && !has_failed
-        };
-        let near = peers.iter().position(is_usable_neighbour);
+        let near = peers
+            .iter()
+            .position(|peer| prefers_near && peer.is_near && !peer.has_failed);
         let near = near.map(|index| peers.remove(index));
         // Without other data centres, neighbours are asked next.
-        peers.sort_by_key(|(has_failed, _, _, is_near, _)| {
-            (*has_failed, near.is_some() && *is_near)
-        });
+        peers.sort_by_key(|peer| (peer.has_failed, near.is_some() && peer.is_near));
         let peers = near.into_iter().chain(peers);
-        peers
-            .map(|(_, _, _, _, address)| address)
-            .take(PEERS_MAX)
-            .collect()
+        peers.map(|peer| peer.address).take(PEERS_MAX).collect()
     }
 
     /// Returns whether connections through a peer may be used: it is known and not stopping.
