Records of calls name the version of software and the stream that is taken up

Lists, peers and choices now carry the version; records say software, after_event and resumes. No decision depends on them yet.

--- a/crates/damaskstile-core/src/ids.rs
+++ b/crates/damaskstile-core/src/ids.rs
@@ -16,6 +16,8 @@
 /// Number that distinguishes runs of a target from each other: its start time in milliseconds since
 /// the Unix epoch, so that the greater number is the newer run.
 pub type TargetIncarnation = u64;
+/// Version of a target's software: an opaque string without an order.
+pub type SoftwareVersion = String;
 /// Key of a request, given by the caller (`Idempotency-Key`) and unique within a client account.
 pub type RequestKey = String;
 /// Handle of an open call, assigned by the host.
--- a/crates/damaskstile-gateway/src/call.rs
+++ b/crates/damaskstile-gateway/src/call.rs
@@ -19,6 +19,9 @@
     pub work: Option<Work>,
     /// Id of the last event that the caller has of an earlier answer.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that this one takes
+    /// up.
+    pub resumes: Option<String>,
 }
 
 /// What is added to the caller's headers when a call is sent to a target.
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -79,6 +79,10 @@
             let limit = head
                 .time_limit
                 .map_or(terms.route.timeout, |limit| limit.min(terms.route.timeout));
+            if let Some(event) = head.last_event {
+                record.add("after_event", event);
+                record.add("resumes", head.resumes.as_deref().unwrap_or("-"));
+            }
             let mut exchange = Exchange {
                 gateway: Arc::clone(&gateway),
                 call: OutboundCall {
--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -84,11 +84,15 @@
         data_centre: listed.data_centre.clone(),
         slots_requests: listed.slots_requests,
         is_ready: listed.is_ready,
+        software_version: Some(listed.software_version.clone()),
         cold_for_ms: unix_ms(table.cold_for(now, &listed.target)),
     }
 }
 
 fn to_listed(table: &TargetTable, pulled: PulledTarget) -> Option<Listed> {
+    // A peer of an older release does not send versions of software either.
+    let known = table.present_entry(&pulled.target);
+    let known_version = known.map_or_else(String::new, |listed| listed.software_version.clone());
     Some(Listed {
         // A peer of an older release does not send incarnations. If they were treated as unstated,
         // its whole list would be refused during an upgrade of the fleet.
@@ -101,6 +105,7 @@
         data_centre: pulled.data_centre,
         slots_requests: pulled.slots_requests,
         is_ready: pulled.is_ready,
+        software_version: pulled.software_version.unwrap_or(known_version),
         cold_for: Duration::from_millis(pulled.cold_for_ms),
     })
 }
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -104,4 +104,6 @@
     pub(super) started_at_unix_ms: Option<u64>,
     #[prost(uint64, tag = "8")]
     pub(super) cold_for_ms: u64,
+    #[prost(string, optional, tag = "9")]
+    pub(super) software_version: Option<String>,
 }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -76,6 +76,7 @@
         choice.target.clone_into(&mut self.target);
         let sent = self.gateway.now().saturating_sub(self.began_at);
         self.add("target", &choice.target);
+        self.add("software", &choice.software_version);
         self.add("sent_ms", sent.as_millis());
         self.add("cost_ms", format!("{:.0}", choice.cost_ms));
         // Without a prediction by the target's speed the cost is the only one.
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -174,6 +174,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-gateway/tests/told_targets.rs
+++ b/crates/damaskstile-gateway/tests/told_targets.rs
@@ -63,6 +63,7 @@
         data_centre: String::new(),
         slots_requests: 8,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/src/choice.rs
+++ b/crates/damaskstile-targets/src/choice.rs
@@ -13,6 +13,8 @@
     pub incarnation: Option<TargetIncarnation>,
     /// Its address.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub software_version: SoftwareVersion,
     /// Cost by which it was selected: the expected wait for the first token.
     pub cost_ms: f64,
     /// Prompt tokens that are expected to be neither cached there nor fetched.
--- a/crates/damaskstile-targets/src/listed.rs
+++ b/crates/damaskstile-targets/src/listed.rs
@@ -19,6 +19,8 @@
     pub data_centre: String,
     /// Calls that it runs at a time.
     pub slots_requests: u64,
+    /// Version of its software.
+    pub software_version: SoftwareVersion,
     /// Whether it accepts new work.
     pub is_ready: bool,
     /// Remaining cold time, as of when the target wrote the entry.
--- a/crates/damaskstile-targets/src/target_table/copy_target.rs
+++ b/crates/damaskstile-targets/src/target_table/copy_target.rs
@@ -90,6 +90,7 @@
             target: state.listed.target.clone(),
             incarnation: state.listed.incarnation,
             address: state.listed.address,
+            software_version: state.listed.software_version.clone(),
             cost_ms: self.load_ms(now, state),
             uncached_tokens: 0,
             fetch_from: None,
--- a/crates/damaskstile-targets/src/target_table/cost_estimate.rs
+++ b/crates/damaskstile-targets/src/target_table/cost_estimate.rs
@@ -28,6 +28,7 @@
             target: listed.target.clone(),
             incarnation: listed.incarnation,
             address: listed.address,
+            software_version: listed.software_version.clone(),
             cost_ms: self.cost_ms,
             uncached_tokens,
             fetch_from: self.fetch_from,
--- a/crates/damaskstile-targets/tests/book.rs
+++ b/crates/damaskstile-targets/tests/book.rs
@@ -22,6 +22,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/brittle_fleet.rs
+++ b/crates/damaskstile-targets/tests/brittle_fleet.rs
@@ -52,6 +52,7 @@
         data_centre: "north".to_owned(),
         slots_requests: slots,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/bulk_prompts.rs
+++ b/crates/damaskstile-targets/tests/bulk_prompts.rs
@@ -22,6 +22,7 @@
         data_centre: format!("c{}", index % 3),
         slots_requests: 32,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -33,6 +33,7 @@
         data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
         slots_requests: 16,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/emptied.rs
+++ b/crates/damaskstile-targets/tests/emptied.rs
@@ -21,6 +21,7 @@
         data_centre: data_centre.to_owned(),
         slots_requests: 64,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/limited_fleet.rs
+++ b/crates/damaskstile-targets/tests/limited_fleet.rs
@@ -33,6 +33,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/long_prompts.rs
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -23,6 +23,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/target_speeds.rs
+++ b/crates/damaskstile-targets/tests/target_speeds.rs
@@ -31,6 +31,7 @@
         data_centre: "c0".to_owned(),
         slots_requests: 16,
         is_ready: true,
+        software_version: "v1".to_owned(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/uneven_fleet.rs
+++ b/crates/damaskstile-targets/tests/uneven_fleet.rs
@@ -91,6 +91,7 @@
             data_centre: "c0".to_owned(),
             slots_requests: u64::try_from(SLOTS).unwrap(),
             is_ready: true,
+            software_version: "v1".to_owned(),
             cold_for: Duration::ZERO,
         };
         let table = |index: usize| {
