Streams go on only at the version of software that began them

Cause: entries state the version, and every way on which a stream goes on chose among all targets of the service: resumption within an answer, a caller's next attempt, copies of runs. Half of the callers' next attempts reach an instance that has not seen the stream.

A call can be bound to a version; the target table then selects, waits for and looks for successors only among targets of it. Relayed streams are bound to the version of the run whose head the caller got, copies to that of their run. The first event of a resumable stream is recorded by account and attempt. Where a service has, or may have had, several versions, records go to all peers of a small fleet, to four by hash in a large one; where it has one, nothing is sent. An attempt that takes a stream up looks for its record here, then at the peers that keep it; if no record exists and most of them have known one version only for as long as the stream can have lasted, it is that one. Otherwise the call is refused at once as not run (unknown_stream, no_target_of_version).

--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -38,6 +38,10 @@
     TargetsUnreachable,
     /// No target of the service accepts work in the regions that may run the request.
     NoTargetInRegion,
+    /// No usable target of the service runs the version of software that began the stream.
+    NoTargetOfVersion,
+    /// No instance knows which version of software began the stream that the request takes up.
+    UnknownStream,
     /// The buffer of bills that wait to be stored is full.
     BillsBacklog,
     /// The key was used before with a different body.
@@ -87,6 +91,8 @@
             Self::NoTarget => "no_target",
             Self::TargetsUnreachable => "targets_unreachable",
             Self::NoTargetInRegion => "no_target_in_region",
+            Self::NoTargetOfVersion => "no_target_of_version",
+            Self::UnknownStream => "unknown_stream",
             Self::BillsBacklog => "bills_backlog",
             Self::KeyReused => "key_reused",
             Self::ClaimUnavailable => "claim_unavailable",
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 mod queueing;
 mod refusing;
 mod stopping;
+mod taking_up;
 mod tokens;
 
 use std::sync::Arc;
@@ -53,6 +54,8 @@
     attempts: Attempts,
     tried: Vec<TargetId>,
     last_event: Option<u64>,
+    /// Attempt that brought the first event of the stream that this call takes up.
+    resumes: Option<String>,
     /// Copy of the current run.
     copy: Option<RunCopy>,
     /// Whether a target may be executing the call.
@@ -105,6 +108,7 @@
                 attempts: Attempts::default(),
                 tried: Vec::new(),
                 last_event: head.last_event,
+                resumes: head.resumes,
                 copy: None,
                 is_sending: false,
                 caller,
@@ -179,6 +183,9 @@
         if let Some(refusal) = self.quarantine_refusal() {
             return self.refuse(&refusal);
         }
+        if let Some(refusal) = self.bind_to_origin().await {
+            return self.refuse(&refusal);
+        }
         if let Some(refusal) = self.no_target_refusal() {
             return self.refuse(&refusal);
         }
@@ -290,7 +297,7 @@
             if failure.end == SendFailureKind::Broken {
                 let check = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
                 if let Some(run) = self.continue_from_copy(&sent, check).await {
-                    return (self.relay(run, reservation).await, None);
+                    return (Box::pin(self.relay(run, reservation)).await, None);
                 }
             }
             if self.time_left().is_zero() {
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -41,7 +41,7 @@
         }
         let is_stream = self.terms.route.kind.is_stream() && run.parts.status.is_success();
         if is_stream {
-            return Ok(self.relay(run, reservation).await);
+            return Ok(Box::pin(self.relay(run, reservation)).await);
         }
         let is_last = self.attempts.sent() + 1 >= self.terms.route.attempts_max;
         let may_repeat = self.terms.route.kind.is_repeatable() && !is_last;
@@ -129,9 +129,12 @@
         self.gateway.dialect.set_answer_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
         self.note_copy();
+        // The head that the caller gets is that of the first run, so its version counts from here on.
+        let mut call = self.call.clone();
+        call.work.software_version = Some(run.running.choice.software_version.clone());
         let mut relay = Relay {
             gateway: Arc::clone(&self.gateway),
-            call: self.call.clone(),
+            call,
             terms: self.terms.clone(),
             reservation,
             record: self.record.hand_over(),
@@ -144,6 +147,8 @@
             admitted: std::mem::take(&mut self.admitted),
             caller: self.caller.clone(),
             last_event: self.last_event,
+            resumes: self.resumes.take(),
+            has_begun: false,
             lacks_event_ids: false,
             splitter: EventSplitter::default(),
             last_event_at: None,
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -120,6 +120,9 @@
         }
         let wait = state.target_table.time_until_room(now, &self.terms.service);
         drop(state);
+        if code == RefusalCode::NoTargetOfVersion {
+            return Some(Refusal::not_run(code, None));
+        }
         let wait = wait.map_or(RETRY_LATER, |wait| self.add_jitter(wait));
         Some(Refusal::not_run(code, Some(wait)))
     }
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -74,6 +74,10 @@
     pub loan_answers: Notify,
     /// Wakes the task that reports ended loans to their lenders.
     pub loans_ended: Notify,
+    /// Wakes the task that reports streams that began to peers.
+    pub streams_begun: Notify,
+    /// Wakes calls that wait for answers on where their streams began.
+    pub stream_answers: Notify,
     /// Wakes the task that requests tokens from peers.
     pub tokens_wanted: Notify,
     /// Number of store outages that have ended. A change wakes the store watches, which may have
@@ -127,6 +131,8 @@
             catalogue_wanted: Notify::new(),
             gossip_wanted: Notify::new(),
             tokens_wanted: Notify::new(),
+            streams_begun: Notify::new(),
+            stream_answers: Notify::new(),
             loan_answers: Notify::new(),
             loans_ended: Notify::new(),
             outages_ended: watch::Sender::new(0),
--- a/crates/damaskstile-gateway/src/outgoing.rs
+++ b/crates/damaskstile-gateway/src/outgoing.rs
@@ -6,7 +6,7 @@
 use damaskstile_loans::LoanRequest;
 use damaskstile_requests::Fingerprint;
 
-use crate::peers::Reading;
+use crate::peers::{Reading, StreamQuery};
 
 /// `Outgoing` is a message that is queued for peers.
 #[derive(Debug)]
@@ -21,6 +21,8 @@
     Report(SocketAddr, Report),
     /// A request for a loan of the tokens of one call.
     Borrow(SocketAddr, LoanRequest),
+    /// A query for where a stream began.
+    StreamQuery(SocketAddr, StreamQuery),
     /// The answer to a peer's report.
     Receipt(SocketAddr, Receipt),
 }
--- a/crates/damaskstile-gateway/src/path_metrics.rs
+++ b/crates/damaskstile-gateway/src/path_metrics.rs
@@ -27,6 +27,7 @@
     opened: Family<OutcomeLabels, Counter>,
     served: Family<OutcomeLabels, Counter>,
     services: Family<StateLabels, Gauge>,
+    taken_up: Family<OutcomeLabels, Counter>,
 }
 
 impl PathMetrics {
@@ -39,6 +40,8 @@
         registry.register("served_tunnels", help, metrics.served.clone());
         let help = "Services whose targets only peers reach, and those whose targets are brittle";
         registry.register("services", help, metrics.services.clone());
+        let help = "Streams that callers took up again, by who knew where they began";
+        registry.register("taken_up_streams", help, metrics.taken_up.clone());
         metrics
     }
 
@@ -52,6 +55,12 @@
         }
     }
 
+    /// Counts a stream that a caller took up again.
+    pub(crate) fn taken_up(&self, outcome: &'static str) {
+        let labels = OutcomeLabels { outcome };
+        self.taken_up.get_or_create(&labels).inc();
+    }
+
     /// Counts a request to peers.
     pub(crate) fn opened(&self, failure: Option<TunnelFailure>) {
         let outcome = match failure {
--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -24,6 +24,8 @@
 mod rejection_limit_report;
 mod reports;
 mod speed_report;
+mod stream_messages;
+mod streams;
 mod suspect_report;
 mod suspects;
 mod target_report;
@@ -54,6 +56,7 @@
 pub use reading::Reading;
 pub use rejection_limit_report::RejectionLimitReport;
 pub use speed_report::SpeedReport;
+pub use stream_messages::{StreamAnswer, StreamQuery, StreamReport};
 pub use suspect_report::{SuspectReport, TargetEndReport};
 pub use target_report::TargetReport;
 pub use tokens::{TokenRequest, TokenTransfer};
@@ -154,6 +157,9 @@
                 Outgoing::Receipt(address, receipt) => {
                     self.send(address, DatagramBody::Receipt(receipt)).await;
                 }
+                Outgoing::StreamQuery(address, query) => {
+                    self.send(address, DatagramBody::StreamQuery(query)).await;
+                }
                 Outgoing::Borrow(address, request) => {
                     self.send(address, DatagramBody::Borrow(request)).await;
                 }
@@ -348,6 +354,11 @@
             DatagramBody::Suspect(report) => {
                 self.handle_suspects(&datagram.from, std::slice::from_ref(&report));
             }
+            DatagramBody::StreamReport(report) => self.handle_stream_report(report),
+            DatagramBody::StreamQuery(query) => self.answer_stream_query(query, from).await,
+            DatagramBody::StreamAnswer(answer) => {
+                self.handle_stream_answer(&datagram.from, answer);
+            }
             DatagramBody::LoanEndsAck(ack) => self.handle_loan_ends_ack(&ack, from),
         }
     }
--- a/crates/damaskstile-gateway/src/peers/datagram.rs
+++ b/crates/damaskstile-gateway/src/peers/datagram.rs
@@ -4,7 +4,10 @@
 use damaskstile_escrow::{Receipt, Report};
 use damaskstile_loans::{LoanAnswer, LoanEnds, LoanEndsAck, LoanRequest};
 
-use super::{Digest, Reading, SuspectReport, TokenRequest, TokenTransfer};
+use super::{
+    Digest, Reading, StreamAnswer, StreamQuery, StreamReport, SuspectReport, TokenRequest,
+    TokenTransfer,
+};
 
 /// `DatagramBody` is the payload of a datagram.
 #[derive(prost::Oneof, Clone, PartialEq)]
@@ -45,6 +48,15 @@
     /// What the sender knows of a suspect content.
     #[prost(message, tag = "14")]
     Suspect(SuspectReport),
+    /// Streams that began at a version of software.
+    #[prost(message, tag = "15")]
+    StreamReport(StreamReport),
+    /// Query for where a stream began.
+    #[prost(message, tag = "16")]
+    StreamQuery(StreamQuery),
+    /// Answer to such a query.
+    #[prost(message, tag = "17")]
+    StreamAnswer(StreamAnswer),
 }
 
 impl DatagramBody {
@@ -59,6 +71,7 @@
             Self::Reading(_) => "reading",
             Self::Borrow(_) | Self::Lend(_) | Self::LoanEnds(_) | Self::LoanEndsAck(_) => "loan",
             Self::Suspect(_) => "suspect",
+            Self::StreamReport(_) | Self::StreamQuery(_) | Self::StreamAnswer(_) => "stream",
         }
     }
 }
@@ -75,7 +88,7 @@
     /// The payload.
     #[prost(
         oneof = "DatagramBody",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<DatagramBody>,
 }
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -63,6 +63,10 @@
     pub caller: CallerConnection,
     /// Id of the last event sent to the caller.
     pub last_event: Option<u64>,
+    /// Attempt that brought the first event of the stream, if the caller has taken it up again.
+    pub resumes: Option<String>,
+    /// Whether an event was sent to the caller.
+    pub has_begun: bool,
     /// Whether an event without an id was sent to the caller, after which no run can continue.
     pub lacks_event_ids: bool,
     /// Splits the stream into events.
@@ -235,6 +239,10 @@
         if is_repeated {
             return None;
         }
+        if !self.has_begun {
+            self.has_begun = true;
+            self.note_begun();
+        }
         self.last_event = event.id.or(self.last_event);
         self.lacks_event_ids |= event.id.is_none();
         if let Some(copy) = &mut self.copy {
@@ -244,6 +252,18 @@
         Some(event.bytes)
     }
 
+    /// Records where the stream began, in case its caller takes it up again.
+    fn note_begun(&self) {
+        if !self.terms.route.kind.is_repeatable() {
+            return;
+        }
+        let version = self.call.work.software_version.as_deref();
+        let ids = [self.resumes.as_deref(), self.call.id.as_deref()];
+        let ids = ids.into_iter().flatten();
+        self.gateway
+            .note_stream_begun(&self.terms, version.unwrap_or_default(), ids);
+    }
+
     /// Breaks off a stream that the shutdown cannot wait for.
     fn cut(&mut self) -> std::io::Error {
         let error = self.break_off(RefusalCode::Stopping, "stopping");
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -7,6 +7,7 @@
 mod roles;
 mod rotation;
 mod sources;
+mod streams;
 mod targets;
 
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
 use damaskstile_escrow::{Holder, Stamp};
 use damaskstile_fleet::FleetClock;
 use damaskstile_loans::{Borrower, Candidate, Lender};
-use damaskstile_requests::{RetryBudget, Suspects};
+use damaskstile_requests::{OriginLookup, RetryBudget, StreamOrigins, Suspects};
 use damaskstile_routes::{Account, Catalogue, CatalogueInForce, Route};
 use damaskstile_targets::{ListChanges, Reach, TargetTable, Work};
 
@@ -134,6 +135,12 @@
     pub known_writer: Option<InstanceId>,
     /// Contents that are suspected of ending targets.
     pub suspects: Suspects,
+    /// Where streams began.
+    pub stream_origins: StreamOrigins,
+    /// Searches for where streams began, by number.
+    pub origin_lookups: BTreeMap<u64, OriginLookup>,
+    /// Number of the next such search.
+    pub next_lookup: u64,
     /// Decides which runs get copies.
     pub run_copies: RunCopies,
     /// Durations of calls, by route.
@@ -166,11 +173,16 @@
     #[must_use]
     pub fn new(options: &GatewayOptions, started_at: Duration) -> Self {
         let identity = options.identity.clone();
+        let mut target_table =
+            TargetTable::new(&identity.data_centre, options.target_table.clone())
+                .for_instance(&identity.instance, started_at);
+        if options.is_first_start {
+            target_table.assume_no_earlier_versions();
+        }
         let address = options.peers_address.to_string();
         Self {
             catalogue: CatalogueInForce::default(),
-            target_table: TargetTable::new(&identity.data_centre, options.target_table.clone())
-                .for_instance(&identity.instance, started_at),
+            target_table,
             reach: Reach::default(),
             random: Random::new(identity.incarnation),
             instance: identity.instance.clone(),
@@ -207,6 +219,9 @@
             transfers_accepted: BTreeMap::new(),
             known_writer: None,
             suspects: Suspects::default(),
+            stream_origins: StreamOrigins::default(),
+            origin_lookups: BTreeMap::new(),
+            next_lookup: 0,
             run_copies: RunCopies::new(options.copies),
             call_times: CallTimes::default(),
             pressure: Pressure::with_admission(options.link_bytes_per_s, options.admission),
--- /dev/null
+++ b/crates/damaskstile-gateway/src/state/streams.rs
@@ -0,0 +1,93 @@
+//! Versions of software that began streams, as far as this instance knows.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+use damaskstile_core::prelude::*;
+use damaskstile_core::random::stable_hash;
+use damaskstile_requests::{OriginAnswer, StreamKey, StreamOrigin};
+
+use super::State;
+
+/// Number of instances of a large fleet that keep the origin of one stream. Any of them may be dead
+/// or miss a datagram.
+const KEEPERS_MAX: usize = 4;
+/// Age past which an instance of a small fleet that sends no digests is not asked.
+const DIGEST_AGE_MAX: Duration = Duration::from_secs(6);
+
+impl State {
+    /// Returns what this instance knows of the version that began a stream within the last `span`.
+    #[must_use]
+    pub fn known_origin(
+        &self,
+        now: Duration,
+        key: Option<StreamKey>,
+        service: &str,
+        span: Duration,
+    ) -> OriginAnswer {
+        let origin = key.and_then(|key| self.stream_origins.origin(now, key));
+        let table = &self.target_table;
+        OriginAnswer {
+            origin: origin.cloned(),
+            versions: table.versions_within(now, service, span),
+            is_whole: table.knows_versions_within(now, span),
+        }
+    }
+
+    /// Returns the peers that keep the origin of a stream: all of a small fleet, and of a large one
+    /// the same few for all instances.
+    #[must_use]
+    pub fn stream_keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let mut peers: Vec<_> = self.members.iter().collect();
+        if self.is_large_fleet() {
+            let key = key.to_string();
+            peers.sort_by_key(|(name, _)| Reverse(stable_hash(&["keep", &key, name])));
+            peers.truncate(KEEPERS_MAX);
+        }
+        peers
+            .into_iter()
+            .map(|(_, member)| member.address)
+            .collect()
+    }
+
+    /// Returns the peers to ask for the origin of a stream.
+    #[must_use]
+    pub fn stream_keepers_to_ask(&self, now: Duration, key: StreamKey) -> Vec<SocketAddr> {
+        let mut keepers = self.stream_keepers(key);
+        if !self.is_large_fleet() {
+            let members = self.members.values();
+            let silent = members
+                .filter(|member| now.saturating_sub(member.received_at) >= DIGEST_AGE_MAX)
+                .map(|member| member.address);
+            let silent: BTreeSet<SocketAddr> = silent.collect();
+            keepers.retain(|address| !silent.contains(address));
+        }
+        keepers
+    }
+
+    /// Returns own streams that were not reported yet, by origin. Streams of a service with one
+    /// version need no report.
+    pub fn take_streams_to_report(
+        &mut self,
+        now: Duration,
+        most: usize,
+    ) -> BTreeMap<StreamOrigin, (Duration, Vec<StreamKey>)> {
+        if self.members.is_empty() {
+            return BTreeMap::new();
+        }
+        let mut origins = std::mem::take(&mut self.stream_origins);
+        let taken = origins.take_unreported(now, most, |origin, lifetime| {
+            self.needs_stream_reports(now, &origin.service, lifetime)
+        });
+        self.stream_origins = origins;
+        taken
+    }
+
+    /// Returns whether streams of a service are reported to peers: where its targets have several
+    /// versions, or may have had, as far as this instance knows.
+    #[must_use]
+    pub fn needs_stream_reports(&self, now: Duration, service: &str, span: Duration) -> bool {
+        let known = self.known_origin(now, None, service, span);
+        !known.is_whole || known.versions.len() > 1
+    }
+}
--- a/crates/damaskstile-targets/src/lib.rs
+++ b/crates/damaskstile-targets/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod selector;
 pub(crate) mod sender_turn;
 pub(crate) mod service_speed;
+pub(crate) mod service_versions;
 pub mod speed_change;
 pub mod speed_report;
 pub mod target;
--- a/crates/damaskstile-targets/src/target_state.rs
+++ b/crates/damaskstile-targets/src/target_state.rs
@@ -44,6 +44,8 @@
 #[derive(Debug, Clone)]
 pub struct TargetState {
     pub(crate) listed: Listed,
+    /// Whether the target is known to have ended since its entry.
+    pub(crate) has_ended: bool,
     /// When the target was delisted; it is kept while that may be due to an outage of the list.
     pub(crate) missing_since: Option<Duration>,
     own_running: u64,
@@ -86,6 +88,7 @@
         };
         Self {
             listed,
+            has_ended: false,
             missing_since: None,
             own_running: 0,
             own_prefill_ms: 0.0,
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -23,6 +23,7 @@
 mod reserved_targets;
 mod speed_effect;
 mod speeds;
+mod versions;
 
 use std::cell::Cell;
 use std::cmp::Ordering;
@@ -38,6 +39,7 @@
 use crate::prefill_speed::PrefillSpeed;
 use crate::reported_load::ReportedLoad;
 use crate::service_speed::ServiceSpeed;
+use crate::service_versions::ServiceVersions;
 use crate::target_state::TargetState;
 use crate::target_table_options::TargetTableOptions;
 use crate::work::Work;
@@ -108,6 +110,12 @@
     started_at: Option<Duration>,
     /// Copies of this instance's runs, by the target that holds them.
     copies: BTreeMap<TargetId, u64>,
+    /// Versions of the targets' software, by service.
+    versions: BTreeMap<ServiceId, ServiceVersions>,
+    /// When the whole list was first applied.
+    listed_since: Option<Duration>,
+    /// Whether targets had no other versions before that, since the fleet had not started yet.
+    has_no_earlier_versions: bool,
     /// Targets whose entries changed since the last [`Self::take_touched`].
     touched: BTreeSet<TargetId>,
 }
@@ -143,6 +151,9 @@
             fleet_state: 0,
             started_at: None,
             copies: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            listed_since: None,
+            has_no_earlier_versions: false,
             touched: BTreeSet::new(),
         }
     }
--- a/crates/damaskstile-targets/src/target_table/candidates.rs
+++ b/crates/damaskstile-targets/src/target_table/candidates.rs
@@ -70,6 +70,7 @@
         self.is_usable(now, state)
             && !tried.contains(&state.listed.target)
             && self.is_in_home_region(state, work)
+            && Self::is_of_version(state, work)
             && self.has_room(now, state)
             && self.has_brittle_room(now, state)
     }
@@ -117,6 +118,8 @@
         if !state.is_as_listed(now) {
             index.mark(&listed.target);
         }
+        let versions = self.versions.entry(listed.service.clone()).or_default();
+        versions.list(&listed.software_version);
         self.stated += usize::from(listed.incarnation.is_some());
         if state.missing_since.is_some() {
             self.lapsed.insert(listed.target.clone());
@@ -128,12 +131,15 @@
     }
 
     /// Removes the state of a target from the table and its indexes.
-    pub(super) fn remove_state(&mut self, target: &str) -> Option<TargetState> {
+    pub(super) fn remove_state(&mut self, now: Duration, target: &str) -> Option<TargetState> {
         let state = self.targets.remove(target)?;
         let listed = &state.listed;
         if let Some(index) = self.indexes.get_mut(&listed.service) {
             index.remove(target, &listed.data_centre);
         }
+        if let Some(versions) = self.versions.get_mut(&listed.service) {
+            versions.unlist(now, &listed.software_version);
+        }
         self.stated -= usize::from(listed.incarnation.is_some());
         self.lapsed.remove(target);
         self.limited.remove(target);
--- a/crates/damaskstile-targets/src/target_table/cold.rs
+++ b/crates/damaskstile-targets/src/target_table/cold.rs
@@ -35,6 +35,7 @@
         if state.listed.incarnation != identity.incarnation {
             return;
         }
+        state.has_ended = true;
         let cold_time = self.cold_limits.get(&state.listed.service);
         let cold_time = cold_time.map_or(Duration::ZERO, |limit| limit.cold_time);
         state.extend_cold_time(now + RETURN_UNSEEN + cold_time);
--- a/crates/damaskstile-targets/src/target_table/copy_target.rs
+++ b/crates/damaskstile-targets/src/target_table/copy_target.rs
@@ -61,6 +61,7 @@
         let index = self.indexes.get(&listed.service)?;
         let may_hold = |state: &&TargetState| {
             state.listed.service == listed.service
+                && state.listed.software_version == run.software_version
                 && self.may_get(now, state, work, tried)
                 && !state.is_cold(now)
                 && !self.is_call_limited(now, state)
--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -53,7 +53,7 @@
             return self.note_newly_cold(is_newly_cold, &identity) || was_refused;
         }
         // Its position in the index may change.
-        match self.remove_state(&listed.target) {
+        match self.remove_state(now, &listed.target) {
             Some(mut state) if state.listed.incarnation == listed.incarnation => {
                 let was_ready = state.listed.is_ready && state.missing_since.is_none();
                 let is_ready = listed.is_ready;
@@ -120,7 +120,7 @@
             let state = self.targets.get(target);
             let incarnation = state.and_then(|state| state.listed.incarnation);
             self.delist(now, &TargetIdentity::new(target, incarnation));
-            self.remove_state(target);
+            self.remove_state(now, target);
         } else if let Some(state) = self.targets.get_mut(target) {
             state.missing_since.get_or_insert(now);
             self.lapsed.insert(target.to_owned());
@@ -152,6 +152,7 @@
         for target in gone {
             self.unlist(now, &target, is_around_outage);
         }
+        self.listed_since.get_or_insert(now);
         let mut new_faults = Vec::new();
         for entry in all {
             match entry {
@@ -282,7 +283,8 @@
         let hashes = self.present().map(|listed| {
             let start = listed.incarnation.unwrap_or_default().to_string();
             let ready = if listed.is_ready { "ready" } else { "leaving" };
-            stable_hash(&[&listed.target, &start, &listed.service, ready])
+            let version = &listed.software_version;
+            stable_hash(&[&listed.target, &start, &listed.service, ready, version])
         });
         Some(hashes.fold(0, |all, hash| all ^ hash))
     }
--- a/crates/damaskstile-targets/src/target_table/location.rs
+++ b/crates/damaskstile-targets/src/target_table/location.rs
@@ -89,13 +89,18 @@
     /// # Errors
     ///
     /// Returns [`RefusalCode::NoTargetInRegion`] if usable targets are in regions that may not run
-    /// the call. Otherwise returns [`RefusalCode::NoTarget`]: no target of the service is usable,
+    /// the call, and [`RefusalCode::NoTargetOfVersion`] if none of them runs the version of software
+    /// that the call is bound to. Otherwise returns [`RefusalCode::NoTarget`]: no target of the service is usable,
     /// or all that are usable have reached their call limits.
     pub fn has_target(&self, now: Duration, service: &str, work: &Work) -> Result<(), RefusalCode> {
         let mut reason = RefusalCode::NoTarget;
         for state in self.usable(now, service) {
             if !self.is_in_home_region(state, work) {
                 reason = RefusalCode::NoTargetInRegion;
+            } else if !Self::is_of_version(state, work) {
+                if !self.has_version(service, work) {
+                    reason = RefusalCode::NoTargetOfVersion;
+                }
             } else if self.has_room(now, state) && self.has_brittle_room(now, state) {
                 return Ok(());
             }
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -24,6 +24,8 @@
     pub length_hint_tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
+    /// Version of software that the call is bound to, since its stream began there; `None` for any.
+    pub software_version: Option<SoftwareVersion>,
     /// Whether the call is bulk work beside more urgent streams of the same service.
     pub is_bulk: bool,
     /// Home regions, which may run the call; `None` for all regions.
--- a/crates/damaskstile-targets/tests/copy_targets.rs
+++ b/crates/damaskstile-targets/tests/copy_targets.rs
@@ -171,3 +171,29 @@
     assert_eq!([at_first, drained, replaced], [false, true, true]);
     assert!(!table.may_drain(&choice_of(&table, "a").identity()));
 }
+
+#[test]
+fn copies_are_held_by_targets_of_the_same_version() {
+    // Guards against a run that continues from its copy at another version of software.
+
+    // Arrange
+    let mut table = table();
+    for (target, version) in [("b", "v2"), ("c", "v2"), ("d", "v1")] {
+        let data_centre = if target == "d" { "south" } else { "north" };
+        table.list(
+            at(1),
+            Listed {
+                software_version: version.to_owned(),
+                ..listed(target, data_centre)
+            },
+        );
+    }
+
+    // Act
+    let of_a = second(&table, at(1), "a");
+    let of_b = second(&table, at(1), "b");
+
+    // Assert
+    assert_eq!(of_a.as_deref(), Some("d"));
+    assert_eq!(of_b.as_deref(), Some("c"));
+}
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -27,6 +27,8 @@
         | RefusalCode::BudgetReserved
         | RefusalCode::NoTarget
         | RefusalCode::NoTargetInRegion
+        | RefusalCode::NoTargetOfVersion
+        | RefusalCode::UnknownStream
         | RefusalCode::TargetsUnreachable
         | RefusalCode::BillsBacklog
         | RefusalCode::ClaimUnavailable
