Events of broken runs name the parts of the prompt and whether an event had arrived

It now lists the parts of the prompt but the last, and whether the target had begun to answer; 113 and 114 say whether a content or a part is meant.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,9 +9,22 @@
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
 use crate::paths;
+use crate::running::Running;
 use crate::state::Terms;
 use crate::target_ends::{EndCheck, TargetLiveness};
 
+/// Parts of a prompt that are logged.
+const LOGGED_PARTS_MAX: usize = 8;
+
+/// Returns the parts of a call's prompt that other calls may share, as logs name them.
+fn part_names(call: &OutboundCall) -> String {
+    let names = call.work.names_but_last().take(LOGGED_PARTS_MAX);
+    let names: Vec<String> = names
+        .map(|part| Fingerprint::of_part(part).to_string())
+        .collect();
+    names.join(",")
+}
+
 /// A run, with what is needed to follow it up if its connection breaks before the answer is
 /// complete.
 #[derive(Debug)]
@@ -22,6 +35,8 @@
     address: SocketAddr,
     /// When it was sent.
     sent_at: Duration,
+    /// Whether the target had begun to write its answer.
+    had_event: bool,
 }
 
 impl BrokenRun {
@@ -31,6 +46,15 @@
             target: choice.identity(),
             address: choice.address,
             sent_at,
+            had_event: false,
+        }
+    }
+
+    /// Describes a run of which an event may have arrived.
+    pub(crate) fn of_running(running: &Running) -> Self {
+        Self {
+            had_event: running.is_answered(),
+            ..Self::of(&running.choice, running.sent_at())
         }
     }
 
@@ -56,6 +80,8 @@
             ("content", &content.to_string()),
             ("account", terms.account.as_deref().unwrap_or("-")),
             ("ran_ms", &ran_ms),
+            ("had_event", if self.had_event { "true" } else { "false" }),
+            ("parts", &part_names(call)),
         ];
         gateway.log(EventCode::RunBroken, &fields);
         // Connections break for many reasons. If every break counted without this check, a few
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -39,7 +39,7 @@
     /// its run with the result.
     pub(super) async fn follow_up_closed(&mut self) -> Option<(BrokenRun, EndCheck)> {
         let run = self.run.as_ref()?;
-        let sent = BrokenRun::of(&run.running.choice, run.running.sent_at());
+        let sent = BrokenRun::of_running(&run.running);
         let check = sent.follow_up(&self.gateway, &self.call, &self.terms).await;
         Some((sent, check))
     }
--- a/crates/damaskstile-gateway/src/running.rs
+++ b/crates/damaskstile-gateway/src/running.rs
@@ -67,6 +67,12 @@
         self.sent_at
     }
 
+    /// Tells whether the target has begun to answer.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
     /// Records an event; the time to the first one shows how fast the target processes prompts.
     pub fn event(&mut self) {
         if !self.is_prefilled {
--- a/crates/damaskstile-gateway/src/suspicion.rs
+++ b/crates/damaskstile-gateway/src/suspicion.rs
@@ -86,6 +86,10 @@
         let (account, crashes) = known.unwrap_or_default();
         let fields = [
             ("content", content.to_string()),
+            (
+                "kind",
+                if content.is_part() { "part" } else { "content" }.to_owned(),
+            ),
             ("account", account),
             ("ends", crashes),
             ("source", source.to_owned()),
--- a/crates/damaskstile-requests/src/fingerprint.rs
+++ b/crates/damaskstile-requests/src/fingerprint.rs
@@ -9,6 +9,8 @@
 
 /// Length of the truncated digest, in bytes: enough that a caller cannot find a collision.
 const DIGEST_BYTES: usize = 16;
+/// Coarse hash of all parts of prompts.
+const PART_HASH: u64 = u64::MAX;
 /// Length of the digest prefix displayed in logs, in bytes.
 const DISPLAYED_BYTES: usize = 6;
 
@@ -24,6 +26,29 @@
 }
 
 impl Fingerprint {
+    /// Returns the fingerprint of a part of prompts. Several client accounts may send the same part.
+    ///
+    /// ```
+    /// use damaskstile_requests::Fingerprint;
+    /// assert!(Fingerprint::of_part(7).is_part());
+    /// assert_ne!(Fingerprint::of_part(7), Fingerprint::of_part(8));
+    /// ```
+    #[must_use]
+    pub fn of_part(part: u64) -> Self {
+        let mut digest = [0; DIGEST_BYTES];
+        digest[..8].copy_from_slice(&part.to_be_bytes());
+        Self {
+            coarse_hash: PART_HASH,
+            digest,
+        }
+    }
+
+    /// Tells whether this is the fingerprint of a part of prompts rather than of a whole content.
+    #[must_use]
+    pub fn is_part(&self) -> bool {
+        self.coarse_hash == PART_HASH
+    }
+
     /// Computes the fingerprint of a content.
     ///
     /// ```
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -67,6 +67,19 @@
         }
     }
 
+    /// Returns the names of all parts but the last, which only this call has.
+    ///
+    /// ```
+    /// use damaskstile_targets::{Part, Work};
+    /// let part = |name| Part { name, tokens: 10 };
+    /// let work = Work { parts: vec![part(1), part(2)], ..Work::default() };
+    /// assert_eq!(work.names_but_last().collect::<Vec<_>>(), [1]);
+    /// ```
+    pub fn names_but_last(&self) -> impl Iterator<Item = u64> + '_ {
+        let but_last = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(but_last).map(|part| part.name)
+    }
+
     /// Returns the total length of the shared parts.
     ///
     /// ```
