Parts of prompts that crash targets are quarantined like contents

Cause: crashes were counted by account, method, host, path and body, and calls with one bad part are all different, so no content got more than four. The class: what is counted is narrower than what does the harm.

Parts of prompts but the last are suspects of their own now, with the same collection of crashes, reports, bounds and quarantine. A crash counts against the parts of calls that had no event yet; the first event of any call clears its parts, at all instances. Contents whose crashes a quarantined part explains are released.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -89,6 +89,9 @@
         if state == TargetLiveness::Ended {
             let account = terms.account.as_deref().unwrap_or_default();
             gateway.note_crash(content, account, self.target.clone());
+            if !self.had_event {
+                gateway.note_crash_under_prompt(call, account, &self.target);
+            }
             let now = gateway.now();
             gateway.state().target_table.note_ended(now, &self.target);
             gateway.note_run_lost(terms);
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -99,6 +99,7 @@
         running.note(!parts.status.is_server_error());
         if parts.status.is_success() {
             running.answered();
+            self.gateway.note_answer_begun(&self.call);
             let account = self.terms.account.as_deref();
             self.gateway.note_success(&self.call, account);
             reservation.delivering_complete();
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -1,7 +1,6 @@
 //! Refusals of calls that no target answers.
 
 use damaskstile_core::prelude::*;
-use damaskstile_requests::Fingerprint;
 use http::{HeaderValue, Response, header};
 
 use super::{Exchange, refuse};
@@ -14,12 +13,11 @@
 const RETRY_JITTER_MS: u64 = 300;
 
 impl Exchange {
-    /// Returns the refusal of a call whose content is quarantined because targets crashed under it,
-    /// possibly during other attempts with the same content.
+    /// Returns the refusal of a call whose content, or a part of whose prompt, is quarantined because
+    /// targets crashed under it, possibly during other calls.
     pub(super) fn quarantine_refusal(&mut self) -> Option<Refusal> {
         let account = self.terms.account.as_deref();
-        let refusal = self.gateway.quarantine_refusal(&self.call, account)?;
-        let content = Fingerprint::of(&self.call.content(account));
+        let (refusal, content) = self.gateway.quarantine_refusal(&self.call, account)?;
         self.record.add("content", content);
         Some(if self.attempts.may_have_run() {
             Refusal::unknown(refusal.code)
--- a/crates/damaskstile-gateway/src/peers/suspect_report.rs
+++ b/crates/damaskstile-gateway/src/peers/suspect_report.rs
@@ -33,9 +33,12 @@
     /// Targets that ended while running it.
     #[prost(message, repeated, tag = "3")]
     pub ends: Vec<TargetEndReport>,
-    /// Milliseconds since it last ran to completion.
+    /// Milliseconds since it last ran to completion, or was answered on.
     #[prost(uint64, optional, tag = "4")]
     pub cleared_age_ms: Option<u64>,
+    /// Position of a part in its prompts.
+    #[prost(uint32, tag = "5")]
+    pub position: u32,
 }
 
 impl SuspectReport {
@@ -52,6 +55,7 @@
                 })
                 .collect(),
             cleared_age_ms: suspect.cleared_age.map(unix_ms),
+            position: suspect.position,
         }
     }
 
@@ -68,6 +72,7 @@
                 })
                 .collect(),
             cleared_age: self.cleared_age_ms.map(Duration::from_millis),
+            position: self.position,
         })
     }
 }
--- a/crates/damaskstile-gateway/src/suspicion.rs
+++ b/crates/damaskstile-gateway/src/suspicion.rs
@@ -12,16 +12,54 @@
 const SOURCE_OWN: &str = "own";
 
 impl Gateway {
-    /// Returns the refusal of a call whose content is quarantined; such a call was not executed.
+    /// Returns the refusal of a call whose content, or a part of whose prompt, is quarantined, and
+    /// which of them it is; such a call was not executed.
     pub(crate) fn quarantine_refusal(
         &self,
         call: &OutboundCall,
         account: Option<&str>,
-    ) -> Option<Refusal> {
+    ) -> Option<(Refusal, Fingerprint)> {
         let now = self.now();
         let content = call.content(account);
-        let left = self.state().suspects.quarantined_for(now, &content)?;
-        Some(Refusal::not_run(RefusalCode::CrashesTargets, Some(left)))
+        let quarantined = {
+            let suspects = &self.state().suspects;
+            let part = suspects.quarantined_part(now, call.work.names_but_last());
+            part.or_else(|| {
+                let left = suspects.quarantined_for(now, &content)?;
+                Some((Fingerprint::of(&content), left))
+            })
+        };
+        let (fingerprint, left) = quarantined?;
+        let refusal = Refusal::not_run(RefusalCode::CrashesTargets, Some(left));
+        Some((refusal, fingerprint))
+    }
+
+    /// Records that a target crashed before it had written anything on the prompt of a call.
+    pub(crate) fn note_crash_under_prompt(
+        &self,
+        call: &OutboundCall,
+        account: &str,
+        target: &TargetIdentity,
+    ) {
+        let now = self.now();
+        for (position, part) in (0..).zip(call.work.names_but_last()) {
+            let changes = {
+                let suspects = &mut self.state().suspects;
+                suspects.note_part_crash(now, part, position, account, target.clone())
+            };
+            self.send_changes(&changes);
+            self.log_changes(SOURCE_OWN, &changes);
+        }
+    }
+
+    /// Records that a target began to write its answer to a call.
+    pub(crate) fn note_answer_begun(&self, call: &OutboundCall) {
+        let now = self.now();
+        for part in call.work.names_but_last() {
+            let changes = self.state().suspects.note_sound_part(now, part);
+            self.send_changes(&changes);
+            self.log_changes(SOURCE_OWN, &changes);
+        }
     }
 
     /// Records that a target ended while it ran a call.
--- a/crates/damaskstile-requests/src/fingerprint.rs
+++ b/crates/damaskstile-requests/src/fingerprint.rs
@@ -49,6 +49,12 @@
         self.coarse_hash == PART_HASH
     }
 
+    /// Returns the name of the part, if this is the fingerprint of one.
+    pub(crate) fn part(&self) -> Option<u64> {
+        let (name, _) = self.digest.split_first_chunk()?;
+        self.is_part().then(|| u64::from_be_bytes(*name))
+    }
+
     /// Computes the fingerprint of a content.
     ///
     /// ```
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod quarantine_changes;
 pub mod retries;
 pub mod send_failure_kind;
+mod sound_parts;
 pub mod stream_origin;
 pub mod stream_origins;
 mod suspect;
--- a/crates/damaskstile-requests/src/suspect.rs
+++ b/crates/damaskstile-requests/src/suspect.rs
@@ -35,6 +35,8 @@
     pub(crate) crashes: Vec<TargetCrash>,
     /// When it last ran to completion.
     pub(crate) cleared_at: Option<Duration>,
+    /// Position of a part in its prompts: the farther back, the fewer calls have it.
+    pub(crate) position: u32,
     /// When the history last changed.
     pub(crate) changed_at: Duration,
     /// Whether changes are reported to all peers. Once set, this includes that the content was
@@ -103,17 +105,7 @@
 
     /// Counts the crashes. A series in quick succession counts as one.
     pub(crate) fn count(&self) -> usize {
-        let mut times: Vec<Duration> = self.crashes.iter().map(|crash| crash.at).collect();
-        times.sort_unstable();
-        let mut count = 0;
-        let mut last = None;
-        for at in times {
-            if last.is_none_or(|last| at.saturating_sub(last) >= SAME_CAUSE_WINDOW) {
-                count += 1;
-                last = Some(at);
-            }
-        }
-        count
+        count_series(self.crashes.iter().map(|crash| crash.at).collect())
     }
 
     /// Returns the time for which at least `crashes` crashes still count.
@@ -137,12 +129,36 @@
                 .map(|crash| (crash.target.clone(), age(crash.at)))
                 .collect(),
             cleared_age: self.cleared_at.map(age),
+            position: self.position,
         }
     }
 
+    /// Counts the crashes that none of the others has, as [`Self::count`] does.
+    pub(crate) fn count_unexplained(&self, others: &[&Self]) -> usize {
+        let crashes = self.crashes.iter();
+        let unexplained = crashes.filter(|crash| {
+            let mut known = others.iter().flat_map(|other| &other.crashes);
+            !known.any(|known| known.is_same(crash))
+        });
+        count_series(unexplained.map(|crash| crash.at).collect())
+    }
+
     /// Returns whether every crash of the other content is also a crash of this one.
     pub(crate) fn covers(&self, other: &Self) -> bool {
         let mut crashes = other.crashes.iter();
         crashes.all(|crash| self.crashes.iter().any(|known| known.is_same(crash)))
     }
 }
+
+fn count_series(mut times: Vec<Duration>) -> usize {
+    times.sort_unstable();
+    let mut count = 0;
+    let mut last = None;
+    for at in times {
+        if last.is_none_or(|last| at.saturating_sub(last) >= SAME_CAUSE_WINDOW) {
+            count += 1;
+            last = Some(at);
+        }
+    }
+    count
+}
