New connections are closed unread at an instance that cannot serve them in time while others can

A balancer may hand most new connections of a data centre to one instance. It read what it could not serve, refused it, and handed the flood on when it left rotation. Now a connection that arrives while calls would wait for more than 125 ms is closed unread if most peers of the data centre have room; one in 500 ms is read all the same, so that a balancer does not take the instance for dead. Callers know that nothing has run and try again at once, at another instance.

Weighed: leaving rotation earlier, which hands the flood to the next instance; forwarding calls to peers, which takes two links and processors for each.

--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -13,6 +13,7 @@
 use crate::caller_connection::CallerConnection;
 use crate::exchange::serve;
 use crate::gateway::Gateway;
+use crate::phase::Phase;
 use crate::spawn_counted;
 use crate::watched_stream::WatchedStream;
 
@@ -47,6 +48,7 @@
             () = gateway.cut() => return,
         };
         match accepted {
+            Ok((stream, _)) if closes_unread(&gateway) => drop(stream),
             Ok((stream, _)) => {
                 spawn_counted(
                     &gateway,
@@ -63,6 +65,20 @@
     }
 }
 
+/// Returns whether a new connection is closed unread. During a shutdown none is: a refusal tells its
+/// caller more.
+fn closes_unread(gateway: &Gateway) -> bool {
+    if *gateway.phase.borrow() != Phase::Serving {
+        return false;
+    }
+    let now = gateway.now();
+    let closes = gateway.state().closes_connection(now);
+    if closes {
+        gateway.metrics.load.connection_closed_unread();
+    }
+    closes
+}
+
 /// Serves one connection. During a shutdown it is closed after the next answer, or at the end of
 /// the shutdown when everything written to it has been sent.
 async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod charge;
 pub mod clock;
 pub mod cold_options;
+pub mod connection_shedding;
 pub mod contact;
 pub mod content_changes;
 pub(crate) mod copy_metrics;
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -142,6 +142,10 @@
         ("committed_percent", committed.percents()),
         ("calls", gateway.open_calls().to_string()),
         ("connections", gateway.open_connections().to_string()),
+        (
+            "closed_unread",
+            gateway.metrics.load.closed_unread().to_string(),
+        ),
     ];
     let fields = fields
         .each_ref()
--- a/crates/damaskstile-gateway/src/load_metrics.rs
+++ b/crates/damaskstile-gateway/src/load_metrics.rs
@@ -2,6 +2,7 @@
 
 use damaskstile_core::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -26,6 +27,7 @@
     readiness: Family<StateLabels, Gauge>,
     busy_ms: Family<DutyLabels, Gauge>,
     load_percent: Family<StateLabels, Gauge>,
+    closed_unread: Counter,
 }
 
 impl LoadMetrics {
@@ -37,6 +39,8 @@
         registry.register("busy_ms", help, self.busy_ms.clone());
         let help = "Share in use of the capacity for calls, here and as the mean of neighbours";
         registry.register("load_percent", help, self.load_percent.clone());
+        let help = "New connections closed unread since other instances have more room";
+        registry.register("closed_unread", help, self.closed_unread.clone());
     }
 
     /// Sets the current readiness.
@@ -46,6 +50,17 @@
         self.readiness.get_or_create(&StateLabels { state }).set(1);
     }
 
+    /// Counts a new connection that is closed unread.
+    pub(crate) fn connection_closed_unread(&self) {
+        self.closed_unread.inc();
+    }
+
+    /// Returns the number of new connections that were closed unread.
+    #[must_use]
+    pub fn closed_unread(&self) -> u64 {
+        self.closed_unread.get()
+    }
+
     /// Sets the time spent on each background task.
     pub fn sample_busy(&self, times: BTreeMap<&'static str, Duration>) {
         for (duty, time) in times {
--- a/crates/damaskstile-gateway/src/pressure.rs
+++ b/crates/damaskstile-gateway/src/pressure.rs
@@ -257,6 +257,11 @@
         self.late_samples >= LATE_SAMPLES || received.max(sent).max(work) > DELAY_LIMIT
     }
 
+    /// Returns how long a call that arrives now would wait before it is sent.
+    pub fn wait(&mut self, now: Duration) -> Duration {
+        self.queue_state(now).wait()
+    }
+
     /// Returns the queueing delays of the incoming link, the outgoing link and the processor.
     pub fn delays(&mut self, now: Duration) -> [Duration; 3] {
         let Self {
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::call::CallHead;
 use crate::call_times::CallTimes;
 use crate::clock::BootTime;
+use crate::connection_shedding::ConnectionShedding;
 use crate::contact::Contact;
 use crate::content_changes::ContentChanges;
 use crate::delisted_targets::DelistedTargets;
@@ -149,6 +150,8 @@
     pub pressure: Pressure,
     /// This instance's part in sharing load with its data centre.
     pub load_sharing: LoadSharing,
+    /// Which new connections are closed unread.
+    pub connection_shedding: ConnectionShedding,
     /// Queues of bulk prompts.
     pub prompt_queues: PromptQueues,
     /// Whether the load of bulk prompts has risen since the last digest.
@@ -230,6 +233,7 @@
                 options.capacity_percent,
                 options.rotation,
             ),
+            connection_shedding: ConnectionShedding::default(),
             prompt_queues: PromptQueues::new(options.link_bytes_per_s),
             has_bulk_load_risen: false,
             is_stopping: false,
--- a/crates/damaskstile-gateway/src/state/rotation.rs
+++ b/crates/damaskstile-gateway/src/state/rotation.rs
@@ -6,6 +6,7 @@
 
 use super::State;
 use crate::busiest_account::BusiestAccount;
+use crate::connection_shedding::{WAIT_LIMIT, have_room};
 use crate::peer_load::PeerLoad;
 use crate::rotation::LEAVE_SHARE_MAX;
 
@@ -24,6 +25,15 @@
         is_changed
     }
 
+    /// Returns whether a new connection is closed unread, since calls would wait too long here and
+    /// most peers have room.
+    pub fn closes_connection(&mut self, now: Duration) -> bool {
+        let wait = self.pressure.wait(now);
+        let data_centre = &self.own_candidate.data_centre;
+        let has_room = wait > WAIT_LIMIT && have_room(now, data_centre, self.members.values());
+        self.connection_shedding.closes(now, wait, has_room)
+    }
+
     /// Returns the load of this instance, to report it to peers.
     pub fn own_load(&mut self, now: Duration, is_in_rotation: bool) -> PeerLoad {
         let busiest = self.load_sharing.busiest(now);
