--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -9,6 +9,7 @@
 mod sources;
 mod streams;
 mod targets;
+mod terms;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
 use lenders::Lenders;
 pub use lenders::LendersToAsk;
 pub use targets::ReportedChanges;
+pub use terms::Terms;
 
 /// Window over which requests are counted for the retry budget, which is a share of them.
 const RETRY_SPAN: Duration = Duration::from_secs(10);
@@ -54,27 +56,6 @@
 /// Age past which a peer's digest no longer shows its free tokens.
 const MEMBER_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// `Terms` is what the catalogue in force specifies for a call.
-#[derive(Debug, Clone)]
-pub struct Terms {
-    /// The catalogue in force.
-    pub catalogue: Arc<Catalogue>,
-    /// Time since it came into force at this instance.
-    pub catalogue_age: Duration,
-    /// The route.
-    pub route: Arc<Route>,
-    /// The service chosen by the route's traffic split.
-    pub service: ServiceId,
-    /// Client account; `None` on routes that require none.
-    pub account: Option<AccountId>,
-    /// Regions that may run the call; `None` for all.
-    pub home_regions: Option<Arc<BTreeSet<RegionId>>>,
-    /// Priority rank of the call.
-    pub priority: u8,
-    /// Whether the call is bulk work beside more urgent streams of the same service.
-    pub is_bulk: bool,
-}
-
 /// `State` holds everything that the decisions of one instance are based on.
 #[derive(Debug)]
 pub struct State {
--- a/crates/damaskstile-gateway/src/state/collectors.rs
+++ b/crates/damaskstile-gateway/src/state/collectors.rs
@@ -1,4 +1,5 @@
-//! Selection of the instances that collect the target ends for a content.
+//! Selection of the instances that collect what any instance may notice: the target ends for a
+//! content, or where a stream began.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -8,8 +9,9 @@
 
 use super::State;
 
-/// Number of instances of a large fleet that collect the target ends for one content. Any of them
-/// may be dead or miss a datagram; a single one that knows of enough ends notifies all.
+/// Number of instances of a large fleet that collect the target ends for one content, or keep where
+/// one stream began. Any of them may be dead or miss a datagram; a single one that knows of enough
+/// ends notifies all.
 const COLLECTORS_MAX: usize = 4;
 
 impl State {
@@ -21,12 +23,17 @@
     /// the same targets.
     #[must_use]
     pub fn collectors(&self, content: &Fingerprint) -> Vec<SocketAddr> {
+        // Many contents share an outline; hashing by outline would make a few instances collect for
+        // all of them.
+        self.peers_by_hash("collect", &content.to_string())
+    }
+
+    /// Returns the addresses of all peers of a small fleet, and of a large one the same few for all
+    /// instances, by a hash of a key.
+    pub(super) fn peers_by_hash(&self, purpose: &str, key: &str) -> Vec<SocketAddr> {
         let mut peers: Vec<_> = self.members.iter().collect();
         if self.is_large_fleet() {
-            // Many contents share an outline; hashing by outline would make a few instances collect
-            // for all of them.
-            let content = content.to_string();
-            peers.sort_by_key(|(name, _)| Reverse(stable_hash(&["collect", &content, name])));
+            peers.sort_by_key(|(name, _)| Reverse(stable_hash(&[purpose, key, name])));
             peers.truncate(COLLECTORS_MAX);
         }
         peers
--- a/crates/damaskstile-gateway/src/state/streams.rs
+++ b/crates/damaskstile-gateway/src/state/streams.rs
@@ -1,17 +1,12 @@
 //! Versions of software that began streams, as far as this instance knows.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use damaskstile_core::prelude::*;
-use damaskstile_core::random::stable_hash;
 use damaskstile_requests::{OriginAnswer, StreamKey, StreamOrigin};
 
 use super::State;
 
-/// Number of instances of a large fleet that keep the origin of one stream. Any of them may be dead
-/// or miss a datagram.
-const KEEPERS_MAX: usize = 4;
 /// Age past which an instance of a small fleet that sends no digests is not asked.
 const DIGEST_AGE_MAX: Duration = Duration::from_secs(6);
 
@@ -38,16 +33,7 @@
     /// the same few for all instances.
     #[must_use]
     pub fn stream_keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
-        let mut peers: Vec<_> = self.members.iter().collect();
-        if self.is_large_fleet() {
-            let key = key.to_string();
-            peers.sort_by_key(|(name, _)| Reverse(stable_hash(&["keep", &key, name])));
-            peers.truncate(KEEPERS_MAX);
-        }
-        peers
-            .into_iter()
-            .map(|(_, member)| member.address)
-            .collect()
+        self.peers_by_hash("keep", &key.to_string())
     }
 
     /// Returns the peers to ask for the origin of a stream.
