--- a/crates/damaskstile-requests/tests/part_suspects_fleet.rs
+++ b/crates/damaskstile-requests/tests/part_suspects_fleet.rs
@@ -92,15 +92,15 @@
         if !changes.quarantined.is_empty() {
             self.digest_at_ms[from] = now_ms;
         }
-        let Some(changed) = changes.changed else {
+        let Some(suspect) = changes.changed else {
             return;
         };
-        let Some(report) = self.suspects[from].report(at(now_ms), &changed) else {
+        let Some(report) = self.suspects[from].report(at(now_ms), &suspect) else {
             return;
         };
         let mut peers: Vec<usize> = (0..self.suspects.len()).collect();
         if peers.len() > SMALL_FLEET {
-            let key = changed.to_string();
+            let key = suspect.to_string();
             peers.sort_by_key(|peer| stable_hash(&[&key, &peer.to_string()]));
             peers.truncate(COLLECTORS);
         }
