Two peers confirm the only version of software

A stream without a record goes on at the only version that is known. The search waited for most of the asked peers; where more than half of a fleet had been killed, those that answered were too few, and each caller that took its stream up waited for 400 ms. Two peers are enough: an instance that sees a second version reports its streams to all peers that may be asked.

--- a/crates/damaskstile-requests/src/origin_lookup.rs
+++ b/crates/damaskstile-requests/src/origin_lookup.rs
@@ -4,6 +4,11 @@
 
 use crate::stream_origin::StreamOrigin;
 
+/// Peers that must know of the same only version before the others are no longer waited for. An
+/// instance that sees a second one reports its streams to all of them, so a single lost report
+/// misleads none.
+const CONFIRMATIONS: usize = 2;
+
 /// What an instance knows of the version that began a stream.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginAnswer {
@@ -77,7 +82,7 @@
         let is_confirmed = if is_final || self.is_answered() {
             self.asked == 0 || !self.answers.is_empty()
         } else {
-            self.answers.len() * 2 > self.asked
+            self.answers.len() >= CONFIRMATIONS
         };
         let versions: BTreeSet<&SoftwareVersion> =
             all().flat_map(|answer| &answer.versions).collect();
