Streams that begin cost no copies of versions; peers are hashed once for a key

The check whether a stream has to be reported ran for each first event and for each unreported stream, and copied the service's versions each time. The choice of peers by a hash, which suspects use too, computed each peer's hash for every comparison of the sort.

--- a/crates/damaskstile-gateway/src/state/collectors.rs
+++ b/crates/damaskstile-gateway/src/state/collectors.rs
@@ -33,7 +33,7 @@
     pub(super) fn peers_by_hash(&self, purpose: &str, key: &str) -> Vec<SocketAddr> {
         let mut peers: Vec<_> = self.members.iter().collect();
         if self.is_large_fleet() {
-            peers.sort_by_key(|(name, _)| Reverse(stable_hash(&[purpose, key, name])));
+            peers.sort_by_cached_key(|(name, _)| Reverse(stable_hash(&[purpose, key, name])));
             peers.truncate(COLLECTORS_MAX);
         }
         peers
--- a/crates/damaskstile-gateway/src/state/streams.rs
+++ b/crates/damaskstile-gateway/src/state/streams.rs
@@ -73,7 +73,6 @@
     /// versions, or may have had, as far as this instance knows.
     #[must_use]
     pub fn needs_stream_reports(&self, now: Duration, service: &str, span: Duration) -> bool {
-        let known = self.known_origin(now, None, service, span);
-        !known.is_whole || known.versions.len() > 1
+        !self.target_table.has_one_version(now, service, span)
     }
 }
--- a/crates/damaskstile-targets/src/service_versions.rs
+++ b/crates/damaskstile-targets/src/service_versions.rs
@@ -45,10 +45,13 @@
     }
 
     /// Returns the versions that targets have now or had within the last `span`.
-    pub(crate) fn within(&self, now: Duration, span: Duration) -> BTreeSet<SoftwareVersion> {
+    pub(crate) fn within(
+        &self,
+        now: Duration,
+        span: Duration,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
         let former = self.gone_at.iter();
-        let former = former.filter(|(_, at)| now.saturating_sub(**at) <= span);
-        let former = former.map(|(version, _)| version);
-        self.listed.keys().chain(former).cloned().collect()
+        let former = former.filter(move |(_, at)| now.saturating_sub(**at) <= span);
+        self.listed.keys().chain(former.map(|(version, _)| version))
     }
 }
--- a/crates/damaskstile-targets/src/target_table/versions.rs
+++ b/crates/damaskstile-targets/src/target_table/versions.rs
@@ -24,8 +24,19 @@
         service: &str,
         span: Duration,
     ) -> BTreeSet<SoftwareVersion> {
+        let versions = self.versions.get(service).into_iter();
+        let versions = versions.flat_map(|versions| versions.within(now, span));
+        versions.cloned().collect()
+    }
+
+    /// Tells whether targets of a service are known to have had one version at most within the last
+    /// `span`.
+    #[must_use]
+    pub fn has_one_version(&self, now: Duration, service: &str, span: Duration) -> bool {
         let versions = self.versions.get(service);
-        versions.map_or_else(BTreeSet::new, |versions| versions.within(now, span))
+        let has_several =
+            versions.is_some_and(|versions| versions.within(now, span).nth(1).is_some());
+        self.knows_versions_within(now, span) && !has_several
     }
 
     /// Tells whether this instance knows all versions of the last `span`, since it has followed the
