Suspects: contents and parts share one way to add a crash and one to clear

The methods for parts repeated those for contents, and each of four callers sent and logged the changes by itself. Same behaviour; a content's fingerprint names no part, so what is known of sound parts does not apply to it.

--- a/crates/damaskstile-gateway/src/suspicion.rs
+++ b/crates/damaskstile-gateway/src/suspicion.rs
@@ -47,8 +47,7 @@
                 let suspects = &mut self.state().suspects;
                 suspects.note_part_crash(now, part, position, account, target.clone())
             };
-            self.send_changes(&changes);
-            self.log_changes(SOURCE_OWN, &changes);
+            self.publish(&changes);
         }
     }
 
@@ -57,8 +56,7 @@
         let now = self.now();
         for part in call.work.names_but_last() {
             let changes = self.state().suspects.note_sound_part(now, part);
-            self.send_changes(&changes);
-            self.log_changes(SOURCE_OWN, &changes);
+            self.publish(&changes);
         }
     }
 
@@ -69,8 +67,7 @@
             let suspects = &mut self.state().suspects;
             suspects.note_crash(now, content, account, target)
         };
-        self.send_changes(&changes);
-        self.log_changes(SOURCE_OWN, &changes);
+        self.publish(&changes);
     }
 
     /// Records that a target completed a call.
@@ -78,12 +75,11 @@
         let now = self.now();
         let content = call.content(account);
         let changes = self.state().suspects.note_success(now, &content);
-        self.send_changes(&changes);
-        self.log_changes(SOURCE_OWN, &changes);
+        self.publish(&changes);
     }
 
-    /// Sends the verdicts reached here to peers.
-    fn send_changes(&self, changes: &QuarantineChanges) {
+    /// Sends the verdicts reached here to peers, and logs them.
+    fn publish(&self, changes: &QuarantineChanges) {
         if let Some(content) = changes.changed {
             // If the queue is full the report is dropped; the report of the next end under this
             // content includes this one.
@@ -92,6 +88,7 @@
         if !changes.quarantined.is_empty() {
             self.gossip_wanted.notify_one();
         }
+        self.log_changes(SOURCE_OWN, changes);
     }
 
     /// Handles a peer's report. A quarantine is passed on at once: in a large fleet a digest
--- a/crates/damaskstile-requests/src/suspects.rs
+++ b/crates/damaskstile-requests/src/suspects.rs
@@ -60,8 +60,7 @@
         account: &str,
         target: TargetIdentity,
     ) -> QuarantineChanges {
-        let suspect = self.histories.entry(fingerprint);
-        let suspect = suspect.or_insert_with(|| Suspect::new(account));
+        let suspect = self.suspect(fingerprint, account);
         if !suspect.note_crash(now, TargetCrash { target, at: now }) {
             return QuarantineChanges::default();
         }
@@ -80,25 +79,13 @@
         let fingerprint = Fingerprint::of_part(part);
         let suspect = self.suspect(fingerprint, account);
         suspect.position = suspect.position.max(position);
-        if !suspect.note_crash(now, TargetCrash { target, at: now }) {
-            return QuarantineChanges::default();
-        }
-        self.update_quarantine(now, fingerprint)
+        self.note_crash(now, fingerprint, account, target)
     }
 
     /// Records that a target began to write an answer on a prompt with this part.
     pub fn note_sound_part(&mut self, now: Duration, part: u64) -> QuarantineChanges {
         self.sound_parts.note(now, part);
-        if self.histories.is_empty() {
-            return QuarantineChanges::default();
-        }
-        let fingerprint = Fingerprint::of_part(part);
-        let suspect = self.histories.get_mut(&fingerprint);
-        if suspect.is_some_and(|suspect| suspect.clear(now, now)) {
-            self.update_quarantine(now, fingerprint)
-        } else {
-            QuarantineChanges::default()
-        }
+        self.clear(now, Fingerprint::of_part(part))
     }
 
     /// Returns the first quarantined part of a prompt, and for how long it stays quarantined.
@@ -154,7 +141,11 @@
         if self.histories.range(same_coarse_hash).next().is_none() {
             return QuarantineChanges::default();
         }
-        let fingerprint = Fingerprint::of(content);
+        self.clear(now, Fingerprint::of(content))
+    }
+
+    /// Removes the crashes so far from the history of a suspect, if there is one.
+    fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> QuarantineChanges {
         let suspect = self.histories.get_mut(&fingerprint);
         if suspect.is_some_and(|suspect| suspect.clear(now, now)) {
             self.update_quarantine(now, fingerprint)
