--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -225,14 +225,10 @@
         self.pause_max = self.pause_max.max(now.saturating_sub(before));
         self.gateway.note_forwarded(event.bytes.len());
         self.admitted.note_event(event.bytes.len());
-        let is_first_of_run = self
-            .run
-            .as_ref()
-            .is_some_and(|run| !run.running.is_answered());
-        if is_first_of_run {
-            self.gateway.note_answer_begun(&self.call);
-        }
         if let Some(run) = &mut self.run {
+            if !run.running.is_answered() {
+                self.gateway.note_answer_begun(&self.call);
+            }
             run.running.event();
             if run.lease.peer.is_none() {
                 let reach = &mut self.gateway.state().reach;
