--- a/crates/damaskstile-gateway/src/connection_shedding.rs
+++ b/crates/damaskstile-gateway/src/connection_shedding.rs
@@ -3,10 +3,8 @@
 use damaskstile_core::prelude::*;
 
 use crate::member::Member;
+use crate::neighbours::{REPORT_AGE_MAX, reports_of_all};
 
-/// Age up to which a peer's report of its load counts. Digests reach an instance of a large fleet
-/// every few seconds.
-const REPORT_AGE_MAX: Duration = Duration::from_secs(6);
 /// Utilisation up to which a peer has room for the callers of others.
 const ROOM_SHARE_MAX: f64 = 0.5;
 /// Wait from which on new connections are closed. What is accepted until then has still to be read
@@ -56,15 +54,11 @@
     data_centre: &str,
     members: impl Iterator<Item = &'a Member>,
 ) -> bool {
-    let serving = members.filter(|member| !member.is_stopping);
-    let loads = serving.filter_map(|member| Some((member, member.load.as_ref()?)));
-    let fresh = loads.filter(|(_, load)| now.saturating_sub(load.at) <= REPORT_AGE_MAX);
-    let (near, far): (Vec<_>, Vec<_>) =
-        fresh.partition(|(member, _)| member.data_centre == data_centre);
+    let (near, far): (Vec<_>, Vec<_>) = reports_of_all(now, members, REPORT_AGE_MAX)
+        .partition(|(member, _)| member.data_centre == data_centre);
     let others = if near.is_empty() { far } else { near };
-    let with_room = others.iter().filter(|(_, load)| {
-        let has_room = load.share <= ROOM_SHARE_MAX;
-        load.is_in_rotation && has_room
-    });
+    let with_room = others
+        .iter()
+        .filter(|(_, load)| load.is_in_rotation && load.share <= ROOM_SHARE_MAX);
     with_room.count() * 2 > others.len()
 }
--- a/crates/damaskstile-gateway/src/neighbours.rs
+++ b/crates/damaskstile-gateway/src/neighbours.rs
@@ -7,7 +7,7 @@
 
 /// Age up to which a peer's report of its load counts. Digests reach an instance of a large fleet
 /// every few seconds.
-const REPORT_AGE_MAX: Duration = Duration::from_secs(6);
+pub(crate) const REPORT_AGE_MAX: Duration = Duration::from_secs(6);
 
 /// Age up to which a peer's report of an account's load counts. An account moves between instances
 /// within seconds, and older reports would count its load twice.
@@ -112,9 +112,19 @@
     data_centre: &str,
     members: impl Iterator<Item = &'a Member>,
     age_max: Duration,
+) -> impl Iterator<Item = (&'a Member, &'a PeerLoad)> {
+    reports_of_all(now, members, age_max)
+        .filter(move |(member, _)| member.data_centre == data_centre)
+}
+
+/// Returns the fresh reports of all members.
+pub(crate) fn reports_of_all<'a>(
+    now: Duration,
+    members: impl Iterator<Item = &'a Member>,
+    age_max: Duration,
 ) -> impl Iterator<Item = (&'a Member, &'a PeerLoad)> {
     members
-        .filter(move |member| member.data_centre == data_centre && !member.is_stopping)
+        .filter(|member| !member.is_stopping)
         .filter_map(|member| Some((member, member.load.as_ref()?)))
         .filter(move |(_, load)| now.saturating_sub(load.at) <= age_max)
 }
