Tests: simulated fleets of contents and of parts share one network

Loss, transit, recipients of digests and collectors stood in both. The simulations of contents draw as before; those of parts draw the recipients of digests without the sender now.

--- a/crates/damaskstile-requests/tests/part_suspects_fleet.rs
+++ b/crates/damaskstile-requests/tests/part_suspects_fleet.rs
@@ -1,19 +1,16 @@
 //! Simulation of fleets that must find a part of prompts that crashes targets, among the parts of
 //! sound calls, while datagrams get lost and instances restart.
 
+mod support;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use damaskstile_core::prelude::TargetIdentity;
-use damaskstile_core::random::{Random, stable_hash};
+use damaskstile_core::random::Random;
 use damaskstile_requests::{Fingerprint, QuarantineChanges, SuspectReport, Suspects};
+use support::at_ms;
+use support::network::{DIGEST_MS, FANOUT, STEP_MS, arrives_ms, collectors, digest_recipients};
 
-const STEP_MS: u64 = 10;
-const DIGEST_MS: u64 = 400;
-const FANOUT: usize = 10;
-const SMALL_FLEET: usize = 16;
-const COLLECTORS: usize = 4;
-const LOSS_PERCENT: u64 = 10;
 /// Crashes from which on the part must be known soon, and the time for that.
 const CRASHES_MAX: usize = 5;
 const DETECTION_MS: u64 = 3_000;
@@ -59,10 +56,6 @@
     refused: usize,
 }
 
-fn at(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 impl Fleet {
     fn new(seed: u64, instances: usize, targets: usize) -> Self {
         let mut random = Random::new(seed);
@@ -81,8 +74,7 @@
     }
 
     fn datagram(&mut self, now_ms: u64, to: usize, report: SuspectReport) {
-        if self.random.below(100) >= LOSS_PERCENT {
-            let arrives_ms = now_ms + STEP_MS + self.random.below(30);
+        if let Some(arrives_ms) = arrives_ms(&mut self.random, now_ms) {
             let arriving = self.datagrams.entry(arrives_ms).or_default();
             arriving.push((to, report));
         }
@@ -95,16 +87,10 @@
         let Some(suspect) = changes.changed else {
             return;
         };
-        let Some(report) = self.suspects[from].report(at(now_ms), &suspect) else {
+        let Some(report) = self.suspects[from].report(at_ms(now_ms), &suspect) else {
             return;
         };
-        let mut peers: Vec<usize> = (0..self.suspects.len()).collect();
-        if peers.len() > SMALL_FLEET {
-            let key = suspect.to_string();
-            peers.sort_by_key(|peer| stable_hash(&[&key, &peer.to_string()]));
-            peers.truncate(COLLECTORS);
-        }
-        for to in peers {
+        for to in collectors(&suspect.to_string(), self.suspects.len()) {
             self.datagram(now_ms, to, report.clone());
         }
     }
@@ -113,7 +99,7 @@
     fn send(&mut self, now_ms: u64, call: Call) {
         let suspects = &self.suspects[call.instance];
         let parts = call.parts.iter().copied();
-        if suspects.quarantined_part(at(now_ms), parts).is_some() {
+        if suspects.quarantined_part(at_ms(now_ms), parts).is_some() {
             self.refused += usize::from(!call.is_bad());
             return;
         }
@@ -171,7 +157,7 @@
             for (position, part) in (0..).zip(&call.parts).filter(|_| !call.has_begun) {
                 let suspects = &mut self.suspects[call.instance];
                 let target = identity.clone();
-                let changes = suspects.note_part_crash(at(now_ms), *part, position, "a", target);
+                let changes = suspects.note_part_crash(at_ms(now_ms), *part, position, "a", target);
                 self.report(now_ms, call.instance, &changes);
             }
         }
@@ -184,7 +170,7 @@
         let later = self.datagrams.split_off(&(now_ms + 1));
         let arrived = std::mem::replace(&mut self.datagrams, later);
         for (to, report) in arrived.into_values().flatten() {
-            let changes = self.suspects[to].merge_report(at(now_ms), report);
+            let changes = self.suspects[to].merge_report(at_ms(now_ms), report);
             if !changes.quarantined.is_empty() {
                 self.digest_at_ms[to] = now_ms;
             }
@@ -208,7 +194,7 @@
             for call in begun {
                 for part in &call.parts {
                     let suspects = &mut self.suspects[call.instance];
-                    let changes = suspects.note_sound_part(at(now_ms), *part);
+                    let changes = suspects.note_sound_part(at_ms(now_ms), *part);
                     self.report(now_ms, call.instance, &changes);
                 }
             }
@@ -218,12 +204,8 @@
                 continue;
             }
             self.digest_at_ms[from] = now_ms + DIGEST_MS;
-            let reports = self.suspects[from].reports(at(now_ms));
-            let mut peers: Vec<usize> = (0..self.suspects.len()).collect();
-            while peers.len() > FANOUT && self.suspects.len() > SMALL_FLEET {
-                peers.swap_remove(self.random.index(peers.len()));
-            }
-            for to in peers.into_iter().filter(|to| *to != from) {
+            let reports = self.suspects[from].reports(at_ms(now_ms));
+            for to in digest_recipients(&mut self.random, from, self.suspects.len()) {
                 for report in &reports {
                     self.datagram(now_ms, to, report.clone());
                 }
@@ -251,7 +233,7 @@
                 self.suspects[instance] = Suspects::default();
                 for _ in 0..FANOUT.min(self.suspects.len()) {
                     let peer = self.random.index(self.suspects.len());
-                    for report in self.suspects[peer].reports(at(now_ms)) {
+                    for report in self.suspects[peer].reports(at_ms(now_ms)) {
                         self.datagram(now_ms, instance, report);
                     }
                 }
@@ -291,7 +273,7 @@
         assert!(refused * 50 <= sent, "{summary}");
         let bad = Fingerprint::of_part(BAD_PART);
         let known = fleet.suspects.iter().filter(|suspects| {
-            let found = suspects.quarantined_part(at(SIMULATED_MS), [BAD_PART].into_iter());
+            let found = suspects.quarantined_part(at_ms(SIMULATED_MS), [BAD_PART].into_iter());
             found.is_some_and(|(part, _)| part == bad)
         });
         // An instance that has just restarted may not have heard of it yet.
--- a/crates/damaskstile-requests/tests/support/mod.rs
+++ b/crates/damaskstile-requests/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // each test uses a part
 
+pub mod network;
+
 use std::time::Duration;
 
 use damaskstile_core::prelude::*;
--- a/crates/damaskstile-requests/tests/suspects_fleet.rs
+++ b/crates/damaskstile-requests/tests/suspects_fleet.rs
@@ -6,26 +6,13 @@
 use std::collections::BTreeMap;
 
 use damaskstile_core::prelude::*;
-use damaskstile_core::random::{Random, stable_hash};
+use damaskstile_core::random::Random;
 use damaskstile_requests::{SuspectReport, Suspects};
+use support::network::{DIGEST_MS, FANOUT, STEP_MS, arrives_ms, collectors, digest_recipients};
 use support::{ACCOUNT, at_ms, content, fingerprint};
 
 /// Body of the call that crashes targets.
 const CRASHING: &str = "deadly";
-/// Step of the simulation.
-const STEP_MS: u64 = 10;
-/// Time between two digests of an instance if nothing changes.
-const DIGEST_MS: u64 = 400;
-/// Number of peers that receive a digest in a large fleet.
-const FANOUT: usize = 10;
-/// Number of instances up to which a digest is sent to all peers.
-const SMALL_FLEET: usize = 16;
-/// Number of instances that collect the crashes of one content in a large fleet.
-const COLLECTORS: usize = 4;
-/// Share of datagrams that get lost, in percent.
-const LOSS_PERCENT: u64 = 10;
-/// Maximum transit time of a datagram, in addition to one step.
-const TRANSIT_MS_MAX: u64 = 30;
 /// Time after the third crash within which the instances must detect the content.
 const DETECTION_MS: u64 = 3_000;
 /// Maximum number of sends of the content after that time.
@@ -114,22 +101,15 @@
         if reports.is_empty() {
             return;
         }
-        let mut peers: Vec<usize> = (0..self.suspects.len()).filter(|to| *to != from).collect();
-        while self.suspects.len() > SMALL_FLEET && peers.len() > FANOUT {
-            peers.swap_remove(self.random.index(peers.len()));
-        }
-        for to in peers {
+        for to in digest_recipients(&mut self.random, from, self.suspects.len()) {
             self.datagram(now_ms, to, reports.clone());
         }
     }
 
     fn datagram(&mut self, now_ms: u64, to: usize, reports: Vec<SuspectReport>) {
-        if self.random.below(100) >= LOSS_PERCENT {
-            let arrives_ms = now_ms + STEP_MS + self.random.below(TRANSIT_MS_MAX);
-            self.datagrams
-                .entry(arrives_ms)
-                .or_default()
-                .push((to, reports));
+        if let Some(arrives_ms) = arrives_ms(&mut self.random, now_ms) {
+            let arriving = self.datagrams.entry(arrives_ms).or_default();
+            arriving.push((to, reports));
         }
     }
 
@@ -140,13 +120,7 @@
         let Some(report) = self.suspects[from].report(at_ms(now_ms), &name) else {
             return;
         };
-        let mut peers: Vec<usize> = (0..self.suspects.len()).collect();
-        if peers.len() > SMALL_FLEET {
-            let name = name.to_string();
-            peers.sort_by_key(|peer| stable_hash(&[&name, &peer.to_string()]));
-            peers.truncate(COLLECTORS);
-        }
-        for to in peers {
+        for to in collectors(&name.to_string(), self.suspects.len()) {
             self.datagram(now_ms, to, vec![report.clone()]);
         }
     }
