--- a/crates/damaskstile-requests/tests/part_suspects_fleet.rs
+++ b/crates/damaskstile-requests/tests/part_suspects_fleet.rs
@@ -283,20 +283,25 @@
 
 #[test]
 fn seven_instances_find_a_crash_inducing_part() {
+    // Guards against one target after the other that crashes, or sound calls that are refused, since
+    // each instance sees only a part of the crashes.
     check(7, 18, 40, 10);
 }
 
 #[test]
 fn few_calls_do_not_hide_a_crash_inducing_part() {
+    // Guards against a first part that takes the blame because hardly any sound call clears it.
     check(7, 9, 20, 60);
 }
 
 #[test]
 fn eighty_instances_find_a_crash_inducing_part() {
+    // Guards against crashes whose reports do not meet at the same instances.
     check(81, 140, 6, 10);
 }
 
 #[test]
 fn a_thousand_instances_find_a_crash_inducing_part() {
+    // Guards against a verdict that reaches too few instances of the whole fleet.
     check(986, 400, 1, 10);
 }
