An instance that hears of no peer guesses no version of software

In a small fleet peers that were silent for six seconds are not asked where a stream began. Silent peers are left out only where others are heard, so such a search ends unanswered and the call is refused as not run (unknown_stream, with Retry-After).

--- a/crates/damaskstile-gateway/src/state/streams.rs
+++ b/crates/damaskstile-gateway/src/state/streams.rs
@@ -36,19 +36,21 @@
         self.peers_by_hash("keep", &key.to_string())
     }
 
-    /// Returns the peers to ask for the origin of a stream.
+    /// Returns the peers to ask for the origin of a stream. Silent ones are left out of a small
+    /// fleet, unless all are silent: an instance that asks nobody is contradicted by nobody, and may
+    /// be the one that is cut off.
     #[must_use]
     pub fn stream_keepers_to_ask(&self, now: Duration, key: StreamKey) -> Vec<SocketAddr> {
-        let mut keepers = self.stream_keepers(key);
-        if !self.is_large_fleet() {
-            let members = self.members.values();
-            let silent = members
-                .filter(|member| now.saturating_sub(member.received_at) >= DIGEST_AGE_MAX)
-                .map(|member| member.address);
-            let silent: BTreeSet<SocketAddr> = silent.collect();
-            keepers.retain(|address| !silent.contains(address));
+        let keepers = self.stream_keepers(key);
+        if self.is_large_fleet() {
+            return keepers;
         }
-        keepers
+        let members = self.members.values();
+        let heard = members
+            .filter(|member| now.saturating_sub(member.received_at) < DIGEST_AGE_MAX)
+            .map(|member| member.address);
+        let heard: Vec<SocketAddr> = heard.collect();
+        if heard.is_empty() { keepers } else { heard }
     }
 
     /// Returns own streams that were not reported yet, by origin. Streams of a service with one
