--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -123,7 +123,10 @@
         if self.is_down:
             return False
         self.beats[name] = time.monotonic()
-        await self.put("servers", name, spec)
+        known = self.objects.get("servers", {}).get(name)
+        # The entry changes when more than `Sequence` changes.
+        if known is None or {**known["Spec"], "Sequence": 0} != {**spec, "Sequence": 0}:
+            await self.put("servers", name, spec)
         return True
 
     async def _expire(self):
