Logs: holdings name accounts that the catalogue lacks, and what is not settled yet

It now lists every account with a balance, and in a field of its own what finished calls used and the ledger does not count yet.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -75,7 +75,7 @@
     EstateSettled = 214, "info", "An orphaned entry of an ended incarnation was settled: its tokens were written off or returned.";
     ReportEntered = 215, "info", "A report of this instance was entered in the ledger.";
     WriterChanged = 216, "info", "Another instance writes to the ledger for this one.";
-    HoldingsNoted = 217, "info", "Holdings of this instance by account, as account:bought/reserved/free now/free in all.";
+    HoldingsNoted = 217, "info", "Holdings of this instance by account, as account:bought/reserved/free now/free in all; tokens that its calls used and the ledger does not count yet, as account:tokens.";
     ClaimRepeated = 301, "info", "A non-idempotent request was repeated and not run again.";
     ClaimInvalid = 302, "error", "A stored claim table could not be read.";
     PeerFrameInvalid = 401, "warn", "A frame from a peer could not be decoded.";
--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -251,6 +251,19 @@
             .map_or(0, |balance| balance.free(balance.allowed_tokens))
     }
 
+    /// Returns the tokens that finished calls have used and that the ledger does not count as spent
+    /// yet.
+    #[must_use]
+    pub fn unsettled_tokens(&self, account: &str) -> u64 {
+        self.balances.get(account).map_or(0, Balance::unsettled)
+    }
+
+    /// Returns the accounts of which this instance has held or requested tokens, whether or not the
+    /// catalogue still has them.
+    pub fn known_accounts(&self) -> impl Iterator<Item = &AccountId> {
+        self.balances.keys()
+    }
+
     /// Returns the prepaid accounts.
     pub fn prepaid_accounts(&self) -> impl Iterator<Item = &AccountId> {
         self.prepaid_tokens.keys()
--- a/crates/damaskstile-gateway/src/holdings.rs
+++ b/crates/damaskstile-gateway/src/holdings.rs
@@ -1,7 +1,6 @@
 //! Periodic log lines on the balances of this instance, its store calls and the bytes that it sent
 //! to peers.
 
-use std::fmt::Write;
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
@@ -34,35 +33,45 @@
     }
 }
 
-/// Logs the current balances: bought, reserved, unlocked and free tokens by account.
+/// Logs the current balances: bought, reserved, unlocked and free tokens by account, and what calls
+/// have used and the ledger does not count yet. Accounts that the catalogue lacks are included.
 pub fn log_balances(gateway: &Gateway) {
     let now = gateway.now();
-    let mut held: Vec<(u64, String)> = {
+    let (held, unsettled) = {
         let state = gateway.state();
-        let accounts = state.holder.prepaid_accounts();
-        accounts
-            .map(|account| {
-                let bought = state.holder.account_totals(account).bought_tokens;
-                let reserved = state.holder.reserved_tokens(account);
-                let free = state.holder.granted_free_tokens(account);
-                let unlocked = state.holder.free_tokens(now, account).min(free);
-                let text = format!("{account}:{bought}/{reserved}/{unlocked}/{free}");
-                (reserved + free, text)
-            })
-            .filter(|(tokens, _)| *tokens > 0)
-            .collect()
+        let holder = &state.holder;
+        let held = holder.known_accounts().map(|account| {
+            let bought = holder.account_totals(account).bought_tokens;
+            let reserved = holder.reserved_tokens(account);
+            let free = holder.granted_free_tokens(account);
+            let unlocked = holder.free_tokens(now, account).min(free);
+            let text = format!("{account}:{bought}/{reserved}/{unlocked}/{free}");
+            (reserved + free, text)
+        });
+        let unsettled = holder.known_accounts().map(|account| {
+            let tokens = holder.unsettled_tokens(account);
+            (tokens, format!("{account}:{tokens}"))
+        });
+        (largest(held), largest(unsettled))
     };
-    if held.is_empty() {
+    if held.0.is_empty() && unsettled.0.is_empty() {
         return;
     }
-    held.sort_by(|one, other| other.cmp(one));
-    let omitted = held.len().saturating_sub(ACCOUNTS_MAX).to_string();
-    let mut text = String::new();
-    for (_, one) in held.iter().take(ACCOUNTS_MAX) {
-        let separator = if text.is_empty() { "" } else { "," };
-        // Writing to a string cannot fail.
-        let _ = write!(text, "{separator}{one}");
-    }
-    let fields = [("held", text.as_str()), ("omitted", omitted.as_str())];
+    let omitted = (held.1 + unsettled.1).to_string();
+    let fields = [
+        ("held", held.0.as_str()),
+        ("unsettled", &unsettled.0),
+        ("omitted", &omitted),
+    ];
     gateway.log(EventCode::HoldingsNoted, &fields);
 }
+
+/// Returns the texts with the most tokens, without those that have none, and the number of texts
+/// that were left out.
+fn largest(texts: impl Iterator<Item = (u64, String)>) -> (String, usize) {
+    let mut texts: Vec<(u64, String)> = texts.filter(|(tokens, _)| *tokens > 0).collect();
+    texts.sort_by(|one, other| other.cmp(one));
+    let omitted = texts.len().saturating_sub(ACCOUNTS_MAX);
+    let kept: Vec<String> = texts.into_iter().map(|(_, text)| text).collect();
+    (kept[..kept.len() - omitted].join(","), omitted)
+}
