Escrow: calls of accounts that the catalogue lacks are bound by what is held

What callers could do: a call whose key one configuration accepts and that reserves its tokens after the next one lacks the account got them without a bound, since the holder took every account that it did not know as prepaid for one without a budget. Such a call, and one of an account that gets a budget while it runs, reserved nothing, but subtracted its most from what others had reserved when it ended: four calls of 448 tokens were served to an account with 1,344.

The holder now bounds every account. Only the catalogue can say that an account needs no tokens, so the gateway asks it (`State::is_bounded`), and a reservation that took nothing gives nothing back. Weighed against it: a flag for each call from the catalogue that authenticated it, which would refuse calls of an account whose budget was lifted meanwhile.

The documentation examples of try_reserve and has_tokens showed the missing bound; they show the bound now.

--- a/crates/damaskstile-escrow/src/holder.rs
+++ b/crates/damaskstile-escrow/src/holder.rs
@@ -137,7 +137,8 @@
         self.first_rank = first_rank;
     }
 
-    /// Reserves the worst-case cost of a call.
+    /// Reserves the worst-case cost of a call. An account that the catalogue lacks, or has not been
+    /// seen in any, gets no more than this instance holds of it.
     ///
     /// # Errors
     ///
@@ -149,8 +150,8 @@
     /// use damaskstile_escrow::{EscrowOptions, Holder};
     /// let identity = Identity::new("a", 1, "north");
     /// let mut holder = Holder::new(identity, "", EscrowOptions::default());
-    /// // An account that is not prepaid has no bound.
-    /// assert_eq!(holder.try_reserve(Duration::ZERO, "free", 100, 0), Ok(()));
+    /// // An instance that has not seen the ledger holds no tokens.
+    /// assert!(holder.try_reserve(Duration::ZERO, "account", 100, 0).is_err());
     /// ```
     pub fn try_reserve(
         &mut self,
@@ -159,9 +160,6 @@
         tokens: u64,
         rank: Rank,
     ) -> Result<(), Shortage> {
-        if !self.prepaid_tokens.contains_key(account) {
-            return Ok(());
-        }
         if self.is_reserved_for_urgent(now, account, tokens, rank) {
             let is_spent = self.is_exhausted(now, account, tokens);
             return Err(if is_spent {
@@ -196,13 +194,12 @@
     /// use damaskstile_escrow::{EscrowOptions, Holder};
     /// let identity = Identity::new("a", 1, "north");
     /// let holder = Holder::new(identity, "", EscrowOptions::default());
-    /// assert!(holder.has_tokens(Duration::ZERO, "free", 100, 0));
+    /// assert!(!holder.has_tokens(Duration::ZERO, "account", 100, 0));
     /// ```
     #[must_use]
     pub fn has_tokens(&self, now: Duration, account: &str, tokens: u64, rank: Rank) -> bool {
-        !self.prepaid_tokens.contains_key(account)
-            || (self.free_tokens(now, account) >= tokens
-                && !self.is_reserved_for_urgent(now, account, tokens, rank))
+        self.free_tokens(now, account) >= tokens
+            && !self.is_reserved_for_urgent(now, account, tokens, rank)
     }
 
     /// Returns whether an account is prepaid.
--- a/crates/damaskstile-escrow/tests/missing_accounts.rs
+++ b/crates/damaskstile-escrow/tests/missing_accounts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use damaskstile_core::prelude::*;
-use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Role, Round};
+use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Role, Round, Shortage};
 use support::{at, stamp};
 
 const ACCOUNT: &str = "a";
@@ -301,3 +301,23 @@
     // Assert
     assert_eq!(fleet.ledger.granted(ACCOUNT), 0);
 }
+
+#[test]
+fn a_call_of_a_missing_account_is_bound_by_what_is_held() {
+    // Guards against calls without a bound: a call whose key a former version of the catalogue
+    // accepted reserves its tokens after the next version lacks the account.
+
+    // Arrange
+    let mut fleet = Fleet::small();
+    let held = fleet.writer.free_tokens(at(2_000), ACCOUNT);
+    fleet.learn(MISSING);
+
+    // Act
+    let within = fleet.writer.try_reserve(at(2_000), ACCOUNT, held, 0);
+    let beyond = fleet.writer.try_reserve(at(2_000), ACCOUNT, 1, 0);
+
+    // Assert
+    assert!(held > 0);
+    assert_eq!(within, Ok(()));
+    assert_eq!(beyond, Err(Shortage::Exhausted));
+}
--- a/crates/damaskstile-escrow/tests/support/world.rs
+++ b/crates/damaskstile-escrow/tests/support/world.rs
@@ -294,9 +294,6 @@
 
     fn reserve(&mut self, index: usize, account: usize, tokens: u64) {
         let holder = &mut self.holders[index];
-        if !holder.is_prepaid(ACCOUNTS[account]) {
-            return;
-        }
         holder.note_demand(self.now, ACCOUNTS[account], tokens, 0);
         if holder
             .try_reserve(self.now, ACCOUNTS[account], tokens, 0)
--- a/crates/damaskstile-gateway/src/reservation.rs
+++ b/crates/damaskstile-gateway/src/reservation.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub struct Reservation {
     gateway: Arc<Gateway>,
+    /// Set if tokens of this instance are reserved.
     account: Option<AccountId>,
     /// Set if the tokens are lent by a peer.
     loan: Option<Loan>,
@@ -62,15 +63,14 @@
         rank: Rank,
     ) -> Result<Self, Shortage> {
         let work = work.cloned().unwrap_or_default();
-        let account = account.filter(|_| work.prompt_tokens + work.output_tokens > 0);
         let tokens = work.prompt_tokens + work.output_tokens;
+        let mut state = gateway.state();
+        let account = account.filter(|account| tokens > 0 && state.is_bounded(account));
         if let Some(account) = account {
             let now = gateway.now();
-            gateway
-                .state()
-                .holder
-                .try_reserve(now, account, tokens, rank)?;
+            state.holder.try_reserve(now, account, tokens, rank)?;
         }
+        drop(state);
         Ok(Self::new(gateway, account, &work, tokens_per_event))
     }
 
--- a/crates/damaskstile-loans/src/lender.rs
+++ b/crates/damaskstile-loans/src/lender.rs
@@ -100,9 +100,7 @@
         id: &LoanId,
         request: &LoanRequest,
     ) -> LoanOutcome {
-        // The holder sets no bound on an account that it does not know to be prepaid. A lender that
-        // has just started knows no accounts yet, and without this check would lend tokens that no
-        // instance holds, so that the account is overdrawn.
+        // A lender that has just started knows no accounts yet, and others may have the tokens.
         if !holder.is_prepaid(&request.account) {
             return LoanOutcome::Elsewhere;
         }
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -180,6 +180,12 @@
         self.accounts.get(name)
     }
 
+    /// Returns an account by name.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        self.accounts.get(name)
+    }
+
     /// Returns whether the catalogue has accounts. If it has none, calls need no key.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
