--- a/crates/damaskstile-gateway/tests/charges.rs
+++ b/crates/damaskstile-gateway/tests/charges.rs
@@ -20,6 +20,11 @@
         parts: Vec::new(),
         ..Work::default()
     };
+    let held_tokens = PROMPT_TOKENS + OUTPUT_TOKENS;
+    gateway
+        .state()
+        .holder
+        .accept_transfer("account", held_tokens);
     Reservation::try_new(&gateway, Some("account"), Some(&work), TOKENS_PER_EVENT, 0).unwrap()
 }
 
