Calls that expect weights take no target from other callers

What callers saw: twelve calls of one account with `X-Expect-Version: 0` took all targets of a service out of use; 12 of 12 calls of another account were answered 503 no_target, and it did not end.

Cause: a target answers 421 to a call that expects other weights, and every 421 was taken for proof that another target has the address: a departure of the incarnation, told to peers. What a caller can provoke counted as what a target says of itself.

The versions in the targets' entries decide where such a call goes, and it is refused at once where none can have them.

--- a/crates/damaskstile-core/src/codes.rs
+++ b/crates/damaskstile-core/src/codes.rs
@@ -40,6 +40,8 @@
     NoTargetInRegion,
     /// No usable target of the service runs the version of software that began the stream.
     NoTargetOfVersion,
+    /// No usable target of the service is known to have the weights that the caller expects.
+    NoTargetOfWeights,
     /// No instance knows which version of software began the stream that the request takes up.
     UnknownStream,
     /// The buffer of bills that wait to be stored is full.
@@ -92,6 +94,7 @@
             Self::TargetsUnreachable => "targets_unreachable",
             Self::NoTargetInRegion => "no_target_in_region",
             Self::NoTargetOfVersion => "no_target_of_version",
+            Self::NoTargetOfWeights => "no_target_of_weights",
             Self::UnknownStream => "unknown_stream",
             Self::BillsBacklog => "bills_backlog",
             Self::KeyReused => "key_reused",
--- a/crates/damaskstile-core/src/ids.rs
+++ b/crates/damaskstile-core/src/ids.rs
@@ -18,6 +18,10 @@
 pub type TargetIncarnation = u64;
 /// Version of a target's software: an opaque string without an order.
 pub type SoftwareVersion = String;
+/// Name of a model that targets run.
+pub type ModelId = String;
+/// Version of a model's weights.
+pub type WeightsVersion = u64;
 /// Key of a request, given by the caller (`Idempotency-Key`) and unique within a client account.
 pub type RequestKey = String;
 /// Handle of an open call, assigned by the host.
--- a/crates/damaskstile-core/src/lib.rs
+++ b/crates/damaskstile-core/src/lib.rs
@@ -36,8 +36,8 @@
     pub use crate::identity::Identity;
     pub use crate::ids::{
         AccountId, BudgetId, CallId, DataCentreId, GrantId, History, Incarnation, InstanceId,
-        RegionId, RequestHandle, RequestKey, RunId, ServiceId, SoftwareVersion, TargetId,
-        TargetIncarnation, Version,
+        ModelId, RegionId, RequestHandle, RequestKey, RunId, ServiceId, SoftwareVersion, TargetId,
+        TargetIncarnation, Version, WeightsVersion,
     };
     pub use crate::log::{EventCode, LogEvent};
     pub use crate::outcome::{Outcome, Receipt};
--- a/crates/damaskstile-gateway/src/call.rs
+++ b/crates/damaskstile-gateway/src/call.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use damaskstile_core::prelude::*;
-use damaskstile_targets::Work;
+use damaskstile_targets::{ExpectedWeights, Work};
 
 /// What a caller asks for in its headers, besides method, path and body.
 #[derive(Debug, Clone, Default)]
@@ -17,6 +17,8 @@
     pub time_limit: Option<Duration>,
     /// Size of prompt and output, for calls to models.
     pub work: Option<Work>,
+    /// Weights that the caller expects.
+    pub weights: Option<ExpectedWeights>,
     /// Id of the last event that the caller has of an earlier answer.
     pub last_event: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream that this one takes
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -97,6 +97,7 @@
                     work: Work {
                         home_regions: terms.home_regions.clone(),
                         is_bulk: terms.is_bulk,
+                        weights: head.weights,
                         ..head.work.unwrap_or_default()
                     },
                 },
@@ -303,6 +304,11 @@
             if self.time_left().is_zero() {
                 return (self.deadline_exceeded(), Some(reservation));
             }
+            if failure.cause == run::OTHER_WEIGHTS {
+                // Another send would draw on the retries that all callers share.
+                let response = self.give_up(RefusalCode::NoTargetOfWeights, RETRY_LATER);
+                return (response, Some(reservation));
+            }
             let response = match plan_next(&self.gateway, &self.terms, &self.attempts) {
                 NextStep::Retry => {
                     self.note_retry(failure.cause);
--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -85,6 +85,7 @@
         slots_requests: listed.slots_requests,
         is_ready: listed.is_ready,
         software_version: Some(listed.software_version.clone()),
+        weights: listed.weights.iter().cloned().collect(),
         cold_for_ms: unix_ms(table.cold_for(now, &listed.target)),
     }
 }
@@ -106,6 +107,7 @@
         slots_requests: pulled.slots_requests,
         is_ready: pulled.is_ready,
         software_version: pulled.software_version.unwrap_or(known_version),
+        weights: pulled.weights.into_iter().collect(),
         cold_for: Duration::from_millis(pulled.cold_for_ms),
     })
 }
--- a/crates/damaskstile-gateway/src/peers/pull_messages.rs
+++ b/crates/damaskstile-gateway/src/peers/pull_messages.rs
@@ -1,6 +1,7 @@
 //! Messages of a pull.
 
 use bytes::Bytes;
+use damaskstile_core::prelude::*;
 
 use super::PeerReport;
 use super::tunnel_messages::{TunnelOutcome, TunnelRequest};
@@ -106,4 +107,7 @@
     pub(super) cold_for_ms: u64,
     #[prost(string, optional, tag = "9")]
     pub(super) software_version: Option<String>,
+    /// Versions of the weights by model; empty if they are unknown.
+    #[prost(btree_map = "string, uint64", tag = "10")]
+    pub(super) weights: BTreeMap<ModelId, WeightsVersion>,
 }
--- a/crates/damaskstile-gateway/src/reply.rs
+++ b/crates/damaskstile-gateway/src/reply.rs
@@ -86,6 +86,8 @@
             RefusalCode::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalCode::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            // What a target answers that has other weights.
+            RefusalCode::NoTargetOfWeights => StatusCode::MISDIRECTED_REQUEST,
             RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -56,6 +56,8 @@
 const CONNECT_REFUSED: &str = "connect_refused";
 /// Cause of a send whose connection was not made in time.
 const CONNECT_TIMEOUT: &str = "connect_timeout";
+/// Cause of a send whose target refused it as it may lack the weights that the caller expects.
+pub(crate) const OTHER_WEIGHTS: &str = "other_weights";
 
 impl SendFailure {
     pub(crate) const fn new(end: SendFailureKind, cause: &'static str) -> Self {
@@ -169,7 +171,10 @@
         gateway.state().reach.note_received(now, &terms.service);
     }
     let (parts, body) = answer.into_parts();
-    let head = gateway.dialect.read_answer(&parts);
+    let mut head = gateway.dialect.read_answer(&parts);
+    if head.handling == Handling::Misdirected && call.work.weights.is_some() {
+        head.handling = Handling::Unmet;
+    }
     let run = Run {
         parts,
         head,
@@ -237,6 +242,9 @@
         gateway.state().target_table.leave(now, &choice.identity());
         return Err(SendFailure::new(SendFailureKind::NotRun, "misdirected"));
     }
+    if run.head.handling == Handling::Unmet {
+        return Err(SendFailure::new(SendFailureKind::NotRun, OTHER_WEIGHTS));
+    }
     if run.head.handling == Handling::NotRun {
         // A target that has no copy of a run serves other calls as well as before.
         if !is_continuation {
--- a/crates/damaskstile-gateway/tests/bulk_load/fleet.rs
+++ b/crates/damaskstile-gateway/tests/bulk_load/fleet.rs
@@ -43,6 +43,7 @@
         slots_requests: 32,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -175,6 +175,7 @@
         slots_requests: 64,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-gateway/tests/told_targets.rs
+++ b/crates/damaskstile-gateway/tests/told_targets.rs
@@ -64,6 +64,7 @@
         slots_requests: 8,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/src/listed.rs
+++ b/crates/damaskstile-targets/src/listed.rs
@@ -21,6 +21,8 @@
     pub slots_requests: u64,
     /// Version of its software.
     pub software_version: SoftwareVersion,
+    /// Versions of the weights of its models, ordered by model; empty if they are unknown.
+    pub weights: Vec<(ModelId, WeightsVersion)>,
     /// Whether it accepts new work.
     pub is_ready: bool,
     /// Remaining cold time, as of when the target wrote the entry.
--- a/crates/damaskstile-targets/src/target_table/candidates.rs
+++ b/crates/damaskstile-targets/src/target_table/candidates.rs
@@ -71,6 +71,7 @@
             && !tried.contains(&state.listed.target)
             && self.is_in_home_region(state, work)
             && Self::is_of_version(state, work)
+            && Self::may_have_weights(state, work)
             && self.has_room(now, state)
             && self.has_brittle_room(now, state)
     }
@@ -119,7 +120,7 @@
             index.mark(&listed.target);
         }
         let versions = self.versions.entry(listed.service.clone()).or_default();
-        versions.list(&listed.software_version);
+        versions.list(listed);
         self.stated += usize::from(listed.incarnation.is_some());
         if state.missing_since.is_some() {
             self.lapsed.insert(listed.target.clone());
@@ -138,7 +139,7 @@
             index.remove(target, &listed.data_centre);
         }
         if let Some(versions) = self.versions.get_mut(&listed.service) {
-            versions.unlist(now, &listed.software_version);
+            versions.unlist(now, listed);
         }
         self.stated -= usize::from(listed.incarnation.is_some());
         self.lapsed.remove(target);
--- a/crates/damaskstile-targets/src/target_table/location.rs
+++ b/crates/damaskstile-targets/src/target_table/location.rs
@@ -89,10 +89,14 @@
     /// # Errors
     ///
     /// Returns [`RefusalCode::NoTargetInRegion`] if usable targets are in regions that may not run
-    /// the call, and [`RefusalCode::NoTargetOfVersion`] if none of them runs the version of software
-    /// that the call is bound to. Otherwise returns [`RefusalCode::NoTarget`]: no target of the service is usable,
+    /// the call, [`RefusalCode::NoTargetOfVersion`] if none of them runs the version of software
+    /// that the call is bound to, and [`RefusalCode::NoTargetOfWeights`] if the list shows that no
+    /// target has the weights that the call expects. Otherwise returns [`RefusalCode::NoTarget`]: no target of the service is usable,
     /// or all that are usable have reached their call limits.
     pub fn has_target(&self, now: Duration, service: &str, work: &Work) -> Result<(), RefusalCode> {
+        if !self.may_meet_weights(service, work) {
+            return Err(RefusalCode::NoTargetOfWeights);
+        }
         let mut reason = RefusalCode::NoTarget;
         for state in self.usable(now, service) {
             if !self.is_in_home_region(state, work) {
@@ -101,7 +105,10 @@
                 if !self.has_version(service, work) {
                     reason = RefusalCode::NoTargetOfVersion;
                 }
-            } else if self.has_room(now, state) && self.has_brittle_room(now, state) {
+            } else if Self::may_have_weights(state, work)
+                && self.has_room(now, state)
+                && self.has_brittle_room(now, state)
+            {
                 return Ok(());
             }
         }
--- a/crates/damaskstile-targets/src/target_table/versions.rs
+++ b/crates/damaskstile-targets/src/target_table/versions.rs
@@ -1,5 +1,6 @@
-//! Versions of the targets' software. What two versions write into one stream does not fit
-//! together, so a stream goes on only at targets of the version that began it.
+//! Versions of the targets' software and weights. What two versions of software write into one
+//! stream does not fit together, so a stream goes on only at targets of the version that began it.
+//! Calls that expect weights go only to targets that are not known to have others.
 
 use damaskstile_core::prelude::*;
 
@@ -62,6 +63,21 @@
         versions.is_some_and(|versions| versions.has(version))
     }
 
+    /// Tells whether a listed target may have the weights that a call's caller expects.
+    pub(super) fn may_meet_weights(&self, service: &str, work: &Work) -> bool {
+        let Some(expected) = &work.weights else {
+            return true;
+        };
+        let versions = self.versions.get(service);
+        versions.is_none_or(|versions| versions.may_meet(expected))
+    }
+
+    /// Tells whether a target may have the weights that a call's caller expects.
+    pub(super) fn may_have_weights(state: &TargetState, work: &Work) -> bool {
+        let expected = work.weights.as_ref();
+        expected.is_none_or(|expected| expected.may_be_met(&state.listed.weights))
+    }
+
     /// Tells whether a target runs the version of software that a call is bound to. One that ended
     /// may be back under its name at another version, before its new entry arrives.
     pub(super) fn is_of_version(state: &TargetState, work: &Work) -> bool {
--- a/crates/damaskstile-targets/src/work.rs
+++ b/crates/damaskstile-targets/src/work.rs
@@ -4,6 +4,8 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::expected_weights::ExpectedWeights;
+
 /// Piece of a prompt that other calls may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Part {
@@ -26,6 +28,8 @@
     pub parts: Vec<Part>,
     /// Version of software that the call is bound to, since its stream began there; `None` for any.
     pub software_version: Option<SoftwareVersion>,
+    /// Weights that the caller expects; `None` for any.
+    pub weights: Option<ExpectedWeights>,
     /// Whether the call is bulk work beside more urgent streams of the same service.
     pub is_bulk: bool,
     /// Home regions, which may run the call; `None` for all regions.
--- a/crates/damaskstile-targets/tests/brittle_fleet.rs
+++ b/crates/damaskstile-targets/tests/brittle_fleet.rs
@@ -53,6 +53,7 @@
         slots_requests: slots,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/choice_cost.rs
+++ b/crates/damaskstile-targets/tests/choice_cost.rs
@@ -34,6 +34,7 @@
         slots_requests: 16,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/cold_cost.rs
+++ b/crates/damaskstile-targets/tests/cold_cost.rs
@@ -33,6 +33,7 @@
             slots_requests: 64,
             is_ready: true,
             software_version: "v1".to_owned(),
+            weights: Vec::new(),
             cold_for: Duration::from_secs(3),
         };
         table.list(Duration::ZERO, listed);
--- a/crates/damaskstile-targets/tests/copy_targets.rs
+++ b/crates/damaskstile-targets/tests/copy_targets.rs
@@ -21,6 +21,7 @@
         slots_requests: 64,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
@@ -184,6 +185,7 @@
             at(1),
             Listed {
                 software_version: version.to_owned(),
+                weights: Vec::new(),
                 ..listed(target, data_centre)
             },
         );
--- a/crates/damaskstile-targets/tests/long_prompts.rs
+++ b/crates/damaskstile-targets/tests/long_prompts.rs
@@ -24,6 +24,7 @@
         slots_requests: 64,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/lost_data_centre.rs
+++ b/crates/damaskstile-targets/tests/lost_data_centre.rs
@@ -22,6 +22,7 @@
         slots_requests: 64,
         is_ready,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/pauses.rs
+++ b/crates/damaskstile-targets/tests/pauses.rs
@@ -20,6 +20,7 @@
         slots_requests: 64,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/software_versions.rs
+++ b/crates/damaskstile-targets/tests/software_versions.rs
@@ -21,6 +21,7 @@
         data_centre: "north".to_owned(),
         slots_requests: 64,
         software_version: version.to_owned(),
+        weights: Vec::new(),
         is_ready: true,
         cold_for: Duration::ZERO,
     }
--- a/crates/damaskstile-targets/tests/support/mod.rs
+++ b/crates/damaskstile-targets/tests/support/mod.rs
@@ -17,6 +17,7 @@
         slots_requests: 64,
         is_ready,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/target_speeds.rs
+++ b/crates/damaskstile-targets/tests/target_speeds.rs
@@ -32,6 +32,7 @@
         slots_requests: 16,
         is_ready: true,
         software_version: "v1".to_owned(),
+        weights: Vec::new(),
         cold_for: Duration::ZERO,
     }
 }
--- a/crates/damaskstile-targets/tests/uneven_fleet.rs
+++ b/crates/damaskstile-targets/tests/uneven_fleet.rs
@@ -92,6 +92,7 @@
             slots_requests: u64::try_from(SLOTS).unwrap(),
             is_ready: true,
             software_version: "v1".to_owned(),
+            weights: Vec::new(),
             cold_for: Duration::ZERO,
         };
         let table = |index: usize| {
--- a/crates/damaskstiled/src/problem.rs
+++ b/crates/damaskstiled/src/problem.rs
@@ -17,6 +17,7 @@
         RefusalCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         RefusalCode::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
         RefusalCode::BadRequest | RefusalCode::BadKey => StatusCode::BAD_REQUEST,
+        RefusalCode::NoTargetOfWeights => StatusCode::MISDIRECTED_REQUEST,
         RefusalCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalCode::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
         RefusalCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
