--- a/crates/damaskstile-escrow/tests/rewinds.rs
+++ b/crates/damaskstile-escrow/tests/rewinds.rs
@@ -5,31 +5,16 @@
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::{EscrowOptions, Holder, Ledger, Role, Stamp};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-use support::world::{Fate, INSTANCES, Simulation, Step, absence};
+use support::world::{Fate, INSTANCES, Simulation, Step, absence, config};
 use support::{at, stamp};
 
 /// Steps of one proptest case.
 const STEPS: usize = 120;
-/// Default number of cases.
-const CASES: u32 = 400;
-/// Environment variable that sets another number of cases, for longer manual runs.
-const CASES_VARIABLE: &str = "DAMASKSTILE_CASES";
 /// Largest number of writes that a stale copy lacks.
 const LOST_WRITES: usize = 8;
 const ACCOUNT: &str = "a";
 const PREPAID_TOKENS: u64 = 10_000;
 
-fn config(seed: u64) -> Config {
-    let asked = std::env::var(CASES_VARIABLE).ok();
-    Config {
-        cases: asked.map_or(CASES, |cases| cases.parse().unwrap()),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 /// Generates steps, with or without restarts.
 fn steps(has_restarts: bool) -> impl Strategy<Value = Vec<Step>> {
     prop::collection::vec(step(has_restarts), STEPS)
--- a/crates/damaskstile-escrow/tests/support/world.rs
+++ b/crates/damaskstile-escrow/tests/support/world.rs
@@ -7,6 +7,7 @@
     EscrowOptions, Holder, Ledger, LedgerChange, Receipt, ReceiptScope, Report, Role, Round, Stamp,
 };
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 /// Simulated accounts.
 pub const ACCOUNTS: [&str; 2] = ["a", "b"];
@@ -15,6 +16,10 @@
 /// Size of a small fleet. Below the number of instances, so that the unlock rate changes while
 /// grants are held.
 const SMALL_FLEET: u32 = 2;
+/// Default number of cases: enough to meet every pair of faults many times, within a second.
+const CASES: u32 = 400;
+/// Environment variable that sets another number of cases, for longer manual runs.
+const CASES_VARIABLE: &str = "DAMASKSTILE_CASES";
 /// Number of bits of a version below the history.
 const REVISION_BITS: u32 = 40;
 /// Number of digests that arrive in one step.
@@ -59,6 +64,17 @@
     Rewind(usize, u64),
 }
 
+/// Returns the configuration of a test of random histories.
+pub fn config(seed: u64) -> Config {
+    let asked = std::env::var(CASES_VARIABLE).ok();
+    Config {
+        cases: asked.map_or(CASES, |cases| cases.parse().unwrap()),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
 /// Generates steps with which accounts leave the catalogue and come back.
 pub fn absence() -> impl Strategy<Value = Step> {
     prop_oneof![
--- a/crates/damaskstile-escrow/tests/together.rs
+++ b/crates/damaskstile-escrow/tests/together.rs
@@ -3,25 +3,10 @@
 mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-use support::world::{Fate, INSTANCES, Simulation, Step, absence};
+use support::world::{Fate, INSTANCES, Simulation, Step, absence, config};
 
 /// Steps of one proptest case.
 const STEPS: usize = 120;
-/// Default number of cases: enough to meet every pair of faults many times, within a second.
-const CASES: u32 = 400;
-/// Environment variable that sets another number of cases, for longer manual runs.
-const CASES_VARIABLE: &str = "DAMASKSTILE_CASES";
-
-fn config(seed: u64) -> Config {
-    let asked = std::env::var(CASES_VARIABLE).ok();
-    Config {
-        cases: asked.map_or(CASES, |cases| cases.parse().unwrap()),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     prop::collection::vec(step(), STEPS)
--- a/crates/damaskstile-gateway/src/state.rs
+++ b/crates/damaskstile-gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! State that the decisions of one instance are based on.
 
+mod accounts;
 mod collectors;
 mod lenders;
 mod paths;
@@ -366,17 +367,6 @@
     }
 }
 
-impl State {
-    /// Returns whether calls of an account need tokens: all but those of accounts that the catalogue
-    /// in force lists without a budget. A call may outlast the catalogue that listed its account.
-    #[must_use]
-    pub fn is_bounded(&self, account: &str) -> bool {
-        let catalogue = self.catalogue.get();
-        let listed = catalogue.and_then(|catalogue| catalogue.account(account));
-        listed.is_none_or(|account| account.prepaid_tokens.is_some())
-    }
-}
-
 /// Returns the regions that may run a call: the intersection if both route and account name some.
 fn home_regions(route: &Route, account: Option<&Account>) -> Option<BTreeSet<RegionId>> {
     let of_account = account.map(|account| &account.home_regions);
--- a/crates/damaskstile-targets/src/target_table/location.rs
+++ b/crates/damaskstile-targets/src/target_table/location.rs
@@ -91,8 +91,8 @@
     /// Returns [`RefusalCode::NoTargetInRegion`] if usable targets are in regions that may not run
     /// the call, [`RefusalCode::NoTargetOfVersion`] if none of them runs the version of software
     /// that the call is bound to, and [`RefusalCode::NoTargetOfWeights`] if the list shows that no
-    /// target has the weights that the call expects. Otherwise returns [`RefusalCode::NoTarget`]: no target of the service is usable,
-    /// or all that are usable have reached their call limits.
+    /// target has the weights that the call expects. Otherwise returns [`RefusalCode::NoTarget`]:
+    /// no target of the service is usable, or all that are usable have reached their call limits.
     pub fn has_target(&self, now: Duration, service: &str, work: &Work) -> Result<(), RefusalCode> {
         if !self.may_meet_weights(service, work) {
             return Err(RefusalCode::NoTargetOfWeights);
