Calls without ids cost other callers no retries

What callers saw: a call without `X-Request-Id` was answered 503 after two sends (12 of 12 in the test), and each send counted as a failure and a rejection of its target and, the second, as one of the retries that all callers share.

Cause: targets refuse such calls with 400 and `X-Not-Executed`, which was read as a rejection for want of room. Found by listing what callers can provoke (docs/design/caller-influence.md).

A 400 that proves that a call without an id has not run is now about the call: it is refused with 400 as not run, after one send, and the target is left as it was. Weighed: refusing at admission, which would refuse calls that targets without that rule accept.

Test, failing before (503 for 400, 24 sends for 12): calls_without_ids_cost_no_retries.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -304,10 +304,8 @@
             if self.time_left().is_zero() {
                 return (self.deadline_exceeded(), Some(reservation));
             }
-            if failure.cause == run::OTHER_WEIGHTS {
-                // Another send would draw on the retries that all callers share.
-                let response = self.give_up(RefusalCode::NoTargetOfWeights, RETRY_LATER);
-                return (response, Some(reservation));
+            if let Some(code) = failure.fault_of_call() {
+                return (self.give_up(code, RETRY_LATER), Some(reservation));
             }
             let response = match plan_next(&self.gateway, &self.terms, &self.attempts) {
                 NextStep::Retry => {
--- a/crates/damaskstile-gateway/src/handling.rs
+++ b/crates/damaskstile-gateway/src/handling.rs
@@ -10,7 +10,7 @@
     NotRun,
     /// Another target has this address, and did not execute the call.
     Misdirected,
-    /// The call was not executed, and what its caller expects of a target may be why. This says
+    /// The call was not executed, and what its caller asks for or leaves out may be why. This says
     /// nothing about the target to other callers.
     Unmet,
 }
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -57,13 +57,26 @@
 /// Cause of a send whose connection was not made in time.
 const CONNECT_TIMEOUT: &str = "connect_timeout";
 /// Cause of a send whose target refused it as it may lack the weights that the caller expects.
-pub(crate) const OTHER_WEIGHTS: &str = "other_weights";
+const OTHER_WEIGHTS: &str = "other_weights";
+/// Cause of a send whose target refused it because the caller gave it no id.
+const NO_ID: &str = "no_id";
 
 impl SendFailure {
     pub(crate) const fn new(end: SendFailureKind, cause: &'static str) -> Self {
         Self { end, cause }
     }
 
+    /// Returns why the call is to be refused without another send, which any target may refuse too
+    /// and which would draw on the retries that all callers share; `None` if the failure is not due
+    /// to what the caller asks for.
+    pub(crate) fn fault_of_call(self) -> Option<RefusalCode> {
+        match self.cause {
+            OTHER_WEIGHTS => Some(RefusalCode::NoTargetOfWeights),
+            NO_ID => Some(RefusalCode::BadRequest),
+            _ => None,
+        }
+    }
+
     /// Returns whether no connection to the target could be made.
     pub(crate) fn is_unreachable(self) -> bool {
         [CONNECT_REFUSED, CONNECT_TIMEOUT].contains(&self.cause)
@@ -171,10 +184,7 @@
         gateway.state().reach.note_received(now, &terms.service);
     }
     let (parts, body) = answer.into_parts();
-    let mut head = gateway.dialect.read_answer(&parts);
-    if head.handling == Handling::Misdirected && call.work.weights.is_some() {
-        head.handling = Handling::Unmet;
-    }
+    let head = gateway.dialect.read_answer(&parts);
     let run = Run {
         parts,
         head,
@@ -185,6 +195,17 @@
     check_answer(gateway, call, terms, run, is_continuation)
 }
 
+/// Returns what the caller asks for, or leaves out, that may have made a target refuse the call;
+/// `None` if it was not refused, or for a reason of the target's.
+fn unmet_cause(call: &OutboundCall, run: &Run) -> Option<&'static str> {
+    let is_bad = run.parts.status == StatusCode::BAD_REQUEST;
+    match run.head.handling {
+        Handling::Misdirected if call.work.weights.is_some() => Some(OTHER_WEIGHTS),
+        Handling::NotRun if call.id.is_none() && is_bad => Some(NO_ID),
+        _ => None,
+    }
+}
+
 /// Waits for an answer on a direct connection, and has the path checked while none arrives.
 async fn check_if_silent<T>(
     gateway: &Arc<Gateway>,
@@ -220,9 +241,13 @@
     gateway: &Gateway,
     call: &OutboundCall,
     terms: &Terms,
-    run: Run,
+    mut run: Run,
     is_continuation: bool,
 ) -> Result<Run, SendFailure> {
+    let unmet = unmet_cause(call, &run);
+    if unmet.is_some() {
+        run.head.handling = Handling::Unmet;
+    }
     let choice = &run.running.choice;
     let is_own = run.head.id.is_none() || call.id.is_none() || run.head.id == call.id;
     answer_signals::handle_head(gateway, &terms.service, &run.head, &run.running, is_own);
@@ -242,8 +267,8 @@
         gateway.state().target_table.leave(now, &choice.identity());
         return Err(SendFailure::new(SendFailureKind::NotRun, "misdirected"));
     }
-    if run.head.handling == Handling::Unmet {
-        return Err(SendFailure::new(SendFailureKind::NotRun, OTHER_WEIGHTS));
+    if let Some(cause) = unmet {
+        return Err(SendFailure::new(SendFailureKind::NotRun, cause));
     }
     if run.head.handling == Handling::NotRun {
         // A target that has no copy of a run serves other calls as well as before.
