--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -210,6 +210,7 @@
         self.born = int(time.time() * 1000)
         self.version = "v1"
         self.writers = set()
+        self.crashed = lambda id: None  # called with the id of a request that crashes the replica
 
     async def start(self, ip, port=0):
         self.server = await asyncio.start_server(self.serve, ip, port, limit=8 << 20)
@@ -269,6 +270,10 @@
         run = {"id": id, "tenant": headers.get("x-tenant"), "in": 0, "out": 0, "body": len(body)}
         self.runs.append(run)
         self.record.note(f"replica {self.name} runs {id} tenant {run['tenant']} body {len(body)}")
+        if path.endswith("/poison"):
+            self.running = 0
+            self.crashed(id)
+            raise ConnectionError("crashed")
         try:
             base = [("X-Request-Id", id), ("X-Response-Signature", f"sig-{self.name}-{id}"), load,
                     ("X-Weight-Versions", "1")]
