--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
@@ -21,16 +22,17 @@
 KEY = "key-of-tenant-one"
 
 
-async def read_stream(world, node, id, more, gap_s):
+async def read_stream(world, node, id, more, gap_s, limit_s=12.0):
     """Reads a stream until its end or a gap; returns its status, last event id and whether it ended."""
     ip, port = node.front.split(":")
     status, last, ended, writer = None, 0, False, None
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1)
         head = [f"POST /ask/{id} HTTP/1.1", "Host: site.example", f"X-Request-Id: {id}",
-                "X-Deadline-Ms: 12000", f"Authorization: Bearer {KEY}", "X-Model: m",
+                f"X-Deadline-Ms: {int(limit_s * 1000)}", f"Authorization: Bearer {KEY}", "X-Model: m",
                 "X-Token-Usage: 800,294", f"X-Prompt-Prefix: {id[8:]}:500,{id[:8]}:300",
                 "Content-Length: 2"] + more
+        world.record.note(f"client sends {id} to {node.name} {more}")
         writer.write(("\r\n".join(head) + "\r\n\r\nhi").encode())
         line, headers = await asyncio.wait_for(w.read_head(reader), gap_s)
         status = int(line.split(" ")[1])
@@ -54,7 +56,7 @@
 
 
 async def client(world, number, totals):
-    id = "%016x" % random.getrandbits(64)
+    id, began = "%016x" % random.getrandbits(64), time.monotonic()
     status, last, ended = await read_stream(world, world.nodes[2], id, [], GAP_S)
     world.record.note(f"client {number}: {id} status {status} up to event {last} ended {ended}")
     if ended or not last:
@@ -65,7 +67,8 @@
     node = world.nodes[number % 2]
     totals["taken up"] += 1
     status, more, ended = await read_stream(
-        world, node, again, [f"Last-Event-Id: {last}", f"Resumes: {id}"], 4.0)
+        world, node, again, [f"Last-Event-Id: {last}", f"Resumes: {id}"], 4.0,
+        began + 12.0 - time.monotonic())
     world.record.note(f"client {number}: takes {id} up as {again} after {last}: status {status} "
                       f"up to event {more} ended {ended}")
     totals["went on"] += more > last
