Fix: streams of instances that stop, crash or lose power can be taken up

Cause: which version began a stream was known only to the instance that is gone. While a service had one version nothing was reported; peers then went by the list, if one of them had followed it for twice the time-out. Evidence: origin=unknown on each attempt, all peers answered.

Records of streams now go to peers always: within 20 ms where another version is listed or a stop has begun, else in batches of 250 ms. An instance that starts in a small fleet gets the records of its peers.

No time-out bounds how long callers try; the list's only version now counts only for instances that have followed the list for ten minutes or since the first start of the fleet. A record is renewed by each take-up.

--- a/crates/damaskstile-gateway/src/peers.rs
+++ b/crates/damaskstile-gateway/src/peers.rs
@@ -330,6 +330,11 @@
                 self.handle_rejection_limits(&datagram.from, &digest.rejection_limits);
                 self.apply_bulk_loads(&datagram.from, &digest.bulk_loads);
                 self.send_digest_to_newcomer(&digest, is_new, from).await;
+                if is_new {
+                    self.hand_over_streams(&datagram.from, from).await;
+                    // Streams that began before any peer was known are still to be reported.
+                    self.gateway.report_streams_soon();
+                }
             }
             DatagramBody::TokenRequest(request) => {
                 self.answer_token_request(&datagram.from, request, from)
--- a/crates/damaskstile-gateway/src/peers/list_answer.rs
+++ b/crates/damaskstile-gateway/src/peers/list_answer.rs
@@ -143,7 +143,7 @@
         check_difference(&mut state, now, answer.content_hash);
     }
     drop(state);
-    gateway.note_list_changed();
+    gateway.report_streams_soon();
     let version = answer.version.to_string();
     gateway.log(
         EventCode::CatalogueFromPeer,
--- a/crates/damaskstile-gateway/src/peers/streams.rs
+++ b/crates/damaskstile-gateway/src/peers/streams.rs
@@ -8,8 +8,11 @@
 
 use super::{DatagramBody, Peers, StreamAnswer, StreamQuery, StreamReport};
 
-/// Time for which streams that begin are gathered before they are reported.
+/// Time for which streams that begin are gathered before they are reported, while their service has
+/// several versions of software.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
+/// The same for services with one version: a small part of the time that most streams take.
+const LAZY_REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Streams in one report.
 const REPORT_STREAMS_MAX: usize = 1_000;
 
@@ -18,7 +21,7 @@
     pub async fn report_streams(self: Arc<Self>) {
         loop {
             self.gateway.streams_begun.notified().await;
-            tokio::time::sleep(REPORT_DELAY).await;
+            self.gather_streams().await;
             loop {
                 let reports = self.stream_reports();
                 if reports.is_empty() {
@@ -31,6 +34,21 @@
         }
     }
 
+    /// Waits while streams that begin are gathered; for a shorter time once a second version is
+    /// listed or a stop has begun.
+    async fn gather_streams(&self) {
+        let gateway = &self.gateway;
+        let until = gateway.now() + LAZY_REPORT_DELAY;
+        while !gateway.state().must_report_streams_soon() {
+            let left = until.saturating_sub(gateway.now());
+            let woken = gateway.streams_begun.notified();
+            if tokio::time::timeout(left, woken).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(REPORT_DELAY).await;
+    }
+
     /// Takes the streams that are to be reported, in one report for each recipient and origin.
     fn stream_reports(&self) -> Vec<(SocketAddr, StreamReport)> {
         let now = self.gateway.now();
@@ -55,6 +73,19 @@
             .collect()
     }
 
+    /// Hands records of streams over to a peer that has just started. Otherwise those of an instance
+    /// that ended would be lost once all that kept them have restarted.
+    pub(super) async fn hand_over_streams(&self, newcomer: &str, address: SocketAddr) {
+        let now = self.gateway.now();
+        let streams = self.gateway.state().streams_to_hand_over(now, newcomer);
+        for (origin, (lifetime, keys)) in streams {
+            for keys in keys.chunks(REPORT_STREAMS_MAX) {
+                let report = StreamReport::new(origin.clone(), lifetime, keys.to_vec());
+                self.send(address, DatagramBody::StreamReport(report)).await;
+            }
+        }
+    }
+
     /// Records the streams that a peer reports.
     pub(super) fn handle_stream_report(&self, report: StreamReport) {
         let now = self.gateway.now();
--- a/crates/damaskstile-gateway/src/state/streams.rs
+++ b/crates/damaskstile-gateway/src/state/streams.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 
 use damaskstile_core::prelude::*;
-use damaskstile_requests::{OriginAnswer, StreamKey, StreamOrigin};
+use damaskstile_requests::{OriginAnswer, StreamKey, StreamOrigin, StreamsByOrigin};
 
-use super::State;
+use super::{MEMBER_AGE_MAX, State};
 
 /// Age past which an instance of a small fleet that sends no digests is not asked.
 const DIGEST_AGE_MAX: Duration = Duration::from_secs(6);
+/// Number of peers that hand over the same record, in case one of them has just ended.
+const HAND_OVERS: u64 = 2;
 
 impl State {
     /// Returns what this instance knows of the version that began a stream within the last `span`.
@@ -53,28 +55,42 @@
         if heard.is_empty() { keepers } else { heard }
     }
 
-    /// Returns own streams that were not reported yet, by origin. Streams of a service with one
-    /// version need no report.
-    pub fn take_streams_to_report(
-        &mut self,
-        now: Duration,
-        most: usize,
-    ) -> BTreeMap<StreamOrigin, (Duration, Vec<StreamKey>)> {
+    /// Returns own streams that were not reported yet, by origin. They wait until a peer is known.
+    pub fn take_streams_to_report(&mut self, now: Duration, most: usize) -> StreamsByOrigin {
         if self.members.is_empty() {
-            return BTreeMap::new();
+            return StreamsByOrigin::new();
+        }
+        self.stream_origins.take_unreported(now, most)
+    }
+
+    /// Returns the records to hand over to a peer that has just started: of own streams, and this
+    /// instance's share of the others. In a large fleet the few keepers of a stream seldom restart
+    /// within its time, so nothing is handed over.
+    #[must_use]
+    pub fn streams_to_hand_over(&self, now: Duration, newcomer: &str) -> StreamsByOrigin {
+        if self.is_large_fleet() {
+            return StreamsByOrigin::new();
         }
-        let mut origins = std::mem::take(&mut self.stream_origins);
-        let taken = origins.take_unreported(now, most, |origin, lifetime| {
-            self.needs_stream_reports(now, &origin.service, lifetime)
+        let others = self.members.iter();
+        let others = others.filter(|(name, member)| {
+            name.as_str() != newcomer && now.saturating_sub(member.received_at) < MEMBER_AGE_MAX
         });
-        self.stream_origins = origins;
-        taken
+        let (mut holders, mut position) = (1, 0);
+        for (name, _) in others {
+            holders += 1;
+            position += StreamKey::from(*name < self.instance);
+        }
+        self.stream_origins
+            .to_hand_over(now, |key| (key + position) % holders < HAND_OVERS)
     }
 
-    /// Returns whether streams of a service are reported to peers: where its targets have several
-    /// versions, or may have had, as far as this instance knows.
+    /// Returns whether streams are to be reported without much delay: this instance stops, or another
+    /// version than the one that began them is listed.
     #[must_use]
-    pub fn needs_stream_reports(&self, now: Duration, service: &str, span: Duration) -> bool {
-        !self.target_table.has_one_version(now, service, span)
+    pub fn must_report_streams_soon(&self) -> bool {
+        let table = &self.target_table;
+        let mut has_other =
+            |origin: &StreamOrigin| table.has_other_version(&origin.service, &origin.version);
+        self.is_stopping || self.stream_origins.any_unreported(&mut has_other)
     }
 }
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -31,6 +31,7 @@
     let open_calls = gateway.open_calls().to_string();
     gateway.log(EventCode::StopBegan, &[("open_calls", &open_calls)]);
     gateway.state().is_stopping = true;
+    gateway.report_streams_soon();
     gateway.phase.send_replace(Phase::Leaving);
 
     tokio::time::sleep(times.closing_at.saturating_sub(began_at)).await;
--- a/crates/damaskstile-gateway/src/stream_origins.rs
+++ b/crates/damaskstile-gateway/src/stream_origins.rs
@@ -16,14 +16,12 @@
 /// Longest search. A peer that is alive answers within a round trip, or a little later while it is
 /// busy with the callers of instances that ended.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
-/// Factor from a route's time-out to the time for which its streams can be taken up: each attempt
-/// may last as long as the route allows.
+/// Factor from a route's time-out to the shortest time for which its streams are remembered: each
+/// attempt may last as long as the route allows.
 const LIFETIME_FACTOR: u32 = 2;
-
-/// Returns the time for which a stream of a route can be taken up.
-fn lifetime(terms: &Terms) -> Duration {
-    terms.route.timeout * LIFETIME_FACTOR
-}
+/// Longest time for which callers take up a stream. Their deadlines may exceed the time-outs of
+/// routes, which configurations change, so no time-out bounds when a stream without a record began.
+const TAKE_UP_SPAN: Duration = Duration::from_mins(10);
 
 /// Removes a search when its call no longer waits for it.
 struct OpenLookup<'a> {
@@ -47,9 +45,10 @@
         ids: impl Iterator<Item = &'a str>,
     ) {
         let now = self.now();
-        let lifetime = lifetime(terms);
+        let lifetime = terms.route.timeout * LIFETIME_FACTOR;
         let account = terms.account.as_deref().unwrap_or_default();
         let mut state = self.state();
+        let is_first = !state.stream_origins.has_unreported();
         for id in ids {
             let origin = StreamOrigin {
                 service: terms.service.clone(),
@@ -58,14 +57,16 @@
             let key = StreamOrigin::key(account, id);
             state.stream_origins.note_begun(now, key, origin, lifetime);
         }
-        if state.needs_stream_reports(now, &terms.service, lifetime) {
+        // The task that reports streams gathers those that follow the first one.
+        let table = &state.target_table;
+        if is_first || table.has_other_version(&terms.service, version) {
             self.streams_begun.notify_one();
         }
     }
 
-    /// Wakes the task that reports streams, after the list of targets has changed: a second version
-    /// of a service makes reports of its open streams necessary.
-    pub(crate) fn note_list_changed(&self) {
+    /// Wakes the task that reports streams, after the list of targets has changed or a stop has
+    /// begun: where a service has a second version, its streams are reported sooner.
+    pub(crate) fn report_streams_soon(&self) {
         if self.state().stream_origins.has_unreported() {
             self.streams_begun.notify_one();
         }
@@ -81,7 +82,7 @@
         let now = self.now();
         let account = terms.account.as_deref().unwrap_or_default();
         let key = id.map(|id| StreamOrigin::key(account, id));
-        let span = lifetime(terms);
+        let span = TAKE_UP_SPAN;
         let (known, asked) = {
             let state = self.state();
             let known = state.known_origin(now, key, &terms.service, span);
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -26,7 +26,7 @@
     let is_around_outage = state.contact.is_around_outage(now);
     let refused = state.apply_list(now, listing.version, all, is_around_outage);
     drop(state);
-    gateway.note_list_changed();
+    gateway.report_streams_soon();
     for entry in refused {
         note_refused(gateway, &entry, listing.version);
     }
@@ -62,7 +62,7 @@
     // A valid entry may be refused too, because of other entries under its name.
     let fault = state.target_table.fault(&object.name).map(str::to_owned);
     drop(state);
-    gateway.note_list_changed();
+    gateway.report_streams_soon();
     if !is_news {
         return false;
     }
--- a/crates/damaskstile-requests/src/lib.rs
+++ b/crates/damaskstile-requests/src/lib.rs
@@ -34,7 +34,7 @@
 pub use retries::RetryBudget;
 pub use send_failure_kind::SendFailureKind;
 pub use stream_origin::{StreamKey, StreamOrigin};
-pub use stream_origins::StreamOrigins;
+pub use stream_origins::{StreamOrigins, StreamsByOrigin};
 pub use suspect_report::SuspectReport;
 pub use suspects::Suspects;
 pub use target_crash::TargetCrash;
--- a/crates/damaskstile-requests/src/stream_origins.rs
+++ b/crates/damaskstile-requests/src/stream_origins.rs
@@ -8,10 +8,15 @@
 /// first are forgotten first.
 const ORIGINS_MAX: usize = 65_536;
 
+/// Streams by origin, with the longest remaining time for which one of them can be taken up.
+pub type StreamsByOrigin = BTreeMap<StreamOrigin, (Duration, Vec<StreamKey>)>;
+
 #[derive(Debug)]
 struct KeptOrigin {
     origin: StreamOrigin,
     expires_at: Duration,
+    /// Whether the stream began at this instance.
+    is_own: bool,
 }
 
 /// Where streams began, by key: this instance's own streams, and those that peers reported.
@@ -33,11 +38,15 @@
         lifetime: Duration,
     ) {
         self.note_reported(now, key, origin, lifetime);
-        self.unreported.insert(key);
+        if let Some(kept) = self.origins.get_mut(&key) {
+            kept.is_own = true;
+            self.unreported.insert(key);
+        }
     }
 
     /// Records a stream that a peer reported. The first record of a stream stays: a later one cannot
-    /// change where it began.
+    /// change where it began. One that agrees with it extends its lifetime, since an attempt that
+    /// took the stream up may be taken up in turn under the id of the first.
     pub fn note_reported(
         &mut self,
         now: Duration,
@@ -46,12 +55,22 @@
         lifetime: Duration,
     ) {
         self.expire(now);
-        if self.origins.contains_key(&key) {
+        let expires_at = now + lifetime;
+        if let Some(kept) = self.origins.get_mut(&key) {
+            if kept.origin == origin && kept.expires_at < expires_at {
+                self.expiries.remove(&(kept.expires_at, key));
+                self.expiries.insert((expires_at, key));
+                kept.expires_at = expires_at;
+            }
             return;
         }
-        let expires_at = now + lifetime;
         self.expiries.insert((expires_at, key));
-        self.origins.insert(key, KeptOrigin { origin, expires_at });
+        let kept = KeptOrigin {
+            origin,
+            expires_at,
+            is_own: false,
+        };
+        self.origins.insert(key, kept);
         if self.origins.len() > ORIGINS_MAX
             && let Some((_, first)) = self.expiries.pop_first()
         {
@@ -82,33 +101,59 @@
         !self.unreported.is_empty()
     }
 
-    /// Returns up to `most` own streams that were not reported yet and for whose origin the
-    /// predicate holds, by origin, with the remaining time for which they can be taken up.
-    pub fn take_unreported(
-        &mut self,
-        now: Duration,
-        most: usize,
-        mut is_wanted: impl FnMut(&StreamOrigin, Duration) -> bool,
-    ) -> BTreeMap<StreamOrigin, (Duration, Vec<StreamKey>)> {
+    /// Returns whether the predicate holds for the origin of an own stream that waits to be reported.
+    pub fn any_unreported(&self, mut predicate: impl FnMut(&StreamOrigin) -> bool) -> bool {
+        let kept = self.unreported.iter();
+        let mut kept = kept.filter_map(|key| self.origins.get(key));
+        kept.any(|kept| predicate(&kept.origin))
+    }
+
+    /// Returns up to `most` own streams that were not reported yet, by origin, with the remaining
+    /// time for which they can be taken up.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_requests::{StreamOrigin, StreamOrigins};
+    /// let mut origins = StreamOrigins::default();
+    /// let origin = StreamOrigin { service: "model".to_owned(), version: "v1".to_owned() };
+    /// origins.note_begun(Duration::ZERO, 7, origin.clone(), Duration::from_secs(10));
+    /// let taken = origins.take_unreported(Duration::from_secs(1), 100);
+    /// assert_eq!(taken[&origin], (Duration::from_secs(9), vec![7]));
+    /// assert!(origins.take_unreported(Duration::from_secs(1), 100).is_empty());
+    /// ```
+    pub fn take_unreported(&mut self, now: Duration, most: usize) -> StreamsByOrigin {
         self.expire(now);
-        let mut taken: BTreeMap<StreamOrigin, (Duration, Vec<StreamKey>)> = BTreeMap::new();
-        let mut count = 0;
-        let origins = &self.origins;
-        self.unreported.retain(|key| {
-            let Some(kept) = origins.get(key) else {
-                return false;
+        let keys: Vec<StreamKey> = self.unreported.iter().take(most).copied().collect();
+        for key in &keys {
+            self.unreported.remove(key);
+        }
+        self.by_origin(now, keys.into_iter())
+    }
+
+    /// Returns the streams to hand over to a peer that has just started: own ones, and of those that
+    /// peers reported the ones that the predicate holds for.
+    #[must_use]
+    pub fn to_hand_over(
+        &self,
+        now: Duration,
+        is_share: impl Fn(StreamKey) -> bool,
+    ) -> StreamsByOrigin {
+        let kept = self.origins.iter();
+        let kept = kept.filter(|(key, kept)| kept.is_own || is_share(**key));
+        self.by_origin(now, kept.map(|(key, _)| *key))
+    }
+
+    fn by_origin(&self, now: Duration, keys: impl Iterator<Item = StreamKey>) -> StreamsByOrigin {
+        let mut streams = StreamsByOrigin::new();
+        for key in keys {
+            let Some(kept) = self.origins.get(&key).filter(|kept| now < kept.expires_at) else {
+                continue;
             };
-            let left = kept.expires_at.saturating_sub(now);
-            if count == most || !is_wanted(&kept.origin, left) {
-                return true;
-            }
-            count += 1;
-            let (lifetime, keys) = taken.entry(kept.origin.clone()).or_default();
-            *lifetime = left.max(*lifetime);
-            keys.push(*key);
-            false
-        });
-        taken
+            let (lifetime, keys) = streams.entry(kept.origin.clone()).or_default();
+            *lifetime = (*lifetime).max(kept.expires_at.saturating_sub(now));
+            keys.push(key);
+        }
+        streams
     }
 
     fn expire(&mut self, now: Duration) {
--- a/crates/damaskstile-targets/src/service_versions.rs
+++ b/crates/damaskstile-targets/src/service_versions.rs
@@ -60,6 +60,11 @@
         self.listed.contains_key(version)
     }
 
+    /// Tells whether a target of another version is listed.
+    pub(crate) fn has_other(&self, version: &str) -> bool {
+        self.listed.keys().any(|listed| listed != version)
+    }
+
     /// Tells whether a listed target may have the expected weights.
     pub(crate) fn may_meet(&self, expected: &ExpectedWeights) -> bool {
         let mut weights = self.weights.keys();
--- a/crates/damaskstile-targets/src/target_table/versions.rs
+++ b/crates/damaskstile-targets/src/target_table/versions.rs
@@ -30,14 +30,11 @@
         versions.cloned().collect()
     }
 
-    /// Tells whether targets of a service are known to have had one version at most within the last
-    /// `span`.
+    /// Tells whether a target of a service is listed that has another version of software.
     #[must_use]
-    pub fn has_one_version(&self, now: Duration, service: &str, span: Duration) -> bool {
+    pub fn has_other_version(&self, service: &str, version: &str) -> bool {
         let versions = self.versions.get(service);
-        let has_several =
-            versions.is_some_and(|versions| versions.within(now, span).nth(1).is_some());
-        self.knows_versions_within(now, span) && !has_several
+        versions.is_some_and(|versions| versions.has_other(version))
     }
 
     /// Tells whether this instance knows all versions of the last `span`, since it has followed the
