Fix: connections and bodies of callers use up the memory and the descriptors

What callers saw: a crowd of legal bodies that stop short of their end, or a few in chunks of a byte, took the process over its machine's memory; the platform would kill it, with all calls of others. 500 connections without a request, at the door or at the readiness address, used up the descriptors, and nothing was left for ordinary callers, targets or the store.

Cause: nobody owned what callers make a process hold. Each path held its own part without a bound on the sum; each chunk was an entry of a queue that kept the read buffer it was cut from; bodies were never refused for want of memory; the readiness endpoint was served by another library without any limit; memory and descriptors of the machine were not even in the settings.

Why it works: CallerResources counts connections, heads, bodies and buffers in one budget, derived from memory_mb and descriptors_max. Whoever has held the most for the longest gives way, among those whose calls are certain not to have run, so half-sent bodies keep no room and small calls are served beside them. A body that is received lies in the budget's own entry, in one buffer whatever its chunks. Readiness and metrics are served by the same code with connections of their own. Receive buffers are bounded, since unread bytes count too.

--- a/crates/damaskstile-gateway/src/caller_connection.rs
+++ b/crates/damaskstile-gateway/src/caller_connection.rs
@@ -1,4 +1,4 @@
-//! Detection of callers that have disconnected.
+//! A caller's connection, as the call on it sees it.
 
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
@@ -6,27 +6,49 @@
 
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
-/// A caller's connection, to check whether the caller is still there.
+use crate::caller_resources::{ConnectionNumber, OpenedConnection};
+
+/// A caller's connection, as the call on it sees it.
 ///
 /// The connection's task learns of a disconnect from the event loop only, which is late if the
-/// instance is overloaded or was suspended. Without this check a call would be sent to a target
+/// instance is overloaded or was suspended. Without the check here a call would be sent to a target
 /// although nobody waits for its answer.
 #[derive(Debug, Clone)]
-pub struct CallerConnection(Arc<TcpStream>);
+pub struct CallerConnection {
+    stream: Arc<TcpStream>,
+    /// Number under which its resources are counted; 0 if they are not.
+    pub(crate) number: ConnectionNumber,
+    /// Notified when the call has to give way while its body is received.
+    pub(crate) denied: Arc<Notify>,
+}
 
 impl CallerConnection {
     /// Shares a connection with the task that serves it.
     #[must_use]
     pub fn new(stream: &Arc<TcpStream>) -> Self {
-        Self(Arc::clone(stream))
+        Self {
+            stream: Arc::clone(stream),
+            number: 0,
+            denied: Arc::default(),
+        }
+    }
+
+    /// Shares a connection whose resources are counted.
+    pub(crate) fn counted(stream: &Arc<TcpStream>, opened: &OpenedConnection) -> Self {
+        Self {
+            number: opened.number,
+            denied: Arc::clone(&opened.denied),
+            ..Self::new(stream)
+        }
     }
 
     /// Returns whether the caller has closed the connection.
     #[must_use]
     pub fn has_disconnected(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut byte) {
+        match SockRef::from(&*self.stream).peek(&mut byte) {
             Ok(bytes) => bytes == 0,
             Err(error) => error.kind() == ErrorKind::ConnectionReset,
         }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -16,19 +16,21 @@
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
 use damaskstile_targets::Work;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::admitted_stream::AdmittedStream;
+use crate::body_failure::BodyFailure;
 use crate::broken_run::BrokenRun;
 use crate::caller_connection::CallerConnection;
+use crate::caller_resources::ReleaseCause;
 use crate::gateway::Gateway;
+use crate::held_call::HeldCall;
 use crate::open_call::OpenCall;
 use crate::outbound_call::OutboundCall;
 use crate::phase::Phase;
 use crate::prompt_place::PromptPlace;
 use crate::record::Record;
-use crate::reply::{RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
+use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
 use crate::run;
 use crate::run_copy::RunCopy;
@@ -61,6 +63,8 @@
     /// Whether a target may be executing the call.
     is_sending: bool,
     caller: CallerConnection,
+    /// Counts what is held for the call.
+    held: HeldCall,
     /// Place of a bulk prompt, until a target answers.
     place: Option<PromptPlace>,
 }
@@ -77,6 +81,16 @@
     let began_at = gateway.now();
     let mut record = Record::new(&gateway, began_at, head.id.as_deref());
     let id = head.id.clone();
+    let held_call = match HeldCall::begin(&gateway, &caller, &parts) {
+        Ok(held_call) => held_call,
+        Err(cause) => {
+            record.add("cause", cause.as_str());
+            let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(RETRY_AT_ONCE));
+            let mut response = refuse(&gateway, &mut record, &refusal, id.as_deref());
+            set_close(&mut response);
+            return response;
+        }
+    };
     let mut response = match admit(&gateway, &parts, &head, &mut record) {
         Ok(terms) => {
             let limit = head
@@ -112,7 +126,8 @@
                 resumes: head.resumes,
                 copy: None,
                 is_sending: false,
-                caller,
+                caller: caller.clone(),
+                held: held_call,
                 place: None,
             };
             let time_is_up = tokio::time::sleep(limit + TIME_LIMIT_SLACK);
@@ -126,12 +141,17 @@
         Err(refusal) => refuse(&gateway, &mut record, &refusal, id.as_deref()),
     };
     if *gateway.phase.borrow() != Phase::Serving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        set_close(&mut response);
     }
     response
 }
 
+/// Has the connection closed after an answer.
+fn set_close(response: &mut Response<ReplyBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 fn refuse(
     gateway: &Gateway,
     record: &mut Record,
@@ -170,7 +190,11 @@
                     state.load_sharing.add_call(now, account, needs_s);
                 }
             }
-            Err(refusal) => return self.refuse(&refusal),
+            Err(refusal) => {
+                let mut response = self.refuse(&refusal);
+                set_close(&mut response);
+                return response;
+            }
         }
         // The body is read first: closing a connection with unread bytes would reset it, and the
         // caller might never see the refusal.
@@ -209,20 +233,23 @@
         self.deadline.saturating_sub(self.gateway.now())
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+    async fn read_body(&mut self, body: Incoming) -> Result<Bytes, Refusal> {
         let limit = self.terms.catalogue.limits().body_bytes;
-        let reading = Limited::new(body, limit).collect();
+        let reading = self.held.receive(body, limit);
         let read = tokio::time::timeout(self.time_left(), reading).await;
         let took = self.gateway.now().saturating_sub(self.record.began_at());
         self.gateway.link_times.note("body", took);
-        match read {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(Refusal::not_run(RefusalCode::BodyTooLarge, None))
+        let (code, retry_after) = match read {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyFailure::TooLarge)) => (RefusalCode::BodyTooLarge, None),
+            Ok(Err(BodyFailure::Broken)) => (RefusalCode::BadRequest, None),
+            Ok(Err(BodyFailure::Denied)) => {
+                self.record.add("cause", ReleaseCause::BodyMemory.as_str());
+                (RefusalCode::Overloaded, Some(RETRY_AT_ONCE))
             }
-            Ok(Err(_)) => Err(Refusal::not_run(RefusalCode::BadRequest, None)),
-            Err(_) => Err(Refusal::not_run(RefusalCode::BodyIncomplete, None)),
-        }
+            Err(_) => (RefusalCode::BodyIncomplete, None),
+        };
+        Err(Refusal::not_run(code, retry_after))
     }
 
     async fn send(&mut self, reservation: Reservation) -> Response<ReplyBody> {
--- a/crates/damaskstile-gateway/src/exchange/refusing.rs
+++ b/crates/damaskstile-gateway/src/exchange/refusing.rs
@@ -1,9 +1,9 @@
 //! Refusals of calls that no target answers.
 
 use damaskstile_core::prelude::*;
-use http::{HeaderValue, Response, header};
+use http::Response;
 
-use super::{Exchange, refuse};
+use super::{Exchange, refuse, set_close};
 use crate::admission::{Admittance, CallDemand, Rejection};
 use crate::admitted_stream::AdmittedStream;
 use crate::readiness::Readiness;
@@ -56,8 +56,7 @@
         let wait = self.overload_wait(&rejection);
         let refusal = Refusal::not_run(RefusalCode::Overloaded, Some(wait));
         let mut response = self.refuse(&refusal);
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        set_close(&mut response);
         Some(response)
     }
 
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -1,19 +1,28 @@
-//! Accepts and serves connections from callers.
+//! Accepts and serves connections over HTTP: those of callers, and those for operations.
 
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
 
 use damaskstile_core::prelude::*;
+use damaskstile_routes::Limits;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller_connection::CallerConnection;
+use crate::caller_resources::{CallerLimits, Endpoint, OpenedConnection};
+use crate::caller_socket::CallerSocket;
+use crate::counted_connection::CountedConnection;
 use crate::exchange::serve;
 use crate::gateway::Gateway;
+use crate::operators;
 use crate::phase::Phase;
+use crate::reply::ReplyBody;
 use crate::spawn_counted;
 use crate::watched_stream::WatchedStream;
 
@@ -25,7 +34,7 @@
 /// Pause after a failed accept, which means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Opens the listening socket for callers.
+/// Opens a listening socket.
 ///
 /// # Errors
 ///
@@ -37,25 +46,37 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
-/// Accepts connections until the shutdown closes them.
+/// Opens a listening socket whose connections have buffers of limited size: what the system keeps
+/// for callers that send ahead or do not read is memory too.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be used.
+pub fn listen_bounded(
+    address: std::net::SocketAddr,
+    limits: &CallerLimits,
+) -> std::io::Result<TcpListener> {
+    let listener = listen(address)?;
+    let socket = SockRef::from(&listener);
+    socket.set_recv_buffer_size(limits.receive_buffer_bytes)?;
+    Ok(listener)
+}
+
+/// Accepts connections until the shutdown closes them; those for operations until the process ends.
 ///
 /// An instance in shutdown still accepts connections: a caller whose call is refused knows that it
 /// was not executed, and one whose connection is dropped does not.
-pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener) {
+pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener, endpoint: Endpoint) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = gateway.cut() => return,
+            () = gateway.cut(), if endpoint == Endpoint::Callers => return,
         };
         match accepted {
-            Ok((stream, _)) if closes_unread(&gateway) => drop(stream),
-            Ok((stream, _)) => {
-                spawn_counted(
-                    &gateway,
-                    "callers",
-                    serve_connection(Arc::clone(&gateway), stream),
-                );
+            Ok((stream, _)) if endpoint == Endpoint::Callers && closes_unread(&gateway) => {
+                drop(stream);
             }
+            Ok((stream, _)) => admit(&gateway, stream, endpoint).await,
             Err(error) => {
                 let error = error.to_string();
                 gateway.log(EventCode::HostFailed, &[("accept", &error)]);
@@ -65,6 +86,32 @@
     }
 }
 
+/// Serves a new connection if there is room for it; otherwise it is closed unread.
+async fn admit(gateway: &Arc<Gateway>, stream: TcpStream, endpoint: Endpoint) {
+    let stream = Arc::new(stream);
+    let marks = Arc::default();
+    let queue = Arc::new(CallerSocket::new(&stream, &marks));
+    let now = gateway.now();
+    let opened = gateway.caller_resources().open(now, endpoint, Some(queue));
+    let Some(opened) = opened else {
+        return;
+    };
+    let has_displaced = opened.has_displaced;
+    let watched = WatchedStream::new(&stream, &gateway.link_times, "write_to_caller");
+    let watched = watched.with_marks(&marks);
+    let counted = CountedConnection::new(gateway, &opened, endpoint);
+    let duty = match endpoint {
+        Endpoint::Callers => "callers",
+        Endpoint::Readiness | Endpoint::Metrics => "operators",
+    };
+    let serving = serve_connection(counted, stream, watched, opened, endpoint);
+    spawn_counted(gateway, duty, serving);
+    if has_displaced {
+        // Lets the task of the connection that gives way close it.
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Returns whether a new connection is closed unread. During a shutdown none is: a refusal tells its
 /// caller more.
 fn closes_unread(gateway: &Gateway) -> bool {
@@ -81,41 +128,63 @@
 
 /// Serves one connection. During a shutdown it is closed after the next answer, or at the end of
 /// the shutdown when everything written to it has been sent.
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
-    let _open = gateway.open_connection();
+async fn serve_connection(
+    counted: CountedConnection,
+    stream: Arc<TcpStream>,
+    watched: WatchedStream,
+    opened: OpenedConnection,
+    endpoint: Endpoint,
+) {
+    let gateway = counted.gateway();
     // Disables Nagle's algorithm: an answer must not wait to be sent together with the next one.
     let _ = stream.set_nodelay(true);
-    let limits = gateway
-        .state()
-        .catalogue
-        .get()
-        .map(|catalogue| *catalogue.limits())
-        .unwrap_or_default();
-    let stream = Arc::new(stream);
-    let caller = CallerConnection::new(&stream);
-    let stream = WatchedStream::new(&stream, &gateway.link_times, "write_to_caller");
+    let limits = gateway.limits();
+    let caller = CallerConnection::counted(&stream, &opened);
     let service = service_fn(|request| {
-        let (gateway, caller) = (Arc::clone(&gateway), caller.clone());
-        async move { Ok::<_, Infallible>(serve(gateway, caller, request).await) }
+        let (gateway, caller) = (Arc::clone(gateway), caller.clone());
+        async move { Ok::<_, Infallible>(answer(gateway, caller, endpoint, request).await) }
     });
-    let connection = http1::Builder::new()
+    let connection = builder(&limits).serve_connection(TokioIo::new(watched), service);
+    {
+        let mut connection = pin!(connection);
+        let mut ending = pin!(gateway.cut());
+        let mut is_ending = endpoint != Endpoint::Callers;
+        loop {
+            tokio::select! {
+                // Errors of the connection show in the log records of its calls.
+                _ = connection.as_mut() => break,
+                () = opened.closing.notified() => {
+                    counted.set_abort(&stream);
+                    return;
+                }
+                () = ending.as_mut(), if !is_ending => {
+                    is_ending = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+fn builder(limits: &Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         // The library's timeout for the head includes the idle time before it, so the longer of the
         // two limits has to be set.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-        .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let mut ending = pin!(gateway.cut());
-    let mut is_ending = false;
-    loop {
-        tokio::select! {
-            // Errors of the connection show in the log records of its calls.
-            _ = connection.as_mut() => return,
-            () = ending.as_mut(), if !is_ending => {
-                is_ending = true;
-                connection.as_mut().graceful_shutdown();
-            }
-        }
+        .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN));
+    builder
+}
+
+async fn answer(
+    gateway: Arc<Gateway>,
+    caller: CallerConnection,
+    endpoint: Endpoint,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    match endpoint {
+        Endpoint::Callers => serve(gateway, caller, request).await,
+        Endpoint::Readiness | Endpoint::Metrics => operators::serve(&gateway, endpoint, &request),
     }
 }
--- a/crates/damaskstile-gateway/src/gateway.rs
+++ b/crates/damaskstile-gateway/src/gateway.rs
@@ -4,10 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use damaskstile_core::prelude::*;
+use damaskstile_routes::Limits;
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::busy_times::BusyTimes;
+use crate::caller_resources::CallerResources;
 use crate::clock::Clock;
 use crate::counted_store::CountedStore;
 use crate::dialect::Dialect;
@@ -89,6 +91,7 @@
     pub stop_times: OnceLock<StopTimes>,
     open_calls: AtomicUsize,
     open_connections: AtomicUsize,
+    caller_resources: Mutex<CallerResources>,
     state: Mutex<State>,
 }
 
@@ -119,7 +122,7 @@
             dialect,
             directory,
             store: CountedStore::new(store),
-            pool: Pool::new(&link_times, &busy_times),
+            pool: Pool::bounded(&link_times, &busy_times, &options.callers),
             busy_times,
             link_times,
             end_checks: TargetEndChecks::default(),
@@ -140,6 +143,7 @@
             stop_times: OnceLock::new(),
             open_calls: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
+            caller_resources: Mutex::new(CallerResources::new(options.callers)),
             state,
             options,
             outbox,
@@ -154,6 +158,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is held for callers. Like the state, for one decision.
+    pub fn caller_resources(&self) -> MutexGuard<'_, CallerResources> {
+        let resources = self.caller_resources.lock();
+        resources.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the limits for callers of the catalogue in force, or the usual ones before the first
+    /// catalogue.
+    pub fn limits(&self) -> Limits {
+        let state = self.state();
+        let catalogue = state.catalogue.get();
+        catalogue
+            .map(|catalogue| *catalogue.limits())
+            .unwrap_or_default()
+    }
+
     /// Returns the current time of the decision clock.
     pub fn now(&self) -> Duration {
         self.clock.now()
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod answer;
 mod answer_signals;
 pub mod backlog;
+mod body_failure;
 mod broken_run;
 pub mod bulk_metrics;
 mod bulk_targets;
@@ -21,6 +22,10 @@
 pub mod call_cost;
 pub mod call_times;
 pub mod caller_connection;
+pub mod caller_metrics;
+pub mod caller_resources;
+mod caller_socket;
+mod caller_sweep;
 pub mod charge;
 pub mod clock;
 pub mod cold_options;
@@ -31,6 +36,7 @@
 pub mod copy_options;
 pub mod copy_outcome;
 pub mod copy_reason;
+mod counted_connection;
 pub mod counted_store;
 pub mod delisted_targets;
 pub mod dialect;
@@ -43,6 +49,7 @@
 pub mod front;
 pub mod gateway;
 pub mod handling;
+pub mod held_call;
 pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
@@ -59,6 +66,7 @@
 pub mod objects;
 pub mod open_call;
 pub mod open_connection;
+mod open_target_connection;
 mod open_tunnel;
 pub mod operators;
 pub mod options;
@@ -97,6 +105,7 @@
 pub mod stop;
 pub mod stop_times;
 pub mod store_probe;
+mod stream_marks;
 pub(crate) mod stream_origins;
 mod suspicion;
 pub mod target_ends;
@@ -110,9 +119,11 @@
 
 use std::sync::Arc;
 
+use anyhow::Context;
 use damaskstile_core::prelude::*;
 use tokio::sync::mpsc::Receiver;
 
+use crate::caller_resources::Endpoint;
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
@@ -128,9 +139,17 @@
 /// Returns an error if an address cannot be bound.
 pub async fn serve(gateway: Arc<Gateway>, outbox: Receiver<Outgoing>) -> anyhow::Result<()> {
     let options = &gateway.options;
-    let callers = front::listen(options.callers_address)?;
-    let readiness = operators::start_readiness(&gateway, options.readiness_address)?;
-    let metrics = operators::start_metrics(&gateway, options.metrics_address)?;
+    let endpoints = [
+        (Endpoint::Callers, options.callers_address),
+        (Endpoint::Readiness, options.readiness_address),
+        (Endpoint::Metrics, options.metrics_address),
+    ];
+    let mut listeners = Vec::new();
+    for (endpoint, address) in endpoints {
+        let listener = front::listen_bounded(address, &options.callers);
+        let listener = listener.with_context(|| format!("cannot listen at {address}"))?;
+        listeners.push((endpoint, listener));
+    }
     let pulls = front::listen(options.peers_address)?;
     let peers = Peers::try_new(&gateway).await?;
     let data_centre = options.identity.data_centre.clone();
@@ -155,9 +174,10 @@
     spawn_counted(&gateway, "hear", peers.receive());
     tokio::spawn(prune(Arc::clone(&gateway)));
     tokio::spawn(load::sample_periodically(Arc::clone(&gateway)));
-    tokio::spawn(front::accept(Arc::clone(&gateway), callers));
+    for (endpoint, listener) in listeners {
+        tokio::spawn(front::accept(Arc::clone(&gateway), listener, endpoint));
+    }
     stop::run(Arc::clone(&gateway)).await?;
-    drop((readiness, metrics));
     Ok(())
 }
 
--- a/crates/damaskstile-gateway/src/load.rs
+++ b/crates/damaskstile-gateway/src/load.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 
 use crate::bulk_targets;
+use crate::caller_sweep::CallerSweep;
 use crate::gateway::Gateway;
 use crate::load_sample::LoadSample;
 use crate::readiness::Readiness;
@@ -48,6 +49,7 @@
     let mut sampled_at = gateway.now();
     let mut line_at = gateway.now();
     let mut longest_scheduling_delay = Duration::ZERO;
+    let mut caller_sweep = CallerSweep::default();
     loop {
         let due_at = gateway.now() + SAMPLE_INTERVAL;
         tokio::time::sleep(SAMPLE_INTERVAL).await;
@@ -68,6 +70,7 @@
             }
         }
         bulk_targets::update(&gateway);
+        caller_sweep.run(&gateway, scheduling_delay);
         (busy_at_sample, sampled_at) = (busy, now);
         longest_scheduling_delay = longest_scheduling_delay.max(scheduling_delay);
         target_speeds::log_changes(&gateway);
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::admission_counts::AdmissionCounts;
 use crate::bulk_metrics::BulkMetrics;
+use crate::caller_metrics::CallerMetrics;
 use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
 use crate::path_metrics::PathMetrics;
@@ -113,6 +114,8 @@
     pub bulk: BulkMetrics,
     /// Paths to targets.
     pub paths: PathMetrics,
+    /// What is held for callers.
+    pub callers: CallerMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -176,6 +179,7 @@
         registry.register("contents", help, contents.clone());
         let bulk = BulkMetrics::new(&mut registry);
         let paths = PathMetrics::register(&mut registry);
+        let callers = CallerMetrics::register(&mut registry);
         Self {
             admissions,
             registry: Mutex::new(registry),
@@ -199,6 +203,7 @@
             target_speed_percent,
             bulk,
             paths,
+            callers,
         }
     }
 
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -1,71 +1,57 @@
 //! HTTP endpoints for operations: readiness for the balancer, and metrics.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, HttpServerStarter, RequestContext,
-    endpoint,
-};
-use http::{Response, StatusCode};
-use slog::Logger;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
 
+use crate::caller_resources::Endpoint;
 use crate::gateway::Gateway;
 use crate::objects::ObjectStore;
 use crate::readiness::Readiness;
+use crate::reply::{ReplyBody, full_body};
 
-type Server = HttpServer<Arc<Gateway>>;
-type Answer = Result<Response<Body>, HttpError>;
+/// Path of the balancer's readiness check.
+const READINESS_PATH: &str = "/v1/readiness";
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
 
-/// Starts the server for the balancer's readiness check.
-///
-/// # Errors
-///
-/// Returns an error where the address cannot be used.
-pub fn start_readiness(gateway: &Arc<Gateway>, address: SocketAddr) -> anyhow::Result<Server> {
-    let mut api = ApiDescription::new();
-    api.register(get_readiness)?;
-    start(gateway, address, api)
-}
-
-/// Starts the server for metrics.
-///
-/// # Errors
-///
-/// Returns an error where the address cannot be used.
-pub fn start_metrics(gateway: &Arc<Gateway>, address: SocketAddr) -> anyhow::Result<Server> {
-    let mut api = ApiDescription::new();
-    api.register(get_metrics)?;
-    start(gateway, address, api)
-}
-
-fn start(
+/// Answers a request to an endpoint for operations. Its body is of no use and is not read.
+pub(crate) fn serve(
     gateway: &Arc<Gateway>,
-    address: SocketAddr,
-    api: ApiDescription<Arc<Gateway>>,
-) -> anyhow::Result<Server> {
-    let config = ConfigDropshot {
-        bind_address: address,
-        ..ConfigDropshot::default()
+    endpoint: Endpoint,
+    request: &Request<Incoming>,
+) -> Response<ReplyBody> {
+    let path = match endpoint {
+        Endpoint::Metrics => METRICS_PATH,
+        Endpoint::Readiness | Endpoint::Callers => READINESS_PATH,
     };
-    let no_log = Logger::root(slog::Discard, slog::o!());
-    let starter = HttpServerStarter::new(&config, api, Arc::clone(gateway), &no_log)
-        .map_err(|error| anyhow::anyhow!("cannot listen at {address}: {error}"))?;
-    Ok(starter.start())
+    if request.uri().path() != path {
+        return respond(StatusCode::NOT_FOUND, "text/plain", String::new());
+    }
+    if ![Method::GET, Method::HEAD].contains(request.method()) {
+        return respond(StatusCode::METHOD_NOT_ALLOWED, "text/plain", String::new());
+    }
+    match endpoint {
+        Endpoint::Metrics => metrics(gateway),
+        Endpoint::Readiness | Endpoint::Callers => readiness(gateway),
+    }
 }
 
-fn respond(status: StatusCode, content_type: &str, text: String) -> Answer {
-    Response::builder()
-        .status(status)
-        .header("content-type", content_type)
-        .body(Body::from(text))
-        .map_err(|error| HttpError::for_internal_error(error.to_string()))
+fn respond(status: StatusCode, content_type: &'static str, text: String) -> Response<ReplyBody> {
+    let mut response = Response::new(full_body(Bytes::from(text)));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
 }
 
 /// Returns 200 if the balancer should send new connections here, 503 if not.
-#[endpoint { method = GET, path = "/v1/readiness" }]
-async fn get_readiness(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
-    let is_ready = Readiness::of(rqctx.context()) == Readiness::Ready;
+fn readiness(gateway: &Gateway) -> Response<ReplyBody> {
+    let is_ready = Readiness::of(gateway) == Readiness::Ready;
     let status = if is_ready {
         StatusCode::OK
     } else {
@@ -75,9 +61,7 @@
 }
 
 /// Returns the metrics in the `OpenMetrics` text format.
-#[endpoint { method = GET, path = "/metrics" }]
-async fn get_metrics(rqctx: RequestContext<Arc<Gateway>>) -> Answer {
-    let gateway = rqctx.context();
+fn metrics(gateway: &Gateway) -> Response<ReplyBody> {
     let now = gateway.now();
     let state = gateway.state();
     let prepaid = state
--- a/crates/damaskstile-gateway/src/options.rs
+++ b/crates/damaskstile-gateway/src/options.rs
@@ -7,6 +7,7 @@
 use damaskstile_targets::TargetTableOptions;
 
 use crate::admission::AdmissionOptions;
+use crate::caller_resources::CallerLimits;
 use crate::cold_options::ColdOptions;
 use crate::copy_options::CopyOptions;
 use crate::rotation_options::RotationOptions;
@@ -52,4 +53,6 @@
     pub admission: AdmissionOptions,
     /// Copies of runs.
     pub copies: CopyOptions,
+    /// Limits on what callers may make the process hold.
+    pub callers: CallerLimits,
 }
--- a/crates/damaskstile-gateway/src/peers/tunnel.rs
+++ b/crates/damaskstile-gateway/src/peers/tunnel.rs
@@ -9,6 +9,7 @@
 use damaskstile_http::socket::connect;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -93,6 +94,11 @@
     // Keeps the instance from ending during a stop while a peer's call depends on it.
     let _open = gateway.open_call();
     let parts = frames.into_parts();
+    let buffer_bytes = gateway.options.callers.receive_buffer_bytes;
+    for stream in [&parts.io, &target] {
+        // What the other end does not accept yet waits unread, and is memory too.
+        SockRef::from(stream).set_recv_buffer_size(buffer_bytes)?;
+    }
     let (from_peer, to_peer) = parts.io.into_split();
     let (from_target, mut to_target) = target.into_split();
     to_target.write_all(&parts.read_buf).await?;
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to targets.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
@@ -9,12 +10,16 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::busy_times::BusyTimes;
+use crate::caller_resources::CallerLimits;
 use crate::lease::Lease;
 use crate::link_times::LinkTimes;
+use crate::open_target_connection::OpenTargetConnection;
 use crate::open_tunnel::OpenTunnel;
 use crate::tunnel_stream::TunnelStream;
 use crate::watched_stream::WatchedStream;
@@ -35,11 +40,17 @@
 
 /// Pool of idle connections to targets, keyed by incarnation: a connection leads to the process
 /// that accepted it for as long as that lives, even if its successor is already serving.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<BTreeMap<TargetIdentity, Vec<IdleConnection>>>,
     link_times: Arc<LinkTimes>,
     busy_times: Arc<BusyTimes>,
+    /// Open connections, those in use included.
+    open: Arc<AtomicUsize>,
+    /// Number of open connections from which on an idle one is closed for each new one.
+    connections_max: usize,
+    /// Size that is set for the receive buffers of connections; `None` to leave it to the system.
+    receive_buffer_bytes: Option<usize>,
 }
 
 impl Pool {
@@ -47,9 +58,30 @@
     #[must_use]
     pub fn new(link_times: &Arc<LinkTimes>, busy_times: &Arc<BusyTimes>) -> Arc<Self> {
         Arc::new(Self {
+            idle: Mutex::default(),
             link_times: Arc::clone(link_times),
             busy_times: Arc::clone(busy_times),
-            ..Self::default()
+            open: Arc::default(),
+            connections_max: usize::MAX,
+            receive_buffer_bytes: None,
+        })
+    }
+
+    /// Creates an empty pool with limits on the number of connections, idle ones included, and on
+    /// what the system keeps unread for each.
+    #[must_use]
+    pub fn bounded(
+        link_times: &Arc<LinkTimes>,
+        busy_times: &Arc<BusyTimes>,
+        limits: &CallerLimits,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            idle: Mutex::default(),
+            link_times: Arc::clone(link_times),
+            busy_times: Arc::clone(busy_times),
+            open: Arc::default(),
+            connections_max: limits.target_connections_max,
+            receive_buffer_bytes: Some(limits.receive_buffer_bytes),
         })
     }
 
@@ -90,10 +122,13 @@
         target: &TargetIdentity,
         address: SocketAddr,
     ) -> std::io::Result<Lease> {
+        self.close_one_if_full();
         let began_at = std::time::Instant::now();
         let stream = connect(address).await;
         self.link_times.note("connect", began_at.elapsed());
-        let stream = WatchedStream::new(&Arc::new(stream?), &self.link_times, "write_to_target");
+        let stream = stream?;
+        self.bound_buffer(&stream)?;
+        let stream = WatchedStream::new(&Arc::new(stream), &self.link_times, "write_to_target");
         self.open(target, stream, None).await
     }
 
@@ -107,6 +142,7 @@
         target: &TargetIdentity,
         tunnel: OpenTunnel,
     ) -> std::io::Result<Lease> {
+        self.bound_buffer(&tunnel.stream)?;
         let stream = Arc::new(tunnel.stream);
         let stream = WatchedStream::new(&stream, &self.link_times, "write_to_peer");
         let stream = TunnelStream::new(stream, &tunnel.received);
@@ -123,13 +159,38 @@
             .await
             .map_err(std::io::Error::other)?;
         let busy_times = Arc::clone(&self.busy_times);
+        let open = OpenTargetConnection::new(&self.open);
         let task = tokio::spawn(async move {
+            let _open = open;
             // Errors of the connection show in the answer that is read from it.
             let _ = busy_times.count("targets", connection).await;
         });
         Ok(Lease::new(self, target, sender, task.abort_handle(), peer))
     }
 
+    /// Limits what the system keeps unread.
+    fn bound_buffer(&self, stream: &TcpStream) -> std::io::Result<()> {
+        match self.receive_buffer_bytes {
+            Some(bytes) => SockRef::from(stream).set_recv_buffer_size(bytes),
+            None => Ok(()),
+        }
+    }
+
+    /// Closes an idle connection if there are too many connections. Those in use are as many as
+    /// calls, whose number is limited.
+    fn close_one_if_full(&self) {
+        if self.open.load(Ordering::Relaxed) < self.connections_max {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let most = idle
+            .values_mut()
+            .max_by_key(|connections| connections.len());
+        if let Some(connection) = most.and_then(Vec::pop) {
+            connection.task.abort();
+        }
+    }
+
     /// Closes the connections that are no longer usable, and all to incarnations that are not
     /// listed.
     pub fn prune(&self, is_listed: impl Fn(&TargetIdentity) -> bool) {
--- a/crates/damaskstile-gateway/src/watched_stream.rs
+++ b/crates/damaskstile-gateway/src/watched_stream.rs
@@ -4,6 +4,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::link_times::LinkTimes;
+use crate::stream_marks::StreamMarks;
 
 /// TCP stream that measures how long its writes are blocked.
 #[derive(Debug)]
@@ -20,6 +22,7 @@
     times: Arc<LinkTimes>,
     what: &'static str,
     waiting: Option<(Instant, u64, &'static str)>,
+    marks: Option<Arc<StreamMarks>>,
 }
 
 impl WatchedStream {
@@ -29,9 +32,16 @@
             times: Arc::clone(times),
             what,
             waiting: None,
+            marks: None,
         }
     }
 
+    /// Sets marks whenever bytes are read or written.
+    pub(crate) fn with_marks(mut self, marks: &Arc<StreamMarks>) -> Self {
+        self.marks = Some(Arc::clone(marks));
+        self
+    }
+
     /// Writes when the socket has room.
     fn poll_with(
         &mut self,
@@ -49,6 +59,10 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 written => {
                     self.end_wait();
+                    if let Some(marks) = &self.marks {
+                        marks.written.store(true, Ordering::Relaxed);
+                        marks.progressed.store(true, Ordering::Relaxed);
+                    }
                     return Poll::Ready(written);
                 }
             }
@@ -95,7 +109,11 @@
             match read_at_once(&self.stream, buffer.initialize_unfilled()) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 read => {
-                    buffer.advance(read?);
+                    let bytes = read?;
+                    buffer.advance(bytes);
+                    if let Some(marks) = self.marks.as_ref().filter(|_| bytes > 0) {
+                        marks.read.store(true, Ordering::Relaxed);
+                    }
                     return Poll::Ready(Ok(()));
                 }
             }
--- a/crates/damaskstile-gateway/tests/expected_borrowers.rs
+++ b/crates/damaskstile-gateway/tests/expected_borrowers.rs
@@ -6,6 +6,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::admission::AdmissionOptions;
+use damaskstile_gateway::caller_resources::CallerLimits;
 use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::member::Member;
@@ -60,6 +61,7 @@
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
         copies: CopyOptions::default(),
+        callers: CallerLimits::default(),
     };
     let mut state = State::new(&options, Duration::ZERO);
     let prepaid = BTreeMap::from([(ACCOUNT.to_owned(), 10_000_000)]);
--- a/crates/damaskstile-gateway/tests/fleets.rs
+++ b/crates/damaskstile-gateway/tests/fleets.rs
@@ -8,6 +8,7 @@
 use damaskstile_core::random::Random;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::admission::AdmissionOptions;
+use damaskstile_gateway::caller_resources::CallerLimits;
 use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::follow::{DRAWS, list_pause};
@@ -87,6 +88,7 @@
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
         copies: CopyOptions::default(),
+        callers: CallerLimits::default(),
     };
     State::new(&options, Duration::ZERO)
 }
--- a/crates/damaskstile-gateway/tests/support/mod.rs
+++ b/crates/damaskstile-gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use damaskstile_gateway::admission::AdmissionOptions;
 use damaskstile_gateway::answer::AnswerHead;
 use damaskstile_gateway::call::{CallHead, SendHead};
+use damaskstile_gateway::caller_resources::CallerLimits;
 use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::dialect::Dialect;
@@ -153,6 +154,7 @@
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
         copies: CopyOptions::default(),
+        callers: CallerLimits::default(),
     };
     let log = Logger::root(Discard, o!());
     Gateway::new(
--- a/crates/damaskstile-gateway/tests/writers.rs
+++ b/crates/damaskstile-gateway/tests/writers.rs
@@ -7,6 +7,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_escrow::EscrowOptions;
 use damaskstile_gateway::admission::AdmissionOptions;
+use damaskstile_gateway::caller_resources::CallerLimits;
 use damaskstile_gateway::cold_options::ColdOptions;
 use damaskstile_gateway::copy_options::CopyOptions;
 use damaskstile_gateway::member::Member;
@@ -58,6 +59,7 @@
         cold: ColdOptions::default(),
         admission: AdmissionOptions::default(),
         copies: CopyOptions::default(),
+        callers: CallerLimits::default(),
     };
     let mut state = State::new(&options, Duration::ZERO);
     state.contact.answered(at(0));
