Fix: answers that nobody reads use up the memory

What callers saw: 40 callers that ask for answers of 4 MiB and read nothing take the process to 368 MB of 80; 60 that do not read streams, to 149 MB.

Cause: a collected answer was kept for as long as its caller's connection, and the system's send buffers grew to megabytes for each. A stream that is blocked in its writer is not polled, so not even its deadline ended it.

Why it works: an answer counts from its first byte from the target until the last part is handed to the connection; a target's answer waits for room. Send buffers are small, and larger only while a large answer is passed on, which counts until a later write proves that it was read.

--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -5,12 +5,13 @@
 use damaskstile_core::prelude::*;
 use damaskstile_requests::SendFailureKind;
 use http::{Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 
 use super::Exchange;
 use crate::events::EventSplitter;
+use crate::held_answer::HeldAnswer;
 use crate::relay::Relay;
-use crate::reply::{Refusal, ReplyBody, full_body};
+use crate::reply::{Refusal, ReplyBody};
 use crate::reservation::Reservation;
 use crate::run::{Run, SendFailure};
 
@@ -77,9 +78,9 @@
             lease,
             mut running,
         } = run;
-        let reading = Limited::new(body, ANSWER_BYTES_MAX).collect();
+        let reading = self.held.collect_answer(body, ANSWER_BYTES_MAX);
         let body = match tokio::time::timeout(self.time_left(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(_)) => {
                 running.note(false);
                 return Err((
@@ -116,7 +117,9 @@
         };
         self.record.end(code, outcome);
         self.gateway.dialect.set_answer_headers(&mut parts.headers);
-        Ok(Response::from_parts(parts, full_body(body)))
+        let body = HeldAnswer::new(body, self.held.hand_over());
+        let body = body.map_err(|never| match never {}).boxed_unsync();
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Passes a stream on once its first event has arrived. Nothing has been sent to the caller
@@ -147,6 +150,7 @@
             open: self.gateway.open_call(),
             admitted: std::mem::take(&mut self.admitted),
             caller: self.caller.clone(),
+            held: self.held.hand_over(),
             last_event: self.last_event,
             resumes: self.resumes.take(),
             has_begun: false,
@@ -158,6 +162,7 @@
             first_frame: None,
             stream_end: None,
         };
+        relay.held.begin_answer();
         if let Err(code) = relay.begin().await {
             let refusal = Refusal::unknown(code);
             relay.record.add("status", refusal.status().as_u16());
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -59,6 +59,7 @@
     let listener = listen(address)?;
     let socket = SockRef::from(&listener);
     socket.set_recv_buffer_size(limits.receive_buffer_bytes)?;
+    socket.set_send_buffer_size(limits.send_buffer_bytes)?;
     Ok(listener)
 }
 
--- a/crates/damaskstile-gateway/src/held_call.rs
+++ b/crates/damaskstile-gateway/src/held_call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use damaskstile_core::prelude::*;
 use http::request;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -13,11 +14,25 @@
 use crate::caller_resources::{CallNumber, ConnectionNumber, ReleaseCause};
 use crate::gateway::Gateway;
 
+/// Pause between two attempts to find room for an answer.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+/// Smallest buffer for an answer. It grows by a factor of two.
+const ANSWER_BUFFER_MIN: usize = 8 * 1024;
+/// Size from which on an event of a stream is counted. Smaller ones fit into what is counted for
+/// each call.
+const EVENT_BYTES_MIN: usize = 4 * 1024;
+/// Size of an event from which on a stream is passed on with a larger buffer.
+const LARGE_EVENT_BYTES: usize = 16 * 1024;
+/// Copies of an event on its way: as it is received, and as it is written.
+const EVENT_COPIES: usize = 2;
+
 /// Counts what is held for a call until it is dropped.
 #[derive(Debug, Default)]
 pub struct HeldCall {
-    /// `None` if nothing is held.
+    /// `None` once another guard has taken over.
     held: Option<Held>,
+    /// Size of the largest event so far.
+    event_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -28,6 +43,15 @@
     denied: Arc<Notify>,
 }
 
+impl Held {
+    /// Sets the bytes of the answer that are held; returns whether there is room for them.
+    fn hold_answer(&self, bytes: usize) -> bool {
+        let now = self.gateway.now();
+        let mut resources = self.gateway.caller_resources();
+        resources.hold_answer(now, self.connection, bytes)
+    }
+}
+
 impl HeldCall {
     /// Begins to count a call whose head was received.
     ///
@@ -54,9 +78,16 @@
                 call,
                 denied: Arc::clone(&caller.denied),
             }),
+            event_bytes: 0,
         })
     }
 
+    /// Moves what is counted to a new guard.
+    #[must_use]
+    pub(crate) fn hand_over(&mut self) -> Self {
+        std::mem::take(self)
+    }
+
     /// Receives the body of the call.
     ///
     /// # Errors
@@ -113,6 +144,102 @@
         }
         Ok(resources.take_body(now, held.connection))
     }
+
+    /// Reads a complete answer of a target. Waits while there is no room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the answer breaks off or is too large.
+    pub(crate) async fn collect_answer(
+        &self,
+        mut body: Incoming,
+        bytes_max: usize,
+    ) -> Result<Bytes, BodyFailure> {
+        let announced = body.size_hint().exact();
+        let expected = announced.and_then(|bytes| usize::try_from(bytes).ok());
+        let expected = expected.map_or(bytes_max, |bytes| bytes.min(bytes_max));
+        let mut answer = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyFailure::Broken)?;
+            let data = frame.into_data().unwrap_or_default();
+            let needed = answer.len() + data.len();
+            if needed > bytes_max {
+                return Err(BodyFailure::TooLarge);
+            }
+            if needed > answer.capacity() {
+                let larger = (answer.capacity() * 2).max(ANSWER_BUFFER_MIN);
+                let larger = larger.min(expected).max(needed);
+                self.wait_for_room(larger).await;
+                answer.reserve_exact(larger - answer.len());
+            }
+            answer.extend_from_slice(&data);
+        }
+        Ok(Bytes::from(answer))
+    }
+
+    /// Waits until there is room for an answer.
+    async fn wait_for_room(&self, bytes: usize) {
+        let Some(held) = &self.held else {
+            return;
+        };
+        while !held.hold_answer(bytes) {
+            tokio::time::sleep(ROOM_INTERVAL).await;
+        }
+    }
+
+    /// Records that the answer begins.
+    pub(crate) fn begin_answer(&self) {
+        if let Some(held) = &self.held {
+            let now = held.gateway.now();
+            held.gateway
+                .caller_resources()
+                .begin_answer(now, held.connection);
+        }
+    }
+
+    /// Enlarges the buffer in which the system keeps what the caller has not acknowledged.
+    pub(crate) fn enlarge_send_buffer(&self) {
+        if let Some(held) = &self.held {
+            let now = held.gateway.now();
+            let mut resources = held.gateway.caller_resources();
+            resources.enlarge_send_buffer(now, held.connection);
+        }
+    }
+
+    /// Records that the caller waits for more of its answer.
+    pub(crate) fn note_waiting(&self) {
+        self.note_answer(true);
+    }
+
+    /// Records that a part of the answer is passed on.
+    pub(crate) fn note_passed_on(&self) {
+        self.note_answer(false);
+    }
+
+    /// Counts an event of a stream that is passed on.
+    pub(crate) fn note_event(&mut self, bytes: usize) {
+        if bytes > self.event_bytes.max(EVENT_BYTES_MIN)
+            && let Some(held) = &self.held
+        {
+            self.event_bytes = bytes;
+            let now = held.gateway.now();
+            let mut resources = held.gateway.caller_resources();
+            // The event is there already, so it is counted whether there is room or not.
+            resources.hold_event(now, held.connection, bytes * EVENT_COPIES);
+            if bytes >= LARGE_EVENT_BYTES {
+                resources.enlarge_send_buffer(now, held.connection);
+            }
+        }
+        self.note_passed_on();
+    }
+
+    fn note_answer(&self, is_waiting: bool) {
+        if let Some(held) = &self.held {
+            let now = held.gateway.now();
+            let mut resources = held.gateway.caller_resources();
+            resources.note_answer(now, held.connection, is_waiting);
+        }
+    }
 }
 
 impl Drop for HeldCall {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod front;
 pub mod gateway;
 pub mod handling;
+mod held_answer;
 pub mod held_call;
 pub mod holdings;
 pub mod lease;
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::caller_connection::CallerConnection;
 use crate::events::{CompleteEvent, EventSplitter};
 use crate::gateway::Gateway;
+use crate::held_call::HeldCall;
 use crate::open_call::OpenCall;
 use crate::outbound_call::OutboundCall;
 use crate::record::Record;
@@ -61,6 +62,8 @@
     pub admitted: AdmittedStream,
     /// The caller's connection.
     pub caller: CallerConnection,
+    /// Counts what is held for the call.
+    pub held: HeldCall,
     /// Id of the last event sent to the caller.
     pub last_event: Option<u64>,
     /// Attempt that brought the first event of the stream, if the caller has taken it up again.
@@ -126,11 +129,13 @@
 
     async fn next_frame(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
         if let Some(frame) = self.first_frame.take() {
+            self.held.note_passed_on();
             return Some(Ok(frame));
         }
         if self.stream_end.is_some() {
             return None;
         }
+        self.held.note_waiting();
         let gateway = Arc::clone(&self.gateway);
         tokio::select! {
             biased;
@@ -252,6 +257,7 @@
             copy.event();
         }
         self.reservation.delivering();
+        self.held.note_event(event.bytes.len());
         Some(event.bytes)
     }
 
