Fix: legal requests of more than 100 header fields or trailers are refused

What callers saw: 431 for a head of 101 fields in 1 KiB, 400 for a body with 300 trailers, though the configuration allows heads of 16 KiB.

Cause: the HTTP library's own limit on the number of fields, for heads and trailers alike; the configuration limits bytes.

--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -28,6 +28,8 @@
 
 /// Smallest buffer for a request head that the HTTP library accepts, in bytes.
 const HEAD_BYTES_MIN: usize = 8 * 1024;
+/// Bytes of the shortest header field: a name of one letter, a colon and the end of the line.
+const FIELD_BYTES_MIN: usize = 4;
 /// Length of the accept queue. Callers reconnect all at once after an outage, and a full queue
 /// delays them by seconds.
 const ACCEPT_QUEUE: u32 = 1024;
@@ -174,7 +176,9 @@
         // The library's timeout for the head includes the idle time before it, so the longer of the
         // two limits has to be set.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-        .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN));
+        .max_buf_size(limits.header_bytes.max(HEAD_BYTES_MIN))
+        // The configuration limits the bytes of a head, not the number of its fields.
+        .max_headers(limits.header_bytes / FIELD_BYTES_MIN);
     builder
 }
 
