Fix: callers that are refused before their body is read see a reset

What callers saw: a broken connection in place of 404 or 401, in 4 of 6 calls with a body of 1 MiB, so that they did not know whether the call runs.

Cause: the connection was closed with bytes unread, which resets it, and the answer is lost on the way.

Why it works: after such an answer the rest is read and dropped for up to a second, and up to the largest body; the connection counts meanwhile and is the first to be displaced.

--- a/crates/damaskstile-gateway/src/caller_connection.rs
+++ b/crates/damaskstile-gateway/src/caller_connection.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -22,6 +23,8 @@
     pub(crate) number: ConnectionNumber,
     /// Notified when the call has to give way while its body is received.
     pub(crate) denied: Arc<Notify>,
+    /// Whether part of a call was left unread when it was answered.
+    has_unread: Arc<AtomicBool>,
 }
 
 impl CallerConnection {
@@ -32,6 +35,7 @@
             stream: Arc::clone(stream),
             number: 0,
             denied: Arc::default(),
+            has_unread: Arc::default(),
         }
     }
 
@@ -53,4 +57,14 @@
             Err(error) => error.kind() == ErrorKind::ConnectionReset,
         }
     }
+
+    /// Records whether part of a call is left unread.
+    pub(crate) fn set_unread(&self, has_unread: bool) {
+        self.has_unread.store(has_unread, Ordering::Relaxed);
+    }
+
+    /// Returns whether part of a call was left unread when it was answered.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.has_unread.load(Ordering::Relaxed)
+    }
 }
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
 use damaskstile_targets::Work;
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::admitted_stream::AdmittedStream;
 use crate::body_failure::BodyFailure;
@@ -77,6 +77,7 @@
 ) -> Response<ReplyBody> {
     let open = gateway.open_call();
     let (parts, body) = request.into_parts();
+    caller.set_unread(!body.is_end_stream());
     let head = gateway.dialect.read_call(&parts);
     let began_at = gateway.now();
     let mut record = Record::new(&gateway, began_at, head.id.as_deref());
@@ -240,7 +241,10 @@
         let took = self.gateway.now().saturating_sub(self.record.began_at());
         self.gateway.link_times.note("body", took);
         let (code, retry_after) = match read {
-            Ok(Ok(body)) => return Ok(body),
+            Ok(Ok(body)) => {
+                self.caller.set_unread(false);
+                return Ok(body);
+            }
             Ok(Err(BodyFailure::TooLarge)) => (RefusalCode::BodyTooLarge, None),
             Ok(Err(BodyFailure::Broken)) => (RefusalCode::BadRequest, None),
             Ok(Err(BodyFailure::Denied)) => {
--- a/crates/damaskstile-gateway/src/front.rs
+++ b/crates/damaskstile-gateway/src/front.rs
@@ -20,6 +20,7 @@
 use crate::counted_connection::CountedConnection;
 use crate::exchange::serve;
 use crate::gateway::Gateway;
+use crate::lingering_close::linger;
 use crate::operators;
 use crate::phase::Phase;
 use crate::reply::ReplyBody;
@@ -167,6 +168,14 @@
             }
         }
     }
+    if caller.has_unread() {
+        let now = gateway.now();
+        gateway.caller_resources().linger(now, opened.number);
+        tokio::select! {
+            () = linger(&stream, limits.body_bytes) => {}
+            () = opened.closing.notified() => {}
+        }
+    }
 }
 
 fn builder(limits: &Limits) -> http1::Builder {
@@ -190,6 +199,8 @@
 ) -> Response<ReplyBody> {
     match endpoint {
         Endpoint::Callers => serve(gateway, caller, request).await,
-        Endpoint::Readiness | Endpoint::Metrics => operators::serve(&gateway, endpoint, &request),
+        Endpoint::Readiness | Endpoint::Metrics => {
+            operators::serve(&gateway, &caller, endpoint, &request)
+        }
     }
 }
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
+mod lingering_close;
 pub mod link_times;
 mod load;
 pub mod load_metrics;
--- a/crates/damaskstile-gateway/src/operators.rs
+++ b/crates/damaskstile-gateway/src/operators.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
+use crate::caller_connection::CallerConnection;
 use crate::caller_resources::Endpoint;
 use crate::gateway::Gateway;
 use crate::objects::ObjectStore;
@@ -20,9 +21,11 @@
 /// Answers a request to an endpoint for operations. Its body is of no use and is not read.
 pub(crate) fn serve(
     gateway: &Arc<Gateway>,
+    caller: &CallerConnection,
     endpoint: Endpoint,
     request: &Request<Incoming>,
 ) -> Response<ReplyBody> {
+    caller.set_unread(!request.body().is_end_stream());
     let path = match endpoint {
         Endpoint::Metrics => METRICS_PATH,
         Endpoint::Readiness | Endpoint::Callers => READINESS_PATH,
