Fix: long ids of callers fill the queue of log records

Cause: an id may be as long as a head, and is written to each record of its call; 4,096 records are queued, so ids of 16 KB hold 64 MB while the writer is slower than the callers.

Now the first 128 bytes of an id are logged.

--- a/crates/damaskstile-gateway/src/broken_run.rs
+++ b/crates/damaskstile-gateway/src/broken_run.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
 use crate::paths;
+use crate::record::logged_id;
 use crate::running::Running;
 use crate::state::Terms;
 use crate::target_ends::{EndCheck, TargetLiveness};
@@ -76,7 +77,7 @@
         let fields = [
             ("target", self.target.target.as_str()),
             ("state", state.as_str()),
-            ("id", call.id.as_deref().unwrap_or("-")),
+            ("id", logged_id(call.id.as_deref())),
             ("content", &content.to_string()),
             ("account", terms.account.as_deref().unwrap_or("-")),
             ("ran_ms", &ran_ms),
--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -29,7 +29,7 @@
 use crate::outbound_call::OutboundCall;
 use crate::phase::Phase;
 use crate::prompt_place::PromptPlace;
-use crate::record::Record;
+use crate::record::{Record, logged_id};
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
 use crate::run;
@@ -99,7 +99,7 @@
                 .map_or(terms.route.timeout, |limit| limit.min(terms.route.timeout));
             if let Some(event) = head.last_event {
                 record.add("after_event", event);
-                record.add("resumes", head.resumes.as_deref().unwrap_or("-"));
+                record.add("resumes", logged_id(head.resumes.as_deref()));
             }
             let mut exchange = Exchange {
                 gateway: Arc::clone(&gateway),
@@ -370,7 +370,7 @@
     fn note_retry(&self, cause: &str) {
         let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
         self.gateway.state().pressure.note_sent(now, bytes);
-        let id = self.call.id.as_deref().unwrap_or("-");
+        let id = logged_id(self.call.id.as_deref());
         self.gateway
             .log(EventCode::SendRetried, &[("id", id), ("cause", cause)]);
     }
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -27,6 +27,17 @@
     is_handed_over: bool,
 }
 
+/// Longest part of a caller's id that is logged, in bytes. The queue of log records is limited by
+/// their number.
+const ID_BYTES_MAX: usize = 128;
+
+/// Returns the part of a caller's id that is logged.
+#[must_use]
+pub(crate) fn logged_id(id: Option<&str>) -> &str {
+    let id = id.unwrap_or("-");
+    &id[..id.floor_char_boundary(ID_BYTES_MAX)]
+}
+
 impl Record {
     /// Begins the record of a call. The outcome is that the caller left until another one is set.
     #[must_use]
@@ -43,7 +54,7 @@
             charge: None,
             is_handed_over: false,
         };
-        record.add("id", id.unwrap_or("-"));
+        record.add("id", logged_id(id));
         record
     }
 
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -8,6 +8,7 @@
 use crate::broken_run::BrokenRun;
 use crate::events::EventSplitter;
 use crate::exchange::plan_next;
+use crate::record::logged_id;
 use crate::run;
 use crate::send;
 use crate::send_options::SendOptions;
@@ -131,7 +132,7 @@
     fn note_resumption(&self, cause: &str, target: &str) {
         let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
         self.gateway.state().pressure.note_sent(now, bytes);
-        let id = self.call.id.as_deref().unwrap_or("-");
+        let id = logged_id(self.call.id.as_deref());
         let after = self
             .last_event
             .map_or_else(String::new, |id| id.to_string());
--- a/crates/damaskstile-gateway/src/run_copy.rs
+++ b/crates/damaskstile-gateway/src/run_copy.rs
@@ -13,6 +13,7 @@
 use crate::copy_reason::CopyReason;
 use crate::gateway::Gateway;
 use crate::outbound_call::OutboundCall;
+use crate::record::logged_id;
 use crate::run::{self, Run};
 use crate::send_options::SendOptions;
 use crate::state::Terms;
@@ -139,7 +140,7 @@
         self.gateway.metrics.copies.note(outcome);
         let after = resume_after.map_or_else(String::new, |id| id.to_string());
         let fields = [
-            ("id", call.id.as_deref().unwrap_or("-")),
+            ("id", logged_id(call.id.as_deref())),
             ("outcome", outcome.as_str()),
             ("cause", cause),
             ("after_event", &after),
