Fix: room for callers is lost to scattered memory, partial answers and callers that left

So more than half of the memory can be given to callers. - Answers took their room bit by bit, so 251 calls each held a part and all waited for the rest; new connections were closed at once, for as long as they waited. An answer of more than 64 KiB takes its room at once. - A caller that accepts nothing for 250 ms gives way to a new connection.

Left: with 300 callers that read nothing of 8 answers of 4 MiB each the modelled link is full for a second after they left, and calls are refused with a Retry-After; their answers did cross the link.

--- a/crates/damaskstile-gateway/src/caller_connection.rs
+++ b/crates/damaskstile-gateway/src/caller_connection.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use futures_util::FutureExt;
 use socket2::SockRef;
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -58,6 +60,15 @@
         }
     }
 
+    /// Returns whether the caller has closed the connection, possibly after calls that it has sent
+    /// ahead and that were not read.
+    pub(crate) fn has_left(&self) -> bool {
+        let ready = self.stream.ready(Interest::READABLE).now_or_never();
+        let ready = ready.and_then(Result::ok);
+        let has_ended = ready.is_some_and(Ready::is_read_closed);
+        has_ended || self.has_disconnected()
+    }
+
     /// Records whether part of a call is left unread.
     pub(crate) fn set_unread(&self, has_unread: bool) {
         self.has_unread.store(has_unread, Ordering::Relaxed);
--- a/crates/damaskstile-gateway/src/caller_resources.rs
+++ b/crates/damaskstile-gateway/src/caller_resources.rs
@@ -36,10 +36,11 @@
 const HEAD_BYTE_FACTOR: usize = 16;
 /// Size up to which a call may use the room that larger ones leave.
 const SMALL_CALL_BYTES: usize = 128 * 1024;
-/// Smallest buffer for a body. It grows by a factor of two.
-const BODY_BUFFER_MIN: usize = 8 * 1024;
 /// Time without progress after which a caller counts as not reading its answer.
 const STALLED_AFTER: Duration = Duration::from_secs(1);
+/// Time without progress after which a caller that does not read gives way to a new connection,
+/// which would otherwise be closed.
+const DISPLACED_AFTER: Duration = Duration::from_millis(250);
 /// Unread bytes from which on a caller counts as sending ahead of its answers: more than a head.
 const SENT_AHEAD_BYTES: usize = 16 * 1024;
 
@@ -115,7 +116,7 @@
         queue: Option<Arc<dyn SocketQueue>>,
     ) -> Option<OpenedConnection> {
         let is_full = self.connections(endpoint) >= self.limits.connections_max(endpoint)
-            || self.held_bytes + HeldConnection::IDLE_BYTES > self.limits.held_bytes_max;
+            || self.held_bytes + self.limits.connection_bytes() > self.limits.held_bytes_max;
         let mut has_displaced = false;
         if is_full {
             let victim = self.connection_to_close(now, endpoint);
@@ -128,7 +129,7 @@
         }
         let number = self.next_connection;
         self.next_connection += 1;
-        let connection = HeldConnection::new(now, endpoint, queue);
+        let connection = HeldConnection::new(now, endpoint, self.limits.connection_bytes(), queue);
         let opened = connection.opened(number, has_displaced);
         self.held_bytes += connection.bytes();
         self.connections.insert(number, connection);
@@ -147,6 +148,11 @@
         }
     }
 
+    /// Closes a connection whose caller has left.
+    pub fn close_left(&mut self, number: ConnectionNumber) {
+        self.close_early(number, ReleaseCause::CallerLeft);
+    }
+
     /// Returns why a connection is to be closed; `None` if it is not.
     #[must_use]
     pub fn closed_by(&self, number: ConnectionNumber) -> Option<ReleaseCause> {
@@ -168,7 +174,8 @@
         let call = self.next_call;
         self.next_call += 1;
         self.update(number, |connection| connection.begin_call(now, call));
-        self.update(number, HeldConnection::check_unsent);
+        let size = self.limits.send_buffer_bytes;
+        self.update(number, |connection| connection.reduce_send_buffer(size));
         let bytes = CALL_BYTES + fields * FIELD_BYTES + head_bytes * HEAD_BYTE_FACTOR;
         if !self.make_room(now, number, bytes) {
             self.count(ReleaseCause::NoRoom);
@@ -196,21 +203,13 @@
         if connection.is_denied {
             return Err(ReleaseCause::BodyMemory);
         }
-        let (length, capacity) = (connection.body.len(), connection.body.capacity());
-        let needed = length + bytes.len();
-        if needed > capacity {
-            let larger = (capacity * 2).max(BODY_BUFFER_MIN).min(bytes_max);
-            let larger = larger.max(needed);
-            if !self.make_room(now, number, larger - capacity) {
-                self.deny(number);
-                return Err(ReleaseCause::BodyMemory);
-            }
-            self.update(number, |connection| {
-                connection.body.reserve_exact(larger - length);
-            });
+        let growth = connection.body.growth(bytes.len(), bytes_max);
+        if growth > 0 && !self.make_room(now, number, growth) {
+            self.deny(number);
+            return Err(ReleaseCause::BodyMemory);
         }
         self.update(number, |connection| {
-            connection.body.extend_from_slice(bytes);
+            connection.body.extend(bytes, bytes_max);
         });
         Ok(())
     }
@@ -255,18 +254,17 @@
     }
 
     /// Enlarges the send buffer of a connection for a large answer, if there is room. The buffer is
-    /// small again from the end of the call on.
+    /// small again from the next call on.
     pub fn enlarge_send_buffer(&mut self, now: Duration, number: ConnectionNumber) {
         let bytes = self.limits.unsent_bytes_max();
-        let is_large = |connection: &HeldConnection| connection.unsent_bytes > 0;
-        let is_large = self.connections.get(&number).is_none_or(is_large);
-        if is_large || !self.make_room(now, number, bytes) {
+        let counted = self.connections.get(&number);
+        let counted = counted.map_or(0, |connection| connection.unsent_bytes);
+        if !self.make_room(now, number, bytes - counted) {
             return;
         }
         let size = self.limits.large_send_buffer_bytes;
         self.update(number, |connection| {
-            connection.set_send_buffer(size);
-            connection.unsent_bytes = bytes;
+            connection.enlarge_send_buffer(size, bytes);
         });
     }
 
@@ -279,8 +277,7 @@
 
     /// Ends a call, unless the connection has begun another one.
     pub fn end_call(&mut self, now: Duration, number: ConnectionNumber, call: CallNumber) {
-        let size = self.limits.send_buffer_bytes;
-        self.update(number, |connection| connection.end_call(now, call, size));
+        self.update(number, |connection| connection.end_call(now, call));
     }
 
     /// Records that a connection is only kept until its caller has read the answer.
@@ -310,7 +307,7 @@
         let numbers = self.connections.iter();
         let numbers = numbers.filter(|(_, connection)| may_hold(connection));
         let numbers: Vec<ConnectionNumber> = numbers.map(|(number, _)| *number).collect();
-        if numbers.len() * self.limits.unread_bytes_max() <= self.limits.held_bytes_max / 2 {
+        if numbers.len() * self.limits.unread_bytes_max() <= self.limits.held_bytes_max / 4 {
             return;
         }
         for number in numbers {
@@ -327,9 +324,9 @@
         let bytes_max = if held + bytes <= SMALL_CALL_BYTES {
             self.limits.held_bytes_max
         } else if self.is_in(number, ConnectionPhase::Receiving) {
-            self.limits.held_bytes_max / 8 * 6
+            self.limits.held_bytes_max / 16 * 14
         } else {
-            self.limits.held_bytes_max / 8 * 7
+            self.limits.held_bytes_max / 16 * 15
         };
         while self.held_bytes + bytes > bytes_max {
             let costs = self.connections.iter().filter_map(|(other, connection)| {
--- a/crates/damaskstile-gateway/src/caller_resources/caller_limits.rs
+++ b/crates/damaskstile-gateway/src/caller_resources/caller_limits.rs
@@ -8,17 +8,21 @@
 const MEMORY_MB: usize = 256;
 /// Sockets of a process where no other number is set.
 const SOCKETS_MAX: usize = 3_896;
-/// Share of the memory that callers may fill, in percent. The rest is for the process itself, for
-/// what waits in the sockets' buffers, and for memory that is free but scattered.
-const HELD_PERCENT: usize = 50;
+/// Memory of the process itself, in megabytes.
+const OWN_MEMORY_MB: usize = 32;
+/// Share of the remaining memory that callers may fill, in percent. The rest is for what waits
+/// unread in the sockets' buffers, and for memory that is free but scattered.
+const HELD_PERCENT: usize = 70;
+/// Memory of a connection without a call: its task and the read buffer of the HTTP library.
+const IDLE_BYTES: usize = 16 * 1024;
 /// Size of the buffer in which the system keeps what a caller has not acknowledged.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 /// The same while a large answer is passed on, for which the size limits the speed.
 const LARGE_SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// Size of the buffer in which the system keeps what the process has not read.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
-/// Part of the memory that send buffers may fill.
-const SEND_BUFFERS_DIVISOR: usize = 4;
+/// Part of what is held for callers that connections without calls may take.
+const CONNECTIONS_DIVISOR: usize = 2;
 /// Factor by which the system exceeds the sizes that are set for buffers.
 const BUFFER_FACTOR: usize = 2;
 /// Sockets for the store, peers and listeners: a fixed number, and a part of all.
@@ -50,20 +54,21 @@
     /// ```
     /// use damaskstile_gateway::caller_resources::CallerLimits;
     /// let limits = CallerLimits::of_process(260, 3_900);
-    /// assert_eq!(limits.held_bytes_max, 130_000_000);
+    /// assert_eq!(limits.held_bytes_max, 159_600_000);
     /// assert!(limits.caller_connections_max + limits.target_connections_max < 3_900);
     /// ```
     #[must_use]
     pub fn of_process(memory_mb: usize, sockets_max: usize) -> Self {
-        let memory_bytes = memory_mb * MB;
+        let held_bytes_max =
+            memory_mb.saturating_sub(OWN_MEMORY_MB).max(1) * MB / 100 * HELD_PERCENT;
         let others = OTHER_SOCKETS + sockets_max / OTHER_SOCKETS_DIVISOR;
         let operators = (sockets_max / 32).clamp(4, 32);
         // Metrics and readiness are separate endpoints.
         let shared = sockets_max.saturating_sub(others + 2 * operators).max(2);
-        let send_buffers = memory_bytes / SEND_BUFFERS_DIVISOR;
-        let by_memory = send_buffers / (SEND_BUFFER_BYTES * BUFFER_FACTOR);
+        let connection_bytes = IDLE_BYTES + SEND_BUFFER_BYTES * BUFFER_FACTOR;
+        let by_memory = held_bytes_max / CONNECTIONS_DIVISOR / connection_bytes;
         Self {
-            held_bytes_max: memory_bytes / 100 * HELD_PERCENT,
+            held_bytes_max,
             caller_connections_max: (shared / 2).min(by_memory).max(1),
             operator_connections_max: operators,
             target_connections_max: shared / 2,
@@ -73,6 +78,13 @@
         }
     }
 
+    /// Returns what a connection without a call takes, with what the system may keep for it, in
+    /// bytes.
+    #[must_use]
+    pub fn connection_bytes(&self) -> usize {
+        IDLE_BYTES + self.send_buffer_bytes * BUFFER_FACTOR
+    }
+
     /// Returns how much the system keeps unacknowledged at most while a large answer is passed on,
     /// in bytes.
     #[must_use]
--- a/crates/damaskstile-gateway/src/caller_resources/held_connection.rs
+++ b/crates/damaskstile-gateway/src/caller_resources/held_connection.rs
@@ -12,15 +12,19 @@
 use super::opened_connection::OpenedConnection;
 use super::release_cause::ReleaseCause;
 use super::socket_queue::SocketQueue;
-use super::{CallNumber, ConnectionNumber, SENT_AHEAD_BYTES, STALLED_AFTER};
+use crate::segments::Segments;
+
+use super::{CallNumber, ConnectionNumber, DISPLACED_AFTER, SENT_AHEAD_BYTES, STALLED_AFTER};
 
 /// What is held for one connection.
 #[derive(Debug)]
 pub(super) struct HeldConnection {
     pub(super) endpoint: Endpoint,
+    /// What the connection takes without a call.
+    idle_bytes: usize,
     pub(super) phase: ConnectionPhase,
     /// Body that is being received.
-    pub(super) body: Vec<u8>,
+    pub(super) body: Segments,
     /// Size of the parsed head and of what else each call needs.
     pub(super) call_bytes: usize,
     pub(super) answer_bytes: usize,
@@ -29,6 +33,8 @@
     /// Bytes that the system may keep as its send buffer was enlarged; 0 once it is known to keep
     /// no more than the usual buffer.
     pub(super) unsent_bytes: usize,
+    /// Whether the send buffer is enlarged.
+    is_enlarged: bool,
     /// Whether the call had to give way while its body was received.
     pub(super) is_denied: bool,
     pub(super) closed_by: Option<ReleaseCause>,
@@ -42,7 +48,7 @@
     is_waiting: bool,
     /// Size of the body of a call that may run.
     body_bytes: usize,
-    has_called: bool,
+    /// The latest call; 0 before the first.
     call: CallNumber,
     queue: Option<Arc<dyn SocketQueue>>,
     closing: Arc<Notify>,
@@ -50,22 +56,22 @@
 }
 
 impl HeldConnection {
-    /// Memory of a connection without a call: its task and the read buffer of the HTTP library.
-    pub(super) const IDLE_BYTES: usize = 16 * 1024;
-
     pub(super) fn new(
         now: Duration,
         endpoint: Endpoint,
+        idle_bytes: usize,
         queue: Option<Arc<dyn SocketQueue>>,
     ) -> Self {
         Self {
             endpoint,
+            idle_bytes,
             phase: ConnectionPhase::Waiting,
-            body: Vec::new(),
+            body: Segments::default(),
             call_bytes: 0,
             answer_bytes: 0,
             unread_bytes: 0,
             unsent_bytes: 0,
+            is_enlarged: false,
             is_denied: false,
             closed_by: None,
             since: now,
@@ -73,7 +79,6 @@
             answered_at: now,
             is_waiting: true,
             body_bytes: 0,
-            has_called: false,
             call: 0,
             queue,
             closing: Arc::default(),
@@ -92,7 +97,7 @@
 
     /// Returns the bytes held for the connection.
     pub(super) fn bytes(&self) -> usize {
-        Self::IDLE_BYTES + self.bytes_of_call()
+        self.idle_bytes + self.bytes_of_call()
     }
 
     /// Returns the bytes held for the call on the connection.
@@ -113,7 +118,7 @@
         }
         let since = match self.phase {
             ConnectionPhase::Receiving if !self.is_denied => self.since,
-            ConnectionPhase::Answering if self.is_stalled(now) => self.answered_at,
+            ConnectionPhase::Answering if self.is_stalled(now, STALLED_AFTER) => self.answered_at,
             ConnectionPhase::Running | ConnectionPhase::Answering
                 if self.unread_bytes >= SENT_AHEAD_BYTES =>
             {
@@ -135,9 +140,11 @@
         }
         match self.phase {
             ConnectionPhase::Lingering => Some((0, self.since)),
-            ConnectionPhase::Waiting => Some((1 + u8::from(self.has_called), self.since)),
+            ConnectionPhase::Waiting => Some((1 + u8::from(self.call > 0), self.since)),
             ConnectionPhase::Receiving => Some((3, self.since)),
-            ConnectionPhase::Answering if self.is_stalled(now) => Some((4, self.answered_at)),
+            ConnectionPhase::Answering if self.is_stalled(now, DISPLACED_AFTER) => {
+                Some((4, self.answered_at))
+            }
             ConnectionPhase::Running | ConnectionPhase::Answering => None,
         }
     }
@@ -198,14 +205,13 @@
     pub(super) fn begin_call(&mut self, now: Duration, call: CallNumber) {
         self.release_call();
         self.call = call;
-        self.has_called = true;
         self.set_phase(now, ConnectionPhase::Receiving);
     }
 
     pub(super) fn take_body(&mut self, now: Duration) -> Bytes {
         self.body_bytes = self.body.capacity();
         self.set_phase(now, ConnectionPhase::Running);
-        Bytes::from(std::mem::take(&mut self.body))
+        std::mem::take(&mut self.body).into_bytes()
     }
 
     pub(super) fn begin_answer(&mut self, now: Duration) {
@@ -218,27 +224,36 @@
         self.answered_at = now;
     }
 
-    pub(super) fn set_send_buffer(&self, bytes: usize) {
-        if let Some(queue) = &self.queue {
-            queue.set_send_buffer(bytes);
+    pub(super) fn enlarge_send_buffer(&mut self, size: usize, unsent_bytes: usize) {
+        if !self.is_enlarged {
+            self.is_enlarged = true;
+            self.set_send_buffer(size);
         }
+        self.unsent_bytes = unsent_bytes;
     }
 
-    /// Checks whether what was kept in an enlarged send buffer is gone.
-    pub(super) fn check_unsent(&mut self) {
-        if self.queue.as_ref().is_none_or(|queue| queue.has_written()) {
+    /// Reduces an enlarged send buffer. What it held counts until something was written after that:
+    /// the system accepts bytes only while it keeps fewer than the size.
+    pub(super) fn reduce_send_buffer(&mut self, size: usize) {
+        if self.is_enlarged {
+            self.is_enlarged = false;
+            self.set_send_buffer(size);
+        } else if self.queue.as_ref().is_none_or(|queue| queue.has_written()) {
             self.unsent_bytes = 0;
         }
     }
 
-    pub(super) fn end_call(&mut self, now: Duration, call: CallNumber, send_buffer_bytes: usize) {
+    fn set_send_buffer(&self, bytes: usize) {
+        if let Some(queue) = &self.queue {
+            queue.set_send_buffer(bytes);
+        }
+    }
+
+    pub(super) fn end_call(&mut self, now: Duration, call: CallNumber) {
         if self.call != call {
             return;
         }
         self.release_call();
-        if self.unsent_bytes > 0 {
-            self.set_send_buffer(send_buffer_bytes);
-        }
         self.set_phase(now, ConnectionPhase::Waiting);
         // What was read before belongs to the call that ended.
         if let Some(queue) = &self.queue {
@@ -249,7 +264,7 @@
     /// Releases the body of a call that is then refused.
     pub(super) fn deny(&mut self) {
         self.is_denied = true;
-        self.body = Vec::new();
+        self.body = Segments::default();
         self.denied.notify_one();
     }
 
@@ -261,7 +276,7 @@
     }
 
     fn release_call(&mut self) {
-        self.body = Vec::new();
+        self.body = Segments::default();
         self.body_bytes = 0;
         self.call_bytes = 0;
         self.answer_bytes = 0;
@@ -270,8 +285,8 @@
         self.head_since = None;
     }
 
-    /// Returns whether the caller does not read its answer.
-    fn is_stalled(&self, now: Duration) -> bool {
-        !self.is_waiting && now.saturating_sub(self.answered_at) >= STALLED_AFTER
+    /// Returns whether the caller has accepted nothing of its answer for so long.
+    fn is_stalled(&self, now: Duration, time: Duration) -> bool {
+        !self.is_waiting && now.saturating_sub(self.answered_at) >= time
     }
 }
--- a/crates/damaskstile-gateway/src/caller_resources/release_cause.rs
+++ b/crates/damaskstile-gateway/src/caller_resources/release_cause.rs
@@ -19,6 +19,8 @@
     Idle,
     /// The caller accepted nothing of its answer for too long.
     SlowReader,
+    /// The caller left while its answer waited for room.
+    CallerLeft,
 }
 
 impl ReleaseCause {
@@ -39,6 +41,7 @@
             Self::SlowHead => "slow_head",
             Self::Idle => "idle",
             Self::SlowReader => "slow_reader",
+            Self::CallerLeft => "caller_left",
         }
     }
 
--- a/crates/damaskstile-gateway/src/held_call.rs
+++ b/crates/damaskstile-gateway/src/held_call.rs
@@ -7,17 +7,17 @@
 use http::request;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::sync::Notify;
 
 use crate::body_failure::BodyFailure;
 use crate::caller_connection::CallerConnection;
 use crate::caller_resources::{CallNumber, ConnectionNumber, ReleaseCause};
 use crate::gateway::Gateway;
+use crate::segments::Segments;
 
 /// Pause between two attempts to find room for an answer.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
-/// Smallest buffer for an answer. It grows by a factor of two.
-const ANSWER_BUFFER_MIN: usize = 8 * 1024;
+/// Size up to which an answer takes its room as it grows. A larger one takes all that it may need.
+const SMALL_ANSWER_BYTES: usize = 64 * 1024;
 /// Size from which on an event of a stream is counted. Smaller ones fit into what is counted for
 /// each call.
 const EVENT_BYTES_MIN: usize = 4 * 1024;
@@ -40,7 +40,7 @@
     gateway: Arc<Gateway>,
     connection: ConnectionNumber,
     call: CallNumber,
-    denied: Arc<Notify>,
+    caller: CallerConnection,
 }
 
 impl Held {
@@ -76,7 +76,7 @@
                 gateway: Arc::clone(gateway),
                 connection: caller.number,
                 call,
-                denied: Arc::clone(&caller.denied),
+                caller: caller.clone(),
             }),
             event_bytes: 0,
         })
@@ -113,7 +113,7 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                () = held.denied.notified() => {
+                () = held.caller.denied.notified() => {
                     // A notification that is left over from an earlier call means nothing.
                     if held.gateway.caller_resources().is_denied(held.connection) {
                         return Err(BodyFailure::Denied);
@@ -154,27 +154,34 @@
         &self,
         mut body: Incoming,
         bytes_max: usize,
-    ) -> Result<Bytes, BodyFailure> {
+    ) -> Result<Segments, BodyFailure> {
         let announced = body.size_hint().exact();
         let expected = announced.and_then(|bytes| usize::try_from(bytes).ok());
         let expected = expected.map_or(bytes_max, |bytes| bytes.min(bytes_max));
-        let mut answer = Vec::new();
+        let mut answer = Segments::default();
+        let mut reserved = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BodyFailure::Broken)?;
             let data = frame.into_data().unwrap_or_default();
-            let needed = answer.len() + data.len();
-            if needed > bytes_max {
+            if answer.len() + data.len() > bytes_max {
                 return Err(BodyFailure::TooLarge);
             }
-            if needed > answer.capacity() {
-                let larger = (answer.capacity() * 2).max(ANSWER_BUFFER_MIN);
-                let larger = larger.min(expected).max(needed);
-                self.wait_for_room(larger).await;
-                answer.reserve_exact(larger - answer.len());
+            let needed = answer.capacity() + answer.growth(data.len(), expected);
+            if needed > reserved {
+                // Answers that took their room bit by bit could all wait for each other.
+                reserved = if needed <= SMALL_ANSWER_BYTES {
+                    needed
+                } else {
+                    needed.max(expected)
+                };
+                self.wait_for_room(reserved).await;
             }
-            answer.extend_from_slice(&data);
+            answer.extend(&data, expected);
+        }
+        if let Some(held) = &self.held {
+            held.hold_answer(answer.capacity());
         }
-        Ok(Bytes::from(answer))
+        Ok(answer)
     }
 
     /// Waits until there is room for an answer.
@@ -182,9 +189,16 @@
         let Some(held) = &self.held else {
             return;
         };
-        while !held.hold_answer(bytes) {
+        while !held.caller.has_left() {
+            if held.hold_answer(bytes) {
+                return;
+            }
             tokio::time::sleep(ROOM_INTERVAL).await;
         }
+        // The connection's task does not learn of it while the caller has sent further calls. It
+        // drops this future.
+        held.gateway.caller_resources().close_left(held.connection);
+        std::future::pending::<()>().await;
     }
 
     /// Records that the answer begins.
@@ -197,6 +211,14 @@
         }
     }
 
+    /// Records that a part of a complete answer is passed on, and how much is left.
+    pub(crate) fn note_part(&self, left_bytes: usize) {
+        if let Some(held) = &self.held {
+            held.hold_answer(left_bytes);
+        }
+        self.note_passed_on();
+    }
+
     /// Enlarges the buffer in which the system keeps what the caller has not acknowledged.
     pub(crate) fn enlarge_send_buffer(&self) {
         if let Some(held) = &self.held {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod run_copies;
 pub mod run_copy;
 pub mod running;
+pub mod segments;
 mod send;
 pub mod send_options;
 pub mod sent_bytes;
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -8,7 +8,7 @@
 use damaskstile_core::prelude::*;
 use damaskstile_http::socket::connect;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -24,6 +24,9 @@
 use crate::tunnel_stream::TunnelStream;
 use crate::watched_stream::WatchedStream;
 
+/// Largest buffer into which an answer is read, in bytes, and largest head of an answer. While there
+/// is no room for an answer, it is all that is read of it.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// Idle connections kept per target.
 const IDLE_PER_TARGET_MAX: usize = 64;
 
@@ -155,7 +158,9 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         peer: Option<SocketAddr>,
     ) -> std::io::Result<Lease> {
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let busy_times = Arc::clone(&self.busy_times);
