Fix: names of stored objects go into request lines as they are

Callers saw almost no answer after a restart of all instances while an entry of another writer stood in the list of targets, its name holding characters such as a blank, %, &, + or #, and the list being longer than a page.

Cause: the last name of a page was written into the query of the next page without encoding. A blank made the call invalid, so the list failed and its targets stayed unknown; % made the store reject the call or decode another name; &, # and + cut off or changed the name, so a page came again or was passed over, and the targets behind it were lost.

Weighed: encoding the cursor alone, at its one place; it leaves the next format! to find. Refusing entries with odd names does not help, since the list has to go past them.

--- a/crates/damaskctl/src/requests.rs
+++ b/crates/damaskctl/src/requests.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use clap::Subcommand;
+use damaskstile_http::RequestTarget;
 
 use crate::context::{Context, get_json};
 use crate::exit::Failure;
@@ -33,8 +34,8 @@
         token,
     } = command;
     let bearer = format!("Bearer {token}");
-    let path = format!("/v1/requests/{key}");
-    let value = get_json(&instance, &path, &[("authorization", &bearer)]).await?;
+    let path = RequestTarget::new("/v1/requests").segment(&key);
+    let value = get_json(&instance, &path.to_string(), &[("authorization", &bearer)]).await?;
     let mut table = Table::new(&["field", "value"]);
     for field in [
         "key",
--- a/crates/damaskstile-http/src/lib.rs
+++ b/crates/damaskstile-http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod errors;
 pub mod platform;
 pub mod pooled;
+pub mod request_target;
 pub mod socket;
 pub mod sse;
 
@@ -13,4 +14,5 @@
 pub use errors::{Error, Result};
 pub use platform::Platform;
 pub use pooled::PooledClient;
+pub use request_target::RequestTarget;
 pub use sse::SseDecoder;
--- a/crates/damaskstile-http/src/platform.rs
+++ b/crates/damaskstile-http/src/platform.rs
@@ -8,6 +8,7 @@
 
 use crate::client::{Call, Reply, send_and_collect};
 use crate::errors::{Error, Result};
+use crate::request_target::RequestTarget;
 
 /// Time limit of a call, beyond the time that a watch may wait.
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
@@ -58,7 +59,7 @@
     ///
     /// Returns an error if the call fails or the answer is unexpected.
     pub async fn read(&self, key: &str) -> Result<Option<Object>> {
-        let reply = self.get(&format!("/objects/{key}"), CALL_LIMIT).await?;
+        let reply = self.get(object(key), CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => parse(&reply).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
@@ -75,8 +76,8 @@
     /// Returns an error if the call fails or the answer is unexpected; the write may have taken
     /// effect.
     pub async fn write(&self, key: &str, expected: Version, value: String) -> Result<StoreAnswer> {
-        let path = format!("/objects/{key}?expected_version={expected}");
-        let call = Call::new(&self.address, Method::PUT, &path).body(value);
+        let target = object(key).query("expected_version", expected);
+        let call = Call::new(&self.address, Method::PUT, &target.to_string()).body(value);
         let reply = send_and_collect(call, CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => {
@@ -99,8 +100,11 @@
     /// Returns an error if the call fails or the answer is unexpected.
     pub async fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Object>> {
         let wait_ms = wait.as_millis();
-        let path = format!("/watch/{key}?after_version={after}&wait_ms={wait_ms}");
-        let reply = self.get(&path, wait + CALL_LIMIT).await?;
+        let target = RequestTarget::new("/watch")
+            .segments(key)
+            .query("after_version", after)
+            .query("wait_ms", wait_ms);
+        let reply = self.get(target, wait + CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => parse(&reply),
             _ => Err(unexpected(&reply)),
@@ -113,9 +117,8 @@
     ///
     /// Returns an error if the call fails or the answer is unexpected.
     pub async fn list(&self, prefix: &str) -> Result<Vec<ObjectKey>> {
-        let reply = self
-            .get(&format!("/list?prefix={prefix}"), CALL_LIMIT)
-            .await?;
+        let target = RequestTarget::new("/list").query("prefix", prefix);
+        let reply = self.get(target, CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => parse(&reply),
             _ => Err(unexpected(&reply)),
@@ -128,18 +131,23 @@
     ///
     /// Returns an error if the call fails or the answer is unexpected.
     pub async fn targets(&self) -> Result<Vec<TargetInfo>> {
-        let reply = self.get("/targets", CALL_LIMIT).await?;
+        let reply = self.get(RequestTarget::new("/targets"), CALL_LIMIT).await?;
         match reply.status {
             StatusCode::OK => parse(&reply),
             _ => Err(unexpected(&reply)),
         }
     }
 
-    async fn get(&self, path: &str, limit: Duration) -> Result<Reply> {
-        send_and_collect(Call::new(&self.address, Method::GET, path), limit).await
+    async fn get(&self, target: RequestTarget, limit: Duration) -> Result<Reply> {
+        let call = Call::new(&self.address, Method::GET, &target.to_string());
+        send_and_collect(call, limit).await
     }
 }
 
+fn object(key: &str) -> RequestTarget {
+    RequestTarget::new("/objects").segments(key)
+}
+
 fn parse<T: for<'de> Deserialize<'de>>(reply: &Reply) -> Result<T> {
     serde_json::from_slice(&reply.body).map_err(|error| Error::Broken(error.to_string()))
 }
--- a/crates/damaskstiled/src/targets.rs
+++ b/crates/damaskstiled/src/targets.rs
@@ -6,7 +6,7 @@
 
 use damaskstile::core::hex::to_hex;
 use damaskstile::core::prelude::*;
-use damaskstile_http::{AnswerReader, Call, Error, send, send_and_collect};
+use damaskstile_http::{AnswerReader, Call, Error, RequestTarget, send, send_and_collect};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::{self, Receiver, Sender};
@@ -237,13 +237,18 @@
     Ok(())
 }
 
+fn run_path(run: &str) -> String {
+    let target = RequestTarget::new("/v1/runs").segment(run);
+    target.to_string()
+}
+
 async fn cancel(run: RunId, address: String) {
-    let call = Call::new(&address, Method::DELETE, &format!("/v1/runs/{run}"));
+    let call = Call::new(&address, Method::DELETE, &run_path(&run));
     let _ = send_and_collect(call, QUERY_TIMEOUT).await;
 }
 
 async fn inquire(shared: Arc<SharedState>, run: RunId, address: String) {
-    let call = Call::new(&address, Method::GET, &format!("/v1/runs/{run}"));
+    let call = Call::new(&address, Method::GET, &run_path(&run));
     let state = match send_and_collect(call, QUERY_TIMEOUT).await {
         Ok(reply) if reply.status == StatusCode::OK => {
             serde_json::from_slice(&reply.body).unwrap_or(RunState::Unreachable)
