Fix: a page that does not lead on counts as the end of the list

What callers would see: targets taken out of use although they are listed, wherever a page of entries without usable names stands before them, at the next time that the list is read.

Cause: the walk through the pages ended where the last readable name was the one before, and its result was applied as the whole list.

Why it works: a listing states after which name nothing could be read. What follows that name stays as it is known; it is neither unlisted nor passed on to peers as a version of the list. The list is read again after the next change. Event 511 and a counter name the place.

Not covered: an instance that starts beside such a page knows only the targets before it.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -93,6 +93,7 @@
     WatchUnanswered = 508, "warn", "A watch of the store ended without an answer, or was sent again after an outage.";
     StoreCallsNoted = 509, "info", "Calls to the store since the start, as call kind/outcome:count.";
     StoreRestored = 510, "warn", "The store was restored from an older copy: later writes are lost, and their versions are assigned again.";
+    ListIncomplete = 511, "warn", "A list of the store could not be read to its end, since no name of a page leads to the next one: objects after the named one stay as they are known.";
     TargetLeaving = 601, "info", "A target is leaving and gets no new work.";
     TargetReturned = 602, "info", "A target takes work again.";
     TargetListed = 603, "info", "The list shows a new target, or one whose state changed.";
--- a/crates/damaskstile-gateway/src/evacuated_list.rs
+++ b/crates/damaskstile-gateway/src/evacuated_list.rs
@@ -18,7 +18,10 @@
 pub(crate) fn apply_listing(gateway: &Gateway, listing: &Listing) -> bool {
     let names = listing.objects.iter().map(|object| object.name.as_str());
     let all = names.filter_map(|name| read(gateway, name, listing.version));
-    let all: BTreeSet<DataCentreId> = all.collect();
+    let mut all: BTreeSet<DataCentreId> = all.collect();
+    let known = gateway.state().target_table.evacuations().names();
+    let uncovered = known.into_iter().filter(|name| !listing.covers(name));
+    all.extend(uncovered);
     let now = gateway.now();
     if !is_settled(gateway, now) {
         let known = gateway.state().target_table.evacuations().names();
--- a/crates/damaskstile-gateway/src/follow.rs
+++ b/crates/damaskstile-gateway/src/follow.rs
@@ -13,6 +13,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::Stored;
 use crate::objects::{Change, Listing, ObjectStore, StoreError, StoredObject};
+use crate::record::logged_id;
 use crate::state::State;
 use crate::target_list;
 
@@ -105,10 +106,10 @@
         match listing {
             Ok(listing) => {
                 note_followed(&gateway, followed);
-                let version = listing.version;
+                note_unread(&gateway, followed, &listing);
                 is_due = !apply_listing(&gateway, followed, &listing);
                 if !is_due && must_watch(&gateway) {
-                    watch(&gateway, followed, kind, version).await;
+                    watch(&gateway, followed, kind, &listing).await;
                 }
             }
             Err(error) => note_failure(&gateway, &error),
@@ -179,8 +180,9 @@
 }
 
 /// Watches until a call fails, after which the list is read again, or until this instance receives
-/// changes from peers.
-async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, mut version: Version) {
+/// changes from peers. An incomplete listing is read again after the first answer.
+async fn watch(gateway: &Arc<Gateway>, followed: Followed, kind: &str, listing: &Listing) {
+    let mut version = listing.version;
     loop {
         let began_at = gateway.now();
         match watch_once(gateway, kind, version).await {
@@ -204,7 +206,7 @@
                 return;
             }
         }
-        if !must_watch(gateway) {
+        if !must_watch(gateway) || listing.unread_after.is_some() {
             return;
         }
     }
@@ -264,6 +266,20 @@
     gateway.state().followed_at.insert(followed, now);
 }
 
+/// Records that a listing could not be read to its end.
+fn note_unread(gateway: &Gateway, followed: Followed, listing: &Listing) {
+    if let Some(last) = &listing.unread_after {
+        gateway.metrics.list_incomplete(followed.name());
+        let version = listing.version.to_string();
+        let fields = [
+            ("list", followed.name()),
+            ("after", logged_id(Some(last))),
+            ("version", &version),
+        ];
+        gateway.log(EventCode::ListIncomplete, &fields);
+    }
+}
+
 /// Logs that a watch ended without an answer, which answers to other calls do not show.
 fn log_unanswered(gateway: &Gateway, followed: Followed, began_at: Duration, cause: &str) {
     let now = gateway.now();
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -102,6 +102,7 @@
     store_history: Gauge,
     targets: Family<StateLabels, Gauge>,
     refused_entries: Family<StoredLabels, Counter>,
+    incomplete_lists: Family<StoredLabels, Counter>,
     open_calls: Gauge,
     store_calls: Family<StoreCallLabels, Gauge>,
     peer_bytes: Family<DutyLabels, Gauge>,
@@ -141,6 +142,7 @@
         let store_history = Gauge::default();
         let targets = Family::default();
         let refused_entries = Family::default();
+        let incomplete_lists = Family::default();
         let open_calls = Gauge::default();
         let store_calls = Family::default();
         let peer_bytes = Family::default();
@@ -168,6 +170,8 @@
         registry.register("targets", help, targets.clone());
         let help = "Stored objects that could not be used, counted once for each fault";
         registry.register("refused_entries", help, refused_entries.clone());
+        let help = "Lists of the store that could not be read to their end";
+        registry.register("incomplete_lists", help, incomplete_lists.clone());
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         let help = "Calls to the store since the start, by what they were for and how they ended";
         registry.register("store_calls", help, store_calls.clone());
@@ -194,6 +198,7 @@
             store_history,
             targets,
             refused_entries,
+            incomplete_lists,
             open_calls,
             store_calls,
             peer_bytes,
@@ -252,6 +257,12 @@
         self.refused_entries.get_or_create(&labels).inc();
     }
 
+    /// Counts a list of the store that could not be read to its end.
+    pub fn list_incomplete(&self, stored: &'static str) {
+        let labels = StoredLabels { stored };
+        self.incomplete_lists.get_or_create(&labels).inc();
+    }
+
     /// Sets the numbers of targets in use and out of use, by reason.
     pub fn count_targets(&self, counts: &TargetCounts) {
         let all = [
--- a/crates/damaskstile-gateway/src/state/targets.rs
+++ b/crates/damaskstile-gateway/src/state/targets.rs
@@ -5,6 +5,7 @@
 use damaskstile_targets::{Listed, Refused};
 
 use super::State;
+use crate::objects::Listing;
 
 /// `ReportedChanges` holds the changes in the list of targets that a peer reported.
 #[derive(Debug, Clone, Default)]
@@ -37,6 +38,28 @@
         refused
     }
 
+    /// Applies a listing of the store. One that could not be read to its end leaves the targets that
+    /// it does not cover as they are, and is not passed on to peers as a version of the list.
+    pub fn apply_listing(
+        &mut self,
+        now: Duration,
+        listing: &Listing,
+        all: Vec<Result<Listed, Refused>>,
+        is_around_outage: bool,
+    ) -> Vec<Refused> {
+        let version = listing.version;
+        if listing.unread_after.is_none() || version < self.targets_version {
+            return self.apply_list(now, version, all, is_around_outage);
+        }
+        let all = self.delisted_targets.filter_list(version, all);
+        let covers = |name: &str| listing.covers(name);
+        let refused = self
+            .target_table
+            .list_covered(now, all, is_around_outage, covers);
+        self.note_changes(self.targets_version);
+        refused
+    }
+
     /// Applies the changes in the list up to a version.
     pub fn apply_list_changes(
         &mut self,
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -24,7 +24,7 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let is_around_outage = state.contact.is_around_outage(now);
-    let refused = state.apply_list(now, listing.version, all, is_around_outage);
+    let refused = state.apply_listing(now, listing, all, is_around_outage);
     drop(state);
     gateway.report_streams_soon();
     for entry in refused {
--- a/crates/damaskstile-gateway/tests/behind.rs
+++ b/crates/damaskstile-gateway/tests/behind.rs
@@ -52,6 +52,7 @@
         let listing = Listing {
             objects: vec![object("t0"), object("t1")],
             version: LISTED,
+            ..Listing::default()
         };
         async { Ok(listing) }.boxed()
     }
--- a/crates/damaskstile-gateway/tests/lists.rs
+++ b/crates/damaskstile-gateway/tests/lists.rs
@@ -50,6 +50,7 @@
             Ok(Listing {
                 objects: vec![object("t0"), object("t1")],
                 version: 285,
+                ..Listing::default()
             })
         }
         .boxed()
--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -135,6 +135,18 @@
         now: Duration,
         all: Vec<Result<Listed, Refused>>,
         is_around_outage: bool,
+    ) -> Vec<Refused> {
+        self.list_covered(now, all, is_around_outage, |_| true)
+    }
+
+    /// Applies a list that may lack targets whose names it does not cover. Returns the refused
+    /// entries whose fault is new.
+    pub fn list_covered(
+        &mut self,
+        now: Duration,
+        all: Vec<Result<Listed, Refused>>,
+        is_around_outage: bool,
+        covers: impl Fn(&str) -> bool,
     ) -> Vec<Refused> {
         let named: BTreeSet<TargetId> = all
             .iter()
@@ -146,7 +158,7 @@
         let known: BTreeSet<&TargetId> = self.targets.keys().chain(self.refused.keys()).collect();
         let gone: Vec<TargetId> = known
             .into_iter()
-            .filter(|target| !named.contains(*target))
+            .filter(|target| !named.contains(*target) && covers(target))
             .cloned()
             .collect();
         for target in gone {
