Fix: an answer with a status outside of 100 to 599 reaches its caller

Callers got answers with status 600, 700 and 999 of a target in trouble, on all four kinds of routes.

Cause: the HTTP library takes any three digits from 100 to 999; only 101 and the informational ones were refused, after the head had been used.

Evidence: an_answer_without_a_valid_status_reaches_no_caller, 17 status lines on four routes; before, these three were passed on (12 of 68 calls), now none, and 200 is.

Why it works: RFC 9110, section 15, knows no status outside of 100 to 599. The check stands before anything else of the head is used, so such an answer also announces no leaving, limit or backoff; the call may have run, and it is sent again only where that is allowed.

Handled before, kept as tests: status 000 and other status lines, 100 to 102 as the only answer; names of fields with blanks, control bytes and others (45 lines on four routes: 502 each, nothing passed on), on the code as it was.

--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -236,6 +236,15 @@
     request
 }
 
+/// Returns whether a status ends a call: RFC 9110, section 15, knows none outside of 100 to 599, and
+/// an informational one is not final.
+fn is_final_status(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 /// Checks that an answer belongs to this call and shows that the call was executed.
 fn check_answer(
     gateway: &Gateway,
@@ -244,6 +253,14 @@
     mut run: Run,
     is_continuation: bool,
 ) -> Result<Run, SendFailure> {
+    // Nothing in such a head is the target's word.
+    if !is_final_status(run.parts.status) {
+        run.running.note(false);
+        return Err(SendFailure::new(
+            SendFailureKind::Unknown,
+            "unexpected_status",
+        ));
+    }
     let unmet = unmet_cause(call, &run);
     if unmet.is_some() {
         run.head.handling = Handling::Unmet;
@@ -287,11 +304,5 @@
             "unsigned_answer",
         ));
     }
-    if run.parts.status == StatusCode::SWITCHING_PROTOCOLS || run.parts.status.is_informational() {
-        return Err(SendFailure::new(
-            SendFailureKind::Unknown,
-            "unexpected_status",
-        ));
-    }
     Ok(run)
 }
