Fix: a part of an answer looks complete if it is reset beside an upload

Callers of plain routes got a part of an answer as a complete one: the target answered a long upload at once with a 200 without a length, sent part of the body, and ended and reset the connection while the upload was still written.

Cause: an answer without a length ends with its connection. The HTTP library takes the end of the target's side for the end of the answer and drops the rest of the upload, so the reset that follows is never seen. Small writes hid it too: the system takes megabytes of an upload at once, and they count as written long before they are sent.

Why it works: OrderlyStream holds the end of a connection to a target back until the call was written. If a write fails meanwhile or before, the end becomes that error, and the answer a broken one. Writes wait while more than 16 KB are unsent (TCP_NOTSENT_LOWAT), so what is written is sent but for that rest. A peer's tunnel goes on passing the call when the target's side ended.

Weighed: taking every end beside an unfinished upload for a broken answer; targets may answer before they read on, which would lose whole answers.

Not told apart: a reset after the last 16 KB were handed to the system, where the target's side had ended in order before; nothing shows there that the target did not mean the end.

--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -72,6 +72,7 @@
 mod open_tunnel;
 pub mod operators;
 pub mod options;
+mod orderly_stream;
 mod origin_source;
 pub mod outbound_call;
 pub mod outgoing;
--- a/crates/damaskstile-gateway/src/peers/tunnel.rs
+++ b/crates/damaskstile-gateway/src/peers/tunnel.rs
@@ -2,6 +2,7 @@
 
 use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -21,6 +22,7 @@
 use super::tunnel_messages::{TunnelOutcome, TunnelRequest};
 use crate::gateway::Gateway;
 use crate::open_tunnel::OpenTunnel;
+use crate::orderly_stream::{OrderlyStream, bound_unsent};
 use crate::phase::Phase;
 use crate::tunnel_failure::TunnelFailure;
 
@@ -99,14 +101,22 @@
         // What the other end does not accept yet waits unread, and is memory too.
         SockRef::from(stream).set_recv_buffer_size(buffer_bytes)?;
     }
+    bound_unsent(&target)?;
     let (from_peer, to_peer) = parts.io.into_split();
-    let (from_target, mut to_target) = target.into_split();
+    let (from_target, mut to_target) = tokio::io::split(OrderlyStream::new(target));
     to_target.write_all(&parts.read_buf).await?;
-    // A peer that closes its end has cancelled the call, and a target that closes its end has
-    // nothing more to say; either ends the tunnel.
+    let passing = async {
+        let mut to_target = pin!(pass_to_target(gateway, from_peer, to_target));
+        tokio::select! {
+            // A peer that closes its end has cancelled the call.
+            ended = to_target.as_mut() => return ended,
+            ended = pass_to_peer(gateway, from_target, to_peer) => ended?,
+        }
+        // A target that has nothing more to say may still read the rest of the call.
+        to_target.await
+    };
     tokio::select! {
-        ended = pass_to_target(gateway, from_peer, to_target) => ended,
-        ended = pass_to_peer(gateway, from_target, to_peer) => ended,
+        ended = passing => ended,
         () = gateway.cut() => Ok(()),
     }
 }
@@ -141,7 +151,7 @@
 async fn pass_to_target(
     gateway: &Gateway,
     mut from_peer: OwnedReadHalf,
-    mut to_target: OwnedWriteHalf,
+    mut to_target: WriteHalf<OrderlyStream<TcpStream>>,
 ) -> Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
@@ -156,7 +166,7 @@
 
 async fn pass_to_peer(
     gateway: &Gateway,
-    mut from_target: OwnedReadHalf,
+    mut from_target: ReadHalf<OrderlyStream<TcpStream>>,
     to_peer: OwnedWriteHalf,
 ) -> Result<()> {
     let mut to_peer = FramedWrite::new(to_peer, codec());
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::link_times::LinkTimes;
 use crate::open_target_connection::OpenTargetConnection;
 use crate::open_tunnel::OpenTunnel;
+use crate::orderly_stream::{OrderlyStream, bound_unsent};
 use crate::tunnel_stream::TunnelStream;
 use crate::watched_stream::WatchedStream;
 
@@ -130,7 +131,7 @@
         let stream = connect(address).await;
         self.link_times.note("connect", began_at.elapsed());
         let stream = stream?;
-        self.bound_buffer(&stream)?;
+        self.bound_buffers(&stream)?;
         let stream = WatchedStream::new(&Arc::new(stream), &self.link_times, "write_to_target");
         self.open(target, stream, None).await
     }
@@ -145,7 +146,7 @@
         target: &TargetIdentity,
         tunnel: OpenTunnel,
     ) -> std::io::Result<Lease> {
-        self.bound_buffer(&tunnel.stream)?;
+        self.bound_buffers(&tunnel.stream)?;
         let stream = Arc::new(tunnel.stream);
         let stream = WatchedStream::new(&stream, &self.link_times, "write_to_peer");
         let stream = TunnelStream::new(stream, &tunnel.received);
@@ -160,7 +161,7 @@
     ) -> std::io::Result<Lease> {
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES_MAX)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(OrderlyStream::new(stream)))
             .await
             .map_err(std::io::Error::other)?;
         let busy_times = Arc::clone(&self.busy_times);
@@ -173,8 +174,9 @@
         Ok(Lease::new(self, target, sender, task.abort_handle(), peer))
     }
 
-    /// Limits what the system keeps unread.
-    fn bound_buffer(&self, stream: &TcpStream) -> std::io::Result<()> {
+    /// Limits what the system keeps unsent and unread.
+    fn bound_buffers(&self, stream: &TcpStream) -> std::io::Result<()> {
+        bound_unsent(stream)?;
         match self.receive_buffer_bytes {
             Some(bytes) => SockRef::from(stream).set_recv_buffer_size(bytes),
             None => Ok(()),
