Fix: answers that can no longer become any hold their callers to the end

Callers waited for all of their time while a target in trouble sent informational answers without end: a status of 504 after 8 s, and as long a connection and a slot were in use.

Cause: the HTTP library bounds a head, a chunk's extension and trailers, not what the protocol allows to repeat. Nothing counted what had been received without any head or part of a body coming out of it.

Why it works: OrderlyStream counts the bytes of a connection to a target since the last head or part of a body was taken, and fails it at 256 KiB, more than the library buffers. Parts of a body clear the count, so sound answers of any length never reach it.

Weighed: a time limit for heads; targets may think as long as the route allows, so it would have to be the caller's own.

Idle connections and leases share one type, TargetConnection, so that the count stays with its connection.

--- a/crates/damaskstile-gateway/src/held_call.rs
+++ b/crates/damaskstile-gateway/src/held_call.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use crate::answer_body::AnswerBody;
 use crate::body_failure::BodyFailure;
 use crate::caller_connection::CallerConnection;
 use crate::caller_resources::{CallNumber, ConnectionNumber, ReleaseCause};
@@ -152,7 +153,7 @@
     /// Returns an error if the answer breaks off or is too large.
     pub(crate) async fn collect_answer(
         &self,
-        mut body: Incoming,
+        mut body: AnswerBody,
         bytes_max: usize,
     ) -> Result<Segments, BodyFailure> {
         let announced = body.size_hint().exact();
--- a/crates/damaskstile-gateway/src/lease.rs
+++ b/crates/damaskstile-gateway/src/lease.rs
@@ -7,10 +7,12 @@
 use damaskstile_core::prelude::*;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::task::AbortHandle;
 
+use crate::answer_body::AnswerBody;
 use crate::pool::{Pool, Sender};
+use crate::target_connection::TargetConnection;
+use crate::unread_answer::UnreadAnswer;
 
 /// Percentage of the target's keep-alive time during which a connection is reused. Close to its end
 /// the target may close the connection just as a call is written, and it would be unknown whether
@@ -31,6 +33,7 @@
     /// The peer through which the connection leads, if it is not direct.
     pub peer: Option<SocketAddr>,
     task: AbortHandle,
+    unread: Arc<UnreadAnswer>,
     is_returned: bool,
 }
 
@@ -47,17 +50,16 @@
     pub(crate) fn new(
         pool: &Arc<Pool>,
         target: &TargetIdentity,
-        sender: Sender,
-        task: AbortHandle,
-        peer: Option<SocketAddr>,
+        connection: TargetConnection,
     ) -> Self {
         Self {
             pool: Arc::clone(pool),
             target: target.clone(),
-            sender: Some(sender),
+            sender: Some(connection.sender),
             is_reused: false,
-            peer,
-            task,
+            peer: connection.peer,
+            task: connection.task,
+            unread: connection.unread,
             is_returned: false,
         }
     }
@@ -77,12 +79,15 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<AnswerBody>, SendError> {
         let Some(sender) = &mut self.sender else {
             return Err(SendError::NotSent);
         };
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.unread.clear();
+                Ok(response.map(|body| AnswerBody::new(body, &self.unread)))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent),
                 None => Err(SendError::Broken(error.into_error().to_string())),
@@ -101,10 +106,13 @@
             return;
         }
         let usable_until = std::time::Instant::now() + reuse_for * REUSE_PERCENT / 100;
-        let task = self.task.clone();
-        let kept = self
-            .pool
-            .keep(&self.target, sender, task, usable_until, self.peer);
+        let connection = TargetConnection {
+            sender,
+            task: self.task.clone(),
+            unread: Arc::clone(&self.unread),
+            peer: self.peer,
+        };
+        let kept = self.pool.keep(&self.target, connection, usable_until);
         self.is_returned = kept;
     }
 }
--- a/crates/damaskstile-gateway/src/orderly_stream.rs
+++ b/crates/damaskstile-gateway/src/orderly_stream.rs
@@ -2,12 +2,15 @@
 
 use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::unread_answer::UnreadAnswer;
+
 /// Bytes that the system keeps unsent for a connection before a write has to wait for room.
 const UNSENT_BYTES: u32 = 16 * 1024;
 
@@ -30,6 +33,8 @@
 #[derive(Debug)]
 pub(crate) struct OrderlyStream<S> {
     stream: S,
+    /// Bounds what is received of an answer, if it is taken from this connection.
+    unread: Option<Arc<UnreadAnswer>>,
     /// Whether the last write is waiting for room.
     is_write_blocked: bool,
     /// Whether the end of the stream is held back.
@@ -41,12 +46,19 @@
     pub(crate) fn new(stream: S) -> Self {
         Self {
             stream,
+            unread: None,
             is_write_blocked: false,
             is_end_held: false,
             write_error: None,
         }
     }
 
+    /// Fails the connection once what is received can no longer become an answer.
+    pub(crate) fn bounded(mut self, unread: &Arc<UnreadAnswer>) -> Self {
+        self.unread = Some(Arc::clone(unread));
+        self
+    }
+
     fn note_write(&mut self, context: &Context<'_>, written: &Poll<Result<usize>>) {
         self.is_write_blocked = written.is_pending();
         if let Poll::Ready(Err(error)) = written {
@@ -68,7 +80,12 @@
         let filled = buffer.filled().len();
         let has_room = buffer.remaining() > 0;
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > filled || !has_room {
+        let received = buffer.filled().len() - filled;
+        let unread = self.unread.as_ref();
+        if unread.is_some_and(|unread| !unread.add(received)) {
+            return Poll::Ready(Err(ErrorKind::InvalidData.into()));
+        }
+        if received > 0 || !has_room {
             return Poll::Ready(Ok(()));
         }
         if let Some(error) = self.write_error {
--- a/crates/damaskstile-gateway/src/pool.rs
+++ b/crates/damaskstile-gateway/src/pool.rs
@@ -13,7 +13,6 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
 use crate::busy_times::BusyTimes;
 use crate::caller_resources::CallerLimits;
@@ -22,6 +21,7 @@
 use crate::open_target_connection::OpenTargetConnection;
 use crate::open_tunnel::OpenTunnel;
 use crate::orderly_stream::{OrderlyStream, bound_unsent};
+use crate::target_connection::TargetConnection;
 use crate::tunnel_stream::TunnelStream;
 use crate::watched_stream::WatchedStream;
 
@@ -35,11 +35,8 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
-    task: AbortHandle,
+    open: TargetConnection,
     usable_until: std::time::Instant,
-    /// The peer through which it leads, if it is not direct.
-    peer: Option<SocketAddr>,
 }
 
 /// Pool of idle connections to targets, keyed by incarnation: a connection leads to the process
@@ -112,8 +109,7 @@
         may_use: impl Fn(SocketAddr) -> bool,
     ) -> Option<Lease> {
         let connection = self.take(target, may_use)?;
-        let (sender, task) = (connection.sender, connection.task);
-        Some(Lease::new(self, target, sender, task, connection.peer).reused())
+        Some(Lease::new(self, target, connection).reused())
     }
 
     /// Opens a direct connection to a target.
@@ -159,9 +155,11 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         peer: Option<SocketAddr>,
     ) -> std::io::Result<Lease> {
+        let unread = Arc::default();
+        let stream = OrderlyStream::new(stream).bounded(&unread);
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES_MAX)
-            .handshake(TokioIo::new(OrderlyStream::new(stream)))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let busy_times = Arc::clone(&self.busy_times);
@@ -171,7 +169,13 @@
             // Errors of the connection show in the answer that is read from it.
             let _ = busy_times.count("targets", connection).await;
         });
-        Ok(Lease::new(self, target, sender, task.abort_handle(), peer))
+        let connection = TargetConnection {
+            sender,
+            task: task.abort_handle(),
+            unread,
+            peer,
+        };
+        Ok(Lease::new(self, target, connection))
     }
 
     /// Limits what the system keeps unsent and unread.
@@ -194,7 +198,7 @@
             .values_mut()
             .max_by_key(|connections| connections.len());
         if let Some(connection) = most.and_then(Vec::pop) {
-            connection.task.abort();
+            connection.open.task.abort();
         }
     }
 
@@ -206,10 +210,10 @@
         idle.retain(|target, connections| {
             connections.retain(|connection| {
                 let is_usable = now < connection.usable_until
-                    && !connection.sender.is_closed()
+                    && !connection.open.sender.is_closed()
                     && is_listed(target);
                 if !is_usable {
-                    connection.task.abort();
+                    connection.open.task.abort();
                 }
                 is_usable
             });
@@ -221,20 +225,16 @@
     pub(crate) fn keep(
         &self,
         target: &TargetIdentity,
-        sender: Sender,
-        task: AbortHandle,
+        connection: TargetConnection,
         usable_until: std::time::Instant,
-        peer: Option<SocketAddr>,
     ) -> bool {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_target = idle.entry(target.clone()).or_default();
         let has_room = of_target.len() < IDLE_PER_TARGET_MAX;
         if has_room {
             of_target.push(IdleConnection {
-                sender,
-                task,
+                open: connection,
                 usable_until,
-                peer,
             });
         }
         has_room
@@ -242,12 +242,12 @@
 
     /// Closes the idle direct connections to the targets that `is_lost` names.
     pub(crate) fn close_direct(&self, is_lost: impl Fn(&TargetIdentity) -> bool) {
-        self.close_idle(|target, connection| connection.peer.is_none() && is_lost(target));
+        self.close_idle(|target, connection| connection.open.peer.is_none() && is_lost(target));
     }
 
     /// Closes the idle connections through peers that may no longer be used.
     pub(crate) fn close_tunnels(&self, may_use: impl Fn(SocketAddr) -> bool) {
-        self.close_idle(|_, connection| connection.peer.is_some_and(|peer| !may_use(peer)));
+        self.close_idle(|_, connection| connection.open.peer.is_some_and(|peer| !may_use(peer)));
     }
 
     fn close_idle(&self, is_closed: impl Fn(&TargetIdentity, &IdleConnection) -> bool) {
@@ -256,7 +256,7 @@
             connections.retain(|connection| {
                 let is_kept = !is_closed(target, connection);
                 if !is_kept {
-                    connection.task.abort();
+                    connection.open.task.abort();
                 }
                 is_kept
             });
@@ -267,17 +267,17 @@
         &self,
         target: &TargetIdentity,
         may_use: impl Fn(SocketAddr) -> bool,
-    ) -> Option<IdleConnection> {
+    ) -> Option<TargetConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_target = idle.get_mut(target)?;
         while let Some(connection) = of_target.pop() {
             let is_usable = std::time::Instant::now() < connection.usable_until
-                && connection.sender.is_ready()
-                && connection.peer.is_none_or(&may_use);
+                && connection.open.sender.is_ready()
+                && connection.open.peer.is_none_or(&may_use);
             if is_usable {
-                return Some(connection);
+                return Some(connection.open);
             }
-            connection.task.abort();
+            connection.open.task.abort();
         }
         None
     }
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -9,10 +9,10 @@
 use damaskstile_targets::{Choice, Work};
 use http::{Request, StatusCode, response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answer::AnswerHead;
+use crate::answer_body::AnswerBody;
 use crate::answer_signals;
 use crate::call::SendHead;
 use crate::caller_connection::CallerConnection;
@@ -34,7 +34,7 @@
     /// Decoded headers of the answer.
     pub head: AnswerHead,
     /// Body, not read yet.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// The connection; closed when dropped.
     pub lease: Lease,
     /// Counts the call as running at the target.
