Fix: a stream whose events never pause outlasts its time limit

Callers of streams would read a faulty target's events for as long as it sends them; with events they have already, they would get nothing.

Cause: the time limit was only looked at while no event was ready.

Why it works: the limit is looked at before each event. Events that are ready are still passed on for 250 ms, so an answer whose end has arrived is not lost for a few milliseconds.

--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -33,6 +33,10 @@
 /// give up after two seconds or more, and a preempted run pauses for less than a second.
 const STALL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time after a stream's time limit for which events that are ready are still passed on. Callers are
+/// promised the end of an answer within half a second of the limit.
+const LATE_EVENTS_TIME: Duration = Duration::from_millis(250);
+
 /// A stream being relayed to its caller.
 #[derive(Debug)]
 pub struct Relay {
@@ -192,6 +196,9 @@
 
     async fn next_step(&mut self) -> StreamStep {
         loop {
+            if self.gateway.now() >= self.deadline + LATE_EVENTS_TIME {
+                return StreamStep::DeadlineExceeded;
+            }
             if let Some(event) = self.splitter.next_event() {
                 return StreamStep::Event(event);
             }
