Fix: streams join two versions at an instance that stood still

Callers got streams that hold events of two software versions: one instance stood still for a second while targets came back under their names with another version; streams were taken up at it as it went on.

Cause: a call that is bound to a version goes to a target by what the list said of its name. The instance had not read yet that the target started again, and the target takes any call under its name.

Why it works: before a bound call, the target is asked on the same connection when it started. A connection leads to one process, so the call reaches the incarnation that answered. If that is not the listed one, the call goes to another target without counting as sent, and a later start ends the listed incarnation here. A target that answers without a start is used as before.

Weighed: asking peers whether they know a newer list.

Not covered: streams that begin at such an instance are recorded with the version that its list names.

--- a/crates/damaskstile-gateway/src/dialect.rs
+++ b/crates/damaskstile-gateway/src/dialect.rs
@@ -1,5 +1,6 @@
 //! Interface to the header conventions of callers and targets.
 
+use damaskstile_core::prelude::*;
 use http::{HeaderMap, request, response};
 
 use crate::answer::AnswerHead;
@@ -21,4 +22,14 @@
 
     /// Returns the headers of an answer that this instance makes itself.
     fn own_answer_headers(&self, id: Option<&str>) -> HeaderMap;
+
+    /// Returns the path at which targets tell when they started; `None` if they do not.
+    fn start_path(&self) -> Option<&'static str> {
+        None
+    }
+
+    /// Parses the answer that a target gives there.
+    fn read_start(&self, _body: &[u8]) -> Option<TargetIncarnation> {
+        None
+    }
 }
--- a/crates/damaskstile-gateway/src/lease.rs
+++ b/crates/damaskstile-gateway/src/lease.rs
@@ -95,16 +95,28 @@
         }
     }
 
+    /// Waits until another call can be sent after an answer was read to the end; returns whether one
+    /// can.
+    pub(crate) async fn is_reusable(&mut self) -> bool {
+        let Some(sender) = &mut self.sender else {
+            return false;
+        };
+        // The end of the answer and the readiness of the connection are two steps of the same task.
+        let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
+        matches!(ready, Ok(Ok(())))
+    }
+
     /// Returns the connection to the pool once its answer was read to the end.
     pub async fn give_back(mut self, reuse_for: Option<Duration>) {
-        let (Some(reuse_for), Some(mut sender)) = (reuse_for, self.sender.take()) else {
+        let Some(reuse_for) = reuse_for else {
             return;
         };
-        // The end of the answer and the readiness of the connection are two steps of the same task.
-        let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
-        if !matches!(ready, Ok(Ok(()))) {
+        if !self.is_reusable().await {
             return;
         }
+        let Some(sender) = self.sender.take() else {
+            return;
+        };
         let usable_until = std::time::Instant::now() + reuse_for * REUSE_PERCENT / 100;
         let connection = TargetConnection {
             sender,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod send_options;
 pub mod sent_bytes;
 pub mod served_accounts;
+mod start_check;
 pub mod state;
 pub mod stop;
 pub mod stop_times;
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::paths::{self, PathFailure};
 use crate::running::Running;
 use crate::send_options::SendOptions;
+use crate::start_check::{StartCheck, check_start};
 use crate::state::Terms;
 use crate::wait_limit::WaitLimit;
 
@@ -54,6 +55,8 @@
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 /// Cause of a send whose target refused the connection.
 const CONNECT_REFUSED: &str = "connect_refused";
+/// Cause of a send whose target is not, or not certainly, the listed incarnation.
+const OTHER_START: &str = "other_start";
 /// Cause of a send whose connection was not made in time.
 const CONNECT_TIMEOUT: &str = "connect_timeout";
 /// Cause of a send whose target refused it as it may lack the weights that the caller expects.
@@ -108,14 +111,17 @@
         Running::new(gateway, choice, &call.work)
     };
     let choice = &running.choice;
-    let leasing = paths::lease(gateway, &terms.service, choice);
+    let leasing = lease_for_call(gateway, wait_limit, choice);
     let mut lease = match timeout_at(until, leasing).await {
         Ok(Ok(lease)) => lease,
-        Ok(Err(PathFailure::Refused)) => {
+        Ok(Err(LeaseFailure::OtherStart)) => {
+            return Err(SendFailure::new(SendFailureKind::NotSent, OTHER_START));
+        }
+        Ok(Err(LeaseFailure::Path(PathFailure::Refused))) => {
             running.ended();
             return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_REFUSED));
         }
-        Ok(Err(PathFailure::Unreachable)) | Err(_) => {
+        Ok(Err(LeaseFailure::Path(PathFailure::Unreachable))) | Err(_) => {
             running.silent();
             return Err(SendFailure::new(SendFailureKind::NotSent, CONNECT_TIMEOUT));
         }
@@ -195,6 +201,47 @@
     check_answer(gateway, call, terms, run, is_continuation)
 }
 
+/// Why there is no connection for a call.
+enum LeaseFailure {
+    Path(PathFailure),
+    /// The target is not known to be the incarnation that the list names.
+    OtherStart,
+}
+
+/// Returns a connection to a target. A call that goes on elsewhere needs software of one version,
+/// and an instance that is out of step, or an outage of the store, hides that a target is back under
+/// its name with another one; so the target itself is asked.
+async fn lease_for_call(
+    gateway: &Arc<Gateway>,
+    wait_limit: &WaitLimit<'_>,
+    choice: &Choice,
+) -> Result<Lease, LeaseFailure> {
+    let service = &wait_limit.terms.service;
+    let leasing = || async { paths::lease(gateway, service, choice).await };
+    let mut lease = leasing().await.map_err(LeaseFailure::Path)?;
+    if wait_limit.call.work.software_version.is_none() {
+        return Ok(lease);
+    }
+    let mut check = check_start(gateway, &mut lease, choice).await;
+    if check == StartCheck::Unanswered && lease.is_reused {
+        // Targets close idle connections, which says nothing of the target.
+        lease = leasing().await.map_err(LeaseFailure::Path)?;
+        check = check_start(gateway, &mut lease, choice).await;
+    }
+    match check {
+        StartCheck::Listed | StartCheck::Untold if lease.is_reusable().await => Ok(lease),
+        StartCheck::Untold => leasing().await.map_err(LeaseFailure::Path),
+        StartCheck::Other(start) => {
+            if Some(start) > choice.incarnation {
+                let now = gateway.now();
+                gateway.state().target_table.leave(now, &choice.identity());
+            }
+            Err(LeaseFailure::OtherStart)
+        }
+        StartCheck::Listed | StartCheck::Unanswered => Err(LeaseFailure::OtherStart),
+    }
+}
+
 /// Returns what the caller asks for, or leaves out, that may have made a target refuse the call;
 /// `None` if it was not refused, or for a reason of the target's.
 fn unmet_cause(call: &OutboundCall, run: &Run) -> Option<&'static str> {
