Fix: clients of the store, of peers' services and of damaskstiled take odd answers

What callers of damaskstiled would see: an answer with status 600 or 999 of a target, or a part of an answer as a whole one; the store's client would take both from a store in trouble.

Cause: the same two as at the gateway's connections to targets: the HTTP library takes any three digits from 100 on for a status, and the end of the other side for the end of an answer without a length.

Why it works: OrderlyStream, the count of what was received, and the check of the status move to damaskstile-http, whose two clients use them too.

--- a/crates/damaskstile-gateway/src/answer_body.rs
+++ b/crates/damaskstile-gateway/src/answer_body.rs
@@ -5,11 +5,10 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use damaskstile_http::UnreadAnswer;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use crate::unread_answer::UnreadAnswer;
-
 /// Body of a target's answer. Each part that is taken from it shows that the answer goes on.
 #[derive(Debug)]
 pub struct AnswerBody {
--- a/crates/damaskstile-gateway/src/lease.rs
+++ b/crates/damaskstile-gateway/src/lease.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
+use damaskstile_http::UnreadAnswer;
 use http::{Request, Response};
 use http_body_util::Full;
 use tokio::task::AbortHandle;
@@ -12,7 +13,6 @@
 use crate::answer_body::AnswerBody;
 use crate::pool::{Pool, Sender};
 use crate::target_connection::TargetConnection;
-use crate::unread_answer::UnreadAnswer;
 
 /// Percentage of the target's keep-alive time during which a connection is reused. Close to its end
 /// the target may close the connection just as a call is written, and it would be unknown whether
--- a/crates/damaskstile-gateway/src/peers/tunnel.rs
+++ b/crates/damaskstile-gateway/src/peers/tunnel.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskstile_core::prelude::*;
 use damaskstile_http::socket::connect;
+use damaskstile_http::{OrderlyStream, bound_unsent};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use socket2::SockRef;
@@ -22,7 +23,6 @@
 use super::tunnel_messages::{TunnelOutcome, TunnelRequest};
 use crate::gateway::Gateway;
 use crate::open_tunnel::OpenTunnel;
-use crate::orderly_stream::{OrderlyStream, bound_unsent};
 use crate::phase::Phase;
 use crate::tunnel_failure::TunnelFailure;
 
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use damaskstile_core::prelude::*;
+use damaskstile_http::is_final_status;
 use damaskstile_requests::SendFailureKind;
 use damaskstile_targets::{Choice, Work};
 use http::{Request, StatusCode, response};
@@ -283,15 +284,6 @@
     request
 }
 
-/// Returns whether a status ends a call: RFC 9110, section 15, knows none outside of 100 to 599, and
-/// an informational one is not final.
-fn is_final_status(status: StatusCode) -> bool {
-    status.is_success()
-        || status.is_redirection()
-        || status.is_client_error()
-        || status.is_server_error()
-}
-
 /// Checks that an answer belongs to this call and shows that the call was executed.
 fn check_answer(
     gateway: &Gateway,
--- a/crates/damaskstile-gateway/src/target_connection.rs
+++ b/crates/damaskstile-gateway/src/target_connection.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use damaskstile_http::UnreadAnswer;
 use tokio::task::AbortHandle;
 
 use crate::pool::Sender;
-use crate::unread_answer::UnreadAnswer;
 
 /// Connection to a target, on which calls are sent one after the other.
 #[derive(Debug)]
--- a/crates/damaskstile-http/src/client.rs
+++ b/crates/damaskstile-http/src/client.rs
@@ -13,7 +13,9 @@
 use hyper_util::rt::TokioIo;
 
 use crate::errors::{Error, Result};
+use crate::orderly_stream::{OrderlyStream, bound_unsent};
 use crate::socket::connect;
+use crate::status::is_final_status;
 
 /// Maximum size of a response body that is read into memory, in bytes.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
@@ -97,13 +99,27 @@
 pub async fn send(call: Call) -> Result<Response<Incoming>> {
     let request = build(&call)?;
     let stream = connect(&call.address).await.map_err(Error::NotConnected)?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    bound_unsent(&stream).map_err(Error::NotConnected)?;
+    let stream = TokioIo::new(OrderlyStream::new(stream));
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await?;
     tokio::spawn(async move {
         // An error of the connection also shows when the response body is read.
         let _ = connection.await;
     });
-    Ok(sender.send_request(request).await?)
+    check_status(sender.send_request(request).await?)
+}
+
+/// Returns an answer if its status is one that ends a call.
+pub(crate) fn check_status<B>(answer: Response<B>) -> Result<Response<B>> {
+    let status = answer.status();
+    if is_final_status(status) {
+        Ok(answer)
+    } else {
+        Err(Error::Broken(format!(
+            "status {} ends no call",
+            status.as_u16()
+        )))
+    }
 }
 
 /// Sends a call and reads the complete response within a time limit.
--- a/crates/damaskstile-gateway/src/orderly_stream.rs
+++ b/crates/damaskstile-http/src/orderly_stream.rs
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Returns an error if the system does not accept the option.
-pub(crate) fn bound_unsent(stream: &TcpStream) -> Result<()> {
+pub fn bound_unsent(stream: &TcpStream) -> Result<()> {
     SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES)
 }
 
@@ -31,7 +31,7 @@
 /// then reported to the write, and what was received so far would look like the whole answer. So
 /// the end is held back until the call has been written, and becomes an error if that fails.
 #[derive(Debug)]
-pub(crate) struct OrderlyStream<S> {
+pub struct OrderlyStream<S> {
     stream: S,
     /// Bounds what is received of an answer, if it is taken from this connection.
     unread: Option<Arc<UnreadAnswer>>,
@@ -43,7 +43,15 @@
 }
 
 impl<S> OrderlyStream<S> {
-    pub(crate) fn new(stream: S) -> Self {
+    /// Wraps a connection.
+    ///
+    /// ```
+    /// use damaskstile_http::OrderlyStream;
+    /// let (stream, _) = tokio::io::duplex(64);
+    /// let _ = OrderlyStream::new(stream);
+    /// ```
+    #[must_use]
+    pub fn new(stream: S) -> Self {
         Self {
             stream,
             unread: None,
@@ -54,7 +62,16 @@
     }
 
     /// Fails the connection once what is received can no longer become an answer.
-    pub(crate) fn bounded(mut self, unread: &Arc<UnreadAnswer>) -> Self {
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use damaskstile_http::{OrderlyStream, UnreadAnswer};
+    /// let (stream, _) = tokio::io::duplex(64);
+    /// let unread = Arc::new(UnreadAnswer::default());
+    /// let _ = OrderlyStream::new(stream).bounded(&unread);
+    /// ```
+    #[must_use]
+    pub fn bounded(mut self, unread: &Arc<UnreadAnswer>) -> Self {
         self.unread = Some(Arc::clone(unread));
         self
     }
--- a/crates/damaskstile-http/src/pooled.rs
+++ b/crates/damaskstile-http/src/pooled.rs
@@ -10,8 +10,9 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 
-use crate::client::{Call, Reply, build, collect_body};
+use crate::client::{Call, Reply, build, check_status, collect_body};
 use crate::errors::{Error, Result};
+use crate::orderly_stream::{OrderlyStream, bound_unsent};
 use crate::socket::connect;
 
 /// Longest gap between two frames of a response; many times the delay of a packet on a link that
@@ -99,7 +100,7 @@
             None => self.open_connection().await?,
         };
         let (head, body) = match sender.try_send_request(request).await {
-            Ok(answer) => answer.into_parts(),
+            Ok(answer) => check_status(answer)?.into_parts(),
             Err(mut error) => {
                 let Some(request) = error.take_message() else {
                     return Err(error.into_error().into());
@@ -107,7 +108,7 @@
                 // The connection was closed before the call was written to it, so it is safe to
                 // send the call again on a new one.
                 sender = self.open_connection().await?;
-                sender.send_request(request).await?.into_parts()
+                check_status(sender.send_request(request).await?)?.into_parts()
             }
         };
         Ok((sender, head, body))
@@ -115,7 +116,9 @@
 
     async fn open_connection(&self) -> Result<Sender> {
         let stream = connect(&self.address).await.map_err(Error::NotConnected)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        bound_unsent(&stream).map_err(Error::NotConnected)?;
+        let stream = TokioIo::new(OrderlyStream::new(stream));
+        let (sender, connection) = handshake(stream).await?;
         tokio::spawn(async move {
             // An error of the connection also shows in the call that was made on it.
             let _ = connection.await;
--- a/crates/damaskstile-gateway/src/unread_answer.rs
+++ b/crates/damaskstile-http/src/unread_answer.rs
@@ -11,19 +11,26 @@
 /// Count of the bytes that were received on a connection since the last head or part of a body was
 /// taken from it.
 #[derive(Debug, Default)]
-pub(crate) struct UnreadAnswer {
+pub struct UnreadAnswer {
     bytes: AtomicUsize,
 }
 
 impl UnreadAnswer {
     /// Adds received bytes; returns false if they can no longer become an answer.
-    pub(crate) fn add(&self, bytes: usize) -> bool {
+    ///
+    /// ```
+    /// use damaskstile_http::UnreadAnswer;
+    /// let unread = UnreadAnswer::default();
+    /// assert!(unread.add(1_000));
+    /// assert!(!unread.add(1_000_000));
+    /// ```
+    pub fn add(&self, bytes: usize) -> bool {
         let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
         before.saturating_add(bytes) <= BYTES_MAX
     }
 
     /// Records that a head or a part of a body was taken.
-    pub(crate) fn clear(&self) {
+    pub fn clear(&self) {
         self.bytes.store(0, Ordering::Relaxed);
     }
 }
