Fix: a target that does not say when it started is not marked as silent

A bound call that waits for such an answer lost 400 ms, and so did the next one: the silence was not recorded. It counts as an unreachable target now, as where no connection is made. Found by reading; no test fails without it.

--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -56,7 +56,7 @@
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 /// Cause of a send whose target refused the connection.
 const CONNECT_REFUSED: &str = "connect_refused";
-/// Cause of a send whose target is not, or not certainly, the listed incarnation.
+/// Cause of a send whose connection leads to no listed incarnation.
 const OTHER_START: &str = "other_start";
 /// Cause of a send whose connection was not made in time.
 const CONNECT_TIMEOUT: &str = "connect_timeout";
@@ -205,7 +205,7 @@
 /// Why there is no connection for a call.
 enum LeaseFailure {
     Path(PathFailure),
-    /// The target is not known to be the incarnation that the list names.
+    /// The connection does not lead, or no longer, to the incarnation that the list names.
     OtherStart,
 }
 
@@ -239,7 +239,8 @@
             }
             Err(LeaseFailure::OtherStart)
         }
-        StartCheck::Listed | StartCheck::Unanswered => Err(LeaseFailure::OtherStart),
+        StartCheck::Listed => Err(LeaseFailure::OtherStart),
+        StartCheck::Unanswered => Err(LeaseFailure::Path(PathFailure::Unreachable)),
     }
 }
 
--- a/crates/damaskstile-http/src/orderly_stream.rs
+++ b/crates/damaskstile-http/src/orderly_stream.rs
@@ -1,4 +1,4 @@
-//! Connection to a target whose end counts only if it is an orderly one.
+//! Connection to a server whose end counts only if it is an orderly one.
 
 use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::Pin;
@@ -24,9 +24,9 @@
     SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES)
 }
 
-/// Connection to a target whose end counts only if it is an orderly one.
+/// Connection to a server whose end counts only if it is an orderly one.
 ///
-/// An answer with neither a length nor chunks ends with its connection. A target that answers early
+/// An answer with neither a length nor chunks ends with its connection. A server that answers early
 /// may end its side and reset the connection while the call is still being written; the error is
 /// then reported to the write, and what was received so far would look like the whole answer. So
 /// the end is held back until the call has been written, and becomes an error if that fails.
