Logs: tell what became of a run when a stream is broken off

A stream that was broken off named the cause of its last send only. The logs did not tell whether its run was still connected when the instance gave it up, for how long it had been silent, and what the targets tried in its place had answered; so the hypotheses of the incident could not be told apart. Event 116, the fields run_end and silent_ms, and a counter of successors by outcome.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -59,6 +59,7 @@
     ContentBarred = 113, "error", "Targets ended repeatedly under calls with the same content; the content is quarantined.";
     ContentReleased = 114, "info", "A quarantined content was released; calls with it are served again.";
     RunContinued = 115, "warn", "A run whose target crashed continues at a second target from its copy, or could not: with the outcome.";
+    SuccessorFailed = 116, "warn", "A target that was chosen to go on with a call did not take it: with the cause, and what became of the run before it.";
     GrantReceived = 201, "info", "Tokens were granted out of a budget.";
     GrantSealed = 202, "warn", "The grant of an unresponsive holder was closed and its unspent rest returned.";
     GrantLost = 203, "warn", "A grant of this instance was closed by its witness.";
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -157,6 +157,7 @@
             lacks_event_ids: false,
             splitter: EventSplitter::default(),
             last_event_at: None,
+            last_run_end: "open",
             pause_max: Duration::ZERO,
             waits_out_pauses: false,
             first_frame: None,
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -112,6 +112,7 @@
 pub mod store_probe;
 mod stream_marks;
 pub(crate) mod stream_origins;
+pub(crate) mod succession_metrics;
 mod suspicion;
 mod target_connection;
 pub mod target_ends;
--- a/crates/damaskstile-gateway/src/metrics.rs
+++ b/crates/damaskstile-gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 use crate::copy_metrics::CopyMetrics;
 use crate::load_metrics::LoadMetrics;
 use crate::path_metrics::PathMetrics;
+use crate::succession_metrics::SuccessionMetrics;
 
 /// Labels of metrics by client account.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -92,6 +93,8 @@
     registry: Mutex<Registry>,
     /// Copies of runs.
     pub(crate) copies: CopyMetrics,
+    /// Counts the targets that were chosen to go on with a call.
+    pub(crate) successions: SuccessionMetrics,
     outcomes: Family<OutcomeLabels, Counter>,
     first_byte: Family<AccountLabels, Histogram>,
     target_first_byte: Family<TargetLabels, Histogram>,
@@ -132,6 +135,7 @@
         let admissions = AdmissionCounts::default();
         admissions.register(&mut registry);
         let copies = CopyMetrics::register(&mut registry);
+        let successions = SuccessionMetrics::register(&mut registry);
         let outcomes = Family::default();
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let target_first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
@@ -188,6 +192,7 @@
             admissions,
             registry: Mutex::new(registry),
             copies,
+            successions,
             outcomes,
             first_byte,
             target_first_byte,
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -80,6 +80,8 @@
     pub splitter: EventSplitter,
     /// Arrival time of the last event.
     pub last_event_at: Option<Duration>,
+    /// How the last run ended that the stream could not go on with.
+    pub last_run_end: &'static str,
     /// Longest pause between two events so far.
     pub pause_max: Duration,
     /// Whether a pause of the current run is no longer a reason to resume, since no other target
@@ -268,6 +270,12 @@
         Some(event.bytes)
     }
 
+    /// Returns the time since the last event, or since the call began.
+    fn silence(&self) -> Duration {
+        let since = self.last_event_at.unwrap_or(self.record.began_at());
+        self.gateway.now().saturating_sub(since)
+    }
+
     /// Records where the stream began, in case its caller takes it up again.
     fn note_begun(&self) {
         if !self.terms.route.kind.is_repeatable() {
@@ -315,6 +323,8 @@
         self.run = None;
         self.reservation.failed();
         self.record.add("pause_ms", self.pause_max.as_millis());
+        self.record.add("silent_ms", self.silence().as_millis());
+        self.record.add("run_end", self.last_run_end);
         self.record.add("cause", cause);
         self.record.end(EventCode::CallFailed, "broken_off");
         std::io::Error::other(cause)
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -74,6 +74,11 @@
         if let Some(run) = self.run.take() {
             run.running.note(false);
         }
+        self.last_run_end = if cause == "stalled" {
+            "given_up"
+        } else {
+            "ended"
+        };
         self.splitter = EventSplitter::default();
         let (mut cause, mut next) = (cause, next);
         while let Some(choice) = next {
@@ -82,10 +87,12 @@
             let wait_limit = self.wait_limit();
             let options = SendOptions::resuming(self.last_event);
             let (gateway, caller) = (&self.gateway, &self.caller);
+            let target = choice.target.clone();
             let started = run::start(gateway, caller, &wait_limit, choice, options);
             let end = match started.await {
                 Ok(run) if run.parts.status.is_success() => {
                     self.waits_out_pauses = false;
+                    self.gateway.metrics.successions.taken();
                     self.run = Some(run);
                     return true;
                 }
@@ -108,6 +115,7 @@
                     failure.end
                 }
             };
+            self.note_failed_successor(&target, cause);
             next = self.choose_successor(end);
         }
         false
@@ -129,6 +137,20 @@
         }
     }
 
+    /// Records that a target did not take the stream.
+    fn note_failed_successor(&self, target: &str, cause: &str) {
+        self.gateway.metrics.successions.failed();
+        let silent_ms = self.silence().as_millis().to_string();
+        let fields = [
+            ("id", logged_id(self.call.id.as_deref())),
+            ("target", target),
+            ("cause", cause),
+            ("run_end", self.last_run_end),
+            ("silent_ms", &silent_ms),
+        ];
+        self.gateway.log(EventCode::SuccessorFailed, &fields);
+    }
+
     fn note_resumption(&self, cause: &str, target: &str) {
         let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
         self.gateway.state().pressure.note_sent(now, bytes);
