Fix: a run that only pauses is given up before another target has taken its call

What callers saw: a resumable stream was cut off, around a planned stop as well as without one, although its target went on some hundred milliseconds later. Calls whose target paused before the head of its answer ended with 502.

Cause: after 1.5 s without an event (three objectives before the head of an answer) the instance closed its connection to the target and only then tried another one. If that one rejected the call, refused the connection or paused as well, the call's sends were used up and nothing was left. The query for a target's start made it worse: its silence counted as an unreachable target after 400 ms. Class: what is held is let go before what replaces it is certain; silence is taken for a no.

Now a silent run is kept until the other target has answered. An event (or the head of an answer) that arrives meanwhile cancels the other send, whose target may have received the call: it counts as a send then. A run that ends meanwhile leaves the call to the other send. A query on a new connection is waited for as long as the target would be.

Weighed: asking the other target first whether it has room (a query proves nothing about the call), no other target during a stop (streams at targets that have lost power would wait for their deadline).

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 mod continuing;
 mod queueing;
 mod refusing;
+mod starting;
 mod stopping;
 mod taking_up;
 mod tokens;
@@ -32,7 +33,6 @@
 use crate::record::{Record, logged_id};
 use crate::reply::{RETRY_AT_ONCE, RETRY_LATER, RETRY_SOON, Refusal, ReplyBody};
 use crate::reservation::Reservation;
-use crate::run;
 use crate::run_copy::RunCopy;
 use crate::send;
 use crate::state::Terms;
@@ -296,13 +296,12 @@
                 return (response, Some(reservation));
             };
             self.is_sending = true;
-            let sent = BrokenRun::of(&choice, self.gateway.now());
+            let mut sent = BrokenRun::of(&choice, self.gateway.now());
             self.copy = RunCopy::plan(&self.gateway, &self.terms, &self.call, &choice, &self.tried);
             let options = RunCopy::options_of_run(self.copy.as_ref());
-            let wait_limit = self.wait_limit();
-            let started = run::start(&self.gateway, &self.caller, &wait_limit, choice, options);
-            let failure = match started.await {
+            let failure = match self.start(choice, options, &mut reservation).await {
                 Ok(mut run) => {
+                    sent = BrokenRun::of_running(&run.running);
                     run.running.hold(self.place.take());
                     if let Some(peer) = run.lease.peer {
                         self.record.add("through", peer);
--- a/crates/damaskstile-gateway/src/exchange/answering.rs
+++ b/crates/damaskstile-gateway/src/exchange/answering.rs
@@ -14,6 +14,7 @@
 use crate::reply::{Refusal, ReplyBody};
 use crate::reservation::Reservation;
 use crate::run::{Run, SendFailure};
+use crate::run_end::RunEnd;
 
 /// Largest answer that is buffered, so that the call can be sent to another target if reading it
 /// fails, in bytes.
@@ -157,7 +158,7 @@
             lacks_event_ids: false,
             splitter: EventSplitter::default(),
             last_event_at: None,
-            last_run_end: "open",
+            last_run_end: RunEnd::Open,
             pause_max: Duration::ZERO,
             waits_out_pauses: false,
             first_frame: None,
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::reservation::Reservation;
 use crate::run::Run;
 use crate::run_copy::RunCopy;
+use crate::run_end::RunEnd;
 use crate::state::Terms;
 use crate::wait_limit::allows_another_send;
 
@@ -81,7 +82,7 @@
     /// Arrival time of the last event.
     pub last_event_at: Option<Duration>,
     /// How the last run ended that the stream could not go on with.
-    pub last_run_end: &'static str,
+    pub last_run_end: RunEnd,
     /// Longest pause between two events so far.
     pub pause_max: Duration,
     /// Whether a pause of the current run is no longer a reason to resume, since no other target
@@ -151,8 +152,9 @@
     }
 
     async fn next_frame_of_runs(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
+        let mut step = self.next_step().await;
         loop {
-            match self.next_step().await {
+            match step {
                 StreamStep::Event(event) => {
                     if let Some(bytes) = self.accept_event(event) {
                         return Some(Ok(Frame::data(bytes)));
@@ -161,24 +163,18 @@
                 StreamStep::End => return self.end().await,
                 StreamStep::Closed(cause) => {
                     let followed_up = self.follow_up_closed().await;
-                    if self.continue_from_copy(followed_up).await {
-                        continue;
-                    }
-                    let next = self.choose_successor(SendFailureKind::Unknown);
-                    if !self.resume(cause, next).await {
-                        return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
+                    if !self.continue_from_copy(followed_up).await {
+                        let next = self.choose_successor(SendFailureKind::Unknown);
+                        if !self.resume(cause, next).await {
+                            return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
+                        }
                     }
                 }
                 StreamStep::Stalled => {
-                    // The current run is kept until a successor has been chosen: dropping it
-                    // earlier would lose a run that may still continue.
-                    let Some(next) = self.choose_successor(SendFailureKind::Unknown) else {
-                        self.waits_out_pauses = true;
+                    // Boxed, since few streams stall.
+                    if let Some(next_step) = Box::pin(self.succeed_silent_run()).await {
+                        step = next_step;
                         continue;
-                    };
-                    if !self.resume("stalled", Some(next)).await {
-                        let code = RefusalCode::TargetLost;
-                        return Some(Err(self.break_off(code, "stalled")));
                     }
                 }
                 StreamStep::Broken(cause) => {
@@ -193,6 +189,7 @@
                     return Some(Err(self.break_off(code, "deadline")));
                 }
             }
+            step = self.next_step().await;
         }
     }
 
@@ -216,21 +213,30 @@
                 left
             };
             let frame = match tokio::time::timeout(wait, run.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return StreamStep::Closed("broken"),
-                Ok(None) if self.splitter.is_empty() => return StreamStep::End,
-                Ok(None) => return StreamStep::Closed("half_event"),
+                Ok(frame) => frame,
                 Err(_) if left <= wait => return StreamStep::DeadlineExceeded,
                 Err(_) => return StreamStep::Stalled,
             };
-            if let Ok(bytes) = frame.into_data()
-                && !self.splitter.push(&bytes)
-            {
-                return StreamStep::Broken("endless_event");
+            if let Some(step) = self.step_of(frame) {
+                return step;
             }
         }
     }
 
+    /// Adds a frame of the current run to the stream; returns the next step unless it is to be read
+    /// on.
+    fn step_of(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) -> Option<StreamStep> {
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Some(StreamStep::Closed("broken")),
+            None if self.splitter.is_empty() => return Some(StreamStep::End),
+            None => return Some(StreamStep::Closed("half_event")),
+        };
+        let bytes = frame.into_data().unwrap_or_default();
+        let has_room = self.splitter.push(&bytes);
+        (!has_room).then_some(StreamStep::Broken("endless_event"))
+    }
+
     /// Records an event; returns its bytes unless the caller already has it.
     fn accept_event(&mut self, event: CompleteEvent) -> Option<Bytes> {
         self.record.first_byte();
@@ -270,10 +276,9 @@
         Some(event.bytes)
     }
 
-    /// Returns the time since the last event, or since the call began.
-    fn silence(&self) -> Duration {
-        let since = self.last_event_at.unwrap_or(self.record.began_at());
-        self.gateway.now().saturating_sub(since)
+    /// Returns when the last event arrived, or when the call began.
+    fn silent_since(&self) -> Duration {
+        self.last_event_at.unwrap_or(self.record.began_at())
     }
 
     /// Records where the stream began, in case its caller takes it up again.
@@ -323,8 +328,9 @@
         self.run = None;
         self.reservation.failed();
         self.record.add("pause_ms", self.pause_max.as_millis());
-        self.record.add("silent_ms", self.silence().as_millis());
-        self.record.add("run_end", self.last_run_end);
+        let silent_for = self.gateway.now().saturating_sub(self.silent_since());
+        self.record.add("silent_ms", silent_for.as_millis());
+        self.record.add("run_end", self.last_run_end.as_str());
         self.record.add("cause", cause);
         self.record.end(EventCode::CallFailed, "broken_off");
         std::io::Error::other(cause)
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -1,17 +1,22 @@
-//! Resumes a stream at another target after its run failed or stalled.
+//! Resumes a stream at another target after its run failed, or while it is silent.
 
 use damaskstile_core::prelude::*;
-use damaskstile_requests::{NextStep, SendFailureKind};
+use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
 use damaskstile_targets::Choice;
 
-use super::Relay;
+use http_body_util::BodyExt;
+
+use super::{Relay, StreamStep};
 use crate::broken_run::BrokenRun;
 use crate::events::EventSplitter;
 use crate::exchange::plan_next;
 use crate::record::logged_id;
-use crate::run;
+use crate::run::{self, Run, SendFailure};
+use crate::run_end::RunEnd;
 use crate::send;
 use crate::send_options::SendOptions;
+use crate::succession::{CurrentRun, Succession, start_successor};
+use crate::successor::Successor;
 use crate::target_ends::EndCheck;
 use crate::wait_limit::WaitLimit;
 
@@ -46,8 +51,9 @@
     }
 
     /// Chooses the target at which the stream resumes if the current run ends with `end`; `None` if
-    /// it cannot be resumed. The current run is left untouched.
-    pub(super) fn choose_successor(&mut self, end: SendFailureKind) -> Option<Choice> {
+    /// it cannot be resumed. The current run is left untouched; the attempts that are returned
+    /// count it as ended.
+    pub(super) fn choose_successor(&mut self, end: SendFailureKind) -> Option<(Choice, Attempts)> {
         if !self.may_resume() || self.is_quarantined() || self.time_left().is_zero() {
             return None;
         }
@@ -64,59 +70,132 @@
             &mut self.record,
             &mut self.reservation,
         )?;
-        self.attempts = attempts;
-        Some(choice)
+        Some((choice, attempts))
+    }
+
+    /// Starts the stream at another target while the current run is silent; it is kept until the
+    /// other target has accepted the call. Returns what the current run does next, if it does not
+    /// stay silent.
+    pub(super) async fn succeed_silent_run(&mut self) -> Option<StreamStep> {
+        loop {
+            let Some((choice, attempts)) = self.choose_successor(SendFailureKind::Unknown) else {
+                self.waits_out_pauses = true;
+                return None;
+            };
+            let Some(mut current) = self.run.take() else {
+                return Some(StreamStep::Broken("no_run"));
+            };
+            self.note_resumption("stalled", &choice.target);
+            let successor = self.successor(&choice, RunEnd::Open);
+            let succession = {
+                let wait_limit = WaitLimit {
+                    attempts: &attempts,
+                    ..self.wait_limit()
+                };
+                let has_part = !self.splitter.is_empty();
+                let reading = async {
+                    match current.body.frame().await {
+                        frame @ Some(Err(_)) => CurrentRun::Ended(frame),
+                        None if has_part => CurrentRun::Ended(None),
+                        frame => CurrentRun::GoesOn(frame),
+                    }
+                };
+                let (gateway, caller) = (&self.gateway, &self.caller);
+                let options = SendOptions::resuming(self.last_event);
+                start_successor(reading, gateway, caller, &wait_limit, choice, options).await
+            };
+            match succession {
+                Succession::Cancelled {
+                    current: frame,
+                    was_sent,
+                } => {
+                    self.gateway.metrics.successions.cancelled();
+                    if was_sent {
+                        self.attempts.note(SendFailureKind::Unknown);
+                    }
+                    self.run = Some(current);
+                    return self.step_of(frame);
+                }
+                Succession::Started {
+                    started: Ok(run),
+                    ended,
+                } if run.parts.status.is_success() => {
+                    if ended.is_some() {
+                        let broken = BrokenRun::of_running(&current.running);
+                        let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
+                        broken.follow_up(gateway, call, terms).await;
+                    }
+                    current.running.note(false);
+                    self.attempts = attempts;
+                    self.take_over(run);
+                    return None;
+                }
+                Succession::Started { started, ended } => {
+                    let failure = self.follow_up(successor, started).await;
+                    self.attempts.note(failure.end);
+                    self.run = Some(current);
+                    if let Some(frame) = ended {
+                        return self.step_of(frame);
+                    }
+                }
+            }
+        }
     }
 
-    /// Drops the current run and resumes the stream at the chosen target, or at further ones if
-    /// that fails. Returns false if none took the call.
-    pub(super) async fn resume(&mut self, cause: &'static str, next: Option<Choice>) -> bool {
+    fn successor(&self, choice: &Choice, run_end: RunEnd) -> Successor {
+        Successor::new(&self.gateway, choice, run_end, self.silent_since())
+    }
+
+    /// Follows up a successor whose target did not take the stream.
+    async fn follow_up(
+        &mut self,
+        successor: Successor,
+        started: Result<Run, SendFailure>,
+    ) -> SendFailure {
+        let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
+        let following_up = successor.failed(gateway, call, terms, &mut self.reservation, started);
+        following_up.await
+    }
+
+    /// Continues the stream with a run that has accepted it.
+    fn take_over(&mut self, run: Run) {
+        self.gateway.metrics.successions.taken();
+        self.splitter = EventSplitter::default();
+        self.waits_out_pauses = false;
+        self.run = Some(run);
+    }
+
+    /// Resumes the stream at the chosen target, or at further ones if that fails, after the current
+    /// run has ended. Returns false if none took the call.
+    pub(super) async fn resume(
+        &mut self,
+        cause: &'static str,
+        next: Option<(Choice, Attempts)>,
+    ) -> bool {
         if let Some(run) = self.run.take() {
             run.running.note(false);
         }
-        self.last_run_end = if cause == "stalled" {
-            "given_up"
-        } else {
-            "ended"
-        };
-        self.splitter = EventSplitter::default();
+        self.last_run_end = RunEnd::Ended;
         let (mut cause, mut next) = (cause, next);
-        while let Some(choice) = next {
+        while let Some((choice, attempts)) = next {
+            self.attempts = attempts;
             self.note_resumption(cause, &choice.target);
-            let sent = BrokenRun::of(&choice, self.gateway.now());
+            let successor = self.successor(&choice, RunEnd::Ended);
             let wait_limit = self.wait_limit();
             let options = SendOptions::resuming(self.last_event);
             let (gateway, caller) = (&self.gateway, &self.caller);
-            let target = choice.target.clone();
-            let started = run::start(gateway, caller, &wait_limit, choice, options);
-            let end = match started.await {
+            let started = run::start(gateway, caller, &wait_limit, choice, options).await;
+            match started {
                 Ok(run) if run.parts.status.is_success() => {
-                    self.waits_out_pauses = false;
-                    self.gateway.metrics.successions.taken();
-                    self.run = Some(run);
+                    self.take_over(run);
                     return true;
                 }
-                Ok(run) => {
-                    run.running.note(false);
-                    cause = "failed";
-                    SendFailureKind::Failed
-                }
-                Err(failure) => {
-                    match failure.end {
-                        SendFailureKind::NotSent | SendFailureKind::NotRun => {
-                            self.reservation.not_run();
-                        }
-                        SendFailureKind::Broken => {
-                            sent.follow_up(&self.gateway, &self.call, &self.terms).await;
-                        }
-                        SendFailureKind::Unknown | SendFailureKind::Failed => {}
-                    }
+                started => {
+                    let failure = self.follow_up(successor, started).await;
                     cause = failure.cause;
-                    failure.end
+                    next = self.choose_successor(failure.end);
                 }
-            };
-            self.note_failed_successor(&target, cause);
-            next = self.choose_successor(end);
+            }
         }
         false
     }
@@ -137,20 +216,6 @@
         }
     }
 
-    /// Records that a target did not take the stream.
-    fn note_failed_successor(&self, target: &str, cause: &str) {
-        self.gateway.metrics.successions.failed();
-        let silent_ms = self.silence().as_millis().to_string();
-        let fields = [
-            ("id", logged_id(self.call.id.as_deref())),
-            ("target", target),
-            ("cause", cause),
-            ("run_end", self.last_run_end),
-            ("silent_ms", &silent_ms),
-        ];
-        self.gateway.log(EventCode::SuccessorFailed, &fields);
-    }
-
     fn note_resumption(&self, cause: &str, target: &str) {
         let (now, bytes) = (self.gateway.now(), self.call.link_bytes());
         self.gateway.state().pressure.note_sent(now, bytes);
--- a/crates/damaskstile-gateway/src/start_check.rs
+++ b/crates/damaskstile-gateway/src/start_check.rs
@@ -1,20 +1,15 @@
 //! Check that a connection leads to the incarnation of a target that the list names.
 
-use std::time::Duration;
-
 use damaskstile_core::prelude::*;
 use damaskstile_targets::Choice;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::lease::Lease;
 
 /// Longest answer to the query, in bytes. It grows with the number of calls at the target.
 const ANSWER_BYTES_MAX: usize = 256 * 1024;
-/// Time limit of the query. Targets answer it beside their work.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Which incarnation of a target a connection leads to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,11 +20,11 @@
     Other(TargetIncarnation),
     /// The target answers, and does not tell.
     Untold,
-    /// The target does not answer; nothing but the query was sent.
+    /// The connection ended without an answer; nothing but the query was sent.
     Unanswered,
 }
 
-/// Asks a target when it started. A connection leads to one process, so what follows on it reaches
+/// Asks a target when it started, and waits for its answer. A connection leads to one process, so what follows on it reaches
 /// the incarnation that answered.
 pub(crate) async fn check_start(
     gateway: &Gateway,
@@ -43,8 +38,7 @@
     else {
         return StartCheck::Untold;
     };
-    let asking = timeout(QUERY_TIMEOUT, ask(gateway, lease, choice, path));
-    match asking.await.ok().flatten() {
+    match ask(gateway, lease, choice, path).await {
         Some(Some(start)) if Some(start) == choice.incarnation => StartCheck::Listed,
         Some(Some(start)) => StartCheck::Other(start),
         Some(None) => StartCheck::Untold,
--- a/crates/damaskstile-gateway/src/succession_metrics.rs
+++ b/crates/damaskstile-gateway/src/succession_metrics.rs
@@ -24,7 +24,7 @@
         let metrics = Self {
             successors: Family::default(),
         };
-        let help = "Targets chosen to go on with a call: whether they took it";
+        let help = "Targets chosen to go on with a call: whether they took it, or were not needed";
         registry.register("successors", help, metrics.successors.clone());
         metrics
     }
@@ -39,6 +39,11 @@
         self.note("failed");
     }
 
+    /// Counts a successor that was cancelled, since the silent run went on.
+    pub(crate) fn cancelled(&self) {
+        self.note("cancelled");
+    }
+
     fn note(&self, outcome: &'static str) {
         let labels = SuccessorLabels { outcome };
         self.successors.get_or_create(&labels).inc();
