Fix: a query for a target's start, and a connect, outlast their limits

Silence is waited for, an answer that has begun must end within 400 ms.

An unanswered query has a cause of its own, start_unanswered.

--- a/crates/damaskstile-gateway/src/prepared_send.rs
+++ b/crates/damaskstile-gateway/src/prepared_send.rs
@@ -18,7 +18,9 @@
 use crate::lease::{Lease, SendError};
 use crate::outbound_call::OutboundCall;
 use crate::paths::{self, PathFailure};
-use crate::run::{CONNECT_REFUSED, CONNECT_TIMEOUT, OTHER_START, Run, SendFailure};
+use crate::run::{
+    CONNECT_REFUSED, CONNECT_TIMEOUT, OTHER_START, Run, START_UNANSWERED, SendFailure,
+};
 use crate::running::Running;
 use crate::send_options::SendOptions;
 use crate::start_check::{StartCheck, check_start};
@@ -41,8 +43,7 @@
 }
 
 impl PreparedSend {
-    /// Connects to a target, until the wait limit `until` has passed and another target is
-    /// available.
+    /// Connects to a target, until the wait limit `until` has passed.
     ///
     /// # Errors
     ///
@@ -60,21 +61,25 @@
         } else {
             Running::new(gateway, choice, &wait_limit.call.work)
         };
-        let leasing = lease_for_call(gateway, wait_limit, &running.choice);
-        let failure = match within(gateway, wait_limit, until, leasing).await {
-            Some(Ok(lease)) => {
+        let leasing = lease_for_call(gateway, wait_limit, until, &running.choice);
+        let failure = match leasing.await {
+            Ok(lease) => {
                 return Ok(Self {
                     lease,
                     running,
                     options,
                 });
             }
-            Some(Err(LeaseFailure::OtherStart)) => OTHER_START,
-            Some(Err(LeaseFailure::Path(PathFailure::Refused))) => {
+            Err(LeaseFailure::OtherStart) => OTHER_START,
+            Err(LeaseFailure::Unanswered) => {
+                running.silent();
+                START_UNANSWERED
+            }
+            Err(LeaseFailure::Path(PathFailure::Refused)) => {
                 running.ended();
                 CONNECT_REFUSED
             }
-            Some(Err(LeaseFailure::Path(PathFailure::Unreachable))) | None => {
+            Err(LeaseFailure::Path(PathFailure::Unreachable)) => {
                 running.silent();
                 CONNECT_TIMEOUT
             }
@@ -207,6 +212,8 @@
     Path(PathFailure),
     /// The connection does not lead, or no longer, to the incarnation that the list names.
     OtherStart,
+    /// The target did not answer the query for its start.
+    Unanswered,
 }
 
 /// Returns a connection to a target. A call that goes on elsewhere needs software of one version,
@@ -216,29 +223,33 @@
 async fn lease_for_call(
     gateway: &Arc<Gateway>,
     wait_limit: &WaitLimit<'_>,
+    until: Duration,
     choice: &Choice,
 ) -> Result<Lease, LeaseFailure> {
     let service = &wait_limit.terms.service;
-    let leasing = || async { paths::lease(gateway, service, choice).await };
-    let mut lease = leasing().await.map_err(LeaseFailure::Path)?;
+    let leasing = || lease_until(gateway, service, until, choice);
+    let mut lease = leasing().await?;
     if wait_limit.call.work.software_version.is_none() {
         return Ok(lease);
     }
-    let mut check = if lease.is_reused {
+    let mut check = StartCheck::Unanswered;
+    if lease.is_reused {
+        let checking = check_start(gateway, &mut lease, choice);
+        let reused_check = timeout(REUSED_QUERY_TIMEOUT, checking).await;
+        check = reused_check.unwrap_or(StartCheck::Unanswered);
+        if check == StartCheck::Unanswered {
+            // Targets close idle connections, which says nothing of the target.
+            lease = leasing().await?;
+        }
+    }
+    if check == StartCheck::Unanswered {
         let checking = check_start(gateway, &mut lease, choice);
-        let check = timeout(REUSED_QUERY_TIMEOUT, checking).await;
-        check.unwrap_or(StartCheck::Unanswered)
-    } else {
-        check_start(gateway, &mut lease, choice).await
-    };
-    if check == StartCheck::Unanswered && lease.is_reused {
-        // Targets close idle connections, which says nothing of the target.
-        lease = leasing().await.map_err(LeaseFailure::Path)?;
-        check = check_start(gateway, &mut lease, choice).await;
+        let new_check = within(gateway, wait_limit, until, checking).await;
+        check = new_check.unwrap_or(StartCheck::Unanswered);
     }
     match check {
         StartCheck::Listed | StartCheck::Untold if lease.is_reusable().await => Ok(lease),
-        StartCheck::Untold => leasing().await.map_err(LeaseFailure::Path),
+        StartCheck::Untold => leasing().await,
         StartCheck::Other(start) => {
             if Some(start) > choice.incarnation {
                 let now = gateway.now();
@@ -247,10 +258,23 @@
             Err(LeaseFailure::OtherStart)
         }
         StartCheck::Listed => Err(LeaseFailure::OtherStart),
-        StartCheck::Unanswered => Err(LeaseFailure::Path(PathFailure::Unreachable)),
+        StartCheck::Unanswered => Err(LeaseFailure::Unanswered),
     }
 }
 
+/// Returns an idle connection to a target, or a new one if it is made before `until`.
+async fn lease_until(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    until: Duration,
+    choice: &Choice,
+) -> Result<Lease, LeaseFailure> {
+    let wait = until.saturating_sub(gateway.now());
+    let leasing = timeout(wait, paths::lease(gateway, service, choice));
+    let lease = leasing.await.unwrap_or(Err(PathFailure::Unreachable));
+    lease.map_err(LeaseFailure::Path)
+}
+
 /// Waits for a future until `until`, and longer while no other target is available. Returns `None`
 /// if another target is to be tried instead, or the call's deadline has passed.
 async fn within<T>(
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -45,6 +45,8 @@
 pub(crate) const CONNECT_REFUSED: &str = "connect_refused";
 /// Cause of a send whose connection leads to no listed incarnation.
 pub(crate) const OTHER_START: &str = "other_start";
+/// Cause of a send whose target did not answer the query for its start.
+pub(crate) const START_UNANSWERED: &str = "start_unanswered";
 /// Cause of a send whose connection was not made in time.
 pub(crate) const CONNECT_TIMEOUT: &str = "connect_timeout";
 /// Cause of a send whose target refused it as it may lack the weights that the caller expects.
@@ -71,9 +73,9 @@
         }
     }
 
-    /// Returns whether no connection to the target could be made.
+    /// Returns whether no connection to the target could be made, or none on which it answers.
     pub(crate) fn is_unreachable(self) -> bool {
-        [CONNECT_REFUSED, CONNECT_TIMEOUT].contains(&self.cause)
+        [CONNECT_REFUSED, CONNECT_TIMEOUT, START_UNANSWERED].contains(&self.cause)
     }
 }
 
--- a/crates/damaskstile-gateway/src/start_check.rs
+++ b/crates/damaskstile-gateway/src/start_check.rs
@@ -4,12 +4,15 @@
 use damaskstile_targets::Choice;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::lease::Lease;
 
 /// Longest answer to the query, in bytes. It grows with the number of calls at the target.
 const ANSWER_BYTES_MAX: usize = 256 * 1024;
+/// Time limit of the answer once its head has arrived. A target that pauses sends no head.
+const BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Which incarnation of a target a connection leads to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,7 +23,7 @@
     Other(TargetIncarnation),
     /// The target answers, and does not tell.
     Untold,
-    /// The connection ended without an answer; nothing but the query was sent.
+    /// The target gave no whole answer; nothing but the query was sent.
     Unanswered,
 }
 
@@ -58,7 +61,8 @@
     let host = HeaderValue::from_str(&choice.address.to_string()).ok()?;
     request.headers_mut().insert(header::HOST, host);
     let (head, body) = lease.send(request).await.ok()?.into_parts();
-    let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await.ok()?;
+    let reading = Limited::new(body, ANSWER_BYTES_MAX).collect();
+    let body = timeout(BODY_TIMEOUT, reading).await.ok()?.ok()?;
     let is_ok = head.status == StatusCode::OK;
     Some(
         gateway
