Fix: targets that are tried in place of silent ones cost calls, and run streams twice

It is waited for 400 ms now while another target may be tried, and no idle connection is used for the second query. - Two targets worked on one stream until the second one's head arrived. Also: lines of calls name the target at which they stayed; the follow-up of a run that ended beside its successor does not hold back that one's events; one silence counts once against its target.

These share one mechanism (SuccessorStart, SilentRun), so they are one commit.

--- a/crates/damaskstile-gateway/src/exchange.rs
+++ b/crates/damaskstile-gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 mod continuing;
 mod queueing;
 mod refusing;
+mod silent_call;
 mod starting;
 mod stopping;
 mod taking_up;
--- a/crates/damaskstile-gateway/src/exchange/starting.rs
+++ b/crates/damaskstile-gateway/src/exchange/starting.rs
@@ -1,13 +1,11 @@
 //! Start of a call at a target, and at a successor while the target is silent.
 
-use std::future::Future;
-use std::pin::{Pin, pin};
-
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
 use damaskstile_targets::Choice;
 use tokio::time::timeout;
 
+use super::silent_call::{Answering, SilentCall};
 use super::{Exchange, plan_next};
 use crate::broken_run::BrokenRun;
 use crate::prepared_send::PreparedSend;
@@ -16,7 +14,7 @@
 use crate::run_end::RunEnd;
 use crate::send;
 use crate::send_options::SendOptions;
-use crate::succession::{CurrentRun, Succession, start_successor};
+use crate::succession::{STREAM_OVERLAP_MAX, Succession, SuccessorStart};
 use crate::successor::Successor;
 use crate::wait_limit::WaitLimit;
 
@@ -42,8 +40,8 @@
         let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
         let answering = prepared.send(gateway, &self.caller, call, terms, self.deadline)?;
         let sent_at = self.gateway.now();
-        let mut answering = pin!(answering);
-        let wait = until.saturating_sub(self.gateway.now());
+        let mut answering: Answering = Box::pin(answering);
+        let wait = until.saturating_sub(sent_at);
         if let Ok(answer) = timeout(wait, answering.as_mut()).await {
             return answer;
         }
@@ -56,72 +54,116 @@
         &mut self,
         silent: &Choice,
         sent_at: Duration,
-        mut answering: Pin<&mut impl Future<Output = Result<Run, SendFailure>>>,
+        answering: Answering,
         reservation: &mut Reservation,
     ) -> Result<Run, SendFailure> {
+        let is_stream = self.terms.route.kind.is_stream();
+        let mut current = Some(SilentCall {
+            answering,
+            takes_errors: false,
+        });
+        let mut is_noted = false;
         loop {
-            let Some((choice, attempts)) = self.choose_successor(reservation) else {
-                return answering.await;
+            let chosen = self.choose_successor(reservation);
+            let Some(call) = &mut current else {
+                return Err(SendFailure::SILENT);
+            };
+            let Some((choice, attempts)) = chosen else {
+                return call.answering.as_mut().await;
             };
-            let now = self.gateway.now();
-            self.gateway.state().target_table.unanswered(now, silent);
+            if !std::mem::replace(&mut is_noted, true) {
+                let now = self.gateway.now();
+                self.gateway.state().target_table.unanswered(now, silent);
+                self.record.add("cause", SendFailure::SILENT.cause);
+            }
             self.note_retry(SendFailure::SILENT.cause);
-            self.record.add("cause", SendFailure::SILENT.cause);
             let successor = Successor::new(&self.gateway, &choice, RunEnd::Open, sent_at);
-            let succession = {
-                let wait_limit = WaitLimit {
-                    attempts: &attempts,
-                    ..self.wait_limit()
-                };
-                let current = async {
-                    match answering.as_mut().await {
-                        Ok(run) => CurrentRun::GoesOn(Ok(run)),
-                        Err(failure) => CurrentRun::Ended(Err(failure)),
-                    }
-                };
-                let (gateway, caller) = (&self.gateway, &self.caller);
-                let options = SendOptions::default();
-                start_successor(current, gateway, caller, &wait_limit, choice, options).await
+            let target = choice.target.clone();
+            let wait_limit = WaitLimit {
+                attempts: &attempts,
+                ..self.wait_limit()
+            };
+            let start = SuccessorStart {
+                gateway: &self.gateway,
+                caller: &self.caller,
+                until: wait_limit.until(),
+                wait_limit,
+                choice,
+                options: SendOptions::default(),
+                overlap_max: is_stream.then_some(STREAM_OVERLAP_MAX),
+                needs_part: false,
             };
-            match succession {
-                Succession::Cancelled { current, was_sent } => {
+            match start.run(&mut current).await {
+                Succession::Cancelled { step, was_sent } => {
                     self.gateway.metrics.successions.cancelled();
                     if was_sent {
                         self.attempts.note(SendFailureKind::Unknown);
+                    } else {
+                        self.tried.retain(|tried| *tried != target);
                     }
-                    return current;
+                    if let Ok(run) = &step {
+                        self.record.note_kept(&run.running);
+                    }
+                    return step;
                 }
                 Succession::Started {
-                    started: Ok(run),
+                    started: Ok((run, _)),
                     ended,
-                } if !run.parts.status.is_server_error() => {
-                    let end = match ended {
-                        Some(Err(failure)) => failure.end,
-                        Some(Ok(_)) | None => SendFailureKind::Unknown,
-                    };
-                    if end == SendFailureKind::Broken {
-                        let broken = BrokenRun::of(silent, sent_at);
-                        let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
-                        broken.follow_up(gateway, call, terms).await;
-                    }
+                } if !run.parts.status.is_server_error() || ended.is_some() => {
+                    let end = self.note_ended(ended, silent, sent_at).await;
                     self.attempts.note(end);
                     self.gateway.metrics.successions.taken();
                     return Ok(run);
                 }
                 Succession::Started { started, ended } => {
+                    let was_given_up = current.is_none();
+                    let successor = successor.after(was_given_up);
+                    let started = started.map(|(run, _)| run);
                     let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
                     let failing = successor.failed(gateway, call, terms, reservation, started);
                     let failure = failing.await;
-                    self.attempts.note(failure.end);
                     self.record.add("cause", failure.cause);
-                    if let Some(ended) = ended {
-                        return ended;
+                    if was_given_up {
+                        self.attempts = attempts;
+                        return Err(failure.followed_up());
+                    }
+                    self.attempts.note(failure.end);
+                    if let Some(step) = ended {
+                        if let Ok(run) = &step {
+                            self.record.note_kept(&run.running);
+                        }
+                        return step;
                     }
                 }
             }
         }
     }
 
+    /// Returns what the end of the first send, beside which a successor has answered, proves about
+    /// the execution of the call.
+    async fn note_ended(
+        &self,
+        ended: Option<Result<Run, SendFailure>>,
+        silent: &Choice,
+        sent_at: Duration,
+    ) -> SendFailureKind {
+        match ended {
+            None => SendFailureKind::Unknown,
+            Some(Ok(run)) => {
+                run.running.note(false);
+                SendFailureKind::Failed
+            }
+            Some(Err(failure)) => {
+                if failure.end == SendFailureKind::Broken {
+                    let broken = BrokenRun::of(silent, sent_at);
+                    let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
+                    broken.follow_up(gateway, call, terms).await;
+                }
+                failure.end
+            }
+        }
+    }
+
     /// Chooses another target for a call whose target is silent; `None` if there is none, or the
     /// call may not be sent again. The attempts that are returned count the silent target.
     fn choose_successor(&mut self, reservation: &mut Reservation) -> Option<(Choice, Attempts)> {
--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -108,6 +108,7 @@
 pub mod send_options;
 pub mod sent_bytes;
 pub mod served_accounts;
+mod silent_run;
 mod start_check;
 pub mod state;
 pub mod stop;
--- a/crates/damaskstile-gateway/src/paths.rs
+++ b/crates/damaskstile-gateway/src/paths.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// Makes a new connection to a target like [`lease`].
+pub(crate) async fn lease_new(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    choice: &Choice,
+) -> Result<Lease, PathFailure> {
+    Box::pin(connect_target(gateway, service, choice)).await
+}
+
 async fn connect_target(
     gateway: &Arc<Gateway>,
     service: &str,
--- a/crates/damaskstile-gateway/src/prepared_send.rs
+++ b/crates/damaskstile-gateway/src/prepared_send.rs
@@ -29,9 +29,9 @@
 
 /// Shortest time without an answer after which the path to a target is checked.
 const SILENCE_MIN: Duration = Duration::from_millis(300);
-/// Time for which a target that was connected before may leave the query for its start unanswered
-/// until a new connection is made: the old one may be broken without a sign of it.
-const REUSED_QUERY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the query for a target's start may stay unanswered on a connection that may be
+/// broken without a sign of it, and while another target is available.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A call that has a connection to a target and is still to be sent. Until then dropping it leaves
 /// no trace at the target.
@@ -227,7 +227,7 @@
     choice: &Choice,
 ) -> Result<Lease, LeaseFailure> {
     let service = &wait_limit.terms.service;
-    let leasing = || lease_until(gateway, service, until, choice);
+    let leasing = || lease_until(gateway, until, paths::lease(gateway, service, choice));
     let mut lease = leasing().await?;
     if wait_limit.call.work.software_version.is_none() {
         return Ok(lease);
@@ -235,17 +235,17 @@
     let mut check = StartCheck::Unanswered;
     if lease.is_reused {
         let checking = check_start(gateway, &mut lease, choice);
-        let reused_check = timeout(REUSED_QUERY_TIMEOUT, checking).await;
+        let reused_check = timeout(QUERY_TIMEOUT, checking).await;
         check = reused_check.unwrap_or(StartCheck::Unanswered);
         if check == StartCheck::Unanswered {
             // Targets close idle connections, which says nothing of the target.
-            lease = leasing().await?;
+            let leasing = paths::lease_new(gateway, service, choice);
+            lease = lease_until(gateway, until, leasing).await?;
         }
     }
     if check == StartCheck::Unanswered {
         let checking = check_start(gateway, &mut lease, choice);
-        let new_check = within(gateway, wait_limit, until, checking).await;
-        check = new_check.unwrap_or(StartCheck::Unanswered);
+        check = check_within(wait_limit, checking).await;
     }
     match check {
         StartCheck::Listed | StartCheck::Untold if lease.is_reusable().await => Ok(lease),
@@ -262,19 +262,34 @@
     }
 }
 
-/// Returns an idle connection to a target, or a new one if it is made before `until`.
+/// Waits for a connection until `until`.
 async fn lease_until(
-    gateway: &Arc<Gateway>,
-    service: &str,
+    gateway: &Gateway,
     until: Duration,
-    choice: &Choice,
+    leasing: impl Future<Output = Result<Lease, PathFailure>>,
 ) -> Result<Lease, LeaseFailure> {
     let wait = until.saturating_sub(gateway.now());
-    let leasing = timeout(wait, paths::lease(gateway, service, choice));
-    let lease = leasing.await.unwrap_or(Err(PathFailure::Unreachable));
+    let lease = timeout(wait, leasing).await;
+    let lease = lease.unwrap_or(Err(PathFailure::Unreachable));
     lease.map_err(LeaseFailure::Path)
 }
 
+/// Waits for the answer to the query for a target's start, shortly while another target is
+/// available. Nothing of the call has been sent, so that one may take it all the same.
+async fn check_within(
+    wait_limit: &WaitLimit<'_>,
+    checking: impl Future<Output = StartCheck>,
+) -> StartCheck {
+    let mut checking = pin!(checking);
+    let mut check = timeout(QUERY_TIMEOUT, checking.as_mut()).await.ok();
+    if check.is_none() && !wait_limit.has_other_target_now() {
+        let now = wait_limit.gateway.now();
+        let left = wait_limit.deadline.saturating_sub(now);
+        check = timeout(left, checking).await.ok();
+    }
+    check.unwrap_or(StartCheck::Unanswered)
+}
+
 /// Waits for a future until `until`, and longer while no other target is available. Returns `None`
 /// if another target is to be tried instead, or the call's deadline has passed.
 async fn within<T>(
--- a/crates/damaskstile-gateway/src/record.rs
+++ b/crates/damaskstile-gateway/src/record.rs
@@ -8,6 +8,7 @@
 use crate::charge::Charge;
 use crate::gateway::Gateway;
 use crate::phase::Phase;
+use crate::running::Running;
 
 /// `Record` collects the outcome of a call and the inputs of the decisions about it. When dropped,
 /// it writes one log line.
@@ -103,6 +104,16 @@
         }
     }
 
+    /// Records that the call stays at its target after another one was chosen.
+    pub fn note_kept(&mut self, running: &Running) {
+        let choice = &running.choice;
+        choice.target.clone_into(&mut self.target);
+        let sent = running.sent_at().saturating_sub(self.began_at);
+        self.add("target", &choice.target);
+        self.add("software", &choice.software_version);
+        self.add("sent_ms", sent.as_millis());
+    }
+
     /// Sets the client account.
     pub fn set_account(&mut self, account: &str) {
         account.clone_into(&mut self.account);
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod continuation;
 mod resume;
+mod silent_stream;
 mod stream_end;
 
 use std::sync::Arc;
@@ -22,7 +23,7 @@
 use crate::record::Record;
 use crate::reply::ReplyBody;
 use crate::reservation::Reservation;
-use crate::run::Run;
+use crate::run::{Run, SendFailure};
 use crate::run_copy::RunCopy;
 use crate::run_end::RunEnd;
 use crate::state::Terms;
@@ -104,6 +105,8 @@
     Stalled,
     /// The run cannot be continued.
     Broken(&'static str),
+    /// The run was given up for a successor, which failed.
+    Lost(SendFailure),
     DeadlineExceeded,
 }
 
@@ -183,6 +186,13 @@
                         return Some(Err(self.break_off(RefusalCode::TargetLost, cause)));
                     }
                 }
+                StreamStep::Lost(failure) => {
+                    let next = self.choose_successor(failure.end);
+                    if !self.resume(failure.cause, next).await {
+                        let code = RefusalCode::TargetLost;
+                        return Some(Err(self.break_off(code, failure.cause)));
+                    }
+                }
                 StreamStep::DeadlineExceeded => {
                     self.note_time();
                     let code = RefusalCode::DeadlineExceeded;
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -1,11 +1,12 @@
 //! Resumes a stream at another target after its run failed, or while it is silent.
 
+use std::sync::Arc;
+
 use damaskstile_core::prelude::*;
 use damaskstile_requests::{Attempts, NextStep, SendFailureKind};
 use damaskstile_targets::Choice;
 
-use http_body_util::BodyExt;
-
+use super::silent_stream::SilentStream;
 use super::{Relay, StreamStep};
 use crate::broken_run::BrokenRun;
 use crate::events::EventSplitter;
@@ -15,7 +16,7 @@
 use crate::run_end::RunEnd;
 use crate::send;
 use crate::send_options::SendOptions;
-use crate::succession::{CurrentRun, Succession, start_successor};
+use crate::succession::{STREAM_OVERLAP_MAX, Succession, SuccessorStart};
 use crate::successor::Successor;
 use crate::target_ends::EndCheck;
 use crate::wait_limit::WaitLimit;
@@ -82,66 +83,91 @@
                 self.waits_out_pauses = true;
                 return None;
             };
-            let Some(mut current) = self.run.take() else {
+            let Some(current) = self.run.take() else {
                 return Some(StreamStep::Broken("no_run"));
             };
             self.note_resumption("stalled", &choice.target);
             let successor = self.successor(&choice, RunEnd::Open);
-            let succession = {
-                let wait_limit = WaitLimit {
+            let mut current = Some(SilentStream {
+                run: current,
+                has_part: !self.splitter.is_empty(),
+            });
+            let target = choice.target.clone();
+            let start = SuccessorStart {
+                gateway: &self.gateway,
+                caller: &self.caller,
+                wait_limit: WaitLimit {
                     attempts: &attempts,
                     ..self.wait_limit()
-                };
-                let has_part = !self.splitter.is_empty();
-                let reading = async {
-                    match current.body.frame().await {
-                        frame @ Some(Err(_)) => CurrentRun::Ended(frame),
-                        None if has_part => CurrentRun::Ended(None),
-                        frame => CurrentRun::GoesOn(frame),
-                    }
-                };
-                let (gateway, caller) = (&self.gateway, &self.caller);
-                let options = SendOptions::resuming(self.last_event);
-                start_successor(reading, gateway, caller, &wait_limit, choice, options).await
+                },
+                // It has answered the query for its start, so it is not silent for good.
+                until: self.deadline,
+                choice,
+                options: SendOptions::resuming(self.last_event),
+                overlap_max: Some(STREAM_OVERLAP_MAX),
+                needs_part: true,
             };
+            let succession = start.run(&mut current).await;
+            let current = current.map(|current| current.run);
             match succession {
-                Succession::Cancelled {
-                    current: frame,
-                    was_sent,
-                } => {
+                Succession::Cancelled { step, was_sent } => {
                     self.gateway.metrics.successions.cancelled();
                     if was_sent {
                         self.attempts.note(SendFailureKind::Unknown);
+                    } else {
+                        self.tried.retain(|tried| *tried != target);
+                    }
+                    if let Some(current) = &current {
+                        self.record.note_kept(&current.running);
                     }
-                    self.run = Some(current);
-                    return self.step_of(frame);
+                    self.run = current;
+                    return self.step_of(step);
                 }
                 Succession::Started {
-                    started: Ok(run),
+                    started: Ok((run, part)),
                     ended,
                 } if run.parts.status.is_success() => {
-                    if ended.is_some() {
-                        let broken = BrokenRun::of_running(&current.running);
-                        let (gateway, call, terms) = (&self.gateway, &self.call, &self.terms);
-                        broken.follow_up(gateway, call, terms).await;
+                    if let Some(current) = current {
+                        current.running.note(false);
+                        if ended.is_some() {
+                            self.follow_up_ended(&current);
+                        }
                     }
-                    current.running.note(false);
                     self.attempts = attempts;
                     self.take_over(run);
-                    return None;
+                    return part.and_then(|part| self.step_of(Some(Ok(part))));
                 }
                 Succession::Started { started, ended } => {
+                    let was_given_up = current.is_none();
+                    let successor = successor.after(was_given_up);
+                    let started = started.map(|(run, _)| run);
                     let failure = self.follow_up(successor, started).await;
+                    self.run = current;
+                    if was_given_up {
+                        self.attempts = attempts;
+                        self.last_run_end = RunEnd::GivenUp;
+                        return Some(StreamStep::Lost(failure));
+                    }
                     self.attempts.note(failure.end);
-                    self.run = Some(current);
-                    if let Some(frame) = ended {
-                        return self.step_of(frame);
+                    if let Some(step) = ended {
+                        return self.step_of(step);
                     }
                 }
             }
         }
     }
 
+    /// Checks whether the target of a run that has ended has crashed, beside the run that has taken
+    /// the stream over.
+    fn follow_up_ended(&self, ended: &Run) {
+        let broken = BrokenRun::of_running(&ended.running);
+        let (gateway, call) = (Arc::clone(&self.gateway), self.call.clone());
+        let terms = self.terms.clone();
+        tokio::spawn(async move {
+            broken.follow_up(&gateway, &call, &terms).await;
+        });
+    }
+
     fn successor(&self, choice: &Choice, run_end: RunEnd) -> Successor {
         Successor::new(&self.gateway, choice, run_end, self.silent_since())
     }
@@ -160,6 +186,7 @@
     /// Continues the stream with a run that has accepted it.
     fn take_over(&mut self, run: Run) {
         self.gateway.metrics.successions.taken();
+        self.last_run_end = RunEnd::Open;
         self.splitter = EventSplitter::default();
         self.waits_out_pauses = false;
         self.run = Some(run);
@@ -175,12 +202,14 @@
         if let Some(run) = self.run.take() {
             run.running.note(false);
         }
-        self.last_run_end = RunEnd::Ended;
+        if self.last_run_end == RunEnd::Open {
+            self.last_run_end = RunEnd::Ended;
+        }
         let (mut cause, mut next) = (cause, next);
         while let Some((choice, attempts)) = next {
             self.attempts = attempts;
             self.note_resumption(cause, &choice.target);
-            let successor = self.successor(&choice, RunEnd::Ended);
+            let successor = self.successor(&choice, self.last_run_end);
             let wait_limit = self.wait_limit();
             let options = SendOptions::resuming(self.last_event);
             let (gateway, caller) = (&self.gateway, &self.caller);
--- a/crates/damaskstile-gateway/src/run.rs
+++ b/crates/damaskstile-gateway/src/run.rs
@@ -62,6 +62,14 @@
         Self { end, cause }
     }
 
+    /// Returns the failure for a caller that must not follow up the broken connection once more.
+    pub(crate) fn followed_up(self) -> Self {
+        match self.end {
+            SendFailureKind::Broken => Self::new(SendFailureKind::Unknown, self.cause),
+            _ => self,
+        }
+    }
+
     /// Returns why the call is to be refused without another send, which any target may refuse too
     /// and which would draw on the retries that all callers share; `None` if the failure is not due
     /// to what the caller asks for.
--- a/crates/damaskstile-gateway/src/run_end.rs
+++ b/crates/damaskstile-gateway/src/run_end.rs
@@ -7,6 +7,8 @@
     Open,
     /// Its connection has ended.
     Ended,
+    /// It was cancelled while it was silent, after another target had been sent the call.
+    GivenUp,
 }
 
 impl RunEnd {
@@ -16,6 +18,7 @@
         match self {
             Self::Open => "open",
             Self::Ended => "ended",
+            Self::GivenUp => "given_up",
         }
     }
 }
--- a/crates/damaskstile-gateway/src/successor.rs
+++ b/crates/damaskstile-gateway/src/successor.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Records whether the run before it was given up meanwhile.
+    pub(crate) fn after(mut self, was_given_up: bool) -> Self {
+        if was_given_up {
+            self.run_end = RunEnd::GivenUp;
+        }
+        self
+    }
+
     /// Follows up a send that did not bring an answer which the call can go on with; returns what
     /// the send proves about the execution of the call.
     pub(crate) async fn failed(
--- a/crates/damaskstile-gateway/src/wait_limit.rs
+++ b/crates/damaskstile-gateway/src/wait_limit.rs
@@ -53,12 +53,21 @@
         self.has_successor(self.gateway.now())
     }
 
+    /// Returns whether another target is available now if the current one is not sent the call.
+    #[must_use]
+    pub fn has_other_target_now(&self) -> bool {
+        self.attempts.allow_another_connection() && self.has_target(self.gateway.now())
+    }
+
     fn has_successor(&self, at: Duration) -> bool {
+        allows_another_send(self.terms, self.attempts) && self.has_target(at)
+    }
+
+    fn has_target(&self, at: Duration) -> bool {
         let (gateway, terms) = (self.gateway, self.terms);
         let began_at = self.resumes_from.unwrap_or(at);
         let now = gateway.now();
-        allows_another_send(terms, self.attempts)
-            && gateway.finishes_in_time(&terms.route.name, began_at, self.deadline)
+        gateway.finishes_in_time(&terms.route.name, began_at, self.deadline)
             && !self.is_quarantined()
             && gateway
                 .state()
--- a/crates/damaskstile-requests/src/attempts.rs
+++ b/crates/damaskstile-requests/src/attempts.rs
@@ -64,6 +64,22 @@
         is_repeatable && self.sent + 1 < attempts_max
     }
 
+    /// Returns whether another target may be tried if the current one cannot be connected. Nothing
+    /// is sent to it then, so the limit of sends does not apply.
+    ///
+    /// ```
+    /// use damaskstile_requests::{Attempts, SendFailureKind};
+    /// let mut attempts = Attempts::default();
+    /// attempts.note(SendFailureKind::NotSent);
+    /// assert!(attempts.allow_another_connection());
+    /// attempts.note(SendFailureKind::NotSent);
+    /// assert!(!attempts.allow_another_connection());
+    /// ```
+    #[must_use]
+    pub fn allow_another_connection(&self) -> bool {
+        self.not_sent + 1 < NOT_SENT_MAX
+    }
+
     /// Decides on the next step. `may_retry` draws on the retry budget and is called only if
     /// another send counts as a retry.
     ///
