Fix: a start in the future takes no target out of use for good

The greater start of a target was the newer incarnation without end. After an entry with a start in the future under a target's own name (another writer, or a clock that was ahead), all instances that had seen it ignored the target's own entries until the clock had passed that start, up to the year 2100: no calls at a target whose entry had stated another address or a drain, or had been removed.

An entry with an earlier start is now used once it has been the last entry of its target for 5 s. A late write of an ended incarnation does not stand so long: a living successor writes again within a heartbeat interval (1.2 s), and the list drops an entry that nobody writes after three. The time starts anew around outages, when nobody can correct an entry, and ends with an invalid entry, a removal or news of a departure. Reports on the wrong start change nothing afterwards.

Weighed: bounding a start by the instances' clock (the clocks of machines step, and a sound target whose clock is ahead would be out of use) and the last write wins (a late write would replace a running incarnation until its next heartbeat).

The tests of the table are new.

--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -206,6 +206,7 @@
 async fn prune(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
+        target_list::apply_standing(&gateway);
         let state = gateway.state();
         gateway
             .pool
--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -113,6 +113,31 @@
     true
 }
 
+/// Applies entries with an earlier start than the newest known one that have stood for long.
+pub(crate) fn apply_standing(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut state = gateway.state();
+    let is_around_outage = state.contact.is_around_outage(now);
+    let applied = state.target_table.apply_standing(now, is_around_outage);
+    if applied.is_empty() {
+        return;
+    }
+    let version = state.targets_version;
+    state.note_changes(version);
+    drop(state);
+    gateway.report_streams_soon();
+    gateway.gossip_wanted.notify_one();
+    for identity in applied {
+        let incarnation = incarnation_text(identity.incarnation);
+        let fields = [
+            ("target", identity.target.as_str()),
+            ("incarnation", incarnation.as_str()),
+            ("cause", "later start not written again"),
+        ];
+        gateway.log(EventCode::TargetListed, &fields);
+    }
+}
+
 /// Returns an incarnation as it is written to the logs.
 pub(crate) fn incarnation_text(incarnation: Option<TargetIncarnation>) -> String {
     incarnation.map_or_else(|| "-".to_owned(), |start| start.to_string())
--- a/crates/damaskstile-targets/src/departures.rs
+++ b/crates/damaskstile-targets/src/departures.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Forgets the departure of a target's incarnation, whose start turned out to be wrong.
+    pub(crate) fn forget(&mut self, target: &str) {
+        self.remove(target);
+    }
+
     /// Applies that the list shows an incarnation as ready. This cancels the departure of an older
     /// incarnation, and that of the same incarnation if it was only delisted.
     pub(crate) fn listed_ready(&mut self, identity: &TargetIdentity) {
--- a/crates/damaskstile-targets/src/target_table.rs
+++ b/crates/damaskstile-targets/src/target_table.rs
@@ -23,6 +23,7 @@
 mod reserved_targets;
 mod speed_effect;
 mod speeds;
+mod standing;
 mod versions;
 
 use std::cell::Cell;
@@ -48,6 +49,7 @@
 use cost_estimate::{CostEstimate, least_passing};
 use index::ServiceIndex;
 use long_load::LongLoad;
+use standing::StandingEntry;
 
 /// Fleet size up to which the reporting threshold for prompts applies as it is. Each report goes to
 /// all instances, so the rate at which one instance receives them grows with the fleet: 64
@@ -83,6 +85,10 @@
     departures: Departures,
     /// Names whose entries are invalid, with the fault.
     refused: BTreeMap<TargetId, String>,
+    /// Last entries of targets that state an earlier start than the newest known one.
+    standing: BTreeMap<TargetId, StandingEntry>,
+    /// Starts that turned out to be wrong, by target.
+    wrong_starts: BTreeMap<TargetId, TargetIncarnation>,
     /// Whether targets state their starts. If so, an entry that does not is from another writer.
     is_start_stated: bool,
     /// Number of instances in the fleet, which are assumed to have about the same load each.
@@ -137,6 +143,8 @@
             candidates_examined: Cell::new(0),
             departures: Departures::default(),
             refused: BTreeMap::new(),
+            standing: BTreeMap::new(),
+            wrong_starts: BTreeMap::new(),
             is_start_stated: false,
             instances: 1,
             long_loads: BTreeMap::new(),
--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -21,8 +21,9 @@
     /// Applies one entry of the target list. Returns whether that changed the target's incarnation
     /// or readiness, made it cold, or put it into or out of use because of an invalid entry.
     ///
-    /// An entry of an incarnation older than the newest known one is late and is ignored. An entry
-    /// that does not state the start of a target whose start is known is refused.
+    /// An entry of an incarnation older than the newest known one is late and changes nothing, unless
+    /// it stands for long ([`Self::apply_standing`]). An entry that does not state the start of a
+    /// target whose start is known is refused.
     pub fn list(&mut self, now: Duration, listed: Listed) -> bool {
         let is_new = self.apply_entry(now, listed);
         self.update_start_rule();
@@ -30,10 +31,14 @@
     }
 
     fn apply_entry(&mut self, now: Duration, listed: Listed) -> bool {
-        if listed.incarnation < self.newest(&listed.target) {
-            return listed.incarnation.is_none()
-                && self.mark_refused(&listed.target, FAULT_NO_START);
+        if self.is_outdated(&listed.identity()) {
+            if listed.incarnation.is_none() {
+                return self.mark_refused(&listed.target, FAULT_NO_START);
+            }
+            self.note_standing(now, listed);
+            return false;
         }
+        self.standing.remove(&listed.target);
         let was_refused = self.refused.remove(&listed.target).is_some();
         let identity = listed.identity();
         let was_left = self.departures.covers(&listed.target);
@@ -87,6 +92,7 @@
     }
 
     fn mark_refused(&mut self, target: &str, fault: &str) -> bool {
+        self.standing.remove(target);
         if let Some(state) = self.targets.get_mut(target) {
             state.missing_since = None;
         }
@@ -114,6 +120,7 @@
     /// leaving.
     pub fn unlist(&mut self, now: Duration, target: &str, is_around_outage: bool) {
         self.touched.insert(target.to_owned());
+        self.standing.remove(target);
         // The last entry under this name was invalid, so there is no target to wait for.
         let was_refused = self.refused.remove(target).is_some();
         if !is_around_outage || was_refused {
@@ -186,12 +193,23 @@
 
     /// Records that an incarnation drains or has ended; returns whether that is new.
     pub fn leave(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
-        !self.is_outdated(identity) && self.departures.leave(now, identity)
+        let is_new = !self.is_outdated(identity) && self.departures.leave(now, identity);
+        self.forget_standing_if(is_new, identity)
     }
 
     /// Records that an incarnation was delisted; returns whether that is new.
     pub fn delist(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
-        !self.is_outdated(identity) && self.departures.delist(now, identity)
+        let is_new = !self.is_outdated(identity) && self.departures.delist(now, identity);
+        self.forget_standing_if(is_new, identity)
+    }
+
+    /// Forgets a standing entry if a later incarnation is newly reported as leaving or gone: the
+    /// report shows that it was alive. Returns whether it is.
+    fn forget_standing_if(&mut self, is_new: bool, identity: &TargetIdentity) -> bool {
+        if is_new {
+            self.standing.remove(&identity.target);
+        }
+        is_new
     }
 
     /// Returns the newest known incarnation of a target, from the list or from departures.
@@ -202,10 +220,6 @@
         listed.max(self.departures.newest(target))
     }
 
-    fn is_outdated(&self, identity: &TargetIdentity) -> bool {
-        identity.incarnation < self.newest(&identity.target)
-    }
-
     /// Determines whether targets state their starts: at least half of them must do so. One stray
     /// entry must not decide this for all others.
     fn update_start_rule(&mut self) {
--- a/crates/damaskstile-targets/src/target_table_options.rs
+++ b/crates/damaskstile-targets/src/target_table_options.rs
@@ -55,6 +55,10 @@
     /// Grace period in which a target stays in use after it was delisted around an outage of the
     /// list.
     pub lapse_grace: Duration,
+    /// Time for which an entry with an earlier start than the newest known one must be the last of
+    /// its target before it is used. Longer than three heartbeat intervals of the targets, after
+    /// which the list drops an entry that nobody writes.
+    pub standing_entry_wait: Duration,
     /// Whether operators may evacuate data centres. If so, nothing is sent before it is known which
     /// ones are evacuated.
     pub empties_data_centres: bool,
@@ -79,6 +83,7 @@
             long_busy: 0.15,
             learns_target_speeds: true,
             lapse_grace: Duration::from_millis(1_500),
+            standing_entry_wait: Duration::from_secs(5),
             empties_data_centres: false,
             regions: BTreeMap::new(),
         }
--- a/crates/damaskstile-targets/tests/restarts.rs
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -496,3 +496,143 @@
         }
     }
 }
+
+/// Start that an entry states by mistake.
+const WRONG_START: u64 = 4_102_444_800_000;
+/// Start of the target.
+const START: u64 = 1_790_000_000_000;
+
+/// Returns the time after which a standing entry is used.
+fn wait() -> Duration {
+    TargetTableOptions::default().standing_entry_wait
+}
+
+/// Returns a table of one target whose entry states a wrong start until 20 ms.
+fn table_with_wrong_start(is_ready: bool) -> TargetTable {
+    let mut table = TargetTable::new("north", TargetTableOptions::default());
+    table.list(at(0), listed("t0", Some(START), true));
+    table.list(at(10), listed("t0", Some(WRONG_START), is_ready));
+    table.list(at(20), listed("t0", Some(START), true));
+    table
+}
+
+/// Returns the incarnation that gets calls.
+fn used(table: &TargetTable, now: Duration) -> Option<TargetIncarnation> {
+    let choice = table.choose(now, SERVICE, &Work::default(), &[]);
+    choice.and_then(|choice| choice.incarnation)
+}
+
+#[test]
+fn an_entry_that_stands_replaces_a_later_start() {
+    // Guards against a working target that gets no calls until its clock has passed a start in the
+    // future that another writer, or its own clock, once stated.
+    for is_ready in [true, false] {
+        // Arrange
+        let mut table = table_with_wrong_start(is_ready);
+        let due = at(20) + wait();
+
+        // Act
+        let early = table.apply_standing(due.saturating_sub(at(1)), false);
+        let before = used(&table, due);
+        let applied = table.apply_standing(due, false);
+
+        // Assert
+        assert_eq!(early, []);
+        assert_eq!(before, is_ready.then_some(WRONG_START));
+        assert_eq!(applied, [TargetIdentity::new("t0", Some(START))]);
+        assert_eq!(used(&table, due), Some(START));
+    }
+}
+
+#[test]
+fn reports_on_a_wrong_start_change_nothing_afterwards() {
+    // Guards against a target that is taken out of use again by peers that repeat what the wrong
+    // entry said.
+
+    // Arrange
+    let mut table = table_with_wrong_start(false);
+    let due = at(20) + wait();
+    table.apply_standing(due, false);
+    let wrong = TargetIdentity::new("t0", Some(WRONG_START));
+
+    // Act
+    let news = [table.leave(due, &wrong), table.delist(due, &wrong)];
+    table.list(due, listed("t0", Some(WRONG_START), false));
+
+    // Assert
+    assert_eq!(news, [false, false]);
+    assert_eq!(used(&table, due), Some(START));
+}
+
+#[test]
+fn a_late_entry_changes_nothing_if_the_later_incarnation_writes_again() {
+    // Guards against calls that name an ended incarnation: a write of it takes effect late, and the
+    // next heartbeat of its successor replaces it.
+
+    // Arrange
+    let mut table = table_with_wrong_start(true);
+
+    // Act
+    table.list(at(1_200), listed("t0", Some(WRONG_START), true));
+    let applied = table.apply_standing(at(1_200) + wait(), false);
+
+    // Assert
+    assert_eq!(applied, []);
+    assert_eq!(used(&table, at(1_200) + wait()), Some(WRONG_START));
+}
+
+#[test]
+fn a_late_entry_that_the_list_drops_is_not_used() {
+    // Guards against calls to an ended target: its last write takes effect late, nobody writes the
+    // entry again, and the list drops it, or another writer replaces it.
+
+    // Arrange
+    let mut dropped = table_with_wrong_start(true);
+    let mut replaced = table_with_wrong_start(true);
+    let mut left = table_with_wrong_start(true);
+
+    // Act
+    dropped.unlist(at(3_600), "t0", false);
+    replaced.refuse(&refused("t0"));
+    left.leave(at(3_600), &TargetIdentity::new("t0", Some(WRONG_START + 1)));
+
+    // Assert
+    for table in [&mut dropped, &mut replaced, &mut left] {
+        assert_eq!(table.apply_standing(at(20) + wait() * 2, false), []);
+        assert_eq!(used(table, at(20) + wait() * 2), None);
+    }
+}
+
+#[test]
+fn an_outage_of_the_list_does_not_count_as_standing() {
+    // Guards against calls that name an ended incarnation: during an outage its successor cannot
+    // replace the late entry.
+
+    // Arrange
+    let mut table = table_with_wrong_start(true);
+    let end = at(20) + wait() * 4;
+
+    // Act
+    let during = table.apply_standing(end, true);
+    let after = table.apply_standing(end + wait() / 2, false);
+    let later = table.apply_standing(end + wait(), false);
+
+    // Assert
+    assert_eq!((during.len(), after.len(), later.len()), (0, 0, 1));
+}
+
+#[test]
+fn a_restart_after_a_wrong_start_is_used_at_once() {
+    // Guards against a target that waits after each of its restarts because of one wrong start.
+
+    // Arrange
+    let mut table = table_with_wrong_start(true);
+    let due = at(20) + wait();
+    table.apply_standing(due, false);
+
+    // Act
+    table.list(due, listed("t0", Some(START + 1), true));
+
+    // Assert
+    assert_eq!(used(&table, due), Some(START + 1));
+}
