Fix: numbers out of range in a configuration stop no calls

A time-out above 2^64 s was taken for none at all, so that each call was refused at once; a latency objective near that bound, weights whose sum exceeds 64 bits (with overflow checks) and a limit of 2^64 - 1 bytes for heads made each call of the route, or of the instance, panic. The process stayed up and said it was ready.

Refusing the version was weighed: the store has accepted it, so the rest of it must be in force. Prepaid amounts are lowered too, since grants from them must fit into the sum that a ledger may hold.

--- a/crates/damaskstile-routes/src/account.rs
+++ b/crates/damaskstile-routes/src/account.rs
@@ -2,6 +2,8 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bounds::PREPAID_TOKENS_MAX;
+
 /// `Account` is a client account.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Account {
@@ -16,3 +18,14 @@
     /// Home regions, which may run the account's calls; empty for all regions.
     pub home_regions: BTreeSet<RegionId>,
 }
+
+impl Account {
+    /// Returns the account with its numbers lowered to the bounds of a catalogue.
+    pub(crate) fn bounded(self) -> Self {
+        let prepaid_tokens = self.prepaid_tokens;
+        Self {
+            prepaid_tokens: prepaid_tokens.map(|tokens| tokens.min(PREPAID_TOKENS_MAX)),
+            ..self
+        }
+    }
+}
--- a/crates/damaskstile-routes/src/catalogue.rs
+++ b/crates/damaskstile-routes/src/catalogue.rs
@@ -26,7 +26,8 @@
 }
 
 impl Catalogue {
-    /// Checks the entries and builds a catalogue of them.
+    /// Checks the entries and builds a catalogue of them. Numbers that are too large to compute with
+    /// are lowered.
     ///
     /// # Errors
     ///
@@ -49,17 +50,18 @@
     ) -> Result<Self> {
         let mut catalogue = Self {
             version,
-            limits,
+            limits: limits.bounded(),
             ..Self::default()
         };
         for service in services {
+            let service = service.bounded();
             catalogue.services.insert(service.name.clone(), service);
         }
         for route in routes {
-            catalogue.add_route(route)?;
+            catalogue.add_route(route.bounded())?;
         }
         for account in accounts {
-            catalogue.add_account(account)?;
+            catalogue.add_account(account.bounded())?;
         }
         Ok(catalogue)
     }
--- a/crates/damaskstile-routes/src/lib.rs
+++ b/crates/damaskstile-routes/src/lib.rs
@@ -2,6 +2,7 @@
 //! apply to a call.
 
 pub mod account;
+mod bounds;
 pub mod call_class;
 pub mod catalogue;
 pub mod errors;
--- a/crates/damaskstile-routes/src/limits.rs
+++ b/crates/damaskstile-routes/src/limits.rs
@@ -2,6 +2,8 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bounds::{BODY_BYTES_MAX, DURATION_MAX, HEADER_BYTES_MAX};
+
 /// `Limits` bounds what a caller may send and how long it may take to send it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -15,6 +17,18 @@
     pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Returns the limits, lowered to the bounds of a catalogue.
+    pub(crate) fn bounded(self) -> Self {
+        Self {
+            header_bytes: self.header_bytes.min(HEADER_BYTES_MAX),
+            body_bytes: self.body_bytes.min(BODY_BYTES_MAX),
+            header_timeout: self.header_timeout.min(DURATION_MAX),
+            idle_timeout: self.idle_timeout.min(DURATION_MAX),
+        }
+    }
+}
+
 impl Default for Limits {
     /// Returns the usual values of HTTP servers, which apply until operators set others.
     fn default() -> Self {
--- a/crates/damaskstile-routes/src/route.rs
+++ b/crates/damaskstile-routes/src/route.rs
@@ -2,6 +2,7 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bounds::{DURATION_MAX, WEIGHT_MAX};
 use crate::call_class::CallClass;
 use crate::kind::RouteKind;
 
@@ -45,6 +46,19 @@
 }
 
 impl Route {
+    /// Returns the route with its numbers lowered to the bounds of a catalogue.
+    pub(crate) fn bounded(mut self) -> Self {
+        for share in &mut self.shares {
+            share.weight = share.weight.min(WEIGHT_MAX);
+        }
+        Self {
+            timeout: self.timeout.min(DURATION_MAX),
+            objective: self.objective.min(DURATION_MAX),
+            pause_limit: self.pause_limit.map(|pause| pause.min(DURATION_MAX)),
+            ..self
+        }
+    }
+
     /// Chooses the service of a call by weight, given a number drawn at random.
     ///
     /// Returns `None` if no share has a weight above 0.
--- a/crates/damaskstile-routes/src/service.rs
+++ b/crates/damaskstile-routes/src/service.rs
@@ -2,6 +2,8 @@
 
 use damaskstile_core::prelude::*;
 
+use crate::bounds::{DURATION_MAX, EVENT_TOKENS_MAX};
+
 /// `Service` is a group of interchangeable targets.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -21,6 +23,17 @@
 }
 
 impl Service {
+    /// Returns the service with its numbers lowered to the bounds of a catalogue.
+    pub(crate) fn bounded(self) -> Self {
+        Self {
+            tokens_per_event: self
+                .tokens_per_event
+                .map(|tokens| tokens.min(EVENT_TOKENS_MAX)),
+            cold_time: self.cold_time.min(DURATION_MAX),
+            ..self
+        }
+    }
+
     /// Creates a service without a model, whose targets are never cold.
     #[must_use]
     pub fn plain(name: &str, connections_max: usize) -> Self {
--- a/crates/damaskstile-routes/tests/catalogue.rs
+++ b/crates/damaskstile-routes/tests/catalogue.rs
@@ -106,3 +106,54 @@
     assert!(catalogue.account_of_key("k").is_none());
     assert_eq!(in_force.age(Duration::from_secs(5)), Duration::from_secs(3));
 }
+
+#[test]
+fn numbers_too_large_to_compute_with_are_lowered() {
+    // Guards against sums and products that overflow while a call is handled, which ends the call,
+    // and against grants that exceed what a ledger may hold.
+
+    // Arrange
+    let mut huge = route("huge", "/");
+    huge.timeout = Duration::MAX;
+    huge.objective = Duration::MAX;
+    huge.pause_limit = Some(Duration::MAX);
+    huge.shares = vec![huge.shares[0].clone(), huge.shares[0].clone()];
+    for share in &mut huge.shares {
+        share.weight = u64::MAX;
+    }
+    let limits = Limits {
+        header_bytes: usize::MAX,
+        body_bytes: usize::MAX,
+        header_timeout: Duration::MAX,
+        idle_timeout: Duration::MAX,
+    };
+    let mut service = Service::plain("s", usize::MAX);
+    service.cold_time = Duration::MAX;
+    service.tokens_per_event = Some(u64::MAX);
+    let mut account = account("one", "key");
+    account.prepaid_tokens = Some(u64::MAX);
+
+    // Act
+    let catalogue =
+        Catalogue::try_new(1, limits, vec![huge], vec![service], vec![account]).unwrap();
+
+    // Assert
+    let route = catalogue.route("host", "/a").unwrap();
+    let service = catalogue.services().next().unwrap();
+    let limits = catalogue.limits();
+    let times = [
+        route.timeout,
+        route.objective,
+        route.pause_limit.unwrap(),
+        service.cold_time,
+        limits.header_timeout,
+        limits.idle_timeout,
+    ];
+    for time in times {
+        assert!(time >= Duration::from_hours(24) && time.checked_mul(1_000).is_some());
+    }
+    assert_eq!(route.service(u64::MAX), Some("s"));
+    assert!(limits.header_bytes <= 1 << 20 && limits.body_bytes <= 1 << 30);
+    assert!(service.tokens_per_event.unwrap() <= 1 << 32);
+    assert_eq!(catalogue.prepaid_tokens()["one"], 1 << 48);
+}
