--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -128,6 +128,8 @@
             let incarnation = state.and_then(|state| state.listed.incarnation);
             self.delist(now, &TargetIdentity::new(target, incarnation));
             self.remove_state(now, target);
+            // If it is reported again, the next entry has to stand once more.
+            self.wrong_starts.remove(target);
         } else if let Some(state) = self.targets.get_mut(target) {
             state.missing_since.get_or_insert(now);
             self.lapsed.insert(target.to_owned());
--- a/crates/damaskstile-targets/tests/restarts.rs
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -636,3 +636,72 @@
     // Assert
     assert_eq!(used(&table, due), Some(START + 1));
 }
+
+/// Interval at which a target writes its entry.
+const HEARTBEAT_MS: u64 = 1_200;
+/// Silence after which the list drops an entry.
+const EXPIRY_MS: u64 = 3 * HEARTBEAT_MS;
+/// Longest time after the end of an incarnation at which one of its writes takes effect.
+const LATE_WRITE_MS_MAX: u64 = 2_000;
+/// Longest time between the end of an incarnation and the start of the next one.
+const DOWN_MS_MAX: u64 = 8_000;
+/// Time that one simulation covers.
+const SIMULATED_MS: u64 = 60_000;
+
+/// Simulates a target that restarts while late writes of its earlier incarnations take effect, and
+/// an instance that watches the list. Returns the time at which a late entry was used, if any.
+fn time_of_used_late_entry(seed: u64) -> Option<u64> {
+    let mut random = Random::new(seed);
+    let mut table = table();
+    let (mut start, mut starts_at, mut ends_at) = (0, 0, 0);
+    let mut late_write_at = None;
+    let mut stored: Option<u64> = None;
+    let (mut written_at, mut heartbeat_at) = (0, 0);
+    let mut events = VecDeque::new();
+    for now in (0..SIMULATED_MS).step_by(50) {
+        let before = stored;
+        if now >= ends_at {
+            let late_after = random.below(LATE_WRITE_MS_MAX);
+            late_write_at = (start > 0).then_some((now + late_after, start));
+            starts_at = now + random.below(DOWN_MS_MAX);
+            ends_at = starts_at + random.below(6 * HEARTBEAT_MS);
+            heartbeat_at = starts_at;
+        }
+        if let Some((_, late)) = late_write_at.take_if(|(at, _)| now >= *at) {
+            (stored, written_at) = (Some(late), now);
+        }
+        if now >= heartbeat_at && now < ends_at {
+            start = starts_at + 1;
+            (stored, written_at) = (Some(start), now);
+            heartbeat_at = now + HEARTBEAT_MS;
+        }
+        if now >= written_at + EXPIRY_MS {
+            stored = None;
+        }
+        if stored != before {
+            let last = events.back().map_or(0, |(due, _)| *due);
+            events.push_back(((now + random.below(800)).max(last), stored));
+        }
+        while let Some((_, entry)) = events.pop_front_if(|(due, _)| now >= *due) {
+            match entry {
+                Some(start) => {
+                    table.list(at(now), listed("t0", Some(start), true));
+                }
+                None => table.unlist(at(now), "t0", false),
+            }
+        }
+        if !table.apply_standing(at(now), false).is_empty() {
+            return Some(now);
+        }
+    }
+    None
+}
+
+#[test]
+fn no_late_write_of_an_ended_incarnation_is_used() {
+    // Guards against calls that name an ended incarnation, and streams of two versions of software,
+    // because a late entry is taken for one that a living target writes.
+    for seed in 0..CASES {
+        assert_eq!(time_of_used_late_entry(seed), None, "seed {seed}");
+    }
+}
