Fix: a log goes on after a write that fails

What was seen: a process whose standard output fails once (a closed pipe, a full pipe in non-blocking mode) writes no log line from then on, without a line that says so. Calls are served as before.

Cause: the drain was fused, so a failed write panicked in the writer thread and ended it. Later lines went into a queue that nobody read. The standard handle's own buffer could also keep a part of a line.

Change: each line is written whole, straight to the descriptor; an output that accepts nothing at the moment is waited for by the writer thread; a line whose write fails is dropped, and 707 (LogLinesDropped) reports how many once a line can be written again.

--- a/crates/damaskstile-core/src/log.rs
+++ b/crates/damaskstile-core/src/log.rs
@@ -117,6 +117,7 @@
     ReadinessChanged = 704, "info", "The instance started or ceased to accept new connections; with the reason, its utilisation and that of its neighbours.";
     InstanceLoaded = 705, "warn", "The instance is overloaded on its link or processor, or its event loop is lagging: what it was busy with, and how long things took.";
     CallersReleased = 706, "warn", "Connections of callers were closed, or calls refused, so that the process stays within its memory and descriptors: how many since the last such line, by cause, and what is held.";
+    LogLinesDropped = 707, "error", "Log lines could not be written and were dropped: how many since the last such line.";
     HostFailed = 801, "error", "An input or output of the host failed.";
 }
 
--- a/crates/damaskstile-gateway/src/logs.rs
+++ b/crates/damaskstile-gateway/src/logs.rs
@@ -7,6 +7,9 @@
 use serde::Deserialize;
 use slog::{Drain, Logger, o};
 
+use crate::line_output::LineOutput;
+use crate::reporting_drain::ReportingDrain;
+
 /// Capacity of the queue of log events. Events beyond it are dropped, and their number is logged.
 const LOG_QUEUE_CAPACITY: usize = 4096;
 
@@ -27,23 +30,24 @@
     W: Write + Send + 'static,
 {
     let instance = instance.to_owned();
+    let output = LineOutput::new(output);
     match format {
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(output)).fuse();
-            wrap(drain, instance)
+            let json = slog_json::Json::new(output).add_default_keys();
+            wrap(json.set_flush(true).build(), instance)
         }
         LogFormat::Terminal => {
             let decorator = slog_term::PlainDecorator::new(output);
-            let drain = Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse();
-            wrap(drain, instance)
+            wrap(slog_term::FullFormat::new(decorator).build(), instance)
         }
     }
 }
 
 fn wrap<D>(drain: D, instance: String) -> Logger
 where
-    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    D: Drain + Send + 'static,
 {
+    let drain = ReportingDrain::new(Mutex::new(drain));
     let drain = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE_CAPACITY)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
