--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod dialect;
 pub mod directory;
 pub(crate) mod evacuated_list;
+pub mod event_loop_times;
 pub mod events;
 pub mod exchange;
 pub mod fault;
@@ -56,6 +57,7 @@
 pub mod holdings;
 pub mod lease;
 pub mod ledger_fault;
+pub mod line_output;
 mod lingering_close;
 pub mod link_times;
 mod load;
@@ -63,6 +65,7 @@
 pub mod load_sample;
 pub mod load_sharing;
 pub mod loan;
+pub mod log_guard;
 pub mod logs;
 pub mod member;
 pub mod metrics;
@@ -94,6 +97,7 @@
 pub mod record;
 pub mod relay;
 pub mod reply;
+mod reporting_drain;
 pub mod reservation;
 pub mod rotation;
 pub mod rotation_options;
@@ -137,6 +141,7 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::caller_resources::Endpoint;
+use crate::event_loop_times::EventLoopTimes;
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
@@ -150,7 +155,11 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
-pub async fn serve(gateway: Arc<Gateway>, outbox: Receiver<Outgoing>) -> anyhow::Result<()> {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    outbox: Receiver<Outgoing>,
+    event_loop: &EventLoopTimes,
+) -> anyhow::Result<()> {
     let options = &gateway.options;
     let endpoints = [
         (Endpoint::Callers, options.callers_address),
@@ -190,7 +199,7 @@
     for (endpoint, listener) in listeners {
         tokio::spawn(front::accept(Arc::clone(&gateway), listener, endpoint));
     }
-    stop::run(Arc::clone(&gateway)).await?;
+    stop::run(Arc::clone(&gateway), event_loop).await?;
     Ok(())
 }
 
