--- a/crates/damaskstile-gateway/src/stop_times.rs
+++ b/crates/damaskstile-gateway/src/stop_times.rs
@@ -74,11 +74,12 @@
         let earliest_cut_at = self.began_at + limit * EARLIEST_CUT_PERCENT / 100;
         let cut_at = self.cut_at.saturating_sub(delay);
         let cut_at = cut_at.max(earliest_cut_at).min(self.cut_at);
+        let forward = self.cut_at.saturating_sub(cut_at);
         Self {
             began_at: self.began_at,
             closing_at: self.closing_at.saturating_sub(delay).max(self.began_at),
             cut_at,
-            end_at: self.end_at - (self.cut_at - cut_at),
+            end_at: self.end_at.saturating_sub(forward),
         }
     }
 }
