Fix: a log that nobody reads does not hold up the exit of a process

What was seen: a process whose standard output is a full pipe stops in order and then does not exit; the platform kills it 8 s after the signal. Callers had their answers and the tokens were handed back, but the exit counts as a kill.

Cause: the log drain waits at its drop, without a limit, until its queue has been written.

--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod load_sample;
 pub mod load_sharing;
 pub mod loan;
+pub mod log_guard;
 pub mod logs;
 pub mod member;
 pub mod metrics;
--- a/crates/damaskstile-gateway/src/logs.rs
+++ b/crates/damaskstile-gateway/src/logs.rs
@@ -8,6 +8,7 @@
 use slog::{Drain, Logger, o};
 
 use crate::line_output::LineOutput;
+use crate::log_guard::LogGuard;
 use crate::reporting_drain::ReportingDrain;
 
 /// Capacity of the queue of log events. Events beyond it are dropped, and their number is logged.
@@ -24,8 +25,8 @@
     Json,
 }
 
-/// Creates the logger. A dedicated thread writes the lines.
-pub fn logger<W>(format: LogFormat, instance: &str, output: W) -> Logger
+/// Creates the logger. A dedicated thread writes the lines; the guard waits for it.
+pub fn logger<W>(format: LogFormat, instance: &str, output: W) -> (Logger, LogGuard)
 where
     W: Write + Send + 'static,
 {
@@ -43,17 +44,17 @@
     }
 }
 
-fn wrap<D>(drain: D, instance: String) -> Logger
+fn wrap<D>(drain: D, instance: String) -> (Logger, LogGuard)
 where
     D: Drain + Send + 'static,
 {
     let drain = ReportingDrain::new(Mutex::new(drain));
-    let drain = slog_async::Async::new(drain)
+    let (drain, writer) = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE_CAPACITY)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build()
-        .fuse();
-    Logger::root(drain, o!("instance" => instance))
+        .build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("instance" => instance));
+    (log, LogGuard::new(writer))
 }
 
 /// Logs an event with its number.
--- a/crates/damaskstile-gateway/tests/logs.rs
+++ b/crates/damaskstile-gateway/tests/logs.rs
@@ -1,11 +1,15 @@
-//! Logs whose output fails or tears lines.
+//! Logs whose output fails, tears lines or is blocked.
 
 use std::io::{ErrorKind, Result, Write};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
 
 use damaskstile_core::log::{EventCode, LogEvent};
 use damaskstile_gateway::logs::{self, LogFormat};
 
+/// More lines than the queue of the log holds.
+const MANY_LINES: usize = 6_000;
+
 /// Output that fails in the middle of a line with the word `torn`, and from then on until a line with
 /// the word `last`.
 #[derive(Debug, Clone, Default)]
@@ -39,6 +43,23 @@
     }
 }
 
+/// Output that blocks until the other end of its channel is dropped.
+#[derive(Debug)]
+struct BlockedOutput {
+    blocked_until_closed: mpsc::Receiver<()>,
+}
+
+impl Write for BlockedOutput {
+    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
+        let _ = self.blocked_until_closed.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> Result<()> {
+        Ok(())
+    }
+}
+
 fn event(text: &str) -> LogEvent {
     LogEvent::new(EventCode::Started, &[("text", text)])
 }
@@ -50,13 +71,13 @@
     for format in [LogFormat::Json, LogFormat::Terminal] {
         // Arrange
         let output = FailingOutput::default();
-        let log = logs::logger(format, "one", output.clone());
+        let (log, guard) = logs::logger(format, "one", output.clone());
 
         // Act
         for text in ["first", "torn", "lost", "last", "after"] {
             logs::write(&log, &event(text));
         }
-        drop(log);
+        drop((log, guard));
 
         // Assert: whole lines stand apart from the torn one.
         let text = output.text();
@@ -70,3 +91,26 @@
         assert!(whole[2].contains("LogLinesDropped"), "{text}");
     }
 }
+
+#[test]
+fn a_blocked_output_holds_up_the_end_for_a_short_time_only() {
+    // Guards against a process that does not exit while nobody reads its log and its queue is full.
+
+    // Arrange
+    let (unblock, blocked_until_closed) = mpsc::channel();
+    let output = BlockedOutput {
+        blocked_until_closed,
+    };
+    let (log, guard) = logs::logger(LogFormat::Json, "one", output);
+    for _ in 0..MANY_LINES {
+        logs::write(&log, &event("line"));
+    }
+
+    // Act
+    let began_at = Instant::now();
+    drop((log, guard));
+
+    // Assert
+    assert!(began_at.elapsed() < Duration::from_secs(2));
+    drop(unblock);
+}
--- a/crates/damaskstiled/src/main.rs
+++ b/crates/damaskstiled/src/main.rs
@@ -60,7 +60,7 @@
 }
 
 fn run(config: &Config) -> anyhow::Result<()> {
-    let log = logs::logger(config.log_format, &config.instance, std::io::stderr());
+    let (log, _guard) = logs::logger(config.log_format, &config.instance, std::io::stderr());
     let clock = clock::Clock::start();
     let metrics = Arc::new(metrics::Metrics::new());
     let (shared, events) = shared::SharedState::new(Arc::clone(&metrics));
