Fix: a stop whose signal is handled late keeps to the platform's times

What callers saw: of an instance that does not get the processor when SIGTERM is sent, calls sent up to 3.4 s after the signal are passed on, and calls that are open at its end are closed by the platform's kill, 8 s after the signal, without a line in its log that names them.

Cause: the schedule of the stop began when the signal was handled, and allowed for a delay of 100 ms only. With a delay of 0.9 s the cut of open calls came after the kill.

Change: the event loop records when it takes up events (no wake-up more); from that follows how long the signal may have waited. 701 states it (delay_max_ms), and the schedule is brought forward by what exceeds 100 ms, the cut not below nine tenths of the limit, since callers accept it only late.

--- a/crates/damaskstile-gateway/src/lib.rs
+++ b/crates/damaskstile-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod dialect;
 pub mod directory;
 pub(crate) mod evacuated_list;
+pub mod event_loop_times;
 pub mod events;
 pub mod exchange;
 pub mod fault;
@@ -139,6 +140,7 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::caller_resources::Endpoint;
+use crate::event_loop_times::EventLoopTimes;
 use crate::follow::{Followed, follow};
 use crate::gateway::Gateway;
 use crate::outgoing::Outgoing;
@@ -152,7 +154,11 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
-pub async fn serve(gateway: Arc<Gateway>, outbox: Receiver<Outgoing>) -> anyhow::Result<()> {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    outbox: Receiver<Outgoing>,
+    event_loop: &EventLoopTimes,
+) -> anyhow::Result<()> {
     let options = &gateway.options;
     let endpoints = [
         (Endpoint::Callers, options.callers_address),
@@ -192,7 +198,7 @@
     for (endpoint, listener) in listeners {
         tokio::spawn(front::accept(Arc::clone(&gateway), listener, endpoint));
     }
-    stop::run(Arc::clone(&gateway)).await?;
+    stop::run(Arc::clone(&gateway), event_loop).await?;
     Ok(())
 }
 
--- a/crates/damaskstile-gateway/src/stop.rs
+++ b/crates/damaskstile-gateway/src/stop.rs
@@ -5,6 +5,7 @@
 use damaskstile_core::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::event_loop_times::EventLoopTimes;
 use crate::gateway::Gateway;
 use crate::phase::Phase;
 use crate::rounds;
@@ -18,7 +19,7 @@
 /// # Errors
 ///
 /// Returns an error where signals cannot be received.
-pub async fn run(gateway: Arc<Gateway>) -> std::io::Result<()> {
+pub async fn run(gateway: Arc<Gateway>, event_loop: &EventLoopTimes) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -26,10 +27,16 @@
         _ = interrupt.recv() => {}
     }
     let began_at = gateway.now();
-    let times = StopTimes::new(began_at, gateway.options.stop_limit);
+    let delay_max = event_loop.delay_max();
+    let times = StopTimes::new(began_at, gateway.options.stop_limit).brought_forward(delay_max);
     let times = *gateway.stop_times.get_or_init(|| times);
     let open_calls = gateway.open_calls().to_string();
-    gateway.log(EventCode::StopBegan, &[("open_calls", &open_calls)]);
+    let delay_max_ms = delay_max.as_millis().to_string();
+    let fields = [
+        ("open_calls", open_calls.as_str()),
+        ("delay_max_ms", &delay_max_ms),
+    ];
+    gateway.log(EventCode::StopBegan, &fields);
     gateway.state().is_stopping = true;
     gateway.report_streams_soon();
     gateway.phase.send_replace(Phase::Leaving);
--- a/crates/damaskstile-gateway/src/stop_times.rs
+++ b/crates/damaskstile-gateway/src/stop_times.rs
@@ -17,6 +17,13 @@
 /// the limit is short.
 const HAND_BACK_PART: u32 = 20;
 
+/// Delay of the signal that [`LEAVING_TIME`] allows for.
+const USUAL_DELAY: Duration = Duration::from_millis(100);
+/// Earliest time at which calls are cut off, in percent of the shutdown limit. Callers accept that
+/// only in the last sixth of the time until the process is killed, which is a little longer than the
+/// limit.
+const EARLIEST_CUT_PERCENT: u32 = 90;
+
 /// Schedule of a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopTimes {
@@ -48,4 +55,30 @@
             end_at: began_at + limit,
         }
     }
+
+    /// Brings the schedule forward for a signal that may have been sent up to `delay_max` before it
+    /// was handled. The platform and the callers count from when it was sent, but calls that were
+    /// accepted keep their time if it was sent just now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use damaskstile_gateway::stop_times::StopTimes;
+    /// let prompt = StopTimes::new(Duration::ZERO, Duration::from_secs(8));
+    /// let late = prompt.brought_forward(Duration::from_millis(500));
+    /// assert!(late.closing_at < prompt.closing_at && late.end_at < prompt.end_at);
+    /// ```
+    #[must_use]
+    pub fn brought_forward(self, delay_max: Duration) -> Self {
+        let delay = delay_max.saturating_sub(USUAL_DELAY);
+        let limit = self.end_at.saturating_sub(self.began_at);
+        let earliest_cut_at = self.began_at + limit * EARLIEST_CUT_PERCENT / 100;
+        let cut_at = self.cut_at.saturating_sub(delay);
+        let cut_at = cut_at.max(earliest_cut_at).min(self.cut_at);
+        Self {
+            began_at: self.began_at,
+            closing_at: self.closing_at.saturating_sub(delay).max(self.began_at),
+            cut_at,
+            end_at: cut_at + self.end_at.saturating_sub(self.cut_at),
+        }
+    }
 }
--- a/crates/damaskstile-gateway/tests/call_times.rs
+++ b/crates/damaskstile-gateway/tests/call_times.rs
@@ -188,3 +188,19 @@
         prop_assert!(times.finishes_within(ms(took + took / 8 + 1)));
     }
 }
+
+#[test]
+fn a_schedule_for_a_late_signal_keeps_to_the_times_that_callers_count_on() {
+    // Guards against calls that are accepted after callers count on refusals, or cut before they
+    // accept it, whenever the signal was sent within the delay.
+    let prompt = StopTimes::new(Duration::ZERO, STOP_LIMIT);
+    let (kill_at, accepted_until) = (STOP_LIMIT + ms(500), ms(3_000));
+
+    for delay_ms in [0, 80, 100, 101, 250, 480, 900, 3_000, 60_000] {
+        let times = prompt.brought_forward(ms(delay_ms));
+        assert!(times.closing_at <= accepted_until.saturating_sub(ms(delay_ms)));
+        assert!(times.cut_at * 6 >= kill_at * 5, "{delay_ms}: {times:?}");
+        assert!(times.cut_at <= prompt.cut_at && times.cut_at < times.end_at);
+    }
+    assert_eq!(prompt.brought_forward(ms(100)), prompt);
+}
