Fix: a report on a wrong start takes no target out of use for good

An instance that had read the sound entry of a target, and then learned from a peer's digest that a wrong start of it drains or was delisted, took the target out of use: the entry was older than the newest known start and is not delivered again, so it never stood.

The last entry of a target now stands from such a report on. It is used only at an instance that watches the list itself, where the entry or the removal of a real later incarnation would have arrived within that time. At all others the list may be 20 s old, and a draining successor would get calls.

The test of departures in a_late_entry_that_the_list_drops_is_not_used now states that the instance does not watch the list; its expectation is unchanged.

Before: restarts.rs of damaskstile-targets, a_report_on_a_wrong_start_takes_no_target_out_of_use_for_good failed (the recording disabled: 0 of 1 entries used). After: passes.

--- a/crates/damaskstile-gateway/src/target_list.rs
+++ b/crates/damaskstile-gateway/src/target_list.rs
@@ -118,7 +118,10 @@
     let now = gateway.now();
     let mut state = gateway.state();
     let is_around_outage = state.contact.is_around_outage(now);
-    let applied = state.target_table.apply_standing(now, is_around_outage);
+    let is_watching = state.must_watch(now);
+    let applied = state
+        .target_table
+        .apply_standing(now, is_around_outage, is_watching);
     if applied.is_empty() {
         return;
     }
--- a/crates/damaskstile-targets/src/target_table/list.rs
+++ b/crates/damaskstile-targets/src/target_table/list.rs
@@ -196,20 +196,21 @@
     /// Records that an incarnation drains or has ended; returns whether that is new.
     pub fn leave(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
         let is_new = !self.is_outdated(identity) && self.departures.leave(now, identity);
-        self.forget_standing_if(is_new, identity)
+        self.note_report(now, identity, is_new)
     }
 
     /// Records that an incarnation was delisted; returns whether that is new.
     pub fn delist(&mut self, now: Duration, identity: &TargetIdentity) -> bool {
         let is_new = !self.is_outdated(identity) && self.departures.delist(now, identity);
-        self.forget_standing_if(is_new, identity)
+        self.note_report(now, identity, is_new)
     }
 
-    /// Forgets a standing entry if a later incarnation is newly reported as leaving or gone: the
-    /// report shows that it was alive. Returns whether it is.
-    fn forget_standing_if(&mut self, is_new: bool, identity: &TargetIdentity) -> bool {
-        if is_new {
-            self.standing.remove(&identity.target);
+    /// Records a report that an incarnation is leaving or gone; returns whether it is new.
+    fn note_report(&mut self, now: Duration, identity: &TargetIdentity, is_new: bool) -> bool {
+        let state = self.targets.get(&identity.target);
+        let is_later = state.is_some_and(|state| state.listed.incarnation < identity.incarnation);
+        if is_new && is_later {
+            self.note_later_report(now, &identity.target);
         }
         is_new
     }
--- a/crates/damaskstile-targets/tests/restarts.rs
+++ b/crates/damaskstile-targets/tests/restarts.rs
@@ -532,9 +532,9 @@
         let due = at(20) + wait();
 
         // Act
-        let early = table.apply_standing(due.saturating_sub(at(1)), false);
+        let early = table.apply_standing(due.saturating_sub(at(1)), false, true);
         let before = used(&table, due);
-        let applied = table.apply_standing(due, false);
+        let applied = table.apply_standing(due, false, true);
 
         // Assert
         assert_eq!(early, []);
@@ -552,7 +552,7 @@
     // Arrange
     let mut table = table_with_wrong_start(false);
     let due = at(20) + wait();
-    table.apply_standing(due, false);
+    table.apply_standing(due, false, true);
     let wrong = TargetIdentity::new("t0", Some(WRONG_START));
 
     // Act
@@ -574,7 +574,7 @@
 
     // Act
     table.list(at(1_200), listed("t0", Some(WRONG_START), true));
-    let applied = table.apply_standing(at(1_200) + wait(), false);
+    let applied = table.apply_standing(at(1_200) + wait(), false, true);
 
     // Assert
     assert_eq!(applied, []);
@@ -596,10 +596,50 @@
     replaced.refuse(&refused("t0"));
     left.leave(at(3_600), &TargetIdentity::new("t0", Some(WRONG_START + 1)));
 
-    // Assert
-    for table in [&mut dropped, &mut replaced, &mut left] {
-        assert_eq!(table.apply_standing(at(20) + wait() * 2, false), []);
-        assert_eq!(used(table, at(20) + wait() * 2), None);
+    // Assert: an instance that watches the list itself would have seen the entry of the one that
+    // left.
+    let now = at(20) + wait() * 2;
+    for (table, is_watching) in [
+        (&mut dropped, true),
+        (&mut replaced, true),
+        (&mut left, false),
+    ] {
+        assert_eq!(table.apply_standing(now, false, is_watching), []);
+        assert_eq!(used(table, now), None);
+    }
+}
+
+#[test]
+fn a_report_on_a_wrong_start_takes_no_target_out_of_use_for_good() {
+    // Guards against a working target that gets no calls at an instance that has read its entry and
+    // learns only from a peer that a wrong start of it drains or was delisted.
+    for is_drain in [true, false] {
+        // Arrange
+        let mut table = table();
+        table.list(at(0), listed("t0", Some(START), true));
+        let wrong = TargetIdentity::new("t0", Some(WRONG_START));
+        let report = |table: &mut TargetTable, now| {
+            if is_drain {
+                table.leave(now, &wrong)
+            } else {
+                table.delist(now, &wrong)
+            }
+        };
+
+        // Act
+        let is_new = report(&mut table, at(10));
+        let before = used(&table, at(20));
+        let unwatched = table.apply_standing(at(10) + wait() * 2, false, false);
+        let early = table.apply_standing(at(20) + wait() * 2, false, true);
+        let due = at(10) + wait() * 3;
+        let applied = table.apply_standing(due, false, true);
+        let is_new_again = report(&mut table, due);
+
+        // Assert
+        assert!(is_new && !is_new_again);
+        assert_eq!(before, None);
+        assert_eq!((unwatched.len(), early.len(), applied.len()), (0, 0, 1));
+        assert_eq!(used(&table, due), Some(START));
     }
 }
 
@@ -613,9 +653,9 @@
     let end = at(20) + wait() * 4;
 
     // Act
-    let during = table.apply_standing(end, true);
-    let after = table.apply_standing(end + wait() / 2, false);
-    let later = table.apply_standing(end + wait(), false);
+    let during = table.apply_standing(end, true, true);
+    let after = table.apply_standing(end + wait() / 2, false, true);
+    let later = table.apply_standing(end + wait(), false, true);
 
     // Assert
     assert_eq!((during.len(), after.len(), later.len()), (0, 0, 1));
@@ -628,7 +668,7 @@
     // Arrange
     let mut table = table_with_wrong_start(true);
     let due = at(20) + wait();
-    table.apply_standing(due, false);
+    table.apply_standing(due, false, true);
 
     // Act
     table.list(due, listed("t0", Some(START + 1), true));
@@ -690,7 +730,7 @@
                 None => table.unlist(at(now), "t0", false),
             }
         }
-        if !table.apply_standing(at(now), false).is_empty() {
+        if !table.apply_standing(at(now), false, true).is_empty() {
             return Some(now);
         }
     }
