--- a/crates/damaskstile-gateway/src/start_check.rs
+++ b/crates/damaskstile-gateway/src/start_check.rs
@@ -1,7 +1,5 @@
 //! Check that a connection leads to the incarnation of a target that the list names.
 
-use std::time::Duration;
-
 use damaskstile_core::prelude::*;
 use damaskstile_targets::Choice;
 use http::{HeaderValue, Request, StatusCode, header};
@@ -13,8 +11,8 @@
 
 /// Longest answer to the query, in bytes. It grows with the number of calls at the target.
 const ANSWER_BYTES_MAX: usize = 256 * 1024;
-/// Time limit of the query. Targets answer it beside their work.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of the answer once its head has arrived. A target that pauses sends no head.
+const BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Which incarnation of a target a connection leads to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,11 +23,11 @@
     Other(TargetIncarnation),
     /// The target answers, and does not tell.
     Untold,
-    /// The target does not answer; nothing but the query was sent.
+    /// The target gave no whole answer; nothing but the query was sent.
     Unanswered,
 }
 
-/// Asks a target when it started. A connection leads to one process, so what follows on it reaches
+/// Asks a target when it started, and waits for its answer. A connection leads to one process, so what follows on it reaches
 /// the incarnation that answered.
 pub(crate) async fn check_start(
     gateway: &Gateway,
@@ -43,8 +41,7 @@
     else {
         return StartCheck::Untold;
     };
-    let asking = timeout(QUERY_TIMEOUT, ask(gateway, lease, choice, path));
-    match asking.await.ok().flatten() {
+    match ask(gateway, lease, choice, path).await {
         Some(Some(start)) if Some(start) == choice.incarnation => StartCheck::Listed,
         Some(Some(start)) => StartCheck::Other(start),
         Some(None) => StartCheck::Untold,
@@ -64,7 +61,8 @@
     let host = HeaderValue::from_str(&choice.address.to_string()).ok()?;
     request.headers_mut().insert(header::HOST, host);
     let (head, body) = lease.send(request).await.ok()?.into_parts();
-    let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await.ok()?;
+    let reading = Limited::new(body, ANSWER_BYTES_MAX).collect();
+    let body = timeout(BODY_TIMEOUT, reading).await.ok()?.ok()?;
     let is_ok = head.status == StatusCode::OK;
     Some(
         gateway
