--- a/crates/damaskstile-gateway/src/exchange/starting.rs
+++ b/crates/damaskstile-gateway/src/exchange/starting.rs
@@ -58,10 +58,7 @@
         reservation: &mut Reservation,
     ) -> Result<Run, SendFailure> {
         let is_stream = self.terms.route.kind.is_stream();
-        let mut current = Some(SilentCall {
-            answering,
-            takes_errors: false,
-        });
+        let mut current = Some(SilentCall { answering });
         let mut is_noted = false;
         loop {
             let chosen = self.choose_successor(reservation);
@@ -93,7 +90,7 @@
                 overlap_max: is_stream.then_some(STREAM_OVERLAP_MAX),
                 needs_part: false,
             };
-            match start.run(&mut current).await {
+            match start.beside(&mut current).await {
                 Succession::Cancelled { step, was_sent } => {
                     self.gateway.metrics.successions.cancelled();
                     if was_sent {
--- a/crates/damaskstile-gateway/src/relay.rs
+++ b/crates/damaskstile-gateway/src/relay.rs
@@ -175,7 +175,7 @@
                 }
                 StreamStep::Stalled => {
                     // Boxed, since few streams stall.
-                    if let Some(next_step) = Box::pin(self.succeed_silent_run()).await {
+                    if let Some(next_step) = Box::pin(self.replace_silent_run()).await {
                         step = next_step;
                         continue;
                     }
--- a/crates/damaskstile-gateway/src/relay/resume.rs
+++ b/crates/damaskstile-gateway/src/relay/resume.rs
@@ -77,7 +77,7 @@
     /// Starts the stream at another target while the current run is silent; it is kept until the
     /// other target has accepted the call. Returns what the current run does next, if it does not
     /// stay silent.
-    pub(super) async fn succeed_silent_run(&mut self) -> Option<StreamStep> {
+    pub(super) async fn replace_silent_run(&mut self) -> Option<StreamStep> {
         loop {
             let Some((choice, attempts)) = self.choose_successor(SendFailureKind::Unknown) else {
                 self.waits_out_pauses = true;
@@ -107,7 +107,7 @@
                 overlap_max: Some(STREAM_OVERLAP_MAX),
                 needs_part: true,
             };
-            let succession = start.run(&mut current).await;
+            let succession = start.beside(&mut current).await;
             let current = current.map(|current| current.run);
             match succession {
                 Succession::Cancelled { step, was_sent } => {
--- a/crates/damaskstile-gateway/src/relay/silent_stream.rs
+++ b/crates/damaskstile-gateway/src/relay/silent_stream.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 
 use crate::run::Run;
-use crate::silent_run::{CurrentStep, SilentRun};
+use crate::silent_run::{RunStep, SilentRun};
 
 /// The run of a stream whose target is silent.
 #[derive(Debug)]
@@ -18,11 +18,11 @@
 impl SilentRun for SilentStream {
     type Step = Option<hyper::Result<Frame<Bytes>>>;
 
-    async fn next(&mut self) -> CurrentStep<Self::Step> {
+    async fn next(&mut self) -> RunStep<Self::Step> {
         match self.run.body.frame().await {
-            frame @ Some(Err(_)) => CurrentStep::Ended(frame),
-            None if self.has_part => CurrentStep::Ended(None),
-            frame => CurrentStep::GoesOn(frame),
+            frame @ Some(Err(_)) => RunStep::Ended(frame),
+            None if self.has_part => RunStep::Ended(None),
+            frame => RunStep::GoesOn(frame),
         }
     }
 
--- a/crates/damaskstile-gateway/src/silent_run.rs
+++ b/crates/damaskstile-gateway/src/silent_run.rs
@@ -2,7 +2,7 @@
 
 /// What a silent run does next.
 #[derive(Debug)]
-pub(crate) enum CurrentStep<T> {
+pub(crate) enum RunStep<T> {
     /// It goes on.
     GoesOn(T),
     /// It has ended without an answer that the call can end with.
@@ -16,7 +16,7 @@
 
     /// Waits until the run goes on or ends. May be cancelled, and called again unless the run has
     /// ended.
-    fn next(&mut self) -> impl Future<Output = CurrentStep<Self::Step>> + Send;
+    fn next(&mut self) -> impl Future<Output = RunStep<Self::Step>> + Send;
 
     /// Cancels the run, which was silent for too long.
     fn give_up(self);
--- a/crates/damaskstile-gateway/src/succession.rs
+++ b/crates/damaskstile-gateway/src/succession.rs
@@ -17,7 +17,7 @@
 use crate::prepared_send::PreparedSend;
 use crate::run::{Run, SendFailure};
 use crate::send_options::SendOptions;
-use crate::silent_run::{CurrentStep, SilentRun};
+use crate::silent_run::{RunStep, SilentRun};
 use crate::wait_limit::WaitLimit;
 
 /// Longest time for which a stream may run at two targets. Two runs of one stream must not last for
@@ -72,7 +72,7 @@
     /// call, refuse the connection or be silent too, while the silent target is about to go on.
     /// Where the call may not run at two targets for long, the silent run is given up, and
     /// `current` emptied, when the overlap is over.
-    pub(crate) async fn run<C: SilentRun>(self, current: &mut Option<C>) -> Succession<C::Step> {
+    pub(crate) async fn beside<C: SilentRun>(self, current: &mut Option<C>) -> Succession<C::Step> {
         let sent = watch::Sender::new(None);
         let (overlap_max, needs_part) = (self.overlap_max, self.needs_part);
         let mut starting = pin!(self.start(&sent));
@@ -85,11 +85,11 @@
                 biased;
                 started = starting.as_mut() => break started,
                 step = silent.next() => match step {
-                    CurrentStep::GoesOn(step) => {
+                    RunStep::GoesOn(step) => {
                         let was_sent = sent.borrow().is_some();
                         return Succession::Cancelled { step, was_sent };
                     }
-                    CurrentStep::Ended(step) => ended = Some(step),
+                    RunStep::Ended(step) => ended = Some(step),
                 },
                 () = overlap_over(&sent, overlap_max) => give_up(current),
             }
@@ -115,10 +115,10 @@
                     }
                 },
                 step = silent.next() => match step {
-                    CurrentStep::GoesOn(step) => {
+                    RunStep::GoesOn(step) => {
                         return Succession::Cancelled { step, was_sent: true };
                     }
-                    CurrentStep::Ended(step) => ended = Some(step),
+                    RunStep::Ended(step) => ended = Some(step),
                 },
                 () = overlap_over(&sent, overlap_max) => give_up(current),
             }
