Fix: a stream that has not begun is given up for a target that is silent too

Cause: a silent run is given up 250 ms after another target was sent the call. Before the first event that target was not asked for its start, so one that paused as well got the call and rejected it when the silent run was gone. After the first event it is asked since the stream is bound to a version. Now targets of streams are asked in both cases: one that has answered rejects within a round trip.

Test: a_stream_that_has_not_begun_outlasts_a_pause_of_a_target_that_rejects_it_then, 4 of 8 calls 502 before, none after; the others of successors.rs and pausing_targets.rs pass.

--- a/crates/damaskstile-gateway/src/exchange/starting.rs
+++ b/crates/damaskstile-gateway/src/exchange/starting.rs
@@ -86,7 +86,11 @@
                 until: wait_limit.until(),
                 wait_limit,
                 choice,
-                options: SendOptions::default(),
+                // One that is silent too would be noticed only after the silent run is given up.
+                options: SendOptions {
+                    asks_start: is_stream,
+                    ..SendOptions::default()
+                },
                 overlap_max: is_stream.then_some(STREAM_OVERLAP_MAX),
                 needs_part: false,
             };
--- a/crates/damaskstile-gateway/src/prepared_send.rs
+++ b/crates/damaskstile-gateway/src/prepared_send.rs
@@ -61,7 +61,9 @@
         } else {
             Running::new(gateway, choice, &wait_limit.call.work)
         };
-        let leasing = lease_for_call(gateway, wait_limit, until, &running.choice);
+        let asks_start = options.asks_start || wait_limit.call.work.software_version.is_some();
+        let choice = &running.choice;
+        let leasing = lease_for_call(gateway, wait_limit, until, choice, asks_start);
         let failure = match leasing.await {
             Ok(lease) => {
                 return Ok(Self {
@@ -225,11 +227,12 @@
     wait_limit: &WaitLimit<'_>,
     until: Duration,
     choice: &Choice,
+    asks_start: bool,
 ) -> Result<Lease, LeaseFailure> {
     let service = &wait_limit.terms.service;
     let leasing = || lease_until(gateway, until, paths::lease(gateway, service, choice));
     let mut lease = leasing().await?;
-    if wait_limit.call.work.software_version.is_none() {
+    if !asks_start {
         return Ok(lease);
     }
     let mut check = StartCheck::Unanswered;
--- a/crates/damaskstile-gateway/src/send_options.rs
+++ b/crates/damaskstile-gateway/src/send_options.rs
@@ -9,6 +9,8 @@
     pub resume_after: Option<u64>,
     /// Target that receives a copy of the run as it grows.
     pub backup_at: Option<SocketAddr>,
+    /// Whether the target is asked for its start first, which shows that it is not silent.
+    pub asks_start: bool,
     /// Copy that the run continues from: the address of its target, and the id of the call.
     pub continue_from: Option<(SocketAddr, String)>,
 }
